--- /dev/null
+++ b/crates/kingcup-support/src/fleet.rs
@@ -0,0 +1,492 @@
+//! A fleet of real processes on this machine, every connection between them through a proxy.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use anyhow::{Context, ensure};
+use kingcupgrade::{
+    core::{
+        Instance, Settings,
+        document::sha256_hex,
+        settings::{Peer, Role},
+    },
+    ops::{OperatorClient, fresh_change_id},
+    protocol::{
+        operator::Status,
+        record::{Command as Change, Reply},
+    },
+};
+
+use crate::{free_address, platform::Platform, proxy::Proxy, wait_until};
+
+/// The key of fleets made here.
+pub const FLEET_KEY: &str = "a key for fleets on one machine";
+/// How long a fleet may take to come up.
+const START_PATIENCE: Duration = Duration::from_secs(30);
+
+/// How to start an instance: the program and what stands before `--settings FILE`.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The executable.
+    pub path: PathBuf,
+    /// Arguments to run an instance.
+    pub run: Vec<String>,
+    /// Arguments to make a control instance's data folder.
+    pub init: Vec<String>,
+}
+
+impl Program {
+    /// Returns how to start the daemon at `path`.
+    pub fn daemon(path: impl Into<PathBuf>) -> Program {
+        Program { path: path.into(), run: Vec::new(), init: vec!["init".to_owned()] }
+    }
+}
+
+/// An instance to be started.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Its name.
+    pub instance: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// What it does.
+    pub roles: Vec<Role>,
+}
+
+impl Plan {
+    /// Plans an entry.
+    pub fn entry(instance: &str, domain: &str) -> Plan {
+        Plan { instance: instance.to_owned(), domain: domain.to_owned(), roles: vec![Role::Entry] }
+    }
+
+    /// Plans a control instance.
+    pub fn control(instance: &str, domain: &str) -> Plan {
+        Plan {
+            instance: instance.to_owned(),
+            domain: domain.to_owned(),
+            roles: vec![Role::Control],
+        }
+    }
+}
+
+/// One instance of a fleet.
+struct Member {
+    plan: Plan,
+    settings: PathBuf,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
+    child: Option<Child>,
+}
+
+/// A running fleet; dropping it ends its processes and removes its folder.
+pub struct Fleet {
+    program: Program,
+    folder: PathBuf,
+    members: BTreeMap<String, Member>,
+    /// The proxy of each way, by who writes and who reads.
+    links: BTreeMap<(String, String), Proxy>,
+}
+
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+
+impl Fleet {
+    /// Writes the settings of a fleet and makes its control instances' data folders.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be written or the program fails.
+    pub fn prepare(
+        program: Program,
+        plans: &[Plan],
+        platform: &Platform,
+        static_shares: bool,
+    ) -> anyhow::Result<Fleet> {
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let name = format!("kingcup-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder)?;
+        let addresses: BTreeMap<String, SocketAddr> =
+            plans.iter().map(|plan| (plan.instance.clone(), free_address())).collect();
+        let mut fleet = Fleet { program, folder, members: BTreeMap::new(), links: BTreeMap::new() };
+        for plan in plans {
+            let peers = fleet.peers_of(plan, plans, &addresses);
+            fleet.add_member(plan, peers, platform, static_shares)?;
+        }
+        for plan in plans.iter().filter(|plan| plan.roles.contains(&Role::Control)) {
+            fleet.init(&plan.instance)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Prepares a fleet and starts all of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an instance does not come up.
+    pub fn start(
+        program: Program,
+        plans: &[Plan],
+        platform: &Platform,
+        static_shares: bool,
+    ) -> anyhow::Result<Fleet> {
+        let mut fleet = Fleet::prepare(program, plans, platform, static_shares)?;
+        for plan in plans {
+            fleet.run(&plan.instance)?;
+        }
+        let up = wait_until(START_PATIENCE, || {
+            fleet.members.keys().all(|instance| fleet.status(instance).is_ok())
+        });
+        ensure!(up, "an instance did not come up; its log is in {}", fleet.folder.display());
+        Ok(fleet)
+    }
+
+    /// Lists all instances with addresses as `plan` sees them: its own, and proxies before others.
+    fn peers_of(
+        &mut self,
+        plan: &Plan,
+        plans: &[Plan],
+        addresses: &BTreeMap<String, SocketAddr>,
+    ) -> Vec<Peer> {
+        let mut peers = Vec::new();
+        for other in plans {
+            let real = addresses[&other.instance];
+            let address = if other.instance == plan.instance {
+                real
+            } else {
+                let proxy = Proxy::start(real);
+                let address = proxy.address();
+                self.links.insert((plan.instance.clone(), other.instance.clone()), proxy);
+                address
+            };
+            peers.push(Peer {
+                instance: other.instance.as_str().into(),
+                address,
+                failure_domain: other.domain.as_str().into(),
+                roles: other.roles.clone(),
+            });
+        }
+        peers
+    }
+
+    fn add_member(
+        &mut self,
+        plan: &Plan,
+        peers: Vec<Peer>,
+        platform: &Platform,
+        static_shares: bool,
+    ) -> anyhow::Result<()> {
+        let (caller_address, operator_address) = (free_address(), free_address());
+        let is_control = plan.roles.contains(&Role::Control);
+        let settings = Settings {
+            instance: plan.instance.as_str().into(),
+            peers,
+            caller_address: Some(caller_address),
+            operator_address,
+            data: is_control.then(|| self.data_folder(&plan.instance)),
+            fleet_key: FLEET_KEY.to_owned(),
+            platform_list: platform.url(),
+            max_requests: 2_000,
+            static_shares,
+        };
+        let path = self.folder.join(format!("{}.yaml", plan.instance));
+        fs::write(&path, serde_norway::to_string(&settings)?)?;
+        let member = Member {
+            plan: plan.clone(),
+            settings: path,
+            caller_address,
+            operator_address,
+            child: None,
+        };
+        self.members.insert(plan.instance.clone(), member);
+        Ok(())
+    }
+
+    fn init(&self, instance: &str) -> anyhow::Result<()> {
+        let status = Command::new(&self.program.path)
+            .args(&self.program.init)
+            .arg("--settings")
+            .arg(&self.members[instance].settings)
+            .status()?;
+        ensure!(status.success(), "init of {instance} failed");
+        Ok(())
+    }
+
+    /// Starts an instance that does not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn run(&mut self, instance: &str) -> anyhow::Result<()> {
+        let log = File::options().create(true).append(true).open(self.log_path(instance))?;
+        let member = self.members.get_mut(instance).context("no such instance")?;
+        let child = Command::new(&self.program.path)
+            .args(&self.program.run)
+            .arg("--settings")
+            .arg(&member.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        member.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns where an instance's log goes.
+    pub fn log_path(&self, instance: &str) -> PathBuf {
+        self.folder.join(format!("{instance}.log"))
+    }
+
+    /// Returns what an instance logged so far.
+    pub fn log(&self, instance: &str) -> String {
+        fs::read_to_string(self.log_path(instance)).unwrap_or_default()
+    }
+
+    /// Returns a control instance's data folder.
+    pub fn data_folder(&self, instance: &str) -> PathBuf {
+        self.folder.join(format!("{instance}.data"))
+    }
+
+    /// Returns an instance's settings file.
+    pub fn settings_path(&self, instance: &str) -> &Path {
+        &self.members[instance].settings
+    }
+
+    /// Ends an instance without warning.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the instance is not known.
+    pub fn kill(&mut self, instance: &str) {
+        let member = self.members.get_mut(instance).expect("a known instance");
+        if let Some(mut child) = member.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends an instance a signal by name, as TERM, STOP or CONT.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the instance does not run.
+    pub fn signal(&self, instance: &str, signal: &str) {
+        let child = self.members[instance].child.as_ref().expect("a running instance");
+        let pid = child.id().to_string();
+        let status = Command::new("kill").arg(format!("-{signal}")).arg(pid).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill -{signal} {instance}");
+    }
+
+    /// Waits until an instance has ended by itself; returns whether it ended well.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the instance is not known.
+    pub fn wait_for_end(&mut self, instance: &str, patience: Duration) -> bool {
+        let member = self.members.get_mut(instance).expect("a known instance");
+        let Some(child) = member.child.as_mut() else { return false };
+        let mut ended_well = None;
+        wait_until(patience, || {
+            ended_well = child.try_wait().ok().flatten().map(|status| status.success());
+            ended_well.is_some()
+        });
+        ended_well.unwrap_or(false)
+    }
+
+    /// Returns the proxy of one way between two instances.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of the instances is not known.
+    pub fn link(&self, from: &str, to: &str) -> &Proxy {
+        &self.links[&(from.to_owned(), to.to_owned())]
+    }
+
+    /// Cuts an instance off from all others, both ways and silently, or joins it again.
+    pub fn isolate(&self, instance: &str, cut: bool) {
+        for ((from, to), proxy) in &self.links {
+            if from == instance || to == instance {
+                proxy.cut(cut);
+            }
+        }
+    }
+
+    /// Cuts a failure domain off from all others, or joins it again.
+    pub fn cut_domain(&self, domain: &str, cut: bool) {
+        let inside = |instance: &str| self.members[instance].plan.domain == domain;
+        for ((from, to), proxy) in &self.links {
+            if inside(from) != inside(to) {
+                proxy.cut(cut);
+            }
+        }
+    }
+
+    /// Returns where an entry takes callers' requests.
+    pub fn entry(&self, instance: &str) -> SocketAddr {
+        self.members[instance].caller_address
+    }
+
+    /// Lists the entries with their failure domains.
+    pub fn entries(&self) -> Vec<(String, String)> {
+        self.with_role(Role::Entry)
+    }
+
+    /// Lists the control instances with their failure domains.
+    pub fn controls(&self) -> Vec<(String, String)> {
+        self.with_role(Role::Control)
+    }
+
+    fn with_role(&self, role: Role) -> Vec<(String, String)> {
+        let members = self.members.values().filter(|member| member.plan.roles.contains(&role));
+        members.map(|m| (m.plan.instance.clone(), m.plan.domain.clone())).collect()
+    }
+
+    /// Returns where an instance serves operators.
+    pub fn operator_address(&self, instance: &str) -> SocketAddr {
+        self.members[instance].operator_address
+    }
+
+    /// Returns a client of the running instances.
+    pub fn client(&self) -> OperatorClient {
+        let running = self.members.iter().filter(|(_, member)| member.child.is_some());
+        let addresses = running.map(|(i, m)| (Instance::from(i.as_str()), m.operator_address));
+        OperatorClient::new(addresses.collect())
+    }
+
+    /// Writes a fleet file for the operator's tool and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be written.
+    pub fn fleet_file(&self) -> anyhow::Result<PathBuf> {
+        let addresses: BTreeMap<&String, SocketAddr> =
+            self.members.iter().map(|(i, m)| (i, m.operator_address)).collect();
+        let path = self.folder.join("fleet.yaml");
+        fs::write(&path, serde_norway::to_string(&addresses)?)?;
+        Ok(path)
+    }
+
+    /// Asks an instance for its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be reached.
+    pub fn status(&self, instance: &str) -> anyhow::Result<Status> {
+        self.client().status(&instance.into())
+    }
+
+    /// Applies a document and waits until all running instances have it in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is refused or not in force everywhere in time.
+    pub fn apply(&self, service: &str, base: u64, text: &str) -> anyhow::Result<u64> {
+        let command = Change::ApplyDocument {
+            change: fresh_change_id()?,
+            service: service.into(),
+            base,
+            text: text.to_owned(),
+        };
+        self.change_everywhere(command)
+    }
+
+    /// Takes a failure domain out or in and waits until all running instances know.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is refused or not known everywhere in time.
+    pub fn set_domain(&self, domain: &str, out: bool) -> anyhow::Result<u64> {
+        let change = fresh_change_id()?;
+        self.change_everywhere(Change::SetDomain { change, domain: domain.into(), out })
+    }
+
+    fn change_everywhere(&self, command: Change) -> anyhow::Result<u64> {
+        let Reply::Accepted { index, .. } = self.client().change(command)? else {
+            anyhow::bail!("an answer that does not fit")
+        };
+        let known = wait_until(START_PATIENCE, || {
+            self.running().iter().all(|i| self.status(i).is_ok_and(|status| status.index >= index))
+        });
+        ensure!(known, "the change is not in force everywhere");
+        Ok(index)
+    }
+
+    fn running(&self) -> Vec<String> {
+        let running = self.members.iter().filter(|(_, member)| member.child.is_some());
+        running.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Waits until each failure domain with entries has a dispatcher for `service`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that does not come about in time.
+    pub fn wait_for_dispatchers(&self, service: &str) -> anyhow::Result<()> {
+        let entries = self.entries();
+        let dispatched = wait_until(START_PATIENCE, || {
+            let statuses: Vec<Status> =
+                entries.iter().filter_map(|(i, _)| self.status(i).ok()).collect();
+            entries.iter().all(|(_, domain)| {
+                let mut of_domain =
+                    statuses.iter().filter(|s| s.failure_domain.as_str() == domain.as_str());
+                of_domain.any(|s| s.pools.iter().any(|pool| pool.service.as_str() == service))
+            })
+        });
+        ensure!(dispatched, "a failure domain has no dispatcher of {service}");
+        Ok(())
+    }
+
+    /// Returns the entry that dispatches `service` in `domain`.
+    pub fn dispatcher_of(&self, service: &str, domain: &str) -> Option<String> {
+        let of_domain = self.entries().into_iter().filter(|(_, d)| d == domain);
+        of_domain.map(|(instance, _)| instance).find(|instance| {
+            let status = self.status(instance);
+            status.is_ok_and(|status| {
+                let mut pools = status.pools.iter();
+                pools.any(|pool| pool.service.as_str() == service && pool.term.is_some())
+            })
+        })
+    }
+
+    /// Returns the control instance that leads the record.
+    pub fn leader(&self) -> Option<String> {
+        self.controls().into_iter().map(|(instance, _)| instance).find(|instance| {
+            let status = self.status(instance);
+            let control = status.ok().and_then(|status| status.control);
+            control.is_some_and(|c| c.leader.is_some_and(|l| l.as_str() == instance.as_str()))
+        })
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let instances: Vec<String> = self.members.keys().cloned().collect();
+        for instance in instances {
+            self.kill(&instance);
+        }
+        if std::env::var_os("KINGCUP_KEEP").is_none() && !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Returns the token of an organisation in documents made by [`document`].
+pub fn token(organisation: &str) -> String {
+    format!("token-of-{organisation}")
+}
+
+/// Writes a document with the given organisations and shares; `rest` is appended as it is.
+pub fn document(service: &str, kind: &str, organisations: &[(&str, u32)], rest: &str) -> String {
+    let members = organisations.iter().map(|(name, share)| {
+        let digest = sha256_hex(token(name).as_bytes());
+        format!("  {name}:\n    share: {share}\n    token_digests: [\"{digest}\"]\n")
+    });
+    let members: String = members.collect();
+    format!("service: {service}\nkind: {kind}\norganisations:\n{members}{rest}")
+}
--- /dev/null
+++ b/src/bin/kingcup/main.rs
@@ -0,0 +1,37 @@
+//! The operator's tool.
+
+mod commands;
+mod flags;
+
+use std::process::ExitCode;
+
+use kingcupgrade::{
+    core::{Code, Outcome},
+    ops,
+};
+
+/// The exit code of a change that is refused.
+const REFUSED: u8 = 1;
+/// The exit code of a change that another one came before.
+const CONFLICT: u8 = 3;
+/// The exit code of a change whose fate is not known; sending it again with the same id is safe.
+const UNKNOWN: u8 = 4;
+
+fn main() -> ExitCode {
+    let flags = flags::Kingcup::from_env_or_exit();
+    match commands::run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err:#}");
+            ExitCode::from(exit_code(&err))
+        }
+    }
+}
+
+fn exit_code(err: &anyhow::Error) -> u8 {
+    match ops::coded(err).map(|coded| coded.code) {
+        Some(Code::RevisionConflict) => CONFLICT,
+        Some(code) if code.outcome() == Outcome::Unknown => UNKNOWN,
+        _ => REFUSED,
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/client.rs
@@ -0,0 +1,184 @@
+//! An instance's dealings with the record: pulling the configuration, proposing changes.
+//!
+//! Proposals carry names of their own (change ids, claim ids), so sending one again after a lost
+//! answer changes nothing twice. That is what lets this client retry freely.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    core::{Code, Instance, Millis, code::CodedError},
+    protocol::record::{Command, RecordMessage, Reply},
+};
+
+/// How often the configuration is pulled.
+const PULL_INTERVAL: Millis = Millis(800);
+/// A control instance that has not answered a pull for this long is passed over.
+const PULL_TIMEOUT: Millis = Millis(1_000);
+/// A proposal not answered for this long is sent to the next control instance.
+const RESEND_AFTER: Millis = Millis(700);
+/// The pause before a proposal is sent again when nobody is known to lead.
+const NO_LEADER_PAUSE: Millis = Millis(150);
+
+#[derive(Clone, Debug)]
+struct Proposal {
+    command: Command,
+    send_at: Millis,
+    sent_once: bool,
+    deadline: Millis,
+}
+
+/// The state of the client.
+#[derive(Clone, Debug)]
+pub struct RecordClient {
+    controls: Vec<Instance>,
+    neighbours: Vec<Instance>,
+    /// The place among `controls` that proposals go to.
+    target: usize,
+    /// The place among `controls` that pulls go to.
+    source: usize,
+    next_id: u64,
+    proposals: BTreeMap<u64, Proposal>,
+    next_pull: Millis,
+    /// The pull not answered yet: whom, when.
+    asked: Option<(Instance, Millis)>,
+    pulls: usize,
+}
+
+impl RecordClient {
+    /// Makes a client of the given control instances; `neighbours` are asked as well until a
+    /// configuration is known. `offset` spreads the clients over the control instances.
+    pub fn new(controls: Vec<Instance>, neighbours: Vec<Instance>, offset: usize) -> RecordClient {
+        let start = offset % controls.len().max(1);
+        RecordClient {
+            controls,
+            neighbours,
+            target: start,
+            source: start,
+            next_id: 1,
+            proposals: BTreeMap::new(),
+            next_pull: Millis::ZERO,
+            asked: None,
+            pulls: 0,
+        }
+    }
+
+    /// Starts a proposal and returns its number.
+    pub fn propose(&mut self, now: Millis, command: Command, patience: Millis) -> u64 {
+        let id = self.next_id;
+        self.next_id += 1;
+        let proposal =
+            Proposal { command, send_at: now, sent_once: false, deadline: now + patience };
+        self.proposals.insert(id, proposal);
+        id
+    }
+
+    /// Notes a state that arrived from `from`; one that can't confirm itself is passed over.
+    pub fn on_state(&mut self, from: &Instance, confirms: bool) {
+        if self.asked.as_ref().is_none_or(|(instance, _)| instance != from) {
+            return;
+        }
+        self.asked = None;
+        if !confirms {
+            self.source = (self.source + 1) % self.controls.len().max(1);
+        }
+    }
+
+    /// Handles the answer to a proposal; returns it if the proposal was still open.
+    pub fn on_answer(&mut self, now: Millis, id: u64, reply: Reply) -> Option<Reply> {
+        let not_leader = matches!(&reply, Reply::Refused(err) if err.code == Code::NotLeader);
+        if not_leader {
+            self.on_redirect(now, id, None);
+            return None;
+        }
+        self.proposals.remove(&id).map(|_| reply)
+    }
+
+    /// Handles the word that another instance leads.
+    pub fn on_redirect(&mut self, now: Millis, id: u64, leader: Option<&Instance>) {
+        let place = leader.and_then(|l| self.controls.iter().position(|control| control == l));
+        let pause = match place {
+            Some(place) if place != self.target => {
+                self.target = place;
+                Millis::ZERO
+            }
+            Some(_) => NO_LEADER_PAUSE,
+            None => {
+                self.rotate_target();
+                NO_LEADER_PAUSE
+            }
+        };
+        if let Some(proposal) = self.proposals.get_mut(&id) {
+            proposal.send_at = now + pause;
+            proposal.sent_once = false;
+        }
+    }
+
+    fn rotate_target(&mut self) {
+        self.target = (self.target + 1) % self.controls.len().max(1);
+    }
+
+    /// Handles the passing of time: returns messages to send, and the proposals given up.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+        have: u64,
+        out: &mut Vec<(Instance, RecordMessage)>,
+    ) -> Vec<(u64, Reply)> {
+        self.pull(now, have, out);
+        self.send_proposals(now, out);
+        self.give_up_overdue(now)
+    }
+
+    fn pull(&mut self, now: Millis, have: u64, out: &mut Vec<(Instance, RecordMessage)>) {
+        if let Some((_, asked)) = &self.asked
+            && now.since(*asked) > PULL_TIMEOUT
+        {
+            self.asked = None;
+            self.source = (self.source + 1) % self.controls.len().max(1);
+            self.next_pull = now;
+        }
+        if now < self.next_pull || self.asked.is_some() {
+            return;
+        }
+        self.next_pull = now + PULL_INTERVAL;
+        self.pulls += 1;
+        if let Some(control) = self.controls.get(self.source) {
+            self.asked = Some((control.clone(), now));
+            out.push((control.clone(), RecordMessage::Pull { have, asked: now }));
+        }
+        if have == 0 && !self.neighbours.is_empty() {
+            let neighbour = &self.neighbours[self.pulls % self.neighbours.len()];
+            out.push((neighbour.clone(), RecordMessage::Pull { have, asked: now }));
+        }
+    }
+
+    fn send_proposals(&mut self, now: Millis, out: &mut Vec<(Instance, RecordMessage)>) {
+        let due = |proposal: &Proposal| now >= proposal.send_at;
+        let unanswered = self.proposals.values().any(|p| p.sent_once && due(p));
+        if unanswered {
+            self.rotate_target();
+        }
+        let Some(control) = self.controls.get(self.target).cloned() else { return };
+        for (id, proposal) in self.proposals.iter_mut().filter(|(_, p)| due(p)) {
+            proposal.send_at = now + RESEND_AFTER;
+            proposal.sent_once = true;
+            let command = proposal.command.clone();
+            out.push((control.clone(), RecordMessage::Propose { id: *id, command }));
+        }
+    }
+
+    fn give_up_overdue(&mut self, now: Millis) -> Vec<(u64, Reply)> {
+        let overdue: Vec<u64> = self
+            .proposals
+            .iter()
+            .filter(|(_, proposal)| now >= proposal.deadline)
+            .map(|(id, _)| *id)
+            .collect();
+        let give_up = |id: u64| {
+            self.proposals.remove(&id);
+            let detail = "no answer from a leader of the control instances";
+            (id, Reply::Refused(CodedError::new(Code::CommitUnknown, detail)))
+        };
+        overdue.into_iter().map(give_up).collect()
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/consensus/election.rs
@@ -0,0 +1,142 @@
+//! Elections: who may lead.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Consensus, ConsensusOutput, ELECTION_MIN, ELECTION_SPREAD, Role};
+use crate::{
+    core::Millis,
+    protocol::consensus::{ConsensusBody, Payload, Position, ReplicaId},
+    state::log::{HardState, Persist},
+};
+
+impl Consensus {
+    pub(super) fn put_off_election(&mut self, now: Millis) {
+        let spread = self.next_random() % ELECTION_SPREAD;
+        self.election_at = now + ELECTION_MIN + Millis(spread);
+    }
+
+    /// Enters a newer term as a follower.
+    pub(super) fn enter_term(
+        &mut self,
+        now: Millis,
+        term: u64,
+        vote: Option<ReplicaId>,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        self.hard_state = HardState { term, vote };
+        out.push(ConsensusOutput::Persist(Persist::HardState(self.hard_state.clone())));
+        self.step_down(now);
+    }
+
+    pub(super) fn step_down(&mut self, now: Millis) {
+        self.role = Role::Follower { leader: None };
+        self.put_off_election(now);
+    }
+
+    pub(super) fn follow(&mut self, now: Millis, leader: &ReplicaId) {
+        self.role = Role::Follower { leader: Some(leader.clone()) };
+        self.heard_leader = Some(now);
+        self.put_off_election(now);
+    }
+
+    /// Asks the other voters for their votes, or with `pre` whether they would give them.
+    pub(super) fn ask_for_votes(&mut self, now: Millis, pre: bool, out: &mut Vec<ConsensusOutput>) {
+        if !pre {
+            let own = Some(self.id.clone());
+            self.enter_term(now, self.term() + 1, own, out);
+        }
+        self.put_off_election(now);
+        self.role = Role::Candidate { pre, votes: BTreeSet::from([self.id.clone()]) };
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send(&peer, ConsensusBody::Vote { pre, last }, out);
+        }
+        self.count_votes(now, out);
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        now: Millis,
+        from: &ReplicaId,
+        term: u64,
+        pre: bool,
+        last: Position,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        // A replica that hears its leader neither votes nor lets its term be raised. Otherwise a
+        // member that was removed, or hears nobody, would depose a leader that works.
+        let has_leader = self.is_leader()
+            || self.heard_leader.is_some_and(|heard| now.since(heard) < ELECTION_MIN);
+        let wanted_term = if pre { term + 1 } else { term };
+        let is_newer = wanted_term > self.term();
+        let may_repeat = !pre && term == self.term() && self.may_vote_for(from);
+        let up_to_date = last >= self.log.last();
+        let granted = !has_leader && up_to_date && (is_newer || may_repeat);
+        if !pre && !has_leader && is_newer {
+            let vote = granted.then(|| from.clone());
+            self.enter_term(now, term, vote, out);
+        } else if granted && !pre {
+            self.hard_state.vote = Some(from.clone());
+            out.push(ConsensusOutput::Persist(Persist::HardState(self.hard_state.clone())));
+            self.put_off_election(now);
+        }
+        self.send(from, ConsensusBody::VoteReply { pre, granted }, out);
+    }
+
+    fn may_vote_for(&self, candidate: &ReplicaId) -> bool {
+        let is_follower = matches!(self.role, Role::Follower { leader: None });
+        let vote = self.hard_state.vote.as_ref();
+        is_follower && vote.is_none_or(|vote| vote == candidate)
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        now: Millis,
+        from: &ReplicaId,
+        term: u64,
+        pre: bool,
+        granted: bool,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        if term > self.term() && !granted {
+            self.enter_term(now, term, None, out);
+            return;
+        }
+        let is_candidate = |asks: &bool| *asks == pre;
+        match &mut self.role {
+            Role::Candidate { pre: asks, votes } if is_candidate(asks) && granted => {
+                // A vote counts for the term it was asked in only.
+                if !pre && term != self.hard_state.term {
+                    return;
+                }
+                votes.insert(from.clone());
+            }
+            _ => return,
+        }
+        self.count_votes(now, out);
+    }
+
+    fn count_votes(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
+        let Role::Candidate { pre, votes } = &self.role else { return };
+        let pre = *pre;
+        let voters = self.voters();
+        let given = voters.iter().filter(|voter| votes.contains(*voter)).count();
+        if given < voters.len() / 2 + 1 {
+            return;
+        }
+        if pre {
+            self.ask_for_votes(now, false, out);
+        } else {
+            self.lead(now, out);
+        }
+    }
+
+    fn lead(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
+        let since = self.log.last().index + 1;
+        self.role = Role::Leader { progress: BTreeMap::new(), since };
+        self.next_heartbeat = now;
+        self.append(0, Payload::Noop, out);
+        self.track_members(now);
+        self.flush(now, out);
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -0,0 +1,179 @@
+//! Members: who votes, who catches up, and who may be added or removed.
+
+use super::{Consensus, ConsensusOutput, ELECTION_MIN, Role, replication::Progress};
+use crate::{
+    core::{Code, Instance, Millis, code::CodedError},
+    protocol::consensus::{ConsensusBody, Member, Payload, ReplicaId},
+};
+
+/// A learner that lacks at most this many entries may vote.
+const CAUGHT_UP: u64 = 16;
+/// How often a replica outside the record makes itself known.
+const HELLO_INTERVAL: Millis = Millis(1_000);
+/// A replica outside the record counts as present for this long after its last sign.
+const HELLO_TTL: Millis = Millis(10_000);
+
+impl Consensus {
+    /// Returns the voters as of the end of the log.
+    pub(super) fn voters(&self) -> Vec<ReplicaId> {
+        self.members().iter().filter(|m| m.voter).map(|m| m.id.clone()).collect()
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<ReplicaId> {
+        self.voters().into_iter().filter(|id| *id != self.id).collect()
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.members().iter().any(|member| member.voter && member.id == self.id)
+    }
+
+    /// Keeps a leader's progress in step with the members.
+    pub(super) fn adopt_members(&mut self) {
+        self.track_members(Millis::ZERO);
+    }
+
+    pub(super) fn track_members(&mut self, now: Millis) {
+        let next = self.log.last().index;
+        let own = self.id.clone();
+        let ids: Vec<ReplicaId> =
+            self.members().iter().map(|m| m.id.clone()).filter(|id| *id != own).collect();
+        let Role::Leader { progress, .. } = &mut self.role else { return };
+        progress.retain(|id, _| ids.contains(id));
+        for id in ids {
+            let fresh = Progress { next: next.max(1), matched: 0, acked: now, snapshot: None };
+            progress.entry(id).or_insert(fresh);
+        }
+    }
+
+    /// Proposes to add a replica that has made itself known, first without a vote.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::NotLeader`], or [`Code::MemberRefused`] with the reason.
+    pub fn add_member(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        instance: &Instance,
+        out: &mut Vec<ConsensusOutput>,
+    ) -> Result<u64, CodedError> {
+        self.check_change()?;
+        let present = |(id, seen): &(&ReplicaId, &Millis)| {
+            id.0 == *instance && now.since(**seen) <= HELLO_TTL
+        };
+        let found = self.blanks.iter().filter(present).max_by_key(|(_, seen)| **seen);
+        let Some((id, _)) = found else {
+            return Err(refused(format!(
+                "{instance} has not made itself known: start it with an empty data folder first"
+            )));
+        };
+        let mut members = self.members().to_vec();
+        if members.iter().any(|member| member.id == *id) {
+            return Err(refused(format!("{id} is a member already")));
+        }
+        members.push(Member { id: id.clone(), voter: false });
+        self.propose(now, unix_ms, Payload::Members(members), out)
+    }
+
+    /// Proposes to remove a replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::NotLeader`], or [`Code::MemberRefused`] with the reason.
+    pub fn remove_member(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        instance: &Instance,
+        replica: Option<u64>,
+        out: &mut Vec<ConsensusOutput>,
+    ) -> Result<u64, CodedError> {
+        self.check_change()?;
+        let is_meant = |id: &ReplicaId| id.0 == *instance && replica.is_none_or(|r| r == id.1);
+        let meant: Vec<&Member> = self.members().iter().filter(|m| is_meant(&m.id)).collect();
+        let id = match meant.as_slice() {
+            [] => return Err(refused(format!("{instance} is no member"))),
+            [member] => member.id.clone(),
+            _ => {
+                return Err(refused(format!(
+                    "{instance} is a member twice; name it as {instance}#NUMBER"
+                )));
+            }
+        };
+        if id == self.id {
+            return Err(refused("the leader can't remove itself; stop it first".to_owned()));
+        }
+        let members: Vec<Member> =
+            self.members().iter().filter(|member| member.id != id).cloned().collect();
+        self.check_majority(now, &members)?;
+        self.propose(now, unix_ms, Payload::Members(members), out)
+    }
+
+    /// Checks that no other change of members is under way, and that this leader knows all of them.
+    fn check_change(&self) -> Result<(), CodedError> {
+        let Role::Leader { since, .. } = &self.role else {
+            return Err(CodedError::new(Code::NotLeader, "this instance does not lead the record"));
+        };
+        let (_, set_at) = self.log.members();
+        if self.commit < *since || set_at > self.commit {
+            return Err(refused("another change is under way; try again in a moment".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Checks that enough of the voters in `members` can be heard now to go on.
+    fn check_majority(&self, now: Millis, members: &[Member]) -> Result<(), CodedError> {
+        let Role::Leader { progress, .. } = &self.role else { return Ok(()) };
+        let is_heard = |id: &ReplicaId| {
+            *id == self.id || progress.get(id).is_some_and(|p| now.since(p.acked) < ELECTION_MIN)
+        };
+        let voters: Vec<&Member> = members.iter().filter(|member| member.voter).collect();
+        let heard = voters.iter().filter(|member| is_heard(&member.id)).count();
+        if heard < voters.len() / 2 + 1 {
+            return Err(refused(format!(
+                "only {heard} of the {} voters that would remain can be heard",
+                voters.len()
+            )));
+        }
+        Ok(())
+    }
+
+    /// Gives a vote to a learner that has caught up.
+    pub(super) fn promote_learners(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
+        if self.check_change().is_err() {
+            return;
+        }
+        let last = self.log.last().index;
+        let Role::Leader { progress, .. } = &self.role else { return };
+        let caught_up = |id: &ReplicaId| {
+            progress.get(id).is_some_and(|p| {
+                p.matched > 0 && p.matched + CAUGHT_UP >= last && now.since(p.acked) < ELECTION_MIN
+            })
+        };
+        let mut members = self.members().to_vec();
+        let learner = members.iter_mut().find(|member| !member.voter && caught_up(&member.id));
+        let Some(learner) = learner else { return };
+        learner.voter = true;
+        if self.check_majority(now, &members).is_ok() {
+            let unix_ms = self.log.entry(last).map_or(0, |entry| entry.unix_ms);
+            // Whoever leads is the leader here; the proposal can't be refused.
+            let _ = self.propose(now, unix_ms, Payload::Members(members), out);
+        }
+    }
+
+    /// Makes a replica outside any record known to those that the settings name.
+    pub(super) fn say_hello(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
+        if !self.members().is_empty() || now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = now + HELLO_INTERVAL;
+        // An empty record has no members to write to; the sender of outputs addresses this one
+        // to all control instances.
+        let to = ReplicaId(self.id.0.clone(), 0);
+        self.send(&to, ConsensusBody::Hello, out);
+    }
+}
+
+fn refused(detail: String) -> CodedError {
+    CodedError::new(Code::MemberRefused, detail)
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -0,0 +1,199 @@
+//! What waits at which entry, as far as the entries' sessions tell.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::{
+    core::{FailureDomain, Instance, Millis, Organisation},
+    protocol::dispatch::Session,
+};
+
+#[derive(Clone, Debug)]
+struct EntrySession {
+    session: Session,
+    seq: u64,
+    heard: Millis,
+    acked_at: Millis,
+    /// Grants sent in the session.
+    granted: u64,
+    /// Grants the entry had not received when it last reported.
+    unreceived: VecDeque<Organisation>,
+    /// Counts as reported; they leave out received grants only.
+    reported: BTreeMap<Organisation, u32>,
+}
+
+impl EntrySession {
+    /// Returns the requests that wait for a grant that is not under way yet.
+    ///
+    /// A report may have crossed a grant on its way. Taking the reported count as it is would
+    /// grant the same request twice and leave a slot idle for a round trip.
+    fn waiting(&self, organisation: &Organisation) -> u32 {
+        let reported = self.reported.get(organisation).copied().unwrap_or(0);
+        let under_way = self.unreceived.iter().filter(|o| *o == organisation).count();
+        reported.saturating_sub(u32::try_from(under_way).unwrap_or(u32::MAX))
+    }
+}
+
+/// The demand of all entries for one pool.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    sessions: BTreeMap<Instance, EntrySession>,
+    /// Entries by organisation, those with a reported count above zero.
+    queues: BTreeMap<Organisation, BTreeSet<Instance>>,
+    heard: BTreeMap<Instance, Millis>,
+    domains: BTreeMap<Instance, FailureDomain>,
+}
+
+impl Demand {
+    /// Opens a session; returns false if it is older than the current one.
+    pub fn open(&mut self, now: Millis, entry: &Instance, session: Session) -> bool {
+        let current = self.sessions.get(entry);
+        if current.is_some_and(|current| session <= current.session) {
+            return false;
+        }
+        self.clear(entry);
+        let state = EntrySession {
+            session,
+            seq: 0,
+            heard: now,
+            acked_at: Millis::ZERO,
+            granted: 0,
+            unreceived: VecDeque::new(),
+            reported: BTreeMap::new(),
+        };
+        self.sessions.insert(entry.clone(), state);
+        self.note_heard(now, entry);
+        true
+    }
+
+    /// Notes a report; returns false if it does not follow the last one of the current session.
+    pub fn on_report(
+        &mut self,
+        now: Millis,
+        entry: &Instance,
+        session: Session,
+        seq: u64,
+        received: u64,
+    ) -> bool {
+        let Some(state) = self.sessions.get_mut(entry) else { return false };
+        if state.session != session || seq != state.seq + 1 {
+            return false;
+        }
+        state.seq = seq;
+        state.heard = now;
+        let unreceived = state.granted.saturating_sub(received);
+        while state.unreceived.len() as u64 > unreceived {
+            state.unreceived.pop_front();
+        }
+        self.note_heard(now, entry);
+        true
+    }
+
+    /// Sets a reported count.
+    pub fn set(&mut self, entry: &Instance, organisation: &Organisation, count: u32) {
+        let Some(state) = self.sessions.get_mut(entry) else { return };
+        if count > 0 {
+            state.reported.insert(organisation.clone(), count);
+            self.queues.entry(organisation.clone()).or_default().insert(entry.clone());
+            return;
+        }
+        state.reported.remove(organisation);
+        self.remove_queue(entry, organisation);
+    }
+
+    fn remove_queue(&mut self, entry: &Instance, organisation: &Organisation) {
+        if let Some(entries) = self.queues.get_mut(organisation) {
+            entries.remove(entry);
+            if entries.is_empty() {
+                self.queues.remove(organisation);
+            }
+        }
+    }
+
+    /// Forgets all counts of an entry and returns the organisations concerned.
+    pub fn clear(&mut self, entry: &Instance) -> Vec<Organisation> {
+        let Some(state) = self.sessions.get_mut(entry) else { return Vec::new() };
+        let reported = std::mem::take(&mut state.reported);
+        let organisations: Vec<Organisation> = reported.into_keys().collect();
+        for organisation in &organisations {
+            self.remove_queue(entry, organisation);
+        }
+        organisations
+    }
+
+    /// Forgets the session of an entry.
+    pub fn forget(&mut self, entry: &Instance) {
+        self.clear(entry);
+        self.sessions.remove(entry);
+    }
+
+    /// Returns the current session of an entry.
+    pub fn session(&self, entry: &Instance) -> Option<Session> {
+        self.sessions.get(entry).map(|state| state.session)
+    }
+
+    /// Tells whether `session` is the entry's current one.
+    pub fn is_current(&self, entry: &Instance, session: Session) -> bool {
+        self.session(entry) == Some(session)
+    }
+
+    /// Returns how many of an organisation's requests wait at all entries.
+    pub fn total(&self, organisation: &Organisation) -> u32 {
+        let Some(entries) = self.queues.get(organisation) else { return 0 };
+        entries.iter().map(|entry| self.sessions[entry].waiting(organisation)).sum()
+    }
+
+    /// Returns the entry where most of an organisation's requests wait.
+    pub fn longest_queue(&self, organisation: &Organisation) -> Option<Instance> {
+        let entries = self.queues.get(organisation)?;
+        let counts =
+            entries.iter().map(|entry| (self.sessions[entry].waiting(organisation), entry));
+        counts.max().filter(|(count, _)| *count > 0).map(|(_, entry)| entry.clone())
+    }
+
+    /// Counts a grant as under way to an entry.
+    pub fn on_granted(&mut self, entry: &Instance, organisation: &Organisation) {
+        if let Some(state) = self.sessions.get_mut(entry) {
+            state.granted += 1;
+            state.unreceived.push_back(organisation.clone());
+        }
+    }
+
+    /// Lists entries whose session has been silent for longer than `silence`.
+    pub fn silent(&self, now: Millis, silence: Millis) -> Vec<Instance> {
+        let is_silent = |state: &EntrySession| now.since(state.heard) > silence;
+        self.sessions.iter().filter(|(_, s)| is_silent(s)).map(|(entry, _)| entry.clone()).collect()
+    }
+
+    /// Lists the sessions due for an acknowledgement, with the grants sent in each.
+    pub fn due_acks(&mut self, now: Millis, interval: Millis) -> Vec<(Instance, Session, u64)> {
+        let mut due = Vec::new();
+        for (entry, state) in &mut self.sessions {
+            if now.since(state.acked_at) >= interval {
+                state.acked_at = now;
+                due.push((entry.clone(), state.session, state.granted));
+            }
+        }
+        due
+    }
+
+    /// Notes a sign of life.
+    pub fn note_heard(&mut self, now: Millis, instance: &Instance) {
+        self.heard.insert(instance.clone(), now);
+    }
+
+    /// Tells whether an instance was heard of late; one never heard counts from `born`.
+    pub fn was_heard(&self, now: Millis, instance: &Instance, born: Millis) -> bool {
+        let heard = self.heard.get(instance).copied().unwrap_or(born);
+        now.since(heard) <= super::SESSION_SILENCE
+    }
+
+    /// Sets which failure domain each instance is in.
+    pub fn set_domains(&mut self, domains: impl IntoIterator<Item = (Instance, FailureDomain)>) {
+        self.domains = domains.into_iter().collect();
+    }
+
+    /// Returns the failure domain of an instance.
+    pub fn domain_of(&self, instance: &Instance) -> Option<FailureDomain> {
+        self.domains.get(instance).cloned()
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -0,0 +1,633 @@
+//! One pool's dispatcher: demand counts come up, grants of slots go down.
+//!
+//! A single owner of the pool's slots is what makes a cold upstream's limit exact and the choice
+//! among organisations fair over all entries. The owner holds a lease (see [`super::lease`]); its
+//! state is rebuilt from the entries when the lease passes on, so nothing here is written down.
+
+pub mod counters;
+mod demand;
+pub mod slots;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use self::{
+    counters::Counters,
+    demand::Demand,
+    slots::{Collapse, Listed, Slots},
+};
+use super::decision::Decision;
+use crate::{
+    core::{Document, FailureDomain, Instance, Millis, Organisation, UpstreamName},
+    protocol::{
+        Pool,
+        dispatch::{
+            DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Held, Offer, Served,
+            Session, Waiting,
+        },
+    },
+};
+
+/// How long a new dispatcher lets entries open their sessions before it grants.
+pub const RECOVERY: Millis = Millis(400);
+/// An entry silent for this long is taken for dead or cut off.
+pub const SESSION_SILENCE: Millis = Millis(3_000);
+/// How often a session is acknowledged at least.
+const ACK_INTERVAL: Millis = Millis(250);
+/// How often totals go to the other dispatchers of the service.
+const EXCHANGE_INTERVAL: Millis = Millis(1_000);
+/// What another dispatcher said is forgotten after this time.
+const EXCHANGE_TTL: Millis = Millis(3_500);
+/// Every so many exchanges all backlogged organisations are sent again.
+const FULL_EXCHANGE_EVERY: u64 = 10;
+/// Organisations in one exchange at most; the rest follow in the next.
+const EXCHANGE_BATCH: usize = 200;
+/// How many average charges the counters of two pools may differ before one takes the other's
+/// demand while it has demand of its own.
+const OFFER_MARGIN: i64 = 2;
+/// A report must be this much younger than a grant to show it.
+const REPORT_SLACK: Millis = Millis(50);
+
+/// A message to send, or a decision to log.
+#[derive(Clone, Debug)]
+pub enum DispatcherOutput {
+    /// Send a message to an instance.
+    Send(Instance, DispatchMessage),
+    /// Send a message to the dispatchers of the service in all other failure domains.
+    SendToNeighbours(DispatchMessage),
+    /// Log a decision.
+    Decided(Decision),
+}
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    entry: Instance,
+    organisation: Organisation,
+    upstream: UpstreamName,
+    estimate: u32,
+    counted: u32,
+    granted_at: Millis,
+}
+
+/// What another dispatcher of the service last said.
+#[derive(Clone, Debug)]
+struct Neighbour {
+    holder: Instance,
+    term: u64,
+    free: u32,
+    least: Option<i64>,
+    heard: Millis,
+}
+
+/// The state of one pool's dispatcher.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    pool: Pool,
+    instance: Instance,
+    term: u64,
+    born: Millis,
+    document: Document,
+    /// Whether the failure domain may get new work.
+    serving: bool,
+    /// Upstreams an operator has taken out.
+    leaving: BTreeSet<UpstreamName>,
+    counters: Counters,
+    demand: Demand,
+    outstanding: BTreeMap<GrantId, Outstanding>,
+    in_flight: BTreeMap<UpstreamName, u32>,
+    slots: BTreeMap<UpstreamName, Slots>,
+    /// Instances of the failure domain that may use a static share while they can't be heard.
+    residents: Vec<Instance>,
+    /// Slots kept back for residents that can't be heard.
+    reserved: BTreeMap<UpstreamName, u32>,
+    neighbours: BTreeMap<FailureDomain, Neighbour>,
+    next_grant: u64,
+    next_exchange: Millis,
+    exchanges: u64,
+    average_charge: i64,
+}
+
+impl Dispatcher {
+    /// Makes the dispatcher of `pool` in `term`.
+    ///
+    /// `residents` are the entries of the failure domain; upstream slots that one of them may be
+    /// using unheard are kept back.
+    pub fn new(
+        now: Millis,
+        pool: Pool,
+        instance: Instance,
+        term: u64,
+        document: Document,
+        residents: Vec<Instance>,
+    ) -> Dispatcher {
+        let mut counters = Counters::default();
+        for (organisation, member) in &document.organisations {
+            counters.set_share(organisation, member.share);
+        }
+        Dispatcher {
+            pool,
+            instance,
+            term,
+            born: now,
+            document,
+            serving: true,
+            leaving: BTreeSet::new(),
+            counters,
+            demand: Demand::default(),
+            outstanding: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            residents,
+            reserved: BTreeMap::new(),
+            neighbours: BTreeMap::new(),
+            next_grant: 1,
+            next_exchange: now,
+            exchanges: 0,
+            average_charge: 0,
+        }
+    }
+
+    /// Returns the term of the lease under which it grants.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the service counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns grants in use and limit of each upstream.
+    pub fn loads(&self) -> impl Iterator<Item = (&UpstreamName, u32, u32)> {
+        self.slots.iter().map(|(name, slots)| (name, self.in_flight(name), slots.limit()))
+    }
+
+    /// Takes over a newer document.
+    pub fn set_document(&mut self, document: &Document) {
+        for (organisation, member) in &document.organisations {
+            self.counters.set_share(organisation, member.share);
+        }
+        for slots in self.slots.values_mut() {
+            slots.set_limits(document.slots);
+        }
+        self.document = document.clone();
+    }
+
+    /// Sets whether the failure domain may get new work, and which upstreams may not.
+    pub fn set_standing(&mut self, serving: bool, leaving: &BTreeSet<UpstreamName>) {
+        self.serving = serving;
+        self.leaving.clone_from(leaving);
+    }
+
+    /// Takes in the platform's list of the pool's upstreams.
+    pub fn on_listing(&mut self, now: Millis, listing: &[Listed], out: &mut Vec<DispatcherOutput>) {
+        let listed: BTreeSet<&UpstreamName> = listing.iter().map(|l| &l.upstream).collect();
+        self.slots.retain(|name, _| listed.contains(name));
+        for item in listing {
+            self.on_listed(now, item, out);
+        }
+        self.dispatch(now, out);
+    }
+
+    fn on_listed(&mut self, now: Millis, item: &Listed, out: &mut Vec<DispatcherOutput>) {
+        let limits = self.document.slots;
+        let slots = self
+            .slots
+            .entry(item.upstream.clone())
+            .or_insert_with(|| Slots::new(now, item, limits));
+        let outstanding = &self.outstanding;
+        let known = |made_at: Millis| {
+            let shown = |grant: &&Outstanding| {
+                grant.upstream == item.upstream && grant.granted_at + REPORT_SLACK <= made_at
+            };
+            u32::try_from(outstanding.values().filter(shown).count()).unwrap_or(u32::MAX)
+        };
+        let collapse = slots.on_listed(now, self.born + RECOVERY, item, known);
+        self.report_collapse(&item.upstream, collapse, out);
+    }
+
+    fn report_collapse(
+        &self,
+        upstream: &UpstreamName,
+        collapse: Option<Collapse>,
+        out: &mut Vec<DispatcherOutput>,
+    ) {
+        let reason = match collapse {
+            None => return,
+            Some(Collapse::Refused) => "refused a request",
+            Some(Collapse::Failed) => "failed a request",
+            Some(Collapse::Slow) => "first byte far later than usual",
+            Some(Collapse::Restarted) => "new incarnation",
+        };
+        out.push(DispatcherOutput::Decided(Decision::Collapse {
+            service: self.pool.0.clone(),
+            upstream: upstream.clone(),
+            reason,
+        }));
+    }
+
+    /// Handles a message for this dispatcher.
+    pub fn on_message(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        term: u64,
+        body: &DispatchBody,
+        out: &mut Vec<DispatcherOutput>,
+    ) {
+        match body {
+            DispatchBody::Open { session, waiting, held } => {
+                self.on_open(now, from, *session, waiting, held);
+            }
+            DispatchBody::Report { session, seq, received, waiting, finished, progress } => {
+                let in_step = self.demand.on_report(now, from, *session, *seq, *received);
+                if !in_step {
+                    self.send(from, DispatchBody::Resync, out);
+                    return;
+                }
+                for done in finished {
+                    self.on_finished(now, done, out);
+                }
+                for (id, cost) in progress {
+                    self.on_progress(*id, *cost);
+                }
+                self.set_waiting(now, from, waiting);
+            }
+            DispatchBody::Close { session } => self.on_close(now, from, *session),
+            DispatchBody::Exchange { free, least, served } => {
+                self.on_exchange(now, from, term, *free, *least, served, out);
+            }
+            DispatchBody::Recall { served } => self.counters.merge_own(served),
+            DispatchBody::Grants { .. } | DispatchBody::Ack { .. } | DispatchBody::Resync => {}
+        }
+        self.dispatch(now, out);
+    }
+
+    fn on_open(
+        &mut self,
+        now: Millis,
+        entry: &Instance,
+        session: Session,
+        waiting: &[Waiting],
+        held: &[Held],
+    ) {
+        if !self.demand.open(now, entry, session) {
+            return;
+        }
+        let kept: BTreeSet<GrantId> = held.iter().map(|held| held.id).collect();
+        for id in self.grants_of(entry) {
+            if !kept.contains(&id) {
+                self.take_outstanding(id);
+            }
+        }
+        for held in held {
+            self.adopt(entry, held);
+        }
+        self.withdraw_demand(now, entry);
+        self.set_waiting(now, entry, waiting);
+    }
+
+    fn grants_of(&self, entry: &Instance) -> Vec<GrantId> {
+        let of_entry = self.outstanding.iter().filter(|(_, grant)| grant.entry == *entry);
+        of_entry.map(|(id, _)| *id).collect()
+    }
+
+    /// Counts a grant that the entry holds, whoever gave it.
+    fn adopt(&mut self, entry: &Instance, held: &Held) {
+        if self.outstanding.contains_key(&held.id) {
+            return;
+        }
+        let estimate = self.counters.adopt_grant(&held.organisation);
+        *self.in_flight.entry(held.upstream.clone()).or_default() += 1;
+        let grant = Outstanding {
+            entry: entry.clone(),
+            organisation: held.organisation.clone(),
+            upstream: held.upstream.clone(),
+            estimate,
+            // What it cost before the take-over is already in the old counters.
+            counted: held.cost,
+            granted_at: Millis::ZERO,
+        };
+        self.outstanding.insert(held.id, grant);
+    }
+
+    fn on_close(&mut self, now: Millis, entry: &Instance, session: Session) {
+        if !self.demand.is_current(entry, session) {
+            return;
+        }
+        // An entry closes a session only when it holds nothing; a grant still counted here was
+        // under way to it and will not be used.
+        for id in self.grants_of(entry) {
+            self.take_outstanding(id);
+        }
+        self.withdraw_demand(now, entry);
+        self.demand.forget(entry);
+    }
+
+    fn withdraw_demand(&mut self, now: Millis, entry: &Instance) {
+        for organisation in self.demand.clear(entry) {
+            self.refresh_waiting(now, &organisation);
+        }
+    }
+
+    fn set_waiting(&mut self, now: Millis, entry: &Instance, waiting: &[Waiting]) {
+        for Waiting(organisation, count) in waiting {
+            self.demand.set(entry, organisation, *count);
+            self.refresh_waiting(now, organisation);
+        }
+    }
+
+    fn refresh_waiting(&mut self, now: Millis, organisation: &Organisation) {
+        let total = self.demand.total(organisation);
+        let elsewhere = self.fresh_neighbours(now).filter_map(|(_, n)| n.least).min();
+        self.counters.set_waiting(organisation, total, elsewhere);
+    }
+
+    fn on_finished(&mut self, now: Millis, done: &Finished, out: &mut Vec<DispatcherOutput>) {
+        self.on_progress(done.id, done.cost);
+        let Some(grant) = self.take_outstanding(done.id) else { return };
+        let Some(slots) = self.slots.get_mut(&grant.upstream) else { return };
+        let collapse = match done.ending {
+            Ending::Completed => slots.on_completed(now, grant.granted_at, done.first_byte_ms),
+            Ending::Unused => None,
+            Ending::Refused => {
+                slots.on_trouble(now);
+                Some(Collapse::Refused)
+            }
+            Ending::Failed => {
+                slots.on_trouble(now);
+                Some(Collapse::Failed)
+            }
+        };
+        self.report_collapse(&grant.upstream, collapse, out);
+    }
+
+    fn on_progress(&mut self, id: GrantId, cost: u32) {
+        let Some(grant) = self.outstanding.get_mut(&id) else { return };
+        if cost > grant.counted {
+            let counted = std::mem::replace(&mut grant.counted, cost);
+            self.counters.add_cost(&grant.organisation, grant.estimate, counted, cost);
+        }
+    }
+
+    /// Frees the slot of a grant and settles its estimate.
+    fn take_outstanding(&mut self, id: GrantId) -> Option<Outstanding> {
+        let grant = self.outstanding.remove(&id)?;
+        let learn = grant.counted > 0;
+        self.counters.end_grant(&grant.organisation, grant.estimate, grant.counted, learn);
+        if let Some(count) = self.in_flight.get_mut(&grant.upstream) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(&grant.upstream);
+            }
+        }
+        Some(grant)
+    }
+
+    /// Handles the passing of time.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
+        self.drop_silent_entries(now);
+        self.reserve_for_silent_residents(now);
+        self.dispatch(now, out);
+        self.acknowledge(now, out);
+        if now >= self.next_exchange {
+            self.next_exchange = now + EXCHANGE_INTERVAL;
+            self.exchange(now, out);
+        }
+    }
+
+    /// Stops counting on entries that can't be heard.
+    ///
+    /// Their requests may still run, so their slots stay taken until a load report shows them
+    /// free; otherwise an upstream would be oversold by exactly the requests of the silent entry.
+    fn drop_silent_entries(&mut self, now: Millis) {
+        for entry in self.demand.silent(now, SESSION_SILENCE) {
+            self.withdraw_demand(now, &entry);
+            self.demand.forget(&entry);
+            for id in self.grants_of(&entry) {
+                let Some(grant) = self.take_outstanding(id) else { continue };
+                if let Some(slots) = self.slots.get_mut(&grant.upstream) {
+                    slots.add_unaccounted(1);
+                }
+            }
+        }
+    }
+
+    /// Keeps back the cold limit of each upstream that belongs to a resident by static share while
+    /// that resident can't be heard.
+    ///
+    /// A resident cut off from the majority serves its static share up to the cold limit. If this
+    /// dispatcher gave those slots too, a cold upstream would fall over under both.
+    fn reserve_for_silent_residents(&mut self, now: Millis) {
+        self.reserved.clear();
+        let silent =
+            |i: &Instance| *i != self.instance && !self.demand.was_heard(now, i, self.born);
+        if !self.residents.iter().any(silent) {
+            return;
+        }
+        let names = self.slots.keys().cloned();
+        let shares = crate::util::rendezvous::static_shares(names, &self.residents);
+        let kept = shares.into_iter().filter(|(_, owner)| silent(owner));
+        self.reserved = kept.map(|(name, _)| (name, self.document.slots.cold)).collect();
+    }
+
+    /// Notes a sign of life of a resident that has no session.
+    pub fn on_sign_of_life(&mut self, now: Millis, instance: &Instance) {
+        self.demand.note_heard(now, instance);
+    }
+
+    fn in_flight(&self, upstream: &UpstreamName) -> u32 {
+        self.in_flight.get(upstream).copied().unwrap_or(0)
+    }
+
+    fn free_slots(&self, now: Millis, name: &UpstreamName, slots: &Slots) -> u32 {
+        if self.leaving.contains(name) {
+            return 0;
+        }
+        let reserved = self.reserved.get(name).copied().unwrap_or(0);
+        slots.free(now, self.in_flight(name), reserved)
+    }
+
+    fn can_grant(&self, now: Millis) -> bool {
+        self.serving && now >= self.born + RECOVERY
+    }
+
+    /// Finds the upstream with the largest part of its limit free.
+    fn roomiest(&self, now: Millis) -> Option<&UpstreamName> {
+        let with_room = self.slots.iter().filter_map(|(name, slots)| {
+            let free = self.free_slots(now, name, slots);
+            (free > 0).then(|| (name, u64::from(free) * 1_000 / u64::from(slots.limit().max(1))))
+        });
+        with_room.max_by_key(|(_, room)| *room).map(|(name, _)| name)
+    }
+
+    /// Gives free slots, one at a time, to whoever is furthest behind.
+    fn dispatch(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
+        if !self.can_grant(now) {
+            return;
+        }
+        let mut batches: BTreeMap<Instance, Vec<Grant>> = BTreeMap::new();
+        while let Some(organisation) = self.counters.first().cloned() {
+            let Some(upstream) = self.roomiest(now).cloned() else { break };
+            let Some(entry) = self.demand.longest_queue(&organisation) else { break };
+            let grant = self.grant(now, organisation, upstream, &entry, out);
+            batches.entry(entry).or_default().push(grant);
+        }
+        for (entry, grants) in batches {
+            let Some(session) = self.demand.session(&entry) else { continue };
+            self.send(&entry, DispatchBody::Grants { session, grants }, out);
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: Millis,
+        organisation: Organisation,
+        upstream: UpstreamName,
+        entry: &Instance,
+        out: &mut Vec<DispatcherOutput>,
+    ) -> Grant {
+        let counter = self.counters.key(&organisation);
+        let estimate = self.counters.charge_estimate(&organisation);
+        let charge = counters::charge(estimate, self.document.share(&organisation));
+        self.average_charge += (charge - self.average_charge) / 8;
+        self.demand.on_granted(entry, &organisation);
+        self.refresh_waiting(now, &organisation);
+        *self.in_flight.entry(upstream.clone()).or_default() += 1;
+        let id = GrantId(self.term, self.next_grant);
+        self.next_grant += 1;
+        let outstanding = Outstanding {
+            entry: entry.clone(),
+            organisation: organisation.clone(),
+            upstream: upstream.clone(),
+            estimate,
+            counted: 0,
+            granted_at: now,
+        };
+        self.outstanding.insert(id, outstanding);
+        let slots = &self.slots[&upstream];
+        out.push(DispatcherOutput::Decided(Decision::Grant {
+            service: self.pool.0.clone(),
+            failure_domain: self.pool.1.clone(),
+            term: self.term,
+            grant: id.1,
+            organisation: organisation.clone(),
+            counter,
+            entry: entry.clone(),
+            upstream: upstream.clone(),
+            in_flight: self.in_flight(&upstream),
+            limit: slots.limit(),
+        }));
+        Grant { id, organisation, upstream, address: slots.address }
+    }
+
+    fn send(&self, to: &Instance, body: DispatchBody, out: &mut Vec<DispatcherOutput>) {
+        out.push(DispatcherOutput::Send(to.clone(), self.message(body)));
+    }
+
+    fn message(&self, body: DispatchBody) -> DispatchMessage {
+        let pool = self.pool.clone();
+        DispatchMessage { pool, term: self.term, from: self.instance.clone(), body }
+    }
+
+    fn acknowledge(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
+        let offers = self.offers(now);
+        for (entry, session, granted) in self.demand.due_acks(now, ACK_INTERVAL) {
+            let body = DispatchBody::Ack { session, granted, offers: offers.clone() };
+            self.send(&entry, body, out);
+        }
+    }
+
+    fn fresh_neighbours(&self, now: Millis) -> impl Iterator<Item = (&FailureDomain, &Neighbour)> {
+        self.neighbours.iter().filter(move |(_, n)| now.since(n.heard) <= EXCHANGE_TTL)
+    }
+
+    /// Lists the dispatchers elsewhere that should see this pool's demand: those with idle slots,
+    /// and those that serve organisations much better off than the ones waiting here.
+    fn offers(&self, now: Millis) -> Vec<Offer> {
+        let Some(own_least) = self.counters.least() else { return Vec::new() };
+        let unable = !self.serving || self.slots.is_empty();
+        let margin = OFFER_MARGIN * self.average_charge;
+        let takes = |neighbour: &Neighbour| {
+            let better_off = neighbour.least.is_some_and(|least| least > own_least + margin);
+            unable || neighbour.free > 0 || better_off
+        };
+        let fresh = self.fresh_neighbours(now).filter(|(_, neighbour)| takes(neighbour));
+        fresh.map(|(domain, neighbour)| Offer(domain.clone(), neighbour.holder.clone())).collect()
+    }
+
+    /// Returns the slots that nothing waits for.
+    pub fn idle_slots(&self, now: Millis) -> u32 {
+        if !self.can_grant(now) || self.counters.backlogged() > 0 {
+            return 0;
+        }
+        self.slots.iter().map(|(name, slots)| self.free_slots(now, name, slots)).sum()
+    }
+
+    fn exchange(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
+        self.exchanges += 1;
+        if self.exchanges.is_multiple_of(FULL_EXCHANGE_EVERY) {
+            self.counters.mark_backlogged_changed();
+        }
+        let served = self.counters.take_changed(EXCHANGE_BATCH);
+        // A pool that can't serve says nothing of its level: nobody's demand is better off here.
+        let least = if self.serving { self.counters.least() } else { None };
+        let body = DispatchBody::Exchange { free: self.idle_slots(now), least, served };
+        out.push(DispatcherOutput::SendToNeighbours(self.message(body)));
+    }
+
+    /// Returns the holder of another pool of the service, if it was heard of late.
+    pub fn known_holder(&self, now: Millis, domain: &FailureDomain) -> Option<&Instance> {
+        let neighbour = self.neighbours.get(domain)?;
+        (now.since(neighbour.heard) <= EXCHANGE_TTL).then_some(&neighbour.holder)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    fn on_exchange(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        term: u64,
+        free: u32,
+        least: Option<i64>,
+        served: &[Served],
+        out: &mut Vec<DispatcherOutput>,
+    ) {
+        let Some(domain) = self.demand.domain_of(from) else { return };
+        if self.neighbours.get(&domain).is_some_and(|known| known.term > term) {
+            return;
+        }
+        let is_new = self.neighbours.get(&domain).is_none_or(|known| known.term < term);
+        let neighbour = Neighbour { holder: from.clone(), term, free, least, heard: now };
+        self.neighbours.insert(domain.clone(), neighbour);
+        let behind = self.counters.merge_remote(&domain, served);
+        // A new holder starts at zero. Unless it is told what its failure domain already served,
+        // its organisations would be served twice for the same claim.
+        if is_new || behind {
+            let served = self.counters.remote(&domain);
+            self.send(from, DispatchBody::Recall { served }, out);
+        }
+    }
+
+    /// Tells the dispatcher which failure domain each instance is in.
+    pub fn set_domains(&mut self, domains: impl IntoIterator<Item = (Instance, FailureDomain)>) {
+        self.demand.set_domains(domains);
+    }
+
+    /// Checks what must hold after every input.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence that names the first thing that does not hold.
+    pub fn check_invariants(&self) -> Result<(), String> {
+        let mut counted: BTreeMap<&UpstreamName, u32> = BTreeMap::new();
+        for grant in self.outstanding.values() {
+            *counted.entry(&grant.upstream).or_default() += 1;
+        }
+        let stored: BTreeMap<&UpstreamName, u32> =
+            self.in_flight.iter().map(|(name, count)| (name, *count)).collect();
+        if counted != stored {
+            return Err(format!("in-flight counts {stored:?} differ from grants {counted:?}"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/entry/session.rs
@@ -0,0 +1,146 @@
+//! The entry's side of a session with a dispatcher.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    core::{Instance, Millis, Organisation},
+    protocol::{
+        Pool,
+        dispatch::{DispatchBody, Finished, GrantId, Held, Session, Waiting},
+    },
+};
+
+/// A session that says nothing for this long sends an empty report.
+const HEARTBEAT: Millis = Millis(500);
+/// A session not acknowledged for this long is opened anew.
+const ACK_SILENCE: Millis = Millis(1_500);
+/// Changes are gathered for this long before they are reported.
+const GATHERING: Millis = Millis(5);
+
+/// A session with the dispatcher of one pool.
+#[derive(Clone, Debug)]
+pub struct PoolSession {
+    /// The pool.
+    pub pool: Pool,
+    /// The instance believed to hold its lease.
+    pub holder: Instance,
+    /// The term of the lease, zero where unknown.
+    pub term: u64,
+    /// The session.
+    pub session: Session,
+    /// Until when it is wanted; `None` for the pool of this failure domain.
+    pub wanted_until: Option<Millis>,
+    /// When a request of the service last waited or ran here.
+    pub active: Millis,
+    /// Whether its pool may get nothing new at present, so that no demand is reported.
+    pub muted: bool,
+    seq: u64,
+    received: u64,
+    acked: Millis,
+    sent: Millis,
+    changed: BTreeSet<Organisation>,
+    finished: Vec<Finished>,
+    progress: BTreeMap<GrantId, u32>,
+}
+
+impl PoolSession {
+    /// Makes a session that is about to be opened.
+    pub fn new(
+        now: Millis,
+        pool: Pool,
+        holder: Instance,
+        term: u64,
+        session: Session,
+        wanted_until: Option<Millis>,
+    ) -> PoolSession {
+        PoolSession {
+            pool,
+            holder,
+            term,
+            session,
+            wanted_until,
+            active: now,
+            muted: false,
+            seq: 0,
+            received: 0,
+            acked: now,
+            sent: now,
+            changed: BTreeSet::new(),
+            finished: Vec::new(),
+            progress: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the opening message.
+    pub fn open(&self, waiting: Vec<Waiting>, held: Vec<Held>) -> DispatchBody {
+        DispatchBody::Open { session: self.session, waiting, held }
+    }
+
+    /// Notes that an organisation's count may have changed.
+    pub fn note_changed(&mut self, organisation: &Organisation) {
+        self.changed.insert(organisation.clone());
+    }
+
+    /// Notes that a grant's use has ended.
+    pub fn note_finished(&mut self, finished: Finished) {
+        self.progress.remove(&finished.id);
+        self.finished.push(finished);
+    }
+
+    /// Notes what a grant has cost so far.
+    pub fn note_progress(&mut self, id: GrantId, cost: u32) {
+        self.progress.insert(id, cost);
+    }
+
+    /// Notes received grants.
+    pub fn note_received(&mut self, now: Millis, grants: usize) {
+        self.received += grants as u64;
+        self.acked = now;
+    }
+
+    /// Notes an acknowledgement; returns false if it shows that grants were lost.
+    pub fn on_ack(&mut self, now: Millis, granted: u64) -> bool {
+        self.acked = now;
+        granted <= self.received
+    }
+
+    /// Tells whether the dispatcher has not been heard for too long.
+    pub fn is_stale(&self, now: Millis) -> bool {
+        now.since(self.acked) > ACK_SILENCE
+    }
+
+    /// Returns the report due now, if one is; `waiting` tells an organisation's present count.
+    pub fn report(
+        &mut self,
+        now: Millis,
+        waiting: impl Fn(&Organisation) -> u32,
+    ) -> Option<DispatchBody> {
+        let has_news =
+            !self.changed.is_empty() || !self.finished.is_empty() || !self.progress.is_empty();
+        let due = if has_news { GATHERING } else { HEARTBEAT };
+        if now.since(self.sent) < due {
+            return None;
+        }
+        self.sent = now;
+        self.seq += 1;
+        Some(DispatchBody::Report {
+            session: self.session,
+            seq: self.seq,
+            received: self.received,
+            waiting: self.changed_counts(waiting),
+            finished: std::mem::take(&mut self.finished),
+            progress: std::mem::take(&mut self.progress).into_iter().collect(),
+        })
+    }
+
+    /// Takes the counts that changed.
+    ///
+    /// Counts are sent even if they equal the last reported ones: the dispatcher subtracts grants
+    /// under way from them, so the same count after a grant is news.
+    fn changed_counts(&mut self, waiting: impl Fn(&Organisation) -> u32) -> Vec<Waiting> {
+        let changed = std::mem::take(&mut self.changed);
+        let muted = self.muted;
+        let count = |organisation: &Organisation| if muted { 0 } else { waiting(organisation) };
+        changed.into_iter().map(|o| Waiting(o.clone(), count(&o))).collect()
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/lease.rs
@@ -0,0 +1,372 @@
+//! Leases on the dispatching of pools, held by majority vote within one failure domain.
+//!
+//! A failure domain cut off from all others must go on serving, so the vote needs nobody outside
+//! it. Votes are kept in memory only: a voter that restarted may have forgotten a promise, and
+//! therefore stays silent until any promise it could have made has run out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    core::{FailureDomain, Instance, Millis, Service},
+    protocol::lease::{Claim, LeaseMessage},
+    util::rendezvous::ranking,
+};
+
+/// How long a promise of a voter lasts.
+pub const LEASE: Millis = Millis(2_000);
+/// A holder stops this much before its voters' promises end, for clocks that run at other speeds.
+const MARGIN: Millis = Millis(200);
+/// How often leases are renewed and announced.
+const RENEWAL: Millis = Millis(500);
+/// Each further rank waits this much longer before it asks for a lease without holder.
+const RANK_DELAY: Millis = Millis(300);
+/// Voters of a failure domain at most; more would cost messages and add no safety.
+const MAX_VOTERS: usize = 7;
+/// Rounds whose replies are still counted.
+const KEPT_ROUNDS: usize = 8;
+
+/// What the lease book wants done or has learned.
+#[derive(Clone, Debug)]
+pub enum LeaseOutput {
+    /// Send a message.
+    Send(Instance, LeaseMessage),
+    /// This instance now holds the lease of a service's pool.
+    Gained(Service, u64),
+    /// This instance no longer holds the lease.
+    Lost(Service, u64),
+}
+
+#[derive(Clone, Debug)]
+struct Vote {
+    term: u64,
+    holder: Instance,
+    until: Millis,
+}
+
+/// Who holds a pool's lease, as far as announced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The instance.
+    pub instance: Instance,
+    /// The term of its lease.
+    pub term: u64,
+    heard: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Round {
+    sent: Millis,
+    granted: BTreeMap<Claim, BTreeSet<Instance>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    term: u64,
+    until: Millis,
+}
+
+/// All leases of one failure domain, as one of its entries sees them.
+#[derive(Clone, Debug)]
+pub struct LeaseBook {
+    instance: Instance,
+    voters: Vec<Instance>,
+    residents: Vec<Instance>,
+    started: Millis,
+    services: Vec<Service>,
+    votes: BTreeMap<Service, Vote>,
+    holders: BTreeMap<Service, Holder>,
+    held: BTreeMap<Service, Lease>,
+    /// The highest term seen of each service.
+    terms: BTreeMap<Service, u64>,
+    rounds: BTreeMap<u64, Round>,
+    next_round: u64,
+    next_renewal: Millis,
+    retired: bool,
+}
+
+impl LeaseBook {
+    /// Makes the book of `instance` among the `residents` of `domain`, itself included.
+    pub fn new(
+        now: Millis,
+        instance: Instance,
+        domain: &FailureDomain,
+        residents: Vec<Instance>,
+    ) -> LeaseBook {
+        let mut voters = ranking(domain.as_str(), residents.iter().cloned());
+        voters.truncate(MAX_VOTERS);
+        LeaseBook {
+            instance,
+            voters,
+            residents,
+            started: now,
+            services: Vec::new(),
+            votes: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            held: BTreeMap::new(),
+            terms: BTreeMap::new(),
+            rounds: BTreeMap::new(),
+            next_round: 1,
+            next_renewal: now,
+            retired: false,
+        }
+    }
+
+    /// Sets the services whose pools need a dispatcher.
+    pub fn set_services(&mut self, services: Vec<Service>) {
+        self.services = services;
+    }
+
+    /// Returns the holder of a service's pool, if one was heard within a lease.
+    pub fn holder(&self, now: Millis, service: &Service) -> Option<&Holder> {
+        self.holders.get(service).filter(|holder| now.since(holder.heard) <= LEASE)
+    }
+
+    /// Returns the term under which this instance holds the lease now.
+    pub fn held_term(&self, now: Millis, service: &Service) -> Option<u64> {
+        self.held.get(service).filter(|lease| now < lease.until).map(|lease| lease.term)
+    }
+
+    /// Ends leases that have run out; to be called before anything else is decided.
+    ///
+    /// A process stopped by a signal or a slow machine may wake long after its lease passed on.
+    /// Grants given then would oversell the upstreams beside the new holder's.
+    pub fn expire(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        let ended = |(service, lease): (&Service, &Lease)| {
+            (now >= lease.until).then(|| (service.clone(), lease.term))
+        };
+        let ended: Vec<(Service, u64)> = self.held.iter().filter_map(ended).collect();
+        for (service, term) in ended {
+            self.held.remove(&service);
+            out.push(LeaseOutput::Lost(service, term));
+        }
+    }
+
+    /// Handles the passing of time.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        self.expire(now, out);
+        if now < self.next_renewal || self.retired {
+            return;
+        }
+        self.next_renewal = now + RENEWAL;
+        self.announce(now, out);
+        let claims = self.wanted(now);
+        if !claims.is_empty() {
+            self.request(now, claims, out);
+        }
+    }
+
+    fn wanted(&mut self, now: Millis) -> Vec<Claim> {
+        let mut claims = Vec::new();
+        for service in self.services.clone() {
+            if let Some(lease) = self.held.get(&service) {
+                claims.push(Claim(service, lease.term));
+                continue;
+            }
+            if self.may_ask(now, &service) {
+                let term = self.terms.entry(service.clone()).or_insert(0);
+                *term += 1;
+                claims.push(Claim(service, *term));
+            }
+        }
+        claims
+    }
+
+    /// Tells whether a lease is without holder for long enough that this instance's rank asks.
+    fn may_ask(&self, now: Millis, service: &Service) -> bool {
+        let ranked = ranking(service.as_str(), self.residents.iter().cloned());
+        let Some(rank) = ranked.iter().position(|i| *i == self.instance) else { return false };
+        let heard = self.holders.get(service).map_or(self.started, |holder| holder.heard);
+        now.since(heard) >= LEASE + Millis(RANK_DELAY.0 * rank as u64)
+    }
+
+    fn request(&mut self, now: Millis, claims: Vec<Claim>, out: &mut Vec<LeaseOutput>) {
+        let round = self.next_round;
+        self.next_round += 1;
+        self.rounds.insert(round, Round { sent: now, granted: BTreeMap::new() });
+        while self.rounds.len() > KEPT_ROUNDS {
+            self.rounds.pop_first();
+        }
+        for voter in self.voters.clone() {
+            let message = LeaseMessage::Request { round, claims: claims.clone() };
+            out.push(LeaseOutput::Send(voter, message));
+        }
+    }
+
+    fn announce(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        let claims: Vec<Claim> =
+            self.held.iter().map(|(service, lease)| Claim(service.clone(), lease.term)).collect();
+        if claims.is_empty() {
+            return;
+        }
+        let own = self.instance.clone();
+        self.on_announce(now, &own, &claims);
+        for resident in self.residents.iter().filter(|i| **i != self.instance) {
+            let message = LeaseMessage::Announce { claims: claims.clone() };
+            out.push(LeaseOutput::Send(resident.clone(), message));
+        }
+    }
+
+    /// Handles a message from an instance of the same failure domain.
+    pub fn on_message(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        message: &LeaseMessage,
+        out: &mut Vec<LeaseOutput>,
+    ) {
+        if !self.residents.contains(from) {
+            return;
+        }
+        match message {
+            LeaseMessage::Request { round, claims } => {
+                self.on_request(now, from, *round, claims, out)
+            }
+            LeaseMessage::Reply { round, granted, refused } => {
+                self.on_reply(now, from, *round, granted, refused, out);
+            }
+            LeaseMessage::Announce { claims } => self.on_announce(now, from, claims),
+            LeaseMessage::Release { claims } => self.on_release(now, from, claims),
+        }
+    }
+
+    fn on_request(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        round: u64,
+        claims: &[Claim],
+        out: &mut Vec<LeaseOutput>,
+    ) {
+        let may_have_forgotten = now.since(self.started) < LEASE;
+        if may_have_forgotten || !self.voters.contains(&self.instance) {
+            return;
+        }
+        let (mut granted, mut refused) = (Vec::new(), Vec::new());
+        for claim in claims {
+            let Claim(service, term) = claim;
+            match self.votes.get(service) {
+                Some(vote) if !may_grant(vote, now, from, *term) => {
+                    refused.push(Claim(service.clone(), vote.term));
+                }
+                _ => {
+                    let vote = Vote { term: *term, holder: from.clone(), until: now + LEASE };
+                    self.votes.insert(service.clone(), vote);
+                    self.note_term(service, *term);
+                    granted.push(claim.clone());
+                }
+            }
+        }
+        out.push(LeaseOutput::Send(from.clone(), LeaseMessage::Reply { round, granted, refused }));
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        round: u64,
+        granted: &[Claim],
+        refused: &[Claim],
+        out: &mut Vec<LeaseOutput>,
+    ) {
+        for Claim(service, term) in refused {
+            self.note_term(service, *term);
+        }
+        let majority = self.voters.len() / 2 + 1;
+        let Some(state) = self.rounds.get_mut(&round) else { return };
+        let until = (state.sent + LEASE).since(MARGIN);
+        let mut won = Vec::new();
+        for claim in granted {
+            let voters = state.granted.entry(claim.clone()).or_default();
+            voters.insert(from.clone());
+            if voters.len() >= majority {
+                won.push(claim.clone());
+            }
+        }
+        for Claim(service, term) in won {
+            self.on_won(now, service, term, until, out);
+        }
+    }
+
+    fn on_won(
+        &mut self,
+        now: Millis,
+        service: Service,
+        term: u64,
+        until: Millis,
+        out: &mut Vec<LeaseOutput>,
+    ) {
+        if now >= until {
+            return;
+        }
+        match self.held.get_mut(&service) {
+            Some(lease) if lease.term == term => lease.until = lease.until.max(until),
+            Some(_) => {}
+            None => {
+                self.held.insert(service.clone(), Lease { term, until });
+                out.push(LeaseOutput::Gained(service, term));
+                self.announce(now, out);
+            }
+        }
+    }
+
+    fn on_announce(&mut self, now: Millis, from: &Instance, claims: &[Claim]) {
+        for Claim(service, term) in claims {
+            self.note_term(service, *term);
+            let known = self.holder(now, service);
+            if known.is_some_and(|known| known.term > *term) {
+                continue;
+            }
+            let holder = Holder { instance: from.clone(), term: *term, heard: now };
+            self.holders.insert(service.clone(), holder);
+        }
+    }
+
+    fn on_release(&mut self, now: Millis, from: &Instance, claims: &[Claim]) {
+        for Claim(service, term) in claims {
+            if let Some(vote) = self.votes.get_mut(service)
+                && vote.holder == *from
+                && vote.term == *term
+            {
+                vote.until = now;
+            }
+            if let Some(holder) = self.holders.get_mut(service)
+                && holder.instance == *from
+            {
+                // Heard a lease ago: the next rank asks at once.
+                holder.heard = now.since(LEASE);
+            }
+        }
+    }
+
+    /// Gives up all leases and asks for none again.
+    pub fn retire(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        self.retired = true;
+        let held = std::mem::take(&mut self.held);
+        let claims: Vec<Claim> =
+            held.iter().map(|(service, lease)| Claim(service.clone(), lease.term)).collect();
+        for (service, lease) in held {
+            out.push(LeaseOutput::Lost(service, lease.term));
+        }
+        if claims.is_empty() {
+            return;
+        }
+        let own = self.instance.clone();
+        self.on_release(now, &own, &claims);
+        for resident in self.residents.iter().filter(|i| **i != self.instance) {
+            let message = LeaseMessage::Release { claims: claims.clone() };
+            out.push(LeaseOutput::Send(resident.clone(), message));
+        }
+    }
+
+    fn note_term(&mut self, service: &Service, term: u64) {
+        let known = self.terms.entry(service.clone()).or_insert(0);
+        *known = (*known).max(term);
+    }
+}
+
+/// Tells whether a voter bound by `vote` may grant `term` to `from`.
+fn may_grant(vote: &Vote, now: Millis, from: &Instance, term: u64) -> bool {
+    let renews = vote.holder == *from && term >= vote.term;
+    let is_free = now >= vote.until && term > vote.term;
+    renews || is_free
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/view.rs
@@ -0,0 +1,139 @@
+//! What an instance knows of the record's configuration.
+//!
+//! Every part carries its place in the record and is replaced only by a later one, so an old
+//! message, an isolated control instance or a restarted neighbour can never take a part back.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    core::{Document, FailureDomain, Millis, Service, UpstreamName},
+    protocol::record::{RecordMessage, Standing, StoredDocument},
+};
+
+/// Without confirmation for this long, nothing new goes to other failure domains.
+///
+/// A failure domain may have been taken out meanwhile; "no new work a few seconds after" would
+/// not hold for an instance that goes on with what it knew.
+pub const FRESHNESS_LIMIT: Millis = Millis(2_500);
+
+/// A document in force and where it stands.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// The document.
+    pub document: Document,
+    /// As it is stored.
+    pub stored: StoredDocument,
+}
+
+/// The configuration as one instance knows it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    index: u64,
+    documents: BTreeMap<Service, InForce>,
+    domains: BTreeMap<FailureDomain, Standing<FailureDomain>>,
+    upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
+    confirmed: Option<Millis>,
+}
+
+impl View {
+    /// Returns the place in the record of the last change known.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the documents in force.
+    pub fn documents(&self) -> &BTreeMap<Service, InForce> {
+        &self.documents
+    }
+
+    /// Tells whether a failure domain is out.
+    pub fn is_out(&self, domain: &FailureDomain) -> bool {
+        self.domains.get(domain).is_some_and(|standing| standing.out)
+    }
+
+    /// Lists the standings of failure domains.
+    pub fn domains(&self) -> impl Iterator<Item = &Standing<FailureDomain>> {
+        self.domains.values()
+    }
+
+    /// Lists the upstreams an operator lets leave.
+    pub fn leaving(&self) -> BTreeSet<UpstreamName> {
+        self.upstreams.values().filter(|s| s.out).map(|s| s.name.clone()).collect()
+    }
+
+    /// Tells whether an upstream is leaving.
+    pub fn is_leaving(&self, upstream: &UpstreamName) -> bool {
+        self.upstreams.get(upstream).is_some_and(|standing| standing.out)
+    }
+
+    /// Tells whether the configuration was confirmed to be the newest of late.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
+    }
+
+    /// Takes in a [`RecordMessage::State`]; returns whether anything changed.
+    ///
+    /// Only an answer confirms, and from the time it was asked for. A connection that stood still
+    /// may deliver an old state late, and counted from its arrival that would look fresh.
+    pub fn merge(&mut self, message: &RecordMessage) -> bool {
+        let RecordMessage::State { index, asked, age, documents, domains, upstreams } = message
+        else {
+            return false;
+        };
+        let mut changed = false;
+        for stored in documents {
+            changed |= self.merge_document(stored);
+        }
+        for standing in domains {
+            changed |= merge_standing(&mut self.domains, standing);
+        }
+        for standing in upstreams {
+            changed |= merge_standing(&mut self.upstreams, standing);
+        }
+        if let (Some(asked), Some(age)) = (asked, age)
+            && *index >= self.index
+        {
+            let confirmed = asked.since(*age);
+            self.confirmed = Some(self.confirmed.map_or(confirmed, |known| known.max(confirmed)));
+        }
+        self.index = self.index.max(*index);
+        changed
+    }
+
+    fn merge_document(&mut self, stored: &StoredDocument) -> bool {
+        let known = self.documents.get(&stored.service);
+        if known.is_some_and(|known| known.stored.index >= stored.index) {
+            return false;
+        }
+        // The record holds checked documents only; one that fails here was checked by a newer
+        // program, and the known one stays in force.
+        let Ok(document) = Document::parse(&stored.text) else { return false };
+        let in_force = InForce { document, stored: stored.clone() };
+        self.documents.insert(stored.service.clone(), in_force);
+        true
+    }
+
+    /// Returns all that changed after `have`, as a neighbour passes it on: without confirmation.
+    pub fn state_since(&self, have: u64) -> RecordMessage {
+        let documents = self.documents.values().map(|in_force| &in_force.stored);
+        RecordMessage::State {
+            index: self.index,
+            asked: None,
+            age: None,
+            documents: documents.filter(|stored| stored.index > have).cloned().collect(),
+            domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
+            upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
+        }
+    }
+}
+
+fn merge_standing<N: Ord + Clone>(
+    known: &mut BTreeMap<N, Standing<N>>,
+    standing: &Standing<N>,
+) -> bool {
+    if known.get(&standing.name).is_some_and(|known| known.index >= standing.index) {
+        return false;
+    }
+    known.insert(standing.name.clone(), standing.clone());
+    true
+}
--- /dev/null
+++ b/src/kingcupgrade/core/settings.rs
@@ -0,0 +1,166 @@
+//! The settings of one instance, read from YAML and checked whole before anything starts.
+
+use std::{collections::BTreeSet, fs, net::SocketAddr, path::Path, path::PathBuf};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    code::{Code, CodedError},
+    names::{FailureDomain, Instance, is_valid_name},
+};
+
+/// The shortest fleet key accepted, in bytes.
+const MIN_FLEET_KEY_LEN: usize = 16;
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Takes callers' requests and may hold dispatcher leases.
+    Entry,
+    /// Keeps a replica of the durable record.
+    Control,
+}
+
+/// Another instance of the fleet, as the settings name it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its name.
+    pub instance: Instance,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+    /// The failure domain it runs in.
+    pub failure_domain: FailureDomain,
+    /// What it does.
+    pub roles: Vec<Role>,
+}
+
+impl Peer {
+    /// Tells whether the peer has `role`.
+    pub fn has_role(&self, role: Role) -> bool {
+        self.roles.contains(&role)
+    }
+}
+
+/// The settings of one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this instance; `peers` lists it too.
+    pub instance: Instance,
+    /// All instances of the fleet, this one included.
+    pub peers: Vec<Peer>,
+    /// Where callers connect; needed by entries.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_address: Option<SocketAddr>,
+    /// Where operators, metrics and health checks connect.
+    pub operator_address: SocketAddr,
+    /// The data folder; needed by control instances.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data: Option<PathBuf>,
+    /// The secret all instances of the fleet share.
+    pub fleet_key: String,
+    /// The URL of the platform's list of upstreams.
+    pub platform_list: String,
+    /// How many callers' requests may be open at once.
+    #[serde(default = "default_max_requests")]
+    pub max_requests: usize,
+    /// Shares slots by a fixed assignment instead of by dispatchers; the baseline for measurements.
+    #[serde(default)]
+    pub static_shares: bool,
+}
+
+fn default_max_requests() -> usize {
+    2_000
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::SettingsInvalid`] with file, place and what is expected.
+    pub fn load(path: &Path) -> Result<Settings, CodedError> {
+        let text = fs::read_to_string(path).map_err(|err| {
+            CodedError::new(Code::SettingsInvalid, format!("{}: {err}", path.display()))
+        })?;
+        Settings::parse(&text)
+            .map_err(|err| CodedError::new(err.code, format!("{}: {}", path.display(), err.detail)))
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::SettingsInvalid`] with the place and what is expected there.
+    pub fn parse(text: &str) -> Result<Settings, CodedError> {
+        let settings: Settings = serde_norway::from_str(text)
+            .map_err(|err| CodedError::new(Code::SettingsInvalid, err.to_string()))?;
+        match settings.check() {
+            Ok(()) => Ok(settings),
+            Err(detail) => Err(CodedError::new(Code::SettingsInvalid, detail)),
+        }
+    }
+
+    /// Returns this instance's own line among the peers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings were not checked and do not list the instance.
+    pub fn own(&self) -> &Peer {
+        self.peer(&self.instance).expect("checked settings list the instance among its peers")
+    }
+
+    /// Finds a peer by name.
+    pub fn peer(&self, instance: &Instance) -> Option<&Peer> {
+        self.peers.iter().find(|peer| peer.instance == *instance)
+    }
+
+    /// Lists the peers with `role`.
+    pub fn with_role(&self, role: Role) -> impl Iterator<Item = &Peer> {
+        self.peers.iter().filter(move |peer| peer.has_role(role))
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.check_peers()?;
+        let own = self.own();
+        if own.has_role(Role::Entry) && self.caller_address.is_none() {
+            return Err("caller_address: an entry needs an address for callers".to_owned());
+        }
+        if own.has_role(Role::Control) && self.data.is_none() {
+            return Err("data: a control instance needs a data folder".to_owned());
+        }
+        if self.fleet_key.len() < MIN_FLEET_KEY_LEN {
+            return Err(format!("fleet_key: expected at least {MIN_FLEET_KEY_LEN} bytes"));
+        }
+        if !self.platform_list.starts_with("http://") {
+            return Err("platform_list: expected a URL that starts with http://".to_owned());
+        }
+        if self.max_requests == 0 {
+            return Err("max_requests: expected at least 1".to_owned());
+        }
+        Ok(())
+    }
+
+    fn check_peers(&self) -> Result<(), String> {
+        let mut seen = BTreeSet::new();
+        for (i, peer) in self.peers.iter().enumerate() {
+            for name in [peer.instance.as_str(), peer.failure_domain.as_str()] {
+                if !is_valid_name(name) {
+                    return Err(format!("peers[{i}]: {name:?} is no valid name"));
+                }
+            }
+            if !seen.insert(&peer.instance) {
+                return Err(format!("peers[{i}].instance: {} is listed twice", peer.instance));
+            }
+            if peer.roles.is_empty() {
+                return Err(format!("peers[{i}].roles: expected entry, control or both"));
+            }
+        }
+        if !seen.contains(&self.instance) {
+            return Err(format!("instance: {} is not among the peers", self.instance));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/lib.rs
@@ -0,0 +1,34 @@
+//! kingcupgrade: a router fleet for organisations who share capacity fairly.
+//!
+//! # Architecture
+//!
+//! A fleet is a set of instances. An **entry** takes callers' requests and queues them; for every
+//! service and failure domain one entry also runs the **dispatcher** of that pool of upstreams; a
+//! few **control** instances with disks keep the durable record.
+//!
+//! ```text
+//! callers -> entry --demand--> dispatcher of the pool (one lease holder per pool)
+//!              |  <--grant---  picks the organisation furthest behind, names the upstream
+//!              +--request----> upstream; answer relayed; cost reported to the dispatcher
+//! control instances: documents, failure domains, request keys
+//! ```
+//!
+//! The crate has four layers, and each imports only what stands below it:
+//!
+//! - [`transport`]: threads, sockets, HTTP. It carries out what the machines decide.
+//! - [`protocol`]: the typed messages between instances, and their bytes.
+//! - [`coordination`]: the decisions, as state machines without I/O. [`coordination::node::Node`]
+//!   is one whole instance; [`coordination::dispatcher::Dispatcher`] and
+//!   [`coordination::consensus::Consensus`] are of use on their own.
+//! - [`state`]: the record's state, and its log and snapshots on disk.
+//!
+//! Beside them stand [`core`] (names, time, result codes, settings, documents), [`ops`] (what the
+//! programs do, one function each) and [`util`].
+
+pub mod coordination;
+pub mod core;
+pub mod ops;
+pub mod protocol;
+pub mod state;
+pub mod transport;
+pub mod util;
--- /dev/null
+++ b/src/kingcupgrade/ops/mod.rs
@@ -0,0 +1,14 @@
+//! What the programs do, one function for each operation.
+//!
+//! The binaries read their command line and call one of these, so that an embedding program or a
+//! test can do the same without a command line.
+
+mod found;
+mod operator;
+mod serve;
+mod verify;
+
+pub use found::found;
+pub use operator::{OperatorClient, coded, fresh_change_id};
+pub use serve::serve;
+pub use verify::{Verified, verify};
--- /dev/null
+++ b/src/kingcupgrade/protocol/frame.rs
@@ -0,0 +1,80 @@
+//! Frames between instances: a message, its place in the connection, and proof of the fleet key.
+//!
+//! The acceptor of a connection sends a nonce; each frame is authenticated together with it and
+//! with a running number. A frame of a stranger, of another connection, or one that was recorded
+//! and sent again does not verify.
+
+use ciborium::{from_reader, into_writer};
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+use super::Message;
+use crate::core::Instance;
+
+/// The length of a nonce.
+pub const NONCE_LEN: usize = 16;
+/// The length of the proof at the beginning of a frame.
+const PROOF_LEN: usize = 16;
+/// The largest frame accepted, in bytes.
+pub const MAX_FRAME_LEN: usize = 16 << 20;
+
+/// Why a frame was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameError {
+    /// It does not prove the fleet key.
+    Unproven,
+    /// It proves the key but can't be read.
+    Unreadable,
+}
+
+/// One end of a connection: seals or opens its frames in order.
+pub struct Channel {
+    key: Vec<u8>,
+    nonce: [u8; NONCE_LEN],
+    next: u64,
+}
+
+impl Channel {
+    /// Makes one end of the connection with this nonce.
+    pub fn new(fleet_key: &str, nonce: [u8; NONCE_LEN]) -> Channel {
+        Channel { key: fleet_key.as_bytes().to_vec(), nonce, next: 0 }
+    }
+
+    /// Makes the next frame.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to a vector can't fail.
+    pub fn seal(&mut self, from: &Instance, message: &Message) -> Vec<u8> {
+        let mut frame = vec![0; PROOF_LEN];
+        into_writer(&(from, message), &mut frame).expect("writing to a vector can't fail");
+        let proof = self.mac(&frame[PROOF_LEN..]).finalize().into_bytes();
+        frame[..PROOF_LEN].copy_from_slice(&proof[..PROOF_LEN]);
+        self.next += 1;
+        frame
+    }
+
+    /// Opens the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the frame must be dropped; the connection is of no use after that.
+    pub fn open(&mut self, frame: &[u8]) -> Result<(Instance, Message), FrameError> {
+        if frame.len() < PROOF_LEN {
+            return Err(FrameError::Unproven);
+        }
+        let (proof, payload) = frame.split_at(PROOF_LEN);
+        let mac = self.mac(payload);
+        mac.verify_truncated_left(proof).map_err(|_| FrameError::Unproven)?;
+        self.next += 1;
+        from_reader(payload).map_err(|_| FrameError::Unreadable)
+    }
+
+    fn mac(&self, payload: &[u8]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.key).expect("any key length will do");
+        mac.update(&self.nonce);
+        mac.update(&self.next.to_be_bytes());
+        mac.update(payload);
+        mac
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/state/disk.rs
@@ -0,0 +1,276 @@
+//! The data folder of a control instance.
+//!
+//! - `identity` names the replica; it is written once.
+//! - `snapshot` holds the newest snapshot; it is replaced by renaming a synced file over it.
+//! - `log` holds what came after, one frame for each synced write.
+//!
+//! The log is rewritten when a snapshot is taken. A crash between the two leaves entries that the
+//! snapshot covers, which are skipped when the folder is read.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::{
+    frames::{self, Tail},
+    log::{HardState, Log, Persist, Stored},
+};
+use crate::{
+    core::{Code, Instance, code::CodedError},
+    protocol::consensus::{FOUNDING_REPLICA, LogEntry, Member, ReplicaId, Snapshot},
+};
+
+/// A part of one synced write.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum LogRecord {
+    /// Term and vote.
+    #[serde(rename = "h")]
+    HardState(HardState),
+    /// Entries; earlier ones from the first one's index on are void.
+    #[serde(rename = "e")]
+    Entries(Vec<LogEntry>),
+}
+
+/// A replica's open data folder.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    log: File,
+    /// Kept for rewriting the log.
+    hard_state: HardState,
+}
+
+/// What a data folder holds.
+#[derive(Clone, Debug)]
+pub struct Contents {
+    /// The replica.
+    pub id: ReplicaId,
+    /// Its state.
+    pub stored: Stored,
+    /// Bytes of a write that a crash cut short; they were never acknowledged.
+    pub torn: usize,
+}
+
+/// Makes a data folder for a founding member of a record.
+///
+/// # Errors
+///
+/// Returns an error if the folder holds a replica already or can't be written.
+pub fn found(folder: &Path, instance: &Instance, members: &[Instance]) -> Result<(), CodedError> {
+    if folder.join("identity").exists() {
+        let detail = format!("{} holds a replica already", folder.display());
+        return Err(CodedError::new(Code::DataForeign, detail));
+    }
+    fs::create_dir_all(folder).map_err(|err| storage_failed(folder, &err))?;
+    let members = members
+        .iter()
+        .map(|member| Member { id: ReplicaId(member.clone(), FOUNDING_REPLICA), voter: true });
+    write_whole(folder, "snapshot", Stored::founding(members.collect()).log.snapshot())?;
+    write_whole(folder, "identity", &ReplicaId(instance.clone(), FOUNDING_REPLICA))
+}
+
+/// Reads a data folder without changing it.
+///
+/// # Errors
+///
+/// Returns [`Code::DataCorrupt`] with file and offset if a record does not match its checksum,
+/// and [`Code::StorageFailed`] if a file can't be read.
+pub fn read(folder: &Path) -> Result<Contents, CodedError> {
+    let id: ReplicaId = read_whole(folder, "identity")?;
+    let snapshot: Snapshot = read_whole(folder, "snapshot")?;
+    let path = folder.join("log");
+    let bytes = match fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(err) if err.kind() == io::ErrorKind::NotFound => Vec::new(),
+        Err(err) => return Err(storage_failed(&path, &err)),
+    };
+    let (payloads, tail) = frames::decode(&bytes);
+    let torn = match tail {
+        Tail::Clean => 0,
+        Tail::Torn(at) => bytes.len() - at,
+        Tail::Corrupt(at) => return Err(corrupt(&path, at)),
+    };
+    let mut hard_state = HardState::default();
+    let mut log = Log::new(snapshot, []);
+    for payload in payloads {
+        let records: Vec<LogRecord> =
+            ciborium::from_reader(payload).map_err(|_| corrupt(&path, 0))?;
+        for record in records {
+            replay(record, &mut hard_state, &mut log).map_err(|()| corrupt(&path, 0))?;
+        }
+    }
+    Ok(Contents { id, stored: Stored { hard_state, log }, torn })
+}
+
+/// Replays one record; an entry that does not follow the one before means a lost write.
+fn replay(record: LogRecord, hard_state: &mut HardState, log: &mut Log) -> Result<(), ()> {
+    let entries = match record {
+        LogRecord::HardState(state) => {
+            *hard_state = state;
+            return Ok(());
+        }
+        LogRecord::Entries(entries) => entries,
+    };
+    let base = log.snapshot().position.index;
+    for entry in entries.into_iter().filter(|entry| entry.index > base) {
+        log.truncate(entry.index);
+        if entry.index != log.last().index + 1 {
+            return Err(());
+        }
+        log.push(entry);
+    }
+    Ok(())
+}
+
+impl Disk {
+    /// Opens a data folder, making an empty one for a new replica if there is none.
+    ///
+    /// `fresh_replica` numbers the new replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns what [`read`] returns, and [`Code::DataForeign`] if the folder belongs to another
+    /// instance.
+    pub fn open(
+        folder: &Path,
+        instance: &Instance,
+        fresh_replica: u64,
+    ) -> Result<(Disk, Contents), CodedError> {
+        if !folder.join("identity").exists() {
+            fs::create_dir_all(folder).map_err(|err| storage_failed(folder, &err))?;
+            write_whole(folder, "snapshot", Stored::founding(Vec::new()).log.snapshot())?;
+            write_whole(folder, "identity", &ReplicaId(instance.clone(), fresh_replica))?;
+        }
+        let contents = read(folder)?;
+        if contents.id.0 != *instance {
+            let detail = format!("{} belongs to {}", folder.display(), contents.id.0);
+            return Err(CodedError::new(Code::DataForeign, detail));
+        }
+        let path = folder.join("log");
+        let log = open_log(&path, contents.torn).map_err(|err| storage_failed(&path, &err))?;
+        sync_folder(folder).map_err(|err| storage_failed(folder, &err))?;
+        let hard_state = contents.stored.hard_state.clone();
+        Ok((Disk { folder: folder.to_owned(), log, hard_state }, contents))
+    }
+
+    /// Writes and syncs; `log` is the log as it stands after the writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::StorageFailed`]. After a failed sync the system may have dropped the
+    /// unwritten pages while calling the file clean, so the disk must not be used again.
+    pub fn write(&mut self, writes: Vec<Persist>, log: &Log) -> Result<(), CodedError> {
+        let mut records = Vec::new();
+        let mut has_snapshot = false;
+        for write in writes {
+            match write {
+                Persist::HardState(state) => {
+                    self.hard_state = state.clone();
+                    records.push(LogRecord::HardState(state));
+                }
+                Persist::Entries(entries) => push_entries(&mut records, entries),
+                Persist::Snapshot(_) => has_snapshot = true,
+            }
+        }
+        if has_snapshot {
+            return self.rewrite(log);
+        }
+        let path = self.folder.join("log");
+        append(&mut self.log, &records).map_err(|err| storage_failed(&path, &err))
+    }
+
+    /// Writes the snapshot, then a log with what follows it.
+    fn rewrite(&mut self, log: &Log) -> Result<(), CodedError> {
+        write_whole(&self.folder, "snapshot", log.snapshot())?;
+        let entries = log.from(0, usize::MAX);
+        let records = [LogRecord::HardState(self.hard_state.clone()), LogRecord::Entries(entries)];
+        let mut buf = Vec::new();
+        frames::encode(&encode(&records), &mut buf);
+        replace(&self.folder, "log", &buf)?;
+        let path = self.folder.join("log");
+        self.log = open_log(&path, 0).map_err(|err| storage_failed(&path, &err))?;
+        Ok(())
+    }
+}
+
+/// Joins entries that follow each other, so that many appended in one turn share a record.
+fn push_entries(records: &mut Vec<LogRecord>, entries: Vec<LogEntry>) {
+    let next = entries.first().map(|entry| entry.index);
+    if let Some(LogRecord::Entries(known)) = records.last_mut()
+        && known.last().map(|entry| entry.index + 1) == next
+    {
+        known.extend(entries);
+        return;
+    }
+    records.push(LogRecord::Entries(entries));
+}
+
+fn append(log: &mut File, records: &[LogRecord]) -> io::Result<()> {
+    let mut buf = Vec::new();
+    frames::encode(&encode(&records), &mut buf);
+    log.write_all(&buf)?;
+    log.sync_data()
+}
+
+fn open_log(path: &Path, torn: usize) -> io::Result<File> {
+    let log = OpenOptions::new().create(true).append(true).open(path)?;
+    if torn > 0 {
+        let len = log.metadata()?.len();
+        log.set_len(len.saturating_sub(torn as u64))?;
+    }
+    log.sync_all()?;
+    Ok(log)
+}
+
+fn write_whole(folder: &Path, name: &str, value: &impl Serialize) -> Result<(), CodedError> {
+    let mut buf = Vec::new();
+    frames::encode(&encode(value), &mut buf);
+    replace(folder, name, &buf)
+}
+
+/// Replaces a file so that a crash leaves either the old one or the new one whole.
+fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), CodedError> {
+    let target = folder.join(name);
+    let temporary = folder.join(format!("{name}.new"));
+    let write = || -> io::Result<()> {
+        let mut f = File::create(&temporary)?;
+        f.write_all(bytes)?;
+        f.sync_all()?;
+        fs::rename(&temporary, &target)?;
+        sync_folder(folder)
+    };
+    write().map_err(|err| storage_failed(&target, &err))
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+fn read_whole<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<T, CodedError> {
+    let path = folder.join(name);
+    let bytes = fs::read(&path).map_err(|err| storage_failed(&path, &err))?;
+    match frames::decode(&bytes) {
+        (payloads, Tail::Clean) if payloads.len() == 1 => {
+            ciborium::from_reader(payloads[0]).map_err(|_| corrupt(&path, 0))
+        }
+        _ => Err(corrupt(&path, 0)),
+    }
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(value, &mut buf).expect("writing to a vector can't fail");
+    buf
+}
+
+fn storage_failed(path: &Path, err: &io::Error) -> CodedError {
+    CodedError::new(Code::StorageFailed, format!("{}: {err}", path.display()))
+}
+
+fn corrupt(path: &Path, at: usize) -> CodedError {
+    CodedError::new(Code::DataCorrupt, format!("{} at byte {at}", path.display()))
+}
--- /dev/null
+++ b/src/kingcupgrade/state/record.rs
@@ -0,0 +1,184 @@
+//! The record's state: what its committed commands add up to.
+//!
+//! Applying the same entries gives the same state on every replica, so nothing here reads a clock
+//! or draws a number. Time is the leader's as written into the entries, and it never runs back.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::keys::Keys;
+use crate::{
+    core::{Code, Document, FailureDomain, Millis, Service, UpstreamName, code::CodedError},
+    protocol::{
+        consensus::{LogEntry, Payload},
+        record::{Command, RecordMessage, Reply, Standing, StoredDocument},
+    },
+};
+
+/// Changes whose answers are kept for a resend.
+const KEPT_CHANGES: usize = 10_000;
+/// Revisions of each document that are kept.
+const KEPT_REVISIONS: usize = 20;
+
+/// The state of the record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The place of the last change that instances need to know.
+    #[serde(rename = "i")]
+    index: u64,
+    #[serde(rename = "w")]
+    time: Millis,
+    #[serde(rename = "d")]
+    documents: BTreeMap<Service, VecDeque<StoredDocument>>,
+    #[serde(rename = "f")]
+    domains: BTreeMap<FailureDomain, Standing<FailureDomain>>,
+    #[serde(rename = "u")]
+    upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
+    #[serde(rename = "c")]
+    changes: VecDeque<(String, Reply)>,
+    #[serde(rename = "k")]
+    keys: Keys,
+}
+
+impl Record {
+    /// Reads a state from a snapshot's data; empty data is the empty state.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::DataCorrupt`] if the data can't be read.
+    pub fn decode(data: &[u8]) -> Result<Record, CodedError> {
+        if data.is_empty() {
+            return Ok(Record::default());
+        }
+        let mut record: Record = ciborium::from_reader(data)
+            .map_err(|err| CodedError::new(Code::DataCorrupt, err.to_string()))?;
+        record.keys.unpack();
+        Ok(record)
+    }
+
+    /// Writes the state as a snapshot's data.
+    pub fn encode(&mut self) -> Vec<u8> {
+        self.keys.pack();
+        let mut data = Vec::new();
+        ciborium::into_writer(self, &mut data).expect("writing to a vector can't fail");
+        data
+    }
+
+    /// Returns the place of the last change that instances need to know.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the request keys.
+    pub fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Returns the kept revisions of a service's document, the newest last.
+    pub fn revisions(&self, service: &Service) -> impl Iterator<Item = &StoredDocument> {
+        self.documents.get(service).into_iter().flatten()
+    }
+
+    /// Applies a committed entry.
+    pub fn apply(&mut self, entry: &LogEntry) -> Option<Reply> {
+        let Payload::Command(command) = &entry.payload else { return None };
+        self.time = self.time.max(Millis(entry.unix_ms));
+        Some(self.apply_command(entry.index, command))
+    }
+
+    fn apply_command(&mut self, index: u64, command: &Command) -> Reply {
+        match command {
+            Command::Claim { id, key, digest, span } => {
+                self.keys.claim(self.time, *id, key, digest, *span)
+            }
+            Command::Settle { id, key, settlement } => {
+                self.keys.settle(self.time, *id, key, settlement)
+            }
+            Command::ApplyDocument { change, service, base, text } => {
+                self.once(change, |record| record.apply_document(index, service, *base, text))
+            }
+            Command::SetDomain { change, domain, out } => self.once(change, |record| {
+                let standing = Standing { name: domain.clone(), out: *out, index };
+                record.domains.insert(domain.clone(), standing);
+                record.accept(index, 0)
+            }),
+            Command::SetLeaving { change, upstream, leaving } => self.once(change, |record| {
+                let standing = Standing { name: upstream.clone(), out: *leaving, index };
+                record.upstreams.insert(upstream.clone(), standing);
+                record.accept(index, 0)
+            }),
+            // Members are entries of their own kind; this command never reaches the log.
+            Command::ChangeMembers { .. } => {
+                Reply::Refused(CodedError::new(Code::MemberRefused, "not a change of the record"))
+            }
+        }
+    }
+
+    /// Makes a change, or repeats its first answer if it is a resend.
+    ///
+    /// An operator whose answer was lost sends the change again. Without the kept answer the
+    /// resend would meet its own revision and be told of a conflict with itself.
+    fn once(&mut self, change: &str, make: impl FnOnce(&mut Record) -> Reply) -> Reply {
+        if let Some((_, reply)) = self.changes.iter().find(|(known, _)| known == change) {
+            return reply.clone();
+        }
+        let reply = make(self);
+        self.changes.push_back((change.to_owned(), reply.clone()));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+        reply
+    }
+
+    fn accept(&mut self, index: u64, revision: u64) -> Reply {
+        self.index = index;
+        Reply::Accepted { revision, index }
+    }
+
+    fn apply_document(&mut self, index: u64, service: &Service, base: u64, text: &str) -> Reply {
+        let revisions = self.documents.entry(service.clone()).or_default();
+        let current = revisions.back().map_or(0, |stored| stored.revision);
+        if base != current {
+            let detail =
+                format!("{service} is at revision {current}, the change was made from {base}");
+            return Reply::Refused(CodedError::new(Code::RevisionConflict, detail));
+        }
+        // Checked before it was proposed; checked again because the record must never hold a
+        // document that its readers can't put in force.
+        match Document::parse(text) {
+            Ok(document) if document.service == *service => {}
+            Ok(_) => {
+                let detail = format!("the document is not of {service}");
+                return Reply::Refused(CodedError::new(Code::DocumentInvalid, detail));
+            }
+            Err(err) => return Reply::Refused(err),
+        }
+        let revision = current + 1;
+        let stored =
+            StoredDocument { service: service.clone(), revision, index, text: text.to_owned() };
+        revisions.push_back(stored);
+        if revisions.len() > KEPT_REVISIONS {
+            revisions.pop_front();
+        }
+        self.accept(index, revision)
+    }
+
+    /// Returns all that instances need to know and that changed after `have`.
+    pub fn state_since(
+        &self,
+        have: u64,
+        asked: Option<Millis>,
+        age: Option<Millis>,
+    ) -> RecordMessage {
+        let newest = self.documents.values().filter_map(VecDeque::back);
+        RecordMessage::State {
+            index: self.index,
+            asked,
+            age,
+            documents: newest.filter(|stored| stored.index > have).cloned().collect(),
+            domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
+            upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -0,0 +1,263 @@
+//! The process of an instance: the thread that owns the node, and the start of all others.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use super::{
+    Event, SharedView, Verdict, callers, operators,
+    peers::Peers,
+    platform::{self, Watched},
+};
+use crate::{
+    coordination::{
+        control::ControlMachine,
+        entry::RequestId,
+        node::{Input, Node, Output, Ticket},
+        view::View,
+    },
+    core::{Millis, Settings, clock::Clock, settings::Role},
+    protocol::operator::OperatorReply,
+    state::{disk::Disk, log::Persist},
+    util::{log, random},
+};
+
+/// How often the node sees time pass.
+const TICK: Duration = Duration::from_millis(10);
+/// Events handled in one turn; their writes share one sync.
+const MAX_BATCH: usize = 512;
+
+/// Runs an instance until it is told to stop and has finished what it began.
+///
+/// # Errors
+///
+/// Returns an error if the instance can't be started: an address in use, or a data folder that
+/// can't be read.
+pub fn run(settings: Settings) -> anyhow::Result<()> {
+    log::init()?;
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let settings = Arc::new(settings);
+    let (tx, rx) = mpsc::channel();
+    let draining = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, draining.clone())?;
+    signal_hook::flag::register(SIGINT, draining.clone())?;
+
+    let clock = Clock::start();
+    let (disk, control) = open_replica(&settings, clock)?;
+    let node = Node::new(clock.now(), (*settings).clone(), unix_ms(), control);
+    let view: SharedView = Arc::new(RwLock::new(Arc::new(View::default())));
+    let peers = Peers::start(settings.clone(), tx.clone())?;
+    let watched = Watched::default();
+    let own = settings.own();
+    let url = settings.platform_list.clone();
+    platform::start(url, own.failure_domain.clone(), watched.clone(), tx.clone())?;
+    callers::start(&settings, view.clone(), tx.clone())?;
+    operators::start(&settings, tx, metrics, draining.clone())?;
+    log::event("started", &settings.instance);
+
+    let control_thread = ControlThread {
+        clock,
+        node,
+        disk,
+        peers,
+        watched,
+        view,
+        callers: BTreeMap::new(),
+        operators: BTreeMap::new(),
+        next_ticket: 1,
+    };
+    control_thread.run(&rx, &draining);
+    log::event("stopped", &settings.instance);
+    Ok(())
+}
+
+/// Opens the replica of an instance that has one.
+fn open_replica(
+    settings: &Settings,
+    clock: Clock,
+) -> anyhow::Result<(Option<Disk>, Option<ControlMachine>)> {
+    let Some(folder) = settings.data.as_ref().filter(|_| settings.own().has_role(Role::Control))
+    else {
+        return Ok((None, None));
+    };
+    // Numbers up to the founding one are taken.
+    let fresh = random::number()?.max(2);
+    let (disk, contents) = Disk::open(folder, &settings.instance, fresh)?;
+    if contents.torn > 0 {
+        log::warning("torn-write-cut", &contents.torn);
+    }
+    let seed = random::number()?;
+    let control = ControlMachine::new(clock.now(), contents.id, contents.stored, seed)?;
+    Ok((Some(disk), Some(control)))
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The thread that owns the node.
+struct ControlThread {
+    clock: Clock,
+    node: Node,
+    disk: Option<Disk>,
+    peers: Peers,
+    watched: Watched,
+    view: SharedView,
+    callers: BTreeMap<RequestId, mpsc::Sender<Verdict>>,
+    operators: BTreeMap<Ticket, mpsc::Sender<OperatorReply>>,
+    next_ticket: Ticket,
+}
+
+impl ControlThread {
+    fn run(mut self, events: &mpsc::Receiver<Event>, draining: &AtomicBool) {
+        let mut next_tick = self.clock.now();
+        let mut drain_begun = false;
+        loop {
+            let now = self.clock.now();
+            let wait = next_tick.since(now).as_duration();
+            let first = events.recv_timeout(wait).ok();
+            let mut out = Vec::new();
+            let rest = events.try_iter().take(MAX_BATCH);
+            let batch: Vec<Event> = first.into_iter().chain(rest).collect();
+            for event in batch {
+                self.on_event(event, &mut out);
+            }
+            if draining.load(Ordering::Relaxed) && !drain_begun {
+                drain_begun = true;
+                log::event("draining", &self.node.open_requests());
+                self.handle(Input::Drain, &mut out);
+            }
+            let now = self.clock.now();
+            if now >= next_tick {
+                next_tick = now + Millis(TICK.as_millis() as u64);
+                self.handle(Input::Tick, &mut out);
+                gauge!("kingcup_open_requests").set(self.node.open_requests() as f64);
+            }
+            self.node.flush(self.clock.now(), unix_ms(), &mut out);
+            self.carry_out(out);
+            if drain_begun && self.node.is_drained() {
+                // The last answers and messages are on their way in other threads.
+                std::thread::sleep(Duration::from_millis(200));
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, input: Input, out: &mut Vec<Output>) {
+        self.node.handle(self.clock.now(), unix_ms(), input, out);
+    }
+
+    fn on_event(&mut self, event: Event, out: &mut Vec<Output>) {
+        match event {
+            Event::Input(input) => self.handle(input, out),
+            Event::Arrived(arrival, keyed, tx) => {
+                self.callers.insert(arrival.id, tx);
+                self.handle(Input::Arrived(arrival, keyed), out);
+            }
+            Event::Asked(request, tx) => {
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                self.operators.insert(ticket, tx);
+                self.handle(Input::Asked(ticket, request), out);
+            }
+        }
+    }
+
+    /// Carries out a batch: everything for the disk first, with one sync, then the rest.
+    ///
+    /// A message may acknowledge any write of the batch. Were one sent before the sync, a crash
+    /// could lose what another instance already counts on.
+    fn carry_out(&mut self, outputs: Vec<Output>) {
+        let mut writes = Vec::new();
+        let mut rest = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Persist(persist) => writes.push(persist),
+                output => rest.push(output),
+            }
+        }
+        if !writes.is_empty() && !self.write(writes) {
+            // Nothing that rests on the failed write may leave: no vote, no acknowledgement.
+            rest.retain(|output| !rests_on_disk(output));
+        }
+        for output in rest {
+            self.carry_out_one(output);
+        }
+    }
+
+    fn write(&mut self, writes: Vec<Persist>) -> bool {
+        let (Some(disk), Some(log)) = (&mut self.disk, self.node.log()) else { return false };
+        counter!("kingcup_disk_syncs").increment(1);
+        let Err(err) = disk.write(writes, log) else { return true };
+        log::warning("storage-failed", &err);
+        self.disk = None;
+        let mut out = Vec::new();
+        self.handle(Input::StorageFailed(err), &mut out);
+        for output in out {
+            self.carry_out_one(output);
+        }
+        false
+    }
+
+    fn carry_out_one(&mut self, output: Output) {
+        match output {
+            Output::Persist(_) => {}
+            Output::Send(to, message) => self.peers.send(&to, message),
+            Output::Start { id, upstream, address } => {
+                if let Some(tx) = self.callers.get(&id) {
+                    // A thread that is gone has reported the end of its request already.
+                    let _ = tx.send(Verdict::Start(upstream, address));
+                }
+            }
+            Output::GiveUp { id, code, retry_after } => {
+                if let Some(tx) = self.callers.remove(&id) {
+                    let _ = tx.send(Verdict::GiveUp { code, retry_after });
+                }
+            }
+            Output::Replay(id, answer) => {
+                if let Some(tx) = self.callers.remove(&id) {
+                    let _ = tx.send(Verdict::Replay(answer));
+                }
+            }
+            Output::Answer(ticket, reply) => {
+                if let Some(tx) = self.operators.remove(&ticket) {
+                    let _ = tx.send(reply);
+                }
+            }
+            Output::Watch(services) => self.watch(services),
+            Output::ViewChanged => {
+                let view = Arc::new(self.node.view().clone());
+                *self.view.write().expect("no thread panics holding the view") = view;
+                log::event("configuration", &self.node.view().index());
+            }
+            Output::Decided(decision) => log::event("decision", &decision),
+            Output::Finished(id) => {
+                self.callers.remove(&id);
+            }
+        }
+    }
+
+    fn watch(&self, services: BTreeSet<crate::core::Service>) {
+        *self.watched.lock().expect("no thread panics holding the set") = services;
+    }
+}
+
+/// Tells whether an output says something about the record.
+fn rests_on_disk(output: &Output) -> bool {
+    use crate::protocol::Message;
+    matches!(
+        output,
+        Output::Send(_, Message::Consensus(_) | Message::Record(_)) | Output::Answer(..)
+    )
+}
--- /dev/null
+++ b/src/kingcupgrade/transport/peers.rs
@@ -0,0 +1,238 @@
+//! Connections between instances.
+//!
+//! Every instance dials those it writes to and reads from those that dial it, so each connection
+//! carries messages one way. Nothing is kept for a peer that can't be reached: all protocols above
+//! survive lost messages, and an old message delivered late would only mislead.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use futures_util::{SinkExt, StreamExt};
+use metrics::counter;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime,
+    sync::mpsc as queue,
+    time::timeout,
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{Message as Packet, protocol::WebSocketConfig},
+};
+
+use super::Event;
+use crate::{
+    coordination::node::Input,
+    core::{Instance, Settings},
+    protocol::{
+        Message,
+        frame::{Channel, MAX_FRAME_LEN, NONCE_LEN},
+    },
+    util::{log, random},
+};
+
+/// Messages that may wait for one peer's connection.
+const QUEUE_LEN: usize = 4_096;
+/// How long dialling and the handshake may take.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The pause after a failed dial.
+const DIAL_PAUSE: Duration = Duration::from_millis(200);
+/// How often a connection's other end is asked for a sign of life.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+/// A connection without a sign of life for this long is replaced.
+///
+/// Something between the two ends may have lost track of it: it then stays open and silent for
+/// good, while a new one works at once.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_300);
+/// A connection nothing was written to for this long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Sends messages to the other instances.
+#[derive(Clone)]
+pub struct Peers {
+    queues: Arc<Mutex<BTreeMap<Instance, queue::Sender<Message>>>>,
+    handle: runtime::Handle,
+    settings: Arc<Settings>,
+}
+
+impl Peers {
+    /// Starts the thread that reads and writes, listening on this instance's address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub fn start(settings: Arc<Settings>, events: mpsc::Sender<Event>) -> anyhow::Result<Peers> {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        let address = settings.own().address;
+        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let handle = runtime.handle().clone();
+        let key: Arc<str> = settings.fleet_key.as_str().into();
+        thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || runtime.block_on(accept_all(listener, key, events)))?;
+        Ok(Peers { queues: Arc::default(), handle, settings })
+    }
+
+    /// Sends a message, or drops it if its peer can't keep up or is not known.
+    pub fn send(&self, to: &Instance, message: Message) {
+        let mut queues = self.queues.lock().expect("no thread panics holding the queues");
+        let tx = match queues.get(to) {
+            Some(tx) => tx,
+            None => {
+                let Some(peer) = self.settings.peer(to) else { return };
+                let (tx, rx) = queue::channel(QUEUE_LEN);
+                let dialer = Dialer {
+                    instance: self.settings.instance.clone(),
+                    address: peer.address,
+                    fleet_key: self.settings.fleet_key.as_str().into(),
+                };
+                self.handle.spawn(dialer.run(rx));
+                queues.entry(to.clone()).or_insert(tx)
+            }
+        };
+        if tx.try_send(message).is_err() {
+            counter!("kingcup_peer_messages_dropped").increment(1);
+        }
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_LEN))
+        .max_frame_size(Some(MAX_FRAME_LEN))
+}
+
+async fn accept_all(listener: TcpListener, key: Arc<str>, events: mpsc::Sender<Event>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(receive_all(stream, key.clone(), events.clone()));
+            }
+            // Out of file descriptors, most likely; a pause lets some be closed.
+            Err(_) => tokio::time::sleep(DIAL_PAUSE).await,
+        }
+    }
+}
+
+/// Reads one peer's messages until the connection ends or proves to be a stranger's.
+async fn receive_all(stream: TcpStream, key: Arc<str>, events: mpsc::Sender<Event>) {
+    let _ = stream.set_nodelay(true);
+    let accepted = timeout(DIAL_TIMEOUT, accept_async_with_config(stream, Some(config()))).await;
+    let Ok(Ok(mut socket)) = accepted else { return };
+    let Ok(nonce) = random::bytes::<NONCE_LEN>() else { return };
+    if socket.send(Packet::Binary(nonce.to_vec().into())).await.is_err() {
+        return;
+    }
+    let mut channel = Channel::new(&key, nonce);
+    while let Ok(Some(Ok(packet))) = timeout(IDLE_LIMIT, socket.next()).await {
+        let Packet::Binary(frame) = packet else { continue };
+        counter!("kingcup_peer_bytes_received").increment(frame.len() as u64);
+        match channel.open(&frame) {
+            Ok((from, message)) => {
+                if events.send(Event::Input(Input::Received(from, message))).is_err() {
+                    return;
+                }
+            }
+            Err(err) => {
+                counter!("kingcup_peer_frames_refused").increment(1);
+                log::warning("frame-refused", &format!("{err:?}"));
+                return;
+            }
+        }
+    }
+}
+
+/// Writes to one peer.
+struct Dialer {
+    instance: Instance,
+    address: SocketAddr,
+    fleet_key: Arc<str>,
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+impl Dialer {
+    async fn run(self, mut rx: queue::Receiver<Message>) {
+        while let Some(first) = rx.recv().await {
+            match timeout(DIAL_TIMEOUT, self.dial()).await {
+                Ok(Ok((socket, channel))) => self.write(socket, channel, first, &mut rx).await,
+                Ok(Err(_)) | Err(_) => {
+                    tokio::time::sleep(DIAL_PAUSE).await;
+                    while rx.try_recv().is_ok() {
+                        counter!("kingcup_peer_messages_dropped").increment(1);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn dial(&self) -> anyhow::Result<(Socket, Channel)> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{}/", self.address);
+        let (mut socket, _) = client_async_with_config(url, stream, Some(config())).await?;
+        let hello = socket.next().await;
+        let Some(Ok(Packet::Binary(nonce))) = hello else {
+            anyhow::bail!("the peer did not greet")
+        };
+        let nonce: [u8; NONCE_LEN] = nonce.as_ref().try_into()?;
+        Ok((socket, Channel::new(&self.fleet_key, nonce)))
+    }
+
+    /// Writes until the connection is idle, broken or silent.
+    async fn write(
+        &self,
+        mut socket: Socket,
+        mut channel: Channel,
+        first: Message,
+        rx: &mut queue::Receiver<Message>,
+    ) {
+        let mut next = Some(first);
+        let mut heard = Instant::now();
+        let mut written = Instant::now();
+        let mut ping = tokio::time::interval(PING_INTERVAL);
+        loop {
+            if let Some(message) = next.take() {
+                let frame = channel.seal(&self.instance, &message);
+                counter!("kingcup_peer_bytes_sent").increment(frame.len() as u64);
+                written = Instant::now();
+                if !send(&mut socket, Packet::Binary(frame.into())).await {
+                    return;
+                }
+            }
+            tokio::select! {
+                message = rx.recv() => match message {
+                    Some(message) => next = Some(message),
+                    None => return,
+                },
+                packet = socket.next() => match packet {
+                    Some(Ok(_)) => heard = Instant::now(),
+                    Some(Err(_)) | None => return,
+                },
+                _ = ping.tick() => {
+                    if heard.elapsed() > SILENCE_LIMIT {
+                        counter!("kingcup_peer_connections_replaced").increment(1);
+                        log::warning("connection-silent", &self.address);
+                        return;
+                    }
+                    if written.elapsed() > IDLE_LIMIT {
+                        return;
+                    }
+                    if !send(&mut socket, Packet::Ping(Vec::new().into())).await {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Sends a packet; returns false if the connection is of no use any more.
+async fn send(socket: &mut Socket, packet: Packet) -> bool {
+    matches!(timeout(SILENCE_LIMIT, socket.send(packet)).await, Ok(Ok(())))
+}
--- /dev/null
+++ b/src/kingcupgrade/util/mod.rs
@@ -0,0 +1,5 @@
+//! Small parts without a layer of their own.
+
+pub mod log;
+pub mod random;
+pub mod rendezvous;
--- /dev/null
+++ b/tests/testsuite/answers.rs
@@ -0,0 +1,101 @@
+//! Whole answers to the right callers.
+
+use std::{
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_support::{caller::Caller, engine::EngineConfig, fleet::token, wait_until};
+
+use crate::support::{PATIENCE, prompt, start};
+
+// The entry could gather an answer and send it at its end; a candidate would stare at nothing
+// until the whole explanation is there. The engine's own record tells when it wrote the last
+// event: the caller must have had the first one before that.
+#[test]
+fn an_answer_reaches_its_caller_event_by_event() {
+    let engine = EngineConfig { token_time: Duration::from_millis(60), ..EngineConfig::default() };
+    let world = start(&["north"], 1, &engine).with_documents();
+    let asked = prompt("stream", "alder", 10);
+    let body = serde_json::to_string(&asked).expect("plain data");
+    let mut first = None;
+    let caller = Caller::new(&token("alder"));
+    let entry = world.fleet.entry("entry-north-0");
+    let answer = caller.post_with(entry, "/tutor/generate", &body, None, |_| {
+        first.get_or_insert_with(Instant::now);
+        true
+    });
+    assert!(answer.answers(&asked), "{answer:?}");
+    let last_written = world.engines[0].record().served.last().expect("events").at;
+    assert!(first.expect("an event") < last_written);
+}
+
+// Two requests run at the same engine at the same time; an entry that mixed up its connections
+// would give one candidate the other's answer.
+#[test]
+fn two_callers_at_once_each_get_their_own_answer() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let entry = world.fleet.entry("entry-north-0");
+    let ask = |organisation: &'static str| {
+        thread::spawn(move || {
+            let asked = prompt(&format!("of-{organisation}"), organisation, 30);
+            let answer = Caller::new(&token(organisation)).prompt(entry, "tutor", &asked);
+            assert!(answer.answers(&asked), "{answer:?}");
+        })
+    };
+    let threads = [ask("alder"), ask("birch")];
+    for thread in threads {
+        thread.join().expect("a whole answer");
+    }
+}
+
+// A caller closes its window in the middle of a long answer. Unless the entry cancels it, the
+// engine goes on writing for nobody while others wait for the slot.
+#[test]
+fn a_caller_that_hangs_up_frees_the_slot() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let entry = world.fleet.entry("entry-north-0");
+    let body = serde_json::to_string(&prompt("long", "alder", 100_000)).expect("plain data");
+    let caller = Caller::new(&token("alder"));
+    let answer =
+        caller.post_with(entry, "/tutor/generate", &body, None, |line| !line.contains("long 5"));
+    assert!(!answer.is_whole);
+    assert!(wait_until(PATIENCE, || world.engines[0].running() == 0), "the engine still runs it");
+    let dispatched = || {
+        let status = world.fleet.status("entry-north-0").expect("a status");
+        status.pools.iter().flat_map(|pool| pool.upstreams.values()).all(|(used, _)| *used == 0)
+    };
+    assert!(wait_until(PATIENCE, dispatched), "the dispatcher still counts it");
+}
+
+// An operator replaces an entry while answers are under way. It must finish them, refuse what
+// comes after as not run, and then end by itself.
+#[test]
+fn a_terminated_entry_cuts_off_no_answer() {
+    let world = start(&["north"], 2, &EngineConfig::default()).with_documents();
+    let mut world = world;
+    let entry = world.fleet.entry("entry-north-0");
+    let (tx, rx) = mpsc::channel();
+    let caller = thread::spawn(move || {
+        let asked = prompt("kept", "alder", 150);
+        let body = serde_json::to_string(&asked).expect("plain data");
+        let answer =
+            Caller::new(&token("alder")).post_with(entry, "/tutor/generate", &body, None, |_| {
+                let _ = tx.send(());
+                true
+            });
+        (asked, answer)
+    });
+    rx.recv_timeout(PATIENCE).expect("a first event");
+    world.fleet.signal("entry-north-0", "TERM");
+    let late = prompt("late", "alder", 1);
+    let refused = wait_until(PATIENCE, || {
+        let answer = Caller::new(&token("alder")).prompt(entry, "tutor", &late);
+        answer.code == 3004 && answer.outcome == "not-run"
+    });
+    assert!(refused, "a late request is not refused");
+    let (asked, answer) = caller.join().expect("a caller");
+    assert!(answer.answers(&asked), "{answer:?}");
+    assert!(world.fleet.wait_for_end("entry-north-0", PATIENCE), "the entry does not end");
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! The test suite: one binary, a module for each subject.
+
+mod answers;
+mod support;
