Add the load and experiment tool

It starts nine entries, three control instances and stand-ins, plays a scenario and reports from the stand-ins' own records. Ports of instances are taken below the range the system gives out: a fleet failed to start once when a proxy was given an instance's port between its choice and its use.

--- /dev/null
+++ b/crates/kingcup-load/src/experiment.rs
@@ -0,0 +1,244 @@
+//! One experiment: a scenario under a policy.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_support::{caller::Caller, engine::EngineRecord};
+
+use crate::{
+    load::{End, Load, MAX_TOKENS},
+    measure::{Window, fairness_gap, first_token_p95, utilisation},
+    result::ExperimentResult,
+    scenario::{DOMAINS, ENGINES, FLOODER, Group, ORGANISATIONS, Policy, Scenario, groups},
+    world::{RUN_UP, TOKEN_TIME, WARM_SLOTS, World, tutor_document},
+};
+
+/// How long to measure if nothing else is asked.
+const DEFAULT_SECONDS: u64 = 12;
+/// How many times an organisation's usual callers a flood has.
+const FLOOD_CALLERS: usize = 80;
+/// Organisations that make deposits.
+const DEPOSITORS: usize = 4;
+/// The longest that service elsewhere stays unknown to a dispatcher: an exchange that was lost,
+/// and the next one.
+const EXCHANGE_LAG: Duration = Duration::from_millis(2_000);
+/// The failure domain that is taken out.
+const TAKEN_OUT: &str = DOMAINS[2];
+
+/// Runs an experiment; `progress` is told how it goes.
+pub(crate) fn run(
+    scenario: Scenario,
+    policy: Policy,
+    seconds: Option<u64>,
+    progress: &dyn Fn(&str),
+) -> anyhow::Result<ExperimentResult> {
+    progress("starting 9 entries, 3 control instances and their stand-ins");
+    let mut world = World::start(scenario, policy)?;
+    let entries: Vec<SocketAddr> =
+        world.fleet.entries().iter().map(|(instance, _)| world.fleet.entry(instance)).collect();
+    let mut load = Load::new();
+    for group in groups(scenario) {
+        load.add_group(group, &entries);
+    }
+    for organisation in 0..DEPOSITORS {
+        load.add_depositor(organisation, &entries);
+    }
+    progress("callers have begun");
+    if scenario.starts_warm() {
+        thread::sleep(RUN_UP);
+    }
+    let seconds = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
+    let from = Instant::now();
+    let control_before = control_bytes(&world);
+    let mut result = ExperimentResult {
+        scenario: scenario.name().to_owned(),
+        policy: policy.name().to_owned(),
+        is_baseline: policy == Policy::Static,
+        ..ExperimentResult::default()
+    };
+    let events = Events { world: &mut world, load: &mut load, entries: &entries, progress };
+    let changed = events.play(scenario, seconds, &mut result)?;
+    let until = Instant::now();
+    let control_after = control_bytes(&world);
+    progress("callers finish");
+    load.finish();
+    let window = Window { from, until };
+    result.seconds = (until - from).as_secs_f64();
+    let pairs = control_before.iter().zip(&control_after);
+    let rates = pairs.map(|(before, after)| (after - before).max(0.0) / result.seconds);
+    result.control_bytes_per_s_max = rates.fold(0.0, f64::max);
+    evaluate(scenario, &world, &load, window, changed, &mut result);
+    Ok(result)
+}
+
+/// What happens while measuring.
+struct Events<'a> {
+    world: &'a mut World,
+    load: &'a mut Load,
+    entries: &'a [SocketAddr],
+    progress: &'a dyn Fn(&str),
+}
+
+impl Events<'_> {
+    /// Plays the scenario over `span`; returns when the change of the scenario began.
+    fn play(
+        mut self,
+        scenario: Scenario,
+        span: Duration,
+        result: &mut ExperimentResult,
+    ) -> anyhow::Result<Instant> {
+        let third = span / 3;
+        self.watch(third);
+        let changed = Instant::now();
+        match scenario {
+            Scenario::Steady => {
+                self.apply(result)?;
+                self.watch(third * 2);
+            }
+            Scenario::Skewed => self.watch(third * 2),
+            Scenario::Flood => {
+                (self.progress)("one organisation floods one entry");
+                let flood =
+                    Group { organisation: FLOODER, entry: 0, callers: FLOOD_CALLERS, pause_ms: 0 };
+                self.load.add_group(flood, self.entries);
+                self.watch(third * 2);
+            }
+            Scenario::Cold => {
+                (self.progress)("three engines turn cold without notice");
+                self.world.engines.iter().step_by(ENGINES).for_each(|(_, e)| e.turn_cold());
+                self.watch(third * 2);
+            }
+            Scenario::DomainOut => self.take_domain_out(third, result)?,
+            Scenario::EntryKill => {
+                (self.progress)("killing an entry");
+                self.world.fleet.kill("entry-north-0");
+                self.watch(third);
+                (self.progress)("starting it again");
+                self.world.fleet.run("entry-north-0")?;
+                self.watch(third);
+            }
+            Scenario::ControlCut => {
+                let leader = self.world.fleet.leader().unwrap_or_else(|| "control-north".to_owned());
+                (self.progress)(&format!("cutting off {leader}, the record's leader"));
+                self.world.fleet.isolate(&leader, true);
+                self.watch(third);
+                (self.progress)("joining it again");
+                self.world.fleet.isolate(&leader, false);
+                self.apply(result)?;
+                self.watch(third);
+            }
+        }
+        Ok(changed)
+    }
+
+    fn apply(&mut self, result: &mut ExperimentResult) -> anyhow::Result<()> {
+        let start = Instant::now();
+        self.world.fleet.apply("tutor", 1, &tutor_document(2))?;
+        result.config_in_force_s = Some(start.elapsed().as_secs_f64());
+        Ok(())
+    }
+
+    fn take_domain_out(
+        &mut self,
+        third: Duration,
+        result: &mut ExperimentResult,
+    ) -> anyhow::Result<()> {
+        (self.progress)(&format!("taking {TAKEN_OUT} out"));
+        let ordered = Instant::now();
+        self.world.fleet.set_domain(TAKEN_OUT, true)?;
+        result.config_in_force_s = Some(ordered.elapsed().as_secs_f64());
+        self.watch(third);
+        let last = self.world.engines.iter().filter(|(domain, _)| domain == TAKEN_OUT);
+        let begun = last.flat_map(|(_, engine)| engine.record().begun);
+        let after = begun.filter(|at| *at > ordered).max();
+        result.takeout_s = Some(after.map_or(0.0, |at| (at - ordered).as_secs_f64()));
+        (self.progress)(&format!("taking {TAKEN_OUT} back in"));
+        self.world.fleet.set_domain(TAKEN_OUT, false)?;
+        self.watch(third);
+        Ok(())
+    }
+
+    /// Lets time pass and tells of the progress.
+    fn watch(&self, span: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < span {
+            thread::sleep(Duration::from_millis(1_000).min(span));
+            let done = self.load.log().asked.lock().expect("the log").len();
+            let running: u32 = self.world.engines.iter().map(|(_, e)| e.running()).sum();
+            let slots = self.world.engines.len() as u32 * WARM_SLOTS;
+            (self.progress)(&format!("{done} requests answered, {running} of {slots} slots busy"));
+        }
+    }
+}
+
+fn evaluate(
+    scenario: Scenario,
+    world: &World,
+    load: &Load,
+    window: Window,
+    changed: Instant,
+    result: &mut ExperimentResult,
+) {
+    let asked = load.log().asked.lock().expect("the log");
+    let deposits = load.log().deposits.lock().expect("the log");
+    let records: Vec<EngineRecord> = world.engines.iter().map(|(_, e)| e.record()).collect();
+    let ends = asked.iter().map(|r| r.end).chain(deposits.iter().map(|d| d.end));
+    let ends: Vec<End> = ends.collect();
+    let count = |end: End| ends.iter().filter(|e| **e == end).count();
+    result.requests = ends.len();
+    result.completed = count(End::Completed);
+    result.refused_not_run = count(End::NotRun);
+    result.unknown = count(End::Unknown);
+    result.crossed_answers = count(End::Crossed);
+    result.truncated_answers = count(End::Truncated);
+    let runs = |key: &str| world.plains.iter().map(|plain| plain.runs_of(key)).sum::<u32>();
+    result.duplicate_runs =
+        deposits.iter().map(|d| runs(&d.key).saturating_sub(1) as usize).sum();
+    result.false_not_run = deposits.iter().filter(|d| d.not_run && runs(&d.key) > 0).count();
+    result.fairness_gap = fairness_gap(&asked, &records, window);
+    result.fairness_bound = fairness_bound();
+    result.utilisation = utilisation(&asked, &records, window);
+    result.falls = records.iter().map(|record| record.falls).sum();
+    result.oversold = records.iter().map(|record| record.oversold).sum();
+    let others = |organisation: usize| organisation != FLOODER;
+    if scenario == Scenario::Flood {
+        let before = Window { until: changed, ..window };
+        let after = Window { from: changed, ..window };
+        result.first_token_ms_p95_before = first_token_p95(&asked, before, others);
+        result.first_token_ms_p95 = first_token_p95(&asked, after, others);
+    } else {
+        result.first_token_ms_p95 = first_token_p95(&asked, window, |_| true);
+    }
+}
+
+/// Returns the bound on the fairness gap as docs/DESIGN.md derives it.
+///
+/// With D slots in all, costs up to C and shares of at least W: (D + 1) requests of either side
+/// may be under way beyond what the counters say, and for the lag of the exchange each of the
+/// other failure domains may serve one side alone.
+fn fairness_bound() -> f64 {
+    let slots = (DOMAINS.len() * ENGINES) as f64 * f64::from(WARM_SLOTS);
+    let shares = ORGANISATIONS.iter().map(|(_, share)| f64::from(*share));
+    let least_share = shares.fold(f64::INFINITY, f64::min);
+    let under_way = (slots + 1.0) * 2.0 * MAX_TOKENS as f64 / least_share;
+    let rate = slots / TOKEN_TIME.as_secs_f64();
+    let others = (DOMAINS.len() - 1) as f64 / DOMAINS.len() as f64;
+    under_way + rate * others * EXCHANGE_LAG.as_secs_f64() / least_share
+}
+
+/// Returns the bytes each instance has sent to others.
+fn control_bytes(world: &World) -> Vec<f64> {
+    let caller = Caller::new("");
+    let instances = world.fleet.entries().into_iter().chain(world.fleet.controls());
+    let bytes = instances.map(|(instance, _)| {
+        let text = caller.get(world.fleet.operator_address(&instance), "/metrics");
+        let text = text.unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("kingcup_peer_bytes_sent "));
+        let value = line.and_then(|line| line.split(' ').nth(1));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    });
+    bytes.collect()
+}
--- /dev/null
+++ b/crates/kingcup-load/src/flags.rs
@@ -0,0 +1,35 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Drives a local fleet and reports.
+    cmd kingcup-load {
+        /// Shows a fleet at work: a mixed load, and a failure domain out and back.
+        cmd demo {
+            /// How long to measure (default: 15).
+            optional --seconds seconds: u64
+        }
+        /// Runs one experiment; exits with 0 only if every promise it checked held.
+        cmd run {
+            /// The scenario.
+            required --scenario name: String
+            /// The policy: pooled (default) or static, the baseline.
+            optional --policy name: String
+            /// How long to measure (default: 12).
+            optional --seconds seconds: u64
+            /// Prints one JSON object.
+            optional --json
+        }
+        /// Runs one instance; what this tool starts its fleets with.
+        cmd instance {
+            /// The settings file.
+            required --settings path: PathBuf
+        }
+        /// Makes a control instance's data folder; what this tool starts its fleets with.
+        cmd init {
+            /// The settings file.
+            required --settings path: PathBuf
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcup-load/src/load.rs
@@ -0,0 +1,205 @@
+//! Callers: threads that ask, wait and ask again.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use kingcup_support::{
+    caller::{Answer, Caller},
+    engine::Prompt,
+    fleet::token,
+};
+
+use crate::scenario::{Group, ORGANISATIONS};
+
+/// Tokens of a request: from this many,
+const MIN_TOKENS: u64 = 10;
+/// and so many more at most.
+const TOKENS_SPREAD: u64 = 50;
+/// The most tokens a request has.
+pub(crate) const MAX_TOKENS: u64 = MIN_TOKENS + TOKENS_SPREAD;
+/// The longest a refused caller waits here, whatever it is told; experiments are short.
+const MAX_BACK_OFF: Duration = Duration::from_millis(1_000);
+/// Tries of a deposit under one key.
+const DEPOSIT_TRIES: usize = 6;
+
+/// How a caller's request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    Completed,
+    NotRun,
+    Unknown,
+    Crossed,
+    Truncated,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub(crate) organisation: usize,
+    pub(crate) at: Instant,
+    /// When its first event came, or its refusal.
+    pub(crate) until: Instant,
+    pub(crate) end: End,
+}
+
+/// A deposit under one key.
+#[derive(Clone, Debug)]
+pub(crate) struct Deposit {
+    pub(crate) key: String,
+    /// Whether its last try was answered as not run, and no earlier one otherwise.
+    pub(crate) not_run: bool,
+    pub(crate) end: End,
+}
+
+/// What callers experienced.
+#[derive(Default)]
+pub(crate) struct Log {
+    pub(crate) asked: Mutex<Vec<Asked>>,
+    pub(crate) deposits: Mutex<Vec<Deposit>>,
+}
+
+/// Callers at work.
+pub(crate) struct Load {
+    log: Arc<Log>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    next: Arc<AtomicU64>,
+}
+
+impl Load {
+    pub(crate) fn new() -> Load {
+        Load {
+            log: Arc::default(),
+            stop: Arc::default(),
+            threads: Vec::new(),
+            next: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    pub(crate) fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Lets a group of callers begin; each calls its entry, and the others if that one is gone.
+    pub(crate) fn add_group(&mut self, group: Group, entries: &[SocketAddr]) {
+        for n in 0..group.callers {
+            let entries = entries.to_vec();
+            let (log, stop, next) = (self.log.clone(), self.stop.clone(), self.next.clone());
+            let seed = (group.organisation * 1_000 + group.entry * 100 + n) as u64 + 1;
+            let call = move || call_engines(group, &entries, seed, &log, &stop, &next);
+            self.threads.push(thread::spawn(call));
+        }
+    }
+
+    /// Lets one caller make deposits, each retried under its key through the next entry.
+    pub(crate) fn add_depositor(&mut self, organisation: usize, entries: &[SocketAddr]) {
+        let entries = entries.to_vec();
+        let (log, stop, next) = (self.log.clone(), self.stop.clone(), self.next.clone());
+        let call = move || make_deposits(organisation, &entries, &log, &stop, &next);
+        self.threads.push(thread::spawn(call));
+    }
+
+    /// Lets all callers finish what they began.
+    pub(crate) fn finish(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            // A caller that panicked has logged nothing wrong; its panic is on standard error.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn call_engines(
+    group: Group,
+    entries: &[SocketAddr],
+    seed: u64,
+    log: &Log,
+    stop: &AtomicBool,
+    next: &AtomicU64,
+) {
+    let (name, _) = ORGANISATIONS[group.organisation];
+    let caller = Caller::new(&token(name));
+    let mut random = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut entry = group.entry;
+    while !stop.load(Ordering::SeqCst) {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        let id = format!("r{}", next.fetch_add(1, Ordering::SeqCst));
+        let tokens = MIN_TOKENS + random % TOKENS_SPREAD;
+        let prompt = Prompt { id, organisation: name.to_owned(), tokens };
+        let at = Instant::now();
+        let answer = caller.prompt(entries[entry], "tutor", &prompt);
+        let end = judge(&answer, &prompt);
+        let until = if end == End::NotRun { Instant::now() } else { at + answer.first };
+        let asked = Asked { organisation: group.organisation, at, until, end };
+        log.asked.lock().expect("the log").push(asked);
+        if answer.status == 0 {
+            // As behind the platform's balancer: an entry that can't be reached is passed over.
+            entry = (entry + 1) % entries.len();
+            thread::sleep(Duration::from_millis(50));
+        } else {
+            entry = group.entry;
+        }
+        if end == End::NotRun {
+            let told = Duration::from_secs(answer.retry_after.unwrap_or(0));
+            thread::sleep(told.min(MAX_BACK_OFF));
+        }
+        thread::sleep(Duration::from_millis(group.pause_ms));
+    }
+}
+
+fn judge(answer: &Answer, prompt: &Prompt) -> End {
+    if answer.is_crossed(prompt) {
+        End::Crossed
+    } else if answer.answers(prompt) {
+        End::Completed
+    } else if answer.outcome == "not-run" {
+        End::NotRun
+    } else if answer.status == 200 && answer.is_whole {
+        End::Truncated
+    } else {
+        End::Unknown
+    }
+}
+
+fn make_deposits(
+    organisation: usize,
+    entries: &[SocketAddr],
+    log: &Log,
+    stop: &AtomicBool,
+    next: &AtomicU64,
+) {
+    let (name, _) = ORGANISATIONS[organisation];
+    let caller = Caller::new(&token(name));
+    let mut entry = organisation % entries.len();
+    while !stop.load(Ordering::SeqCst) {
+        let key = format!("{name}-{}", next.fetch_add(1, Ordering::SeqCst));
+        let mut deposit = Deposit { key: key.clone(), not_run: true, end: End::NotRun };
+        for _ in 0..DEPOSIT_TRIES {
+            let answer = caller.post(entries[entry], "/orders/deposits", "amount", Some(&key));
+            let is_done = answer.is_whole && answer.outcome == "done";
+            deposit.not_run &= answer.outcome == "not-run";
+            deposit.end = match answer.outcome.as_str() {
+                "done" if is_done && answer.body.starts_with(&key) => End::Completed,
+                "done" if is_done => End::Crossed,
+                "not-run" => End::NotRun,
+                _ => End::Unknown,
+            };
+            if is_done {
+                break;
+            }
+            entry = (entry + 1) % entries.len();
+            thread::sleep(Duration::from_millis(300));
+        }
+        log.deposits.lock().expect("the log").push(deposit);
+        thread::sleep(Duration::from_millis(100));
+    }
+}
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -1,1 +1,60 @@
-fn main() {}
+//! The load and experiment tool: starts a local fleet of real processes with stand-ins, drives it,
+//! and reports what the stand-ins' own records say of it.
+
+mod demo;
+mod experiment;
+mod flags;
+mod load;
+mod measure;
+mod result;
+mod scenario;
+mod world;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use kingcupgrade::ops;
+
+use crate::{
+    flags::{KingcupLoad, KingcupLoadCmd},
+    scenario::{Policy, Scenario},
+};
+
+fn main() -> ExitCode {
+    let flags = KingcupLoad::from_env_or_exit();
+    let result = match flags.subcommand {
+        KingcupLoadCmd::Demo(args) => demo::exec(args.seconds),
+        KingcupLoadCmd::Run(args) => run(&args),
+        KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
+        KingcupLoadCmd::Init(args) => ops::found(&args.settings).map(|()| true),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("error: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &flags::Run) -> anyhow::Result<bool> {
+    let scenario = Scenario::parse(&args.scenario)
+        .with_context(|| format!("no scenario {}; there are {}", args.scenario, Scenario::names()))?;
+    let policy = match args.policy.as_deref() {
+        None | Some("pooled") => Policy::Pooled,
+        Some("static") => Policy::Static,
+        Some(other) => anyhow::bail!("no policy {other}; there are pooled and static"),
+    };
+    let result = experiment::run(scenario, policy, args.seconds, &|line| {
+        if !args.json {
+            eprintln!("{line}");
+        }
+    })?;
+    if args.json {
+        println!("{}", serde_json::to_string(&result)?);
+    } else {
+        println!("{}", result.summary());
+    }
+    Ok(result.broken_promises().is_empty())
+}
--- /dev/null
+++ b/crates/kingcup-load/src/world.rs
@@ -0,0 +1,98 @@
+//! The world of an experiment: stand-ins and a fleet.
+
+use std::{env, thread, time::Duration};
+
+use kingcup_support::{
+    engine::{Engine, EngineConfig},
+    fleet::{Fleet, Plan, Program, document},
+    plain::Plain,
+    platform::{Backend, Platform},
+};
+
+use crate::scenario::{DOMAINS, ENGINES, ENTRIES, ORGANISATIONS, Policy, Scenario};
+
+/// An engine's slots while cold.
+pub(crate) const COLD_SLOTS: u32 = 2;
+/// An engine's slots once warm.
+pub(crate) const WARM_SLOTS: u32 = 6;
+/// The time between an engine's tokens.
+pub(crate) const TOKEN_TIME: Duration = Duration::from_millis(10);
+/// How long organisations call before measuring begins.
+pub(crate) const RUN_UP: Duration = Duration::from_secs(4);
+/// For reports and the platform's list to catch up with warmed engines.
+const WARM_PAUSE: Duration = Duration::from_millis(1_200);
+
+pub(crate) struct World {
+    pub(crate) engines: Vec<(String, Engine)>,
+    pub(crate) plains: Vec<Plain>,
+    pub(crate) fleet: Fleet,
+}
+
+impl World {
+    /// Starts everything and puts the documents in force.
+    pub(crate) fn start(scenario: Scenario, policy: Policy) -> anyhow::Result<World> {
+        let platform = Platform::start(Duration::from_millis(300));
+        let config = EngineConfig {
+            cold_slots: COLD_SLOTS,
+            warm_slots: WARM_SLOTS,
+            warm_after: 6,
+            token_time: TOKEN_TIME,
+            report_lag: Duration::from_millis(400),
+        };
+        let (mut engines, mut plains) = (Vec::new(), Vec::new());
+        for domain in DOMAINS {
+            for n in 0..ENGINES {
+                let engine = Engine::start(config.clone());
+                let name = format!("engine-{domain}-{n}");
+                let backend = Backend::Engine(engine.clone());
+                platform.add(&name, "tutor", domain, engine.address(), backend);
+                engines.push((domain.to_owned(), engine));
+            }
+            let plain = Plain::start(Duration::from_millis(15));
+            let name = format!("orders-{domain}");
+            platform.add(&name, "orders", domain, plain.address(), Backend::Plain(plain.clone()));
+            plains.push(plain);
+        }
+        if scenario.starts_warm() {
+            engines.iter().for_each(|(_, engine)| engine.warm_up());
+            thread::sleep(WARM_PAUSE);
+        }
+        let fleet = start_fleet(&platform, policy)?;
+        Ok(World { engines, plains, fleet })
+    }
+}
+
+fn start_fleet(platform: &Platform, policy: Policy) -> anyhow::Result<Fleet> {
+    let mut plans = Vec::new();
+    for domain in DOMAINS {
+        plans.push(Plan::control(&format!("control-{domain}"), domain));
+        let entries = (0..ENTRIES).map(|n| Plan::entry(&format!("entry-{domain}-{n}"), domain));
+        plans.extend(entries);
+    }
+    let program = Program {
+        path: env::current_exe()?,
+        run: vec!["instance".to_owned()],
+        init: vec!["init".to_owned()],
+    };
+    let fleet = Fleet::start(program, &plans, platform, policy == Policy::Static)?;
+    fleet.apply("tutor", 0, &tutor_document(1))?;
+    fleet.apply("orders", 0, &orders_document())?;
+    fleet.wait_for_dispatchers("tutor")?;
+    fleet.wait_for_dispatchers("orders")?;
+    Ok(fleet)
+}
+
+/// The engines' document; `version` makes two of them differ.
+pub(crate) fn tutor_document(version: u64) -> String {
+    let rest = format!(
+        "models: [tutor-{version}]\nslots: {{cold: {COLD_SLOTS}, warm: {WARM_SLOTS}}}\n\
+         limits: {{queue_requests: 128, deadline_ms: 30000, silence_ms: 3000}}\n"
+    );
+    document("tutor", "model-engine", &ORGANISATIONS, &rest)
+}
+
+fn orders_document() -> String {
+    let rest = "never_repeat:\n  - {method: POST, path: /deposits}\n\
+                slots: {cold: 16, warm: 16}\nlimits: {deadline_ms: 15000, silence_ms: 6000}\n";
+    document("orders", "plain-service", &ORGANISATIONS, rest)
+}
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -12,17 +12,34 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+/// The ports instances listen on: below those the system gives to connections and to listeners
+/// that name none, which would otherwise take one between the choice and the instance's start.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// The next port to try; processes begin at different ones.
+static NEXT_PORT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(std::process::id() * 97));
+
 /// Returns a loopback address that nothing listened on a moment ago.
 ///
 /// # Panics
 ///
-/// Panics if the system has no free port.
+/// Panics if no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener has an address")
+    for _ in PORTS {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS.len() as u32;
+        let port = PORTS.start + number as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("a bound listener has an address");
+        }
+    }
+    panic!("no free port");
 }
 
 /// Waits until `done` holds; returns false if it does not within `patience`.
