Halve control traffic; give engines a prefill and a way to turn cold

Cause: at the skewed load the busiest entry sent 38.7 KB/s, three quarters of it reports: each change of a waiting count went out within 5 ms to every dispatcher asked, and each report repeated the writer's name and the whole session name. Ruled out: heartbeats and leases (0.5 KB/s together).

Change: a count is urgent only where the dispatcher may run out of believed demand; other news is gathered for 100 ms. A session has a short tag, the connection names its writer once, and a claim carries a 16-byte digest.

--- a/crates/kingcup-load/src/demo.rs
+++ b/crates/kingcup-load/src/demo.rs
@@ -13,7 +13,9 @@
 /// Shows a fleet at work; returns whether every promise that was checked held.
 pub(crate) fn exec(seconds: Option<u64>) -> anyhow::Result<bool> {
     println!("Three failure domains, each with three entries, a control instance, three model");
-    println!("engines and a plain service. Sixteen organisations call; one domain goes and returns.");
+    println!(
+        "engines and a plain service. Sixteen organisations call; one domain goes and returns."
+    );
     let is_terminal = std::io::stdout().is_terminal();
     let progress = |line: &str| {
         if is_terminal {
--- a/crates/kingcup-load/src/load.rs
+++ b/crates/kingcup-load/src/load.rs
@@ -26,6 +26,8 @@
 pub(crate) const MAX_TOKENS: u64 = MIN_TOKENS + TOKENS_SPREAD;
 /// The longest a refused caller waits here, whatever it is told; experiments are short.
 const MAX_BACK_OFF: Duration = Duration::from_millis(1_000);
+/// How long a depositor pauses.
+const DEPOSIT_PAUSE: Duration = Duration::from_millis(300);
 /// Tries of a deposit under one key.
 const DEPOSIT_TRIES: usize = 6;
 
@@ -42,6 +44,7 @@
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub(crate) struct Asked {
+    pub(crate) id: String,
     pub(crate) organisation: usize,
     pub(crate) at: Instant,
     /// When its first event came, or its refusal.
@@ -134,12 +137,12 @@
         random ^= random << 17;
         let id = format!("r{}", next.fetch_add(1, Ordering::SeqCst));
         let tokens = MIN_TOKENS + random % TOKENS_SPREAD;
-        let prompt = Prompt { id, organisation: name.to_owned(), tokens };
+        let prompt = Prompt { id: id.clone(), organisation: name.to_owned(), tokens };
         let at = Instant::now();
         let answer = caller.prompt(entries[entry], "tutor", &prompt);
         let end = judge(&answer, &prompt);
         let until = if end == End::NotRun { Instant::now() } else { at + answer.first };
-        let asked = Asked { organisation: group.organisation, at, until, end };
+        let asked = Asked { id, organisation: group.organisation, at, until, end };
         log.asked.lock().expect("the log").push(asked);
         if answer.status == 0 {
             // As behind the platform's balancer: an entry that can't be reached is passed over.
@@ -200,6 +203,6 @@
             thread::sleep(Duration::from_millis(300));
         }
         log.deposits.lock().expect("the log").push(deposit);
-        thread::sleep(Duration::from_millis(100));
+        thread::sleep(DEPOSIT_PAUSE);
     }
 }
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -39,8 +39,9 @@
 }
 
 fn run(args: &flags::Run) -> anyhow::Result<bool> {
-    let scenario = Scenario::parse(&args.scenario)
-        .with_context(|| format!("no scenario {}; there are {}", args.scenario, Scenario::names()))?;
+    let scenario = Scenario::parse(&args.scenario).with_context(|| {
+        format!("no scenario {}; there are {}", args.scenario, Scenario::names())
+    })?;
     let policy = match args.policy.as_deref() {
         None | Some("pooled") => Policy::Pooled,
         Some("static") => Policy::Static,
--- a/crates/kingcup-load/src/result.rs
+++ b/crates/kingcup-load/src/result.rs
@@ -54,12 +54,18 @@
         };
         check(self.completed > 0, "no request completed".to_owned());
         check(self.duplicate_runs == 0, format!("{} runs too many", self.duplicate_runs));
-        check(self.false_not_run == 0, format!("{} ran and were called not run", self.false_not_run));
+        check(
+            self.false_not_run == 0,
+            format!("{} ran and were called not run", self.false_not_run),
+        );
         check(self.crossed_answers == 0, format!("{} crossed answers", self.crossed_answers));
         check(self.truncated_answers == 0, format!("{} truncated answers", self.truncated_answers));
         check(self.falls == 0, format!("engines fell over {} times", self.falls));
         let takeout = self.takeout_s.unwrap_or(0.0);
-        check(takeout <= TAKEOUT_LIMIT, format!("new work {takeout:.1} s after a domain was taken out"));
+        check(
+            takeout <= TAKEOUT_LIMIT,
+            format!("new work {takeout:.1} s after a domain was taken out"),
+        );
         let in_force = self.config_in_force_s.unwrap_or(0.0);
         check(in_force <= IN_FORCE_LIMIT, format!("a configuration took {in_force:.1} s"));
         if !self.is_baseline {
@@ -91,14 +97,23 @@
             ),
             format!(
                 "  runs too many {}, false not-run {}, crossed {}, truncated {}",
-                self.duplicate_runs, self.false_not_run, self.crossed_answers, self.truncated_answers
+                self.duplicate_runs,
+                self.false_not_run,
+                self.crossed_answers,
+                self.truncated_answers
             ),
             format!("  fairness gap {:.0} (bound {:.0})", self.fairness_gap, self.fairness_bound),
             format!("  utilisation while work waited: {}", optional(self.utilisation, "")),
             format!("  engines fell over {}, oversold {}", self.falls, self.oversold),
-            format!("  control traffic at most {:.0} bytes/s an instance", self.control_bytes_per_s_max),
+            format!(
+                "  control traffic at most {:.0} bytes/s an instance",
+                self.control_bytes_per_s_max
+            ),
             format!("  first token p95 {}", optional(self.first_token_ms_p95, " ms")),
-            format!("  first token p95 before the flood {}", optional(self.first_token_ms_p95_before, " ms")),
+            format!(
+                "  first token p95 before the flood {}",
+                optional(self.first_token_ms_p95_before, " ms")
+            ),
             format!("  last new work after taking out {}", optional(self.takeout_s, " s")),
             format!("  configuration in force after {}", optional(self.config_in_force_s, " s")),
             verdict,
--- a/crates/kingcup-load/src/world.rs
+++ b/crates/kingcup-load/src/world.rs
@@ -15,6 +15,8 @@
 pub(crate) const COLD_SLOTS: u32 = 2;
 /// An engine's slots once warm.
 pub(crate) const WARM_SLOTS: u32 = 6;
+/// The time to an engine's first token.
+pub(crate) const PREFILL_TIME: Duration = Duration::from_millis(150);
 /// The time between an engine's tokens.
 pub(crate) const TOKEN_TIME: Duration = Duration::from_millis(10);
 /// How long organisations call before measuring begins.
@@ -36,6 +38,7 @@
             cold_slots: COLD_SLOTS,
             warm_slots: WARM_SLOTS,
             warm_after: 6,
+            prefill_time: PREFILL_TIME,
             token_time: TOKEN_TIME,
             report_lag: Duration::from_millis(400),
         };
--- a/crates/kingcup-support/src/engine.rs
+++ b/crates/kingcup-support/src/engine.rs
@@ -25,6 +25,10 @@
 
 /// How long an engine that fell over stays down.
 const FALLEN: Duration = Duration::from_millis(2_500);
+/// A warm engine that turns cold bears its load for this long, slowly, before more falls it.
+const TURNING: Duration = Duration::from_millis(1_500);
+/// While it turns cold, the first token takes so many times longer.
+const TURNING_SLOWDOWN: u32 = 8;
 /// How often the load is noted for the report.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -48,6 +52,8 @@
     pub warm_slots: u32,
     /// Requests it must complete to become warm.
     pub warm_after: u32,
+    /// The time to the first token.
+    pub prefill_time: Duration,
     /// The time between tokens.
     pub token_time: Duration,
     /// How old its load reports are.
@@ -60,6 +66,7 @@
             cold_slots: 2,
             warm_slots: 8,
             warm_after: 4,
+            prefill_time: Duration::from_millis(20),
             token_time: Duration::from_millis(10),
             report_lag: Duration::from_millis(300),
         }
@@ -86,8 +93,8 @@
     pub falls: u32,
     /// Requests beyond its warm limit.
     pub oversold: u32,
-    /// Requests begun, by time.
-    pub begun: Vec<Instant>,
+    /// Requests begun: which and when.
+    pub begun: Vec<(String, Instant)>,
     /// Requests whose caller went away before the end.
     pub cancelled: u32,
     /// Changes of the number of running requests.
@@ -112,6 +119,8 @@
     /// Events after which answers go silent; none if zero.
     silent_after: AtomicU64,
     fallen_until: Mutex<Option<Instant>>,
+    /// Until when it bears what it was given while warm.
+    turning_until: Mutex<Option<Instant>>,
     samples: Mutex<VecDeque<Sample>>,
     record: Mutex<EngineRecord>,
 }
@@ -141,6 +150,7 @@
             stopped: AtomicBool::new(false),
             silent_after: AtomicU64::new(0),
             fallen_until: Mutex::default(),
+            turning_until: Mutex::default(),
             samples: Mutex::default(),
             record: Mutex::default(),
         });
@@ -181,8 +191,15 @@
         self.state.completed.store(self.state.config.warm_after, Ordering::SeqCst);
     }
 
-    /// Turns it cold without notice: reports and process number stay as they are for a while.
+    /// Turns it cold without notice, as one whose cache was lost: reports stay as they are for
+    /// their lag and the process number for good. For a moment it still bears its load, slowly;
+    /// then it falls over if it is given more than its cold limit.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of its threads panicked.
     pub fn turn_cold(&self) {
+        *self.state.turning_until.lock().expect("engine state") = Some(Instant::now() + TURNING);
         self.state.completed.store(0, Ordering::SeqCst);
     }
 
@@ -249,7 +266,7 @@
             let _ = request.respond(Response::from_string("no prompt").with_status_code(400));
             return;
         };
-        if !self.begin() {
+        if !self.begin(&prompt) {
             let not_run = Header::from_bytes(OUTCOME_HEADER, "not-run").expect("plain text");
             let refusal = Response::from_string("over limit").with_status_code(503);
             let _ = request.respond(refusal.with_header(not_run));
@@ -260,7 +277,7 @@
     }
 
     /// Takes a slot, refuses, or falls over.
-    fn begin(&self) -> bool {
+    fn begin(&self, prompt: &Prompt) -> bool {
         let state = &self.state;
         let mut record = state.record.lock().expect("engine record");
         let mut fallen = state.fallen_until.lock().expect("engine state");
@@ -268,7 +285,7 @@
             return false;
         }
         let running = state.running.load(Ordering::SeqCst);
-        if !self.is_warm() && running >= state.config.cold_slots {
+        if !self.is_warm() && !self.is_turning() && running >= state.config.cold_slots {
             record.falls += 1;
             *fallen = Some(Instant::now() + FALLEN);
             return false;
@@ -278,9 +295,9 @@
             return false;
         }
         state.running.store(running + 1, Ordering::SeqCst);
-        record.begun.push(Instant::now());
+        record.begun.push((prompt.id.clone(), Instant::now()));
         record.running.push((Instant::now(), running + 1));
-        if !self.is_warm() {
+        if !self.is_warm() && !self.is_turning() {
             record.most_while_cold = record.most_while_cold.max(running + 1);
         }
         true
@@ -297,6 +314,11 @@
         }
     }
 
+    fn is_turning(&self) -> bool {
+        let turning = self.state.turning_until.lock().expect("engine state");
+        turning.is_some_and(|until| Instant::now() < until)
+    }
+
     fn is_down(&self) -> bool {
         let fallen = self.state.fallen_until.lock().expect("engine state");
         let has_fallen = fallen.is_some_and(|until| Instant::now() < until);
@@ -315,6 +337,8 @@
         if writer.write_all(head.as_bytes()).and_then(|()| writer.flush()).is_err() {
             return false;
         }
+        let slowdown = if self.is_turning() { TURNING_SLOWDOWN } else { 1 };
+        thread::sleep(self.state.config.prefill_time * slowdown);
         for n in offset..prompt.tokens {
             thread::sleep(self.state.config.token_time);
             if self.is_down() {
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     core::{FailureDomain, Instance, Millis, Organisation},
-    protocol::dispatch::Session,
+    protocol::dispatch::{Session, SessionTag},
 };
 
 #[derive(Clone, Debug)]
@@ -70,12 +70,12 @@
         &mut self,
         now: Millis,
         entry: &Instance,
-        session: Session,
+        session: SessionTag,
         seq: u64,
         received: u64,
     ) -> bool {
         let Some(state) = self.sessions.get_mut(entry) else { return false };
-        if state.session != session || seq != state.seq + 1 {
+        if state.session.tag() != session || seq != state.seq + 1 {
             return false;
         }
         state.seq = seq;
@@ -127,12 +127,12 @@
     }
 
     /// Returns the current session of an entry.
-    pub fn session(&self, entry: &Instance) -> Option<Session> {
-        self.sessions.get(entry).map(|state| state.session)
+    pub fn session(&self, entry: &Instance) -> Option<SessionTag> {
+        self.sessions.get(entry).map(|state| state.session.tag())
     }
 
     /// Tells whether `session` is the entry's current one.
-    pub fn is_current(&self, entry: &Instance, session: Session) -> bool {
+    pub fn is_current(&self, entry: &Instance, session: SessionTag) -> bool {
         self.session(entry) == Some(session)
     }
 
@@ -165,12 +165,12 @@
     }
 
     /// Lists the sessions due for an acknowledgement, with the grants sent in each.
-    pub fn due_acks(&mut self, now: Millis, interval: Millis) -> Vec<(Instance, Session, u64)> {
+    pub fn due_acks(&mut self, now: Millis, interval: Millis) -> Vec<(Instance, SessionTag, u64)> {
         let mut due = Vec::new();
         for (entry, state) in &mut self.sessions {
             if now.since(state.acked_at) >= interval {
                 state.acked_at = now;
-                due.push((entry.clone(), state.session, state.granted));
+                due.push((entry.clone(), state.session.tag(), state.granted));
             }
         }
         due
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -22,7 +22,7 @@
         Pool,
         dispatch::{
             DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Held, Offer, Served,
-            Session, Waiting,
+            Session, SessionTag, Waiting,
         },
     },
 };
@@ -32,7 +32,7 @@
 /// An entry silent for this long is taken for dead or cut off.
 pub const SESSION_SILENCE: Millis = Millis(3_000);
 /// How often a session is acknowledged at least.
-const ACK_INTERVAL: Millis = Millis(250);
+const ACK_INTERVAL: Millis = Millis(500);
 /// How often totals go to the other dispatchers of the service.
 const EXCHANGE_INTERVAL: Millis = Millis(1_000);
 /// What another dispatcher said is forgotten after this time.
@@ -310,7 +310,7 @@
         self.outstanding.insert(held.id, grant);
     }
 
-    fn on_close(&mut self, now: Millis, entry: &Instance, session: Session) {
+    fn on_close(&mut self, now: Millis, entry: &Instance, session: SessionTag) {
         if !self.demand.is_current(entry, session) {
             return;
         }
@@ -525,8 +525,7 @@
     }
 
     fn message(&self, body: DispatchBody) -> DispatchMessage {
-        let pool = self.pool.clone();
-        DispatchMessage { pool, term: self.term, from: self.instance.clone(), body }
+        DispatchMessage { pool: self.pool.clone(), term: self.term, origin: None, body }
     }
 
     fn acknowledge(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -21,7 +21,7 @@
         Pool,
         dispatch::{
             DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Held, Offer, Session,
-            Waiting,
+            SessionTag, Waiting,
         },
     },
 };
@@ -150,7 +150,6 @@
 /// The state of one entry.
 #[derive(Clone, Debug)]
 pub struct EntryMachine {
-    instance: Instance,
     domain: FailureDomain,
     /// Tells this process from earlier ones of the same name.
     incarnation: u64,
@@ -166,9 +165,8 @@
 
 impl EntryMachine {
     /// Makes the machine of an entry; `incarnation` grows with each start of the instance.
-    pub fn new(instance: Instance, domain: FailureDomain, incarnation: u64) -> EntryMachine {
+    pub fn new(domain: FailureDomain, incarnation: u64) -> EntryMachine {
         EntryMachine {
-            instance,
             domain,
             incarnation,
             next_session: 1,
@@ -240,8 +238,9 @@
     }
 
     fn note_changed(&mut self, service: &Service, organisation: &Organisation) {
+        let count = self.queues.len(service, organisation) as u32;
         for session in self.sessions.values_mut().filter(|s| s.pool.0 == *service) {
-            session.note_changed(organisation);
+            session.note_changed(organisation, count);
         }
     }
 
@@ -267,14 +266,15 @@
         &mut self,
         now: Millis,
         view: &View,
+        from: &Instance,
         message: &DispatchMessage,
         out: &mut Vec<EntryOutput>,
     ) {
         match &message.body {
             DispatchBody::Grants { session, grants } => {
                 let Some(state) = self.current(&message.pool, *session) else { return };
-                state.holder.clone_from(&message.from);
-                state.note_received(now, grants.len());
+                state.holder.clone_from(from);
+                state.note_received(now, grants);
                 for grant in grants {
                     self.on_grant(now, view, &message.pool, grant, out);
                 }
@@ -288,7 +288,7 @@
             }
             DispatchBody::Resync => {
                 let known = self.sessions.get(&message.pool);
-                if known.is_some_and(|s| s.holder == message.from) {
+                if known.is_some_and(|s| s.holder == *from) {
                     self.reopen(now, &message.pool, out);
                 }
             }
@@ -300,8 +300,8 @@
     ///
     /// A grant of an earlier session may come from a dispatcher whose lease has passed on. The new
     /// holder was not told of it and would give the slot a second time.
-    fn current(&mut self, pool: &Pool, session: Session) -> Option<&mut PoolSession> {
-        self.sessions.get_mut(pool).filter(|state| state.session == session)
+    fn current(&mut self, pool: &Pool, session: SessionTag) -> Option<&mut PoolSession> {
+        self.sessions.get_mut(pool).filter(|state| state.session.tag() == session)
     }
 
     fn on_grant(
@@ -572,7 +572,7 @@
     ) {
         let session = Session(self.incarnation, self.next_session);
         self.next_session += 1;
-        let state =
+        let mut state =
             PoolSession::new(now, pool.clone(), holder.clone(), term, session, wanted_until);
         let body = state.open(self.all_waiting(&pool.0), self.all_held(&pool));
         self.sessions.insert(pool.clone(), state);
@@ -593,7 +593,7 @@
         body: DispatchBody,
         out: &mut Vec<EntryOutput>,
     ) {
-        let message = DispatchMessage { pool, term, from: self.instance.clone(), body };
+        let message = DispatchMessage { pool, term, origin: None, body };
         out.push(EntryOutput::Send(to.clone(), message));
     }
 
@@ -616,7 +616,7 @@
     /// Ends the session with a pool, if there is one.
     pub fn close(&mut self, pool: &Pool, out: &mut Vec<EntryOutput>) {
         if let Some(state) = self.sessions.remove(pool) {
-            let body = DispatchBody::Close { session: state.session };
+            let body = DispatchBody::Close { session: state.session.tag() };
             self.send(&state.holder, pool.clone(), state.term, body, out);
         }
     }
@@ -684,7 +684,7 @@
         let Some(state) = self.sessions.get_mut(pool).filter(|s| s.muted != muted) else { return };
         state.muted = muted;
         for organisation in &waiting {
-            state.note_changed(organisation);
+            state.note_changed(organisation, 0);
         }
     }
 
--- a/src/kingcupgrade/coordination/entry/session.rs
+++ b/src/kingcupgrade/coordination/entry/session.rs
@@ -6,7 +6,7 @@
     core::{Instance, Millis, Organisation},
     protocol::{
         Pool,
-        dispatch::{DispatchBody, Finished, GrantId, Held, Session, Waiting},
+        dispatch::{DispatchBody, Finished, Grant, GrantId, Held, Session, Waiting},
     },
 };
 
@@ -14,8 +14,13 @@
 const HEARTBEAT: Millis = Millis(500);
 /// A session not acknowledged for this long is opened anew.
 const ACK_SILENCE: Millis = Millis(1_500);
-/// Changes are gathered for this long before they are reported.
-const GATHERING: Millis = Millis(5);
+/// News that may free or fill a slot is gathered for this long before it is reported.
+const GATHERING: Millis = Millis(10);
+/// All other news is gathered for this long.
+const LAZY_GATHERING: Millis = Millis(100);
+/// While the dispatcher believes that at least so many requests of an organisation wait, the
+/// exact count changes none of its decisions.
+const ENOUGH: u32 = 4;
 
 /// A session with the dispatcher of one pool.
 #[derive(Clone, Debug)]
@@ -39,6 +44,10 @@
     acked: Millis,
     sent: Millis,
     changed: BTreeSet<Organisation>,
+    /// The counts as last reported, less the grants received since.
+    believed: BTreeMap<Organisation, u32>,
+    /// Whether a change may matter to the dispatcher at once.
+    is_urgent: bool,
     finished: Vec<Finished>,
     progress: BTreeMap<GrantId, u32>,
 }
@@ -66,18 +75,23 @@
             acked: now,
             sent: now,
             changed: BTreeSet::new(),
+            believed: BTreeMap::new(),
+            is_urgent: false,
             finished: Vec::new(),
             progress: BTreeMap::new(),
         }
     }
 
     /// Returns the opening message.
-    pub fn open(&self, waiting: Vec<Waiting>, held: Vec<Held>) -> DispatchBody {
+    pub fn open(&mut self, waiting: Vec<Waiting>, held: Vec<Held>) -> DispatchBody {
+        self.believed = waiting.iter().map(|w| (w.0.clone(), w.1)).collect();
         DispatchBody::Open { session: self.session, waiting, held }
     }
 
-    /// Notes that an organisation's count may have changed.
-    pub fn note_changed(&mut self, organisation: &Organisation) {
+    /// Notes that an organisation's count may have changed, and to what.
+    pub fn note_changed(&mut self, organisation: &Organisation, count: u32) {
+        let believed = self.believed.get(organisation).copied().unwrap_or(0);
+        self.is_urgent |= believed < ENOUGH && count > believed;
         self.changed.insert(organisation.clone());
     }
 
@@ -93,9 +107,14 @@
     }
 
     /// Notes received grants.
-    pub fn note_received(&mut self, now: Millis, grants: usize) {
-        self.received += grants as u64;
+    pub fn note_received(&mut self, now: Millis, grants: &[Grant]) {
+        self.received += grants.len() as u64;
         self.acked = now;
+        for grant in grants {
+            if let Some(believed) = self.believed.get_mut(&grant.organisation) {
+                *believed = believed.saturating_sub(1);
+            }
+        }
     }
 
     /// Notes an acknowledgement; returns false if it shows that grants were lost.
@@ -115,16 +134,21 @@
         now: Millis,
         waiting: impl Fn(&Organisation) -> u32,
     ) -> Option<DispatchBody> {
-        let has_news =
-            !self.changed.is_empty() || !self.finished.is_empty() || !self.progress.is_empty();
-        let due = if has_news { GATHERING } else { HEARTBEAT };
+        let due = if self.is_urgent || !self.finished.is_empty() {
+            GATHERING
+        } else if !self.changed.is_empty() || !self.progress.is_empty() {
+            LAZY_GATHERING
+        } else {
+            HEARTBEAT
+        };
         if now.since(self.sent) < due {
             return None;
         }
         self.sent = now;
         self.seq += 1;
+        self.is_urgent = false;
         Some(DispatchBody::Report {
-            session: self.session,
+            session: self.session.tag(),
             seq: self.seq,
             received: self.received,
             waiting: self.changed_counts(waiting),
@@ -140,7 +164,13 @@
     fn changed_counts(&mut self, waiting: impl Fn(&Organisation) -> u32) -> Vec<Waiting> {
         let changed = std::mem::take(&mut self.changed);
         let muted = self.muted;
-        let count = |organisation: &Organisation| if muted { 0 } else { waiting(organisation) };
-        changed.into_iter().map(|o| Waiting(o.clone(), count(&o))).collect()
+        let counts = changed.into_iter().map(|organisation| {
+            let count = if muted { 0 } else { waiting(&organisation) };
+            Waiting(organisation, count)
+        });
+        let counts: Vec<Waiting> = counts.collect();
+        self.believed.extend(counts.iter().map(|w| (w.0.clone(), w.1)));
+        self.believed.retain(|_, count| *count > 0);
+        counts
     }
 }
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -52,7 +52,7 @@
     /// The key.
     pub key: RequestKey,
     /// Digest of method, path and body.
-    pub digest: String,
+    pub digest: u128,
 }
 
 /// Something that happened.
@@ -188,8 +188,7 @@
         let neighbours = residents.iter().filter(|i| **i != instance).cloned().collect();
         let controls = settings.with_role(Role::Control).map(|p| p.instance.clone()).collect();
         let offset = settings.peers.iter().position(|p| p.instance == instance).unwrap_or(0);
-        let entry =
-            is_entry.then(|| EntryMachine::new(instance.clone(), domain.clone(), incarnation));
+        let entry = is_entry.then(|| EntryMachine::new(domain.clone(), incarnation));
         let leases = (is_entry && !settings.static_shares)
             .then(|| LeaseBook::new(now, instance, &domain, residents));
         Node {
@@ -391,7 +390,7 @@
         match &message.body {
             DispatchBody::Grants { .. } | DispatchBody::Ack { .. } | DispatchBody::Resync => {
                 self.run_entry(now, out, |entry, view, outputs| {
-                    entry.on_message(now, view, message, outputs);
+                    entry.on_message(now, view, from, message, outputs);
                 });
             }
             _ => self.on_demand(now, from, message, out),
@@ -413,10 +412,11 @@
         let dispatchers = if is_own_share { &mut self.shares } else { &mut self.dispatchers };
         if let Some(dispatcher) = dispatchers.get_mut(service) {
             let mut outputs = Vec::new();
-            dispatcher.on_message(now, &message.from, message.term, &message.body, &mut outputs);
+            let writer = message.origin.as_ref().unwrap_or(from);
+            dispatcher.on_message(now, writer, message.term, &message.body, &mut outputs);
             self.carry_out_dispatch(now, service, outputs, out);
-        } else if !is_own_share && *from == message.from {
-            self.forward(now, message, out);
+        } else if !is_own_share && message.origin.is_none() {
+            self.forward(now, from, message, out);
         }
     }
 
@@ -424,12 +424,19 @@
     ///
     /// Instances of other failure domains do not hear who holds a lease here; they write to any
     /// instance that might and learn the holder from its answer.
-    fn forward(&mut self, now: Millis, message: &DispatchMessage, out: &mut Vec<Output>) {
+    fn forward(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        message: &DispatchMessage,
+        out: &mut Vec<Output>,
+    ) {
         let Some(leases) = &self.leases else { return };
         let Some(holder) = leases.holder(now, &message.pool.0) else { return };
         let holder = holder.instance.clone();
-        if holder != self.settings.instance && holder != message.from {
-            self.send(holder, Message::Dispatch(message.clone()), out);
+        if holder != self.settings.instance && holder != *from {
+            let message = DispatchMessage { origin: Some(from.clone()), ..message.clone() };
+            self.send(holder, Message::Dispatch(message), out);
         }
     }
 
@@ -626,7 +633,7 @@
         let command = Command::Claim {
             id: claim.id,
             key: claim.keyed.key.clone(),
-            digest: claim.keyed.digest.clone(),
+            digest: claim.keyed.digest,
             span: deadline + CLAIM_SLACK,
         };
         let proposal = self.client.propose(now, command, CLAIM_PATIENCE);
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -20,6 +20,17 @@
     pub u64,
 );
 
+impl Session {
+    /// Returns the short name that messages within the session carry.
+    pub fn tag(self) -> SessionTag {
+        SessionTag(((self.0 & 0xffff) << 16) as u32 | (self.1 & 0xffff) as u32)
+    }
+}
+
+/// The short name of a session, told apart from those of the same two instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionTag(pub u32);
+
 /// Names a grant within its pool: the term of the dispatcher and a number within the term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct GrantId(
@@ -135,9 +146,9 @@
     /// The term of the dispatcher it is for or from; zero where the sender knows none.
     #[serde(rename = "t")]
     pub term: u64,
-    /// The instance that wrote it; it differs from the sender of a forwarded message.
-    #[serde(rename = "f")]
-    pub from: Instance,
+    /// The instance that wrote it, where another one has passed it on.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Instance>,
     /// What it says.
     #[serde(rename = "b")]
     pub body: DispatchBody,
@@ -164,7 +175,7 @@
     Report {
         /// The session.
         #[serde(rename = "s")]
-        session: Session,
+        session: SessionTag,
         /// Counts reports within the session, from 1.
         #[serde(rename = "n")]
         seq: u64,
@@ -186,14 +197,14 @@
     Close {
         /// The session.
         #[serde(rename = "s")]
-        session: Session,
+        session: SessionTag,
     },
     /// Gives slots.
     #[serde(rename = "g")]
     Grants {
         /// The session.
         #[serde(rename = "s")]
-        session: Session,
+        session: SessionTag,
         /// The slots.
         #[serde(rename = "g")]
         grants: Vec<Grant>,
@@ -203,7 +214,7 @@
     Ack {
         /// The session.
         #[serde(rename = "s")]
-        session: Session,
+        session: SessionTag,
         /// Grants sent in the session so far; a larger count than received shows a loss.
         #[serde(rename = "n")]
         granted: u64,
@@ -235,3 +246,19 @@
         served: Vec<Served>,
     },
 }
+
+impl DispatchBody {
+    /// Returns what kind of message it is, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            DispatchBody::Open { .. } => "open",
+            DispatchBody::Report { .. } => "report",
+            DispatchBody::Close { .. } => "close",
+            DispatchBody::Grants { .. } => "grants",
+            DispatchBody::Ack { .. } => "ack",
+            DispatchBody::Resync => "resync",
+            DispatchBody::Exchange { .. } => "exchange",
+            DispatchBody::Recall { .. } => "recall",
+        }
+    }
+}
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -45,3 +45,15 @@
     #[serde(rename = "r")]
     Record(record::RecordMessage),
 }
+
+impl Message {
+    /// Returns what kind of message it is, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Message::Lease(_) => "lease",
+            Message::Dispatch(message) => message.body.kind(),
+            Message::Consensus(_) => "consensus",
+            Message::Record(_) => "record",
+        }
+    }
+}
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -113,7 +113,7 @@
         key: RequestKey,
         /// Digest of method, path and body; another request under the key is refused.
         #[serde(rename = "g")]
-        digest: String,
+        digest: u128,
         /// How long the request may take, by the record's time.
         #[serde(rename = "m")]
         span: Millis,
--- a/src/kingcupgrade/state/keys.rs
+++ b/src/kingcupgrade/state/keys.rs
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct KeyState {
     #[serde(rename = "g")]
-    digest: String,
+    digest: u128,
     #[serde(rename = "s")]
     standing: Standing,
     #[serde(rename = "f")]
@@ -69,7 +69,7 @@
         now: Millis,
         id: ClaimId,
         key: &RequestKey,
-        digest: &str,
+        digest: u128,
         span: Millis,
     ) -> Reply {
         self.forget(now);
@@ -82,7 +82,7 @@
         }
         let standing = Standing::Claimed(id, now + span);
         let forget_at = now + span + KEY_RETENTION;
-        self.insert(key.clone(), KeyState { digest: digest.to_owned(), standing, forget_at });
+        self.insert(key.clone(), KeyState { digest, standing, forget_at });
         Reply::Claimed
     }
 
@@ -98,7 +98,7 @@
         if !matches!(state.standing, Standing::Claimed(claim, _) if claim == id) {
             return Reply::Settled;
         }
-        let digest = state.digest.clone();
+        let digest = state.digest;
         self.remove(key);
         let standing = match settlement {
             Settlement::Released => return Reply::Settled,
@@ -180,7 +180,7 @@
     }
 }
 
-fn answer_known(now: Millis, state: &KeyState, id: ClaimId, digest: &str) -> Reply {
+fn answer_known(now: Millis, state: &KeyState, id: ClaimId, digest: u128) -> Reply {
     if state.digest != digest {
         return refuse(Code::KeyReused);
     }
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -90,7 +90,7 @@
     fn apply_command(&mut self, index: u64, command: &Command) -> Reply {
         match command {
             Command::Claim { id, key, digest, span } => {
-                self.keys.claim(self.time, *id, key, digest, *span)
+                self.keys.claim(self.time, *id, key, *digest, *span)
             }
             Command::Settle { id, key, settlement } => {
                 self.keys.settle(self.time, *id, key, settlement)
--- a/src/kingcupgrade/transport/callers.rs
+++ b/src/kingcupgrade/transport/callers.rs
@@ -29,10 +29,7 @@
         entry::{Arrival, AttemptEnd, RequestId},
         node::{Input, KeyedRequest},
     },
-    core::{
-        Code, Document, Kind, Millis, Organisation, Service, Settings, code::CodedError,
-        document::sha256_hex,
-    },
+    core::{Code, Document, Kind, Millis, Organisation, Service, Settings, code::CodedError},
     protocol::record::{KeptAnswer, RequestKey},
 };
 
@@ -248,7 +245,9 @@
     hasher.update(path.as_bytes());
     hasher.update([0]);
     hasher.update(body);
-    let digest = sha256_hex(&hasher.finalize());
+    let hash: [u8; 32] = hasher.finalize().into();
+    let (first, _) = hash.split_at(16);
+    let digest = u128::from_be_bytes(first.try_into().expect("sixteen bytes"));
     let key = RequestKey { service: service.clone(), organisation: organisation.clone(), key };
     Ok(KeyedRequest { key, digest })
 }
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -31,7 +31,7 @@
     core::{Instance, Settings},
     protocol::{
         Message,
-        frame::{Channel, MAX_FRAME_LEN, NONCE_LEN},
+        frame::{Channel, FrameError, MAX_FRAME_LEN, NONCE_LEN},
     },
     util::{log, random},
 };
@@ -129,24 +129,35 @@
         return;
     }
     let mut channel = Channel::new(&key, nonce);
+    let mut from = None;
     while let Ok(Some(Ok(packet))) = timeout(IDLE_LIMIT, socket.next()).await {
         let Packet::Binary(frame) = packet else { continue };
         counter!("kingcup_peer_bytes_received").increment(frame.len() as u64);
-        match channel.open(&frame) {
-            Ok((from, message)) => {
-                if events.send(Event::Input(Input::Received(from, message))).is_err() {
-                    return;
-                }
-            }
-            Err(err) => {
-                counter!("kingcup_peer_frames_refused").increment(1);
-                log::warning("frame-refused", &format!("{err:?}"));
-                return;
-            }
+        if let Err(err) = receive(&mut channel, &mut from, &frame, &events) {
+            counter!("kingcup_peer_frames_refused").increment(1);
+            log::warning("frame-refused", &format!("{err:?}"));
+            return;
         }
     }
 }
 
+/// Passes on what one frame holds; the first one names the sender of all.
+fn receive(
+    channel: &mut Channel,
+    from: &mut Option<Instance>,
+    frame: &[u8],
+    events: &mpsc::Sender<Event>,
+) -> Result<(), FrameError> {
+    let Some(from) = from else {
+        *from = Some(channel.open_greeting(frame)?);
+        return Ok(());
+    };
+    let message = channel.open(frame)?;
+    // Without the control thread the process is about to end.
+    let _ = events.send(Event::Input(Input::Received(from.clone(), message)));
+    Ok(())
+}
+
 /// Writes to one peer.
 struct Dialer {
     instance: Instance,
@@ -181,7 +192,10 @@
             anyhow::bail!("the peer did not greet")
         };
         let nonce: [u8; NONCE_LEN] = nonce.as_ref().try_into()?;
-        Ok((socket, Channel::new(&self.fleet_key, nonce)))
+        let mut channel = Channel::new(&self.fleet_key, nonce);
+        let greeting = channel.seal_greeting(&self.instance);
+        socket.send(Packet::Binary(greeting.into())).await?;
+        Ok((socket, channel))
     }
 
     /// Writes until the connection is idle, broken or silent.
@@ -198,8 +212,10 @@
         let mut ping = tokio::time::interval(PING_INTERVAL);
         loop {
             if let Some(message) = next.take() {
-                let frame = channel.seal(&self.instance, &message);
-                counter!("kingcup_peer_bytes_sent").increment(frame.len() as u64);
+                let frame = channel.seal(&message);
+                let kind = message.kind();
+                counter!("kingcup_peer_bytes_sent", "kind" => kind).increment(frame.len() as u64);
+                counter!("kingcup_peer_messages_sent", "kind" => kind).increment(1);
                 written = Instant::now();
                 if !send(&mut socket, Packet::Binary(frame.into())).await {
                     return;
