Drive whole instances under random faults; mend four faults it showed

Six entries in two failure domains share one cold upstream each, while messages are delayed, dropped, doubled and reordered and instances are killed, frozen and cut off.

- a grant message that arrives twice ran two requests in one slot: grants are now remembered within their session;
- two entries that each kept part of the votes renewed them for ever, and the pool stayed without dispatcher: an attempt that does not win in 250 ms gives its votes back and waits by rank;
- terms began at one again when all voters of a failure domain had restarted, so neighbours ignored the new holder and grant names could repeat: terms begin from the wall clock at the start of the process;
- an entry frozen for longer than its dispatcher waits used its old grants when thawed: a grant names the last report its dispatcher had heard, and is used only while that report's age proves that the slot is still the entry's.

Ruled out for the last one: releasing slots later (it trades idle slots for a longer freeze, and bounds nothing).

--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -131,6 +131,11 @@
         self.sessions.get(entry).map(|state| state.session.tag())
     }
 
+    /// Returns the last report received in an entry's session.
+    pub fn last_report(&self, entry: &Instance) -> u64 {
+        self.sessions.get(entry).map_or(0, |state| state.seq)
+    }
+
     /// Tells whether `session` is the entry's current one.
     pub fn is_current(&self, entry: &Instance, session: SessionTag) -> bool {
         self.session(entry) == Some(session)
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -406,7 +406,7 @@
             for id in self.grants_of(&entry) {
                 let Some(grant) = self.take_outstanding(id) else { continue };
                 if let Some(slots) = self.slots.get_mut(&grant.upstream) {
-                    slots.add_unaccounted(1);
+                    slots.add_unaccounted(now, 1);
                 }
             }
         }
@@ -474,7 +474,8 @@
         }
         for (entry, grants) in batches {
             let Some(session) = self.demand.session(&entry) else { continue };
-            self.send(&entry, DispatchBody::Grants { session, grants }, out);
+            let heard = self.demand.last_report(&entry);
+            self.send(&entry, DispatchBody::Grants { session, heard, grants }, out);
         }
     }
 
@@ -592,10 +593,12 @@
         out: &mut Vec<DispatcherOutput>,
     ) {
         let Some(domain) = self.demand.domain_of(from) else { return };
-        if self.neighbours.get(&domain).is_some_and(|known| known.term > term) {
+        let outranks =
+            |known: &Neighbour| known.term > term && now.since(known.heard) <= EXCHANGE_TTL;
+        if self.neighbours.get(&domain).is_some_and(outranks) {
             return;
         }
-        let is_new = self.neighbours.get(&domain).is_none_or(|known| known.term < term);
+        let is_new = self.neighbours.get(&domain).is_none_or(|known| known.term != term);
         let neighbour = Neighbour { holder: from.clone(), term, free, least, heard: now };
         self.neighbours.insert(domain.clone(), neighbour);
         let behind = self.counters.merge_remote(&domain, served);
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -77,6 +77,8 @@
     failures: u32,
     /// Requests that run there under grants unknown here; `None` until a report tells.
     unaccounted: Option<u32>,
+    /// Only a report made after this shows all of them.
+    unaccounted_since: Millis,
 }
 
 impl Slots {
@@ -94,6 +96,7 @@
             paused_until: now,
             failures: 0,
             unaccounted: None,
+            unaccounted_since: Millis::ZERO,
         }
     }
 
@@ -167,7 +170,7 @@
         }
         let proves = match self.unaccounted {
             None => made_at >= born,
-            Some(count) => count > 0,
+            Some(count) => count > 0 && made_at >= self.unaccounted_since,
         };
         if proves {
             let excess = report.running.saturating_sub(known(made_at));
@@ -176,7 +179,8 @@
     }
 
     /// Counts `grants` whose entry has gone silent as running until a report shows otherwise.
-    pub fn add_unaccounted(&mut self, grants: u32) {
+    pub fn add_unaccounted(&mut self, now: Millis, grants: u32) {
+        self.unaccounted_since = now;
         if let Some(count) = &mut self.unaccounted {
             *count += grants;
         }
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -271,11 +271,15 @@
         out: &mut Vec<EntryOutput>,
     ) {
         match &message.body {
-            DispatchBody::Grants { session, grants } => {
+            DispatchBody::Grants { session, heard, grants } => {
                 let Some(state) = self.current(&message.pool, *session) else { return };
+                if !state.may_use_grants(now, *heard) {
+                    self.reopen(now, &message.pool, out);
+                    return;
+                }
                 state.holder.clone_from(from);
-                state.note_received(now, grants);
-                for grant in grants {
+                let new = grants.iter().filter(|grant| state.note_received(now, grant));
+                for grant in new.collect::<Vec<_>>() {
                     self.on_grant(now, view, &message.pool, grant, out);
                 }
             }
--- a/src/kingcupgrade/coordination/entry/session.rs
+++ b/src/kingcupgrade/coordination/entry/session.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
+    coordination::dispatcher::SESSION_SILENCE,
     core::{Instance, Millis, Organisation},
     protocol::{
         Pool,
@@ -21,6 +22,11 @@
 /// While the dispatcher believes that at least so many requests of an organisation wait, the
 /// exact count changes none of its decisions.
 const ENOUGH: u32 = 4;
+/// Grants are used up to this much before the dispatcher would give up the session; the time a
+/// request may take on its way to the upstream.
+const GRANT_MARGIN: Millis = Millis(700);
+/// Grants of a session that are remembered, far more than can be under way.
+const REMEMBERED_GRANTS: usize = 4_096;
 
 /// A session with the dispatcher of one pool.
 #[derive(Clone, Debug)]
@@ -41,8 +47,12 @@
     pub muted: bool,
     seq: u64,
     received: u64,
+    /// The newest grants received.
+    recent: BTreeSet<GrantId>,
     acked: Millis,
     sent: Millis,
+    /// When the newest reports were sent; the opening counts as report zero.
+    sent_at: BTreeMap<u64, Millis>,
     changed: BTreeSet<Organisation>,
     /// The counts as last reported, less the grants received since.
     believed: BTreeMap<Organisation, u32>,
@@ -72,8 +82,10 @@
             muted: false,
             seq: 0,
             received: 0,
+            recent: BTreeSet::new(),
             acked: now,
             sent: now,
+            sent_at: BTreeMap::from([(0, now)]),
             changed: BTreeSet::new(),
             believed: BTreeMap::new(),
             is_urgent: false,
@@ -106,15 +118,34 @@
         self.progress.insert(id, cost);
     }
 
-    /// Notes received grants.
-    pub fn note_received(&mut self, now: Millis, grants: &[Grant]) {
-        self.received += grants.len() as u64;
+    /// Tells whether grants may be used that were given by a dispatcher which had received the
+    /// report `heard`.
+    ///
+    /// A dispatcher that hears nothing for a while gives the slots to others. An entry that was
+    /// stopped, or whose messages were held up, would use the same slots when it comes to itself,
+    /// and a cold upstream would get twice what it bears. What the dispatcher has heard was sent
+    /// at a time this clock knows, and the dispatcher can't have given up before that time's end.
+    pub fn may_use_grants(&self, now: Millis, heard: u64) -> bool {
+        let sent = self.sent_at.get(&heard);
+        sent.is_some_and(|sent| now.since(*sent) + GRANT_MARGIN < SESSION_SILENCE)
+    }
+
+    /// Notes a received grant; returns false if it was received before.
+    ///
+    /// A message may arrive twice. Used twice, its grants would run two requests in one slot.
+    pub fn note_received(&mut self, now: Millis, grant: &Grant) -> bool {
         self.acked = now;
-        for grant in grants {
-            if let Some(believed) = self.believed.get_mut(&grant.organisation) {
-                *believed = believed.saturating_sub(1);
-            }
+        if !self.recent.insert(grant.id) {
+            return false;
+        }
+        if self.recent.len() > REMEMBERED_GRANTS {
+            self.recent.pop_first();
+        }
+        self.received += 1;
+        if let Some(believed) = self.believed.get_mut(&grant.organisation) {
+            *believed = believed.saturating_sub(1);
         }
+        true
     }
 
     /// Notes an acknowledgement; returns false if it shows that grants were lost.
@@ -146,6 +177,8 @@
         }
         self.sent = now;
         self.seq += 1;
+        self.sent_at.retain(|_, sent| now.since(*sent) < SESSION_SILENCE);
+        self.sent_at.insert(self.seq, now);
         self.is_urgent = false;
         Some(DispatchBody::Report {
             session: self.session.tag(),
--- a/src/kingcupgrade/coordination/lease.rs
+++ b/src/kingcupgrade/coordination/lease.rs
@@ -20,6 +20,10 @@
 const RENEWAL: Millis = Millis(500);
 /// Each further rank waits this much longer before it asks for a lease without holder.
 const RANK_DELAY: Millis = Millis(300);
+/// An instance that has not won a lease this long after asking gives its votes back.
+const ATTEMPT: Millis = Millis(250);
+/// Milliseconds of the wall clock for each term; attempts are further apart.
+const TERM_SPAN: u64 = 500;
 /// Voters of a failure domain at most; more would cost messages and add no safety.
 const MAX_VOTERS: usize = 7;
 /// Rounds whose replies are still counted.
@@ -59,6 +63,13 @@
     granted: BTreeMap<Claim, BTreeSet<Instance>>,
 }
 
+/// A lease asked for and not won yet.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    term: u64,
+    asked: Millis,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     term: u64,
@@ -76,6 +87,11 @@
     votes: BTreeMap<Service, Vote>,
     holders: BTreeMap<Service, Holder>,
     held: BTreeMap<Service, Lease>,
+    attempts: BTreeMap<Service, Attempt>,
+    /// When to ask again after an attempt that failed.
+    retry_at: BTreeMap<Service, Millis>,
+    /// The least term to ask for.
+    first_term: u64,
     /// The highest term seen of each service.
     terms: BTreeMap<Service, u64>,
     rounds: BTreeMap<u64, Round>,
@@ -86,8 +102,13 @@
 
 impl LeaseBook {
     /// Makes the book of `instance` among the `residents` of `domain`, itself included.
+    ///
+    /// `incarnation` is the wall clock at the start of the process, in milliseconds. Terms begin
+    /// from it: were all voters restarted at once, they would otherwise begin at one again, and a
+    /// new grant could bear the name of one that an instance elsewhere still uses.
     pub fn new(
         now: Millis,
+        incarnation: u64,
         instance: Instance,
         domain: &FailureDomain,
         residents: Vec<Instance>,
@@ -103,6 +124,9 @@
             votes: BTreeMap::new(),
             holders: BTreeMap::new(),
             held: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            retry_at: BTreeMap::new(),
+            first_term: incarnation / TERM_SPAN,
             terms: BTreeMap::new(),
             rounds: BTreeMap::new(),
             next_round: 1,
@@ -144,39 +168,70 @@
     /// Handles the passing of time.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
         self.expire(now, out);
-        if now < self.next_renewal || self.retired {
+        if self.retired {
             return;
         }
-        self.next_renewal = now + RENEWAL;
-        self.announce(now, out);
-        let claims = self.wanted(now);
+        self.give_up_attempts(now, out);
+        let mut claims = self.new_attempts(now);
+        if now >= self.next_renewal {
+            self.next_renewal = now + RENEWAL;
+            self.announce(now, out);
+            claims.extend(self.held_claims());
+        }
         if !claims.is_empty() {
             self.request(now, claims, out);
         }
     }
 
-    fn wanted(&mut self, now: Millis) -> Vec<Claim> {
+    fn held_claims(&self) -> Vec<Claim> {
+        self.held.iter().map(|(service, lease)| Claim(service.clone(), lease.term)).collect()
+    }
+
+    /// Gives back the votes of attempts that did not win.
+    ///
+    /// Two instances that ask at the same time may win part of the votes each. If both kept theirs
+    /// and went on asking, neither could ever win, and the pool would stay without dispatcher.
+    fn give_up_attempts(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        let is_over = |(_, attempt): &(&Service, &Attempt)| now.since(attempt.asked) >= ATTEMPT;
+        let over = self.attempts.iter().filter(is_over);
+        let claims: Vec<Claim> =
+            over.map(|(service, attempt)| Claim(service.clone(), attempt.term)).collect();
+        for Claim(service, _) in &claims {
+            // A vote that comes later counts no more: it is given back here.
+            self.attempts.remove(service);
+            let pause = RANK_DELAY.0 * (self.rank(service) + 1);
+            self.retry_at.insert(service.clone(), now + Millis(pause));
+        }
+        if !claims.is_empty() {
+            self.release(now, &claims, out);
+        }
+    }
+
+    fn new_attempts(&mut self, now: Millis) -> Vec<Claim> {
         let mut claims = Vec::new();
         for service in self.services.clone() {
-            if let Some(lease) = self.held.get(&service) {
-                claims.push(Claim(service, lease.term));
+            let has_own = self.held.contains_key(&service) || self.attempts.contains_key(&service);
+            if has_own || !self.may_ask(now, &service) {
                 continue;
             }
-            if self.may_ask(now, &service) {
-                let term = self.terms.entry(service.clone()).or_insert(0);
-                *term += 1;
-                claims.push(Claim(service, *term));
-            }
+            let term = self.terms.entry(service.clone()).or_insert(0);
+            *term = (*term + 1).max(self.first_term);
+            self.attempts.insert(service.clone(), Attempt { term: *term, asked: now });
+            claims.push(Claim(service, *term));
         }
         claims
     }
 
     /// Tells whether a lease is without holder for long enough that this instance's rank asks.
     fn may_ask(&self, now: Millis, service: &Service) -> bool {
-        let ranked = ranking(service.as_str(), self.residents.iter().cloned());
-        let Some(rank) = ranked.iter().position(|i| *i == self.instance) else { return false };
         let heard = self.holders.get(service).map_or(self.started, |holder| holder.heard);
-        now.since(heard) >= LEASE + Millis(RANK_DELAY.0 * rank as u64)
+        let is_due = self.retry_at.get(service).is_none_or(|at| now >= *at);
+        is_due && now.since(heard) >= LEASE + Millis(RANK_DELAY.0 * self.rank(service))
+    }
+
+    fn rank(&self, service: &Service) -> u64 {
+        let ranked = ranking(service.as_str(), self.residents.iter().cloned());
+        ranked.iter().position(|i| *i == self.instance).unwrap_or(ranked.len()) as u64
     }
 
     fn request(&mut self, now: Millis, claims: Vec<Claim>, out: &mut Vec<LeaseOutput>) {
@@ -193,8 +248,7 @@
     }
 
     fn announce(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
-        let claims: Vec<Claim> =
-            self.held.iter().map(|(service, lease)| Claim(service.clone(), lease.term)).collect();
+        let claims = self.held_claims();
         if claims.is_empty() {
             return;
         }
@@ -301,7 +355,10 @@
         match self.held.get_mut(&service) {
             Some(lease) if lease.term == term => lease.until = lease.until.max(until),
             Some(_) => {}
+            None if self.attempts.get(&service).is_none_or(|attempt| attempt.term != term) => {}
             None => {
+                self.attempts.remove(&service);
+                self.retry_at.remove(&service);
                 self.held.insert(service.clone(), Lease { term, until });
                 out.push(LeaseOutput::Gained(service, term));
                 self.announce(now, out);
@@ -341,19 +398,20 @@
     /// Gives up all leases and asks for none again.
     pub fn retire(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
         self.retired = true;
-        let held = std::mem::take(&mut self.held);
-        let claims: Vec<Claim> =
-            held.iter().map(|(service, lease)| Claim(service.clone(), lease.term)).collect();
-        for (service, lease) in held {
+        let claims = self.held_claims();
+        for (service, lease) in std::mem::take(&mut self.held) {
             out.push(LeaseOutput::Lost(service, lease.term));
         }
-        if claims.is_empty() {
-            return;
+        if !claims.is_empty() {
+            self.release(now, &claims, out);
         }
+    }
+
+    fn release(&mut self, now: Millis, claims: &[Claim], out: &mut Vec<LeaseOutput>) {
         let own = self.instance.clone();
-        self.on_release(now, &own, &claims);
+        self.on_release(now, &own, claims);
         for resident in self.residents.iter().filter(|i| **i != self.instance) {
-            let message = LeaseMessage::Release { claims: claims.clone() };
+            let message = LeaseMessage::Release { claims: claims.to_vec() };
             out.push(LeaseOutput::Send(resident.clone(), message));
         }
     }
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -190,7 +190,7 @@
         let offset = settings.peers.iter().position(|p| p.instance == instance).unwrap_or(0);
         let entry = is_entry.then(|| EntryMachine::new(domain.clone(), incarnation));
         let leases = (is_entry && !settings.static_shares)
-            .then(|| LeaseBook::new(now, instance, &domain, residents));
+            .then(|| LeaseBook::new(now, incarnation, instance, &domain, residents));
         Node {
             domain,
             started: now,
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -205,6 +205,9 @@
         /// The session.
         #[serde(rename = "s")]
         session: SessionTag,
+        /// The last report the dispatcher has received, zero for the opening.
+        #[serde(rename = "k")]
+        heard: u64,
         /// The slots.
         #[serde(rename = "g")]
         grants: Vec<Grant>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! The test suite: one binary, a module for each subject.
 
 mod answers;
+mod model_nodes;
 mod support;
