Test the record's replicas under random faults; keep slots of silent entries exact

Causes and changes:

- a load report was matched with grants that had not begun to run, which hid a silent entry's request: a cold upstream's unaccounted requests now end only by reports that show fewer running, by their deadline, or by their entry's word; a warm one's still by matching, with time for either end;
- a static share began while another entry was just winning the lease: a vote counts as knowledge of a holder, and a dispatcher keeps the static shares' slots back until each resident is known to know of it;
- the end of a session overtook its beginning on the way over another instance: an entry closes a session it does not know.

Cause: a leader elected later than 1.5 s after its process began took the others for unheard since then and stepped down at once. Change: a member counts as heard from the moment it is tracked.

--- a/src/kingcupgrade/coordination/consensus/election.rs
+++ b/src/kingcupgrade/coordination/consensus/election.rs
@@ -135,8 +135,7 @@
         let since = self.log.last().index + 1;
         self.role = Role::Leader { progress: BTreeMap::new(), since };
         self.next_heartbeat = now;
-        self.append(0, Payload::Noop, out);
-        self.track_members(now);
+        self.append(now, 0, Payload::Noop, out);
         self.flush(now, out);
     }
 }
--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -27,11 +27,7 @@
         self.members().iter().any(|member| member.voter && member.id == self.id)
     }
 
-    /// Keeps a leader's progress in step with the members.
-    pub(super) fn adopt_members(&mut self) {
-        self.track_members(Millis::ZERO);
-    }
-
+    /// Keeps a leader's progress in step with the members; a new one counts as heard now.
     pub(super) fn track_members(&mut self, now: Millis) {
         let next = self.log.last().index;
         let own = self.id.clone();
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -254,7 +254,7 @@
         if !self.is_leader() {
             return Err(CodedError::new(Code::NotLeader, "this instance does not lead the record"));
         }
-        let index = self.append(unix_ms, payload, out);
+        let index = self.append(now, unix_ms, payload, out);
         self.flush(now, out);
         Ok(index)
     }
@@ -270,6 +270,7 @@
     /// Changes appended before the next [`Consensus::flush`] share messages and one sync.
     pub fn append(
         &mut self,
+        now: Millis,
         unix_ms: u64,
         payload: Payload,
         out: &mut Vec<ConsensusOutput>,
@@ -278,7 +279,7 @@
         let entry = LogEntry { index, term: self.term(), unix_ms, payload };
         self.log.push(entry.clone());
         out.push(ConsensusOutput::Persist(Persist::Entries(vec![entry])));
-        self.adopt_members();
+        self.track_members(now);
         index
     }
 
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -189,7 +189,7 @@
             }
             _ => {
                 let payload = Payload::Command(command.clone());
-                Ok(self.consensus.append(unix_ms, payload, &mut outputs))
+                Ok(self.consensus.append(now, unix_ms, payload, &mut outputs))
             }
         };
         match proposed {
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -11,6 +11,7 @@
 struct EntrySession {
     session: Session,
     seq: u64,
+    knows_term: bool,
     heard: Millis,
     acked_at: Millis,
     /// Grants sent in the session.
@@ -45,7 +46,15 @@
 
 impl Demand {
     /// Opens a session; returns false if it is older than the current one.
-    pub fn open(&mut self, now: Millis, entry: &Instance, session: Session) -> bool {
+    ///
+    /// `knows_term` tells whether the entry addressed this dispatcher's very term.
+    pub fn open(
+        &mut self,
+        now: Millis,
+        entry: &Instance,
+        session: Session,
+        knows_term: bool,
+    ) -> bool {
         let current = self.sessions.get(entry);
         if current.is_some_and(|current| session <= current.session) {
             return false;
@@ -54,6 +63,7 @@
         let state = EntrySession {
             session,
             seq: 0,
+            knows_term,
             heard: now,
             acked_at: Millis::ZERO,
             granted: 0,
@@ -61,7 +71,9 @@
             reported: BTreeMap::new(),
         };
         self.sessions.insert(entry.clone(), state);
-        self.note_heard(now, entry);
+        if knows_term {
+            self.note_heard(now, entry);
+        }
         true
     }
 
@@ -80,11 +92,14 @@
         }
         state.seq = seq;
         state.heard = now;
+        let knows_term = state.knows_term;
         let unreceived = state.granted.saturating_sub(received);
         while state.unreceived.len() as u64 > unreceived {
             state.unreceived.pop_front();
         }
-        self.note_heard(now, entry);
+        if knows_term {
+            self.note_heard(now, entry);
+        }
         true
     }
 
@@ -181,15 +196,15 @@
         due
     }
 
-    /// Notes a sign of life.
+    /// Notes that an instance was heard and knows of this dispatcher.
     pub fn note_heard(&mut self, now: Millis, instance: &Instance) {
         self.heard.insert(instance.clone(), now);
     }
 
-    /// Tells whether an instance was heard of late; one never heard counts from `born`.
-    pub fn was_heard(&self, now: Millis, instance: &Instance, born: Millis) -> bool {
-        let heard = self.heard.get(instance).copied().unwrap_or(born);
-        now.since(heard) <= super::SESSION_SILENCE
+    /// Tells whether an instance that knows of this dispatcher was heard of late.
+    pub fn was_heard(&self, now: Millis, instance: &Instance) -> bool {
+        let heard = self.heard.get(instance);
+        heard.is_some_and(|heard| now.since(*heard) <= super::SESSION_SILENCE)
     }
 
     /// Sets which failure domain each instance is in.
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -44,8 +44,8 @@
 /// How many average charges the counters of two pools may differ before one takes the other's
 /// demand while it has demand of its own.
 const OFFER_MARGIN: i64 = 2;
-/// A report must be this much younger than a grant to show it.
-const REPORT_SLACK: Millis = Millis(50);
+/// Added to a deadline, for a request's way to and from its upstream.
+const DEADLINE_SLACK: Millis = Millis(1_000);
 
 /// A message to send, or a decision to log.
 #[derive(Clone, Debug)]
@@ -185,6 +185,7 @@
         for item in listing {
             self.on_listed(now, item, out);
         }
+        self.reserve_for_silent_residents(now);
         self.dispatch(now, out);
     }
 
@@ -197,11 +198,12 @@
         let outstanding = &self.outstanding;
         let known = |made_at: Millis| {
             let shown = |grant: &&Outstanding| {
-                grant.upstream == item.upstream && grant.granted_at + REPORT_SLACK <= made_at
+                grant.upstream == item.upstream && grant.granted_at <= made_at
             };
             u32::try_from(outstanding.values().filter(shown).count()).unwrap_or(u32::MAX)
         };
-        let collapse = slots.on_listed(now, self.born + RECOVERY, item, known);
+        let deadline = Millis(self.document.limits.deadline_ms) + DEADLINE_SLACK;
+        let collapse = slots.on_listed(now, self.born + RECOVERY, deadline, item, known);
         self.report_collapse(&item.upstream, collapse, out);
     }
 
@@ -236,7 +238,8 @@
     ) {
         match body {
             DispatchBody::Open { session, waiting, held } => {
-                self.on_open(now, from, *session, waiting, held);
+                let knows_term = term == self.term;
+                self.on_open(now, from, *session, knows_term, waiting, held);
             }
             DispatchBody::Report { session, seq, received, waiting, finished, progress } => {
                 let in_step = self.demand.on_report(now, from, *session, *seq, *received);
@@ -267,10 +270,11 @@
         now: Millis,
         entry: &Instance,
         session: Session,
+        knows_term: bool,
         waiting: &[Waiting],
         held: &[Held],
     ) {
-        if !self.demand.open(now, entry, session) {
+        if !self.demand.open(now, entry, session, knows_term) {
             return;
         }
         let kept: BTreeSet<GrantId> = held.iter().map(|held| held.id).collect();
@@ -279,6 +283,12 @@
                 self.take_outstanding(id);
             }
         }
+        for (name, slots) in &mut self.slots {
+            let new = held
+                .iter()
+                .filter(|held| held.upstream == *name && !self.outstanding.contains_key(&held.id));
+            slots.on_entry_told(entry, new.count());
+        }
         for held in held {
             self.adopt(entry, held);
         }
@@ -405,22 +415,22 @@
             self.demand.forget(&entry);
             for id in self.grants_of(&entry) {
                 let Some(grant) = self.take_outstanding(id) else { continue };
+                let deadline = Millis(self.document.limits.deadline_ms) + DEADLINE_SLACK;
                 if let Some(slots) = self.slots.get_mut(&grant.upstream) {
-                    slots.add_unaccounted(now, 1);
+                    slots.add_unaccounted(now, &entry, now + deadline);
                 }
             }
         }
     }
 
-    /// Keeps back the cold limit of each upstream that belongs to a resident by static share while
-    /// that resident can't be heard.
+    /// Keeps back the cold limit of each upstream that belongs to a resident by static share, from
+    /// the start and whenever that resident is not known to know of this dispatcher.
     ///
     /// A resident cut off from the majority serves its static share up to the cold limit. If this
     /// dispatcher gave those slots too, a cold upstream would fall over under both.
     fn reserve_for_silent_residents(&mut self, now: Millis) {
         self.reserved.clear();
-        let silent =
-            |i: &Instance| *i != self.instance && !self.demand.was_heard(now, i, self.born);
+        let silent = |i: &Instance| *i != self.instance && !self.demand.was_heard(now, i);
         if !self.residents.iter().any(silent) {
             return;
         }
@@ -430,9 +440,9 @@
         self.reserved = kept.map(|(name, _)| (name, self.document.slots.cold)).collect();
     }
 
-    /// Notes a sign of life of a resident that has no session.
-    pub fn on_sign_of_life(&mut self, now: Millis, instance: &Instance) {
-        self.demand.note_heard(now, instance);
+    /// Notes that a resident knows of this dispatcher and so uses no static share.
+    pub fn on_acknowledged(&mut self, now: Millis, resident: &Instance) {
+        self.demand.note_heard(now, resident);
     }
 
     fn in_flight(&self, upstream: &UpstreamName) -> u32 {
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -4,9 +4,9 @@
 //! "warm" may describe a time before it turned cold again. Newer evidence (a refusal, a failure, a
 //! slow first byte, another incarnation) therefore ends the trust in every report made before it.
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
-use crate::core::{Millis, document::SlotLimits};
+use crate::core::{Instance, Millis, UpstreamName, document::SlotLimits};
 
 /// A first byte slower than this many times the learned time is evidence of a cold upstream.
 const SLOW_FACTOR: f32 = 6.0;
@@ -14,6 +14,10 @@
 const SLOW_FLOOR_MS: f32 = 250.0;
 /// Weight of the newest first-byte time in the learned one.
 const LEARN_WEIGHT: f32 = 0.1;
+/// A grant given so long before a report was made is taken to run by then.
+const START_SLACK: Millis = Millis(300);
+/// The end of a request is known here so long after it at the latest.
+const END_SLACK: Millis = Millis(1_000);
 /// How long an upstream is left alone after it refused or failed a request.
 const PAUSE: Millis = Millis(400);
 /// The longest such pause when failures follow each other.
@@ -23,7 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Listed {
     /// Its name.
-    pub upstream: crate::core::UpstreamName,
+    pub upstream: UpstreamName,
     /// Where it listens.
     pub address: SocketAddr,
     /// Whether it is about to leave.
@@ -75,10 +79,21 @@
     learned_first_byte: Option<f32>,
     paused_until: Millis,
     failures: u32,
-    /// Requests that run there under grants unknown here; `None` until a report tells.
-    unaccounted: Option<u32>,
+    /// Requests that may run there beside the grants in use; `None` until a report tells.
+    unaccounted: Option<Vec<Unaccounted>>,
     /// Only a report made after this shows all of them.
     unaccounted_since: Millis,
+    /// Reports not held against the grants yet.
+    reports: VecDeque<(Millis, u32)>,
+}
+
+/// A request that may still run although no grant in use stands for it.
+#[derive(Clone, Debug)]
+struct Unaccounted {
+    /// The entry that was given the grant, if that is known.
+    entry: Option<Instance>,
+    /// The request's deadline: by then it has ended, whatever the reports say.
+    until: Millis,
 }
 
 impl Slots {
@@ -97,6 +112,7 @@
             failures: 0,
             unaccounted: None,
             unaccounted_since: Millis::ZERO,
+            reports: VecDeque::new(),
         }
     }
 
@@ -113,7 +129,8 @@
     /// Returns how many slots are free while `in_flight` grants are in use; `reserved` slots are
     /// kept back for an instance that can't be heard and may be using them.
     pub fn free(&self, now: Millis, in_flight: u32, reserved: u32) -> u32 {
-        let Some(unaccounted) = self.unaccounted else { return 0 };
+        let Some(unaccounted) = &self.unaccounted else { return 0 };
+        let unaccounted = unaccounted.iter().filter(|request| now < request.until).count() as u32;
         if self.leaving || now < self.paused_until {
             return 0;
         }
@@ -129,17 +146,18 @@
         self.limit = self.limit.clamp(limits.cold, limits.warm);
     }
 
-    /// Takes in what the platform says; `known` counts the requests among the reported ones that
-    /// are known to run here at the time the report was made.
+    /// Takes in what the platform says.
     ///
     /// `born` is when this dispatcher began: only a report made after it shows every grant of
-    /// an earlier dispatcher.
+    /// an earlier dispatcher. `deadline` bounds how long any of those may run, and `known` counts
+    /// the grants now in use that were given before a point in time.
     pub fn on_listed(
         &mut self,
         now: Millis,
         born: Millis,
+        deadline: Millis,
         listed: &Listed,
-        known: impl FnOnce(Millis) -> u32,
+        known: impl Fn(Millis) -> u32,
     ) -> Option<Collapse> {
         self.address = listed.address;
         self.leaving = listed.leaving;
@@ -149,18 +167,13 @@
             self.collapse(now);
         }
         if let Some(report) = listed.report {
-            self.on_report(now, born, report, known);
+            self.on_report(now, born, deadline, report);
         }
+        self.match_reports(now, known);
         restarted.then_some(Collapse::Restarted)
     }
 
-    fn on_report(
-        &mut self,
-        now: Millis,
-        born: Millis,
-        report: LoadReport,
-        known: impl FnOnce(Millis) -> u32,
-    ) {
+    fn on_report(&mut self, now: Millis, born: Millis, deadline: Millis, report: LoadReport) {
         let made_at = now.since(Millis(report.age_ms));
         if made_at >= self.collapsed_at {
             self.confirmed_warm = report.warm;
@@ -168,21 +181,73 @@
                 self.limit = self.limits.cold;
             }
         }
-        let proves = match self.unaccounted {
-            None => made_at >= born,
-            Some(count) => count > 0 && made_at >= self.unaccounted_since,
-        };
-        if proves {
-            let excess = report.running.saturating_sub(known(made_at));
-            self.unaccounted = Some(self.unaccounted.map_or(excess, |count| count.min(excess)));
+        if self.unaccounted.is_none() && made_at >= born {
+            // At first all that runs may be an earlier dispatcher's; entries claim theirs later.
+            let anyone = Unaccounted { entry: None, until: now + deadline };
+            self.unaccounted = Some(vec![anyone; report.running as usize]);
+            self.unaccounted_since = made_at;
+            if self.confirmed_warm {
+                // What it bears now it need not be led up to again by one request at a time.
+                self.limit = report.running.clamp(self.limits.cold, self.limits.warm);
+            }
+        }
+        self.trim_unaccounted(made_at, report.running);
+        if self.has_unaccounted() {
+            self.reports.push_back((made_at, report.running));
+        } else {
+            self.reports.clear();
+        }
+    }
+
+    fn has_unaccounted(&self) -> bool {
+        self.unaccounted.as_ref().is_some_and(|requests| !requests.is_empty())
+    }
+
+    /// Takes no more than `running` requests for unaccounted ones, the last to end first.
+    fn trim_unaccounted(&mut self, made_at: Millis, running: u32) {
+        let since = self.unaccounted_since;
+        let Some(requests) = &mut self.unaccounted else { return };
+        if made_at >= since {
+            requests.sort_by_key(|request| std::cmp::Reverse(request.until));
+            requests.truncate(running as usize);
+        }
+    }
+
+    /// Subtracts from older reports the grants that surely ran when they were made.
+    ///
+    /// A grant in use may not have reached the upstream yet, or its end may be under way to here;
+    /// both would hide a request of a silent entry. Allowing time for either makes a mistake rare,
+    /// not impossible. It would do a warm upstream little harm, and a cold one is therefore left
+    /// out: its slots come back when its reports or the deadline show them free.
+    fn match_reports(&mut self, now: Millis, known: impl Fn(Millis) -> u32) {
+        while let Some((made_at, running)) = self.reports.front().copied() {
+            if now.since(made_at) < END_SLACK {
+                return;
+            }
+            self.reports.pop_front();
+            if !self.is_cold() {
+                let surely_known = known(made_at.since(START_SLACK));
+                self.trim_unaccounted(made_at, running.saturating_sub(surely_known));
+            }
         }
     }
 
-    /// Counts `grants` whose entry has gone silent as running until a report shows otherwise.
-    pub fn add_unaccounted(&mut self, now: Millis, grants: u32) {
+    /// Counts a grant of a silent entry as running until it is shown otherwise.
+    pub fn add_unaccounted(&mut self, now: Millis, entry: &Instance, until: Millis) {
         self.unaccounted_since = now;
-        if let Some(count) = &mut self.unaccounted {
-            *count += grants;
+        if let Some(requests) = &mut self.unaccounted {
+            requests.push(Unaccounted { entry: Some(entry.clone()), until });
+        }
+    }
+
+    /// Stops counting on what was unaccounted of an entry that has told what it holds; `held` of
+    /// its requests here were counted without a name.
+    pub fn on_entry_told(&mut self, entry: &Instance, held: usize) {
+        let Some(requests) = &mut self.unaccounted else { return };
+        requests.retain(|request| request.entry.as_ref() != Some(entry));
+        for _ in 0..held {
+            let nameless = requests.iter().position(|request| request.entry.is_none());
+            nameless.map(|place| requests.swap_remove(place));
         }
     }
 
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -190,6 +190,13 @@
         self.requests.len()
     }
 
+    /// Lists the services of which requests run here under a static share.
+    pub fn shared_services(&self) -> Vec<Service> {
+        let shared = self.held.keys().filter(|(_, id)| id.is_static());
+        let services: BTreeSet<&Service> = shared.map(|(pool, _)| &pool.0).collect();
+        services.into_iter().cloned().collect()
+    }
+
     /// Tells whether a request is open.
     pub fn is_open(&self, id: RequestId) -> bool {
         self.requests.contains_key(&id)
@@ -270,6 +277,7 @@
         message: &DispatchMessage,
         out: &mut Vec<EntryOutput>,
     ) {
+        self.refuse_stray(from, message, out);
         match &message.body {
             DispatchBody::Grants { session, heard, grants } => {
                 let Some(state) = self.current(&message.pool, *session) else { return };
@@ -300,6 +308,25 @@
         }
     }
 
+    /// Closes a session that a dispatcher believes in and this entry does not.
+    ///
+    /// The end of a session may overtake its beginning, which another instance has passed on. The
+    /// dispatcher would then give slots to nobody until it takes the entry for dead.
+    fn refuse_stray(&self, from: &Instance, message: &DispatchMessage, out: &mut Vec<EntryOutput>) {
+        let (DispatchBody::Grants { session, .. } | DispatchBody::Ack { session, .. }) =
+            &message.body
+        else {
+            return;
+        };
+        let pool = &message.pool;
+        let is_known = self.sessions.contains_key(pool);
+        let holds = self.held.keys().any(|(held, _)| held == pool);
+        if !is_known && !holds {
+            let body = DispatchBody::Close { session: *session };
+            self.send(from, pool.clone(), message.term, body, out);
+        }
+    }
+
     /// Returns the session with a pool if `session` is the current one.
     ///
     /// A grant of an earlier session may come from a dispatcher whose lease has passed on. The new
--- a/src/kingcupgrade/coordination/lease.rs
+++ b/src/kingcupgrade/coordination/lease.rs
@@ -98,6 +98,8 @@
     next_round: u64,
     next_renewal: Millis,
     retired: bool,
+    /// Services of which requests run here under a static share.
+    sharing: Vec<Service>,
 }
 
 impl LeaseBook {
@@ -132,6 +134,7 @@
             next_round: 1,
             next_renewal: now,
             retired: false,
+            sharing: Vec::new(),
         }
     }
 
@@ -140,6 +143,18 @@
         self.services = services;
     }
 
+    /// Sets the services of which requests run here under a static share.
+    pub fn set_sharing(&mut self, services: Vec<Service>) {
+        self.sharing = services;
+    }
+
+    /// Tells whether another instance may hold a service's lease, as far as can be known here.
+    pub fn may_be_held(&self, now: Millis, service: &Service) -> bool {
+        let vote = self.votes.get(service);
+        let promised = vote.is_some_and(|v| v.holder != self.instance && now < v.until);
+        promised || self.holder(now, service).is_some()
+    }
+
     /// Returns the holder of a service's pool, if one was heard within a lease.
     pub fn holder(&self, now: Millis, service: &Service) -> Option<&Holder> {
         self.holders.get(service).filter(|holder| now.since(holder.heard) <= LEASE)
@@ -275,10 +290,15 @@
             LeaseMessage::Request { round, claims } => {
                 self.on_request(now, from, *round, claims, out)
             }
-            LeaseMessage::Reply { round, granted, refused } => {
+            LeaseMessage::Reply { round, granted, refused, .. } => {
                 self.on_reply(now, from, *round, granted, refused, out);
             }
-            LeaseMessage::Announce { claims } => self.on_announce(now, from, claims),
+            LeaseMessage::Announce { claims } => {
+                let accepted = self.on_announce(now, from, claims);
+                if !self.voters.contains(&self.instance) {
+                    self.reply(from, 0, accepted, Vec::new(), out);
+                }
+            }
             LeaseMessage::Release { claims } => self.on_release(now, from, claims),
         }
     }
@@ -310,7 +330,20 @@
                 }
             }
         }
-        out.push(LeaseOutput::Send(from.clone(), LeaseMessage::Reply { round, granted, refused }));
+        self.reply(from, round, granted, refused, out);
+    }
+
+    fn reply(
+        &self,
+        to: &Instance,
+        round: u64,
+        granted: Vec<Claim>,
+        refused: Vec<Claim>,
+        out: &mut Vec<LeaseOutput>,
+    ) {
+        let sharing = self.sharing.clone();
+        let reply = LeaseMessage::Reply { round, granted, refused, sharing };
+        out.push(LeaseOutput::Send(to.clone(), reply));
     }
 
     fn on_reply(
@@ -366,7 +399,9 @@
         }
     }
 
-    fn on_announce(&mut self, now: Millis, from: &Instance, claims: &[Claim]) {
+    /// Notes who holds leases; returns those of the claims that are not outdated.
+    fn on_announce(&mut self, now: Millis, from: &Instance, claims: &[Claim]) -> Vec<Claim> {
+        let mut accepted = Vec::new();
         for Claim(service, term) in claims {
             self.note_term(service, *term);
             let known = self.holder(now, service);
@@ -375,7 +410,9 @@
             }
             let holder = Holder { instance: from.clone(), term: *term, heard: now };
             self.holders.insert(service.clone(), holder);
+            accepted.push(Claim(service.clone(), *term));
         }
+        accepted
     }
 
     fn on_release(&mut self, now: Millis, from: &Instance, claims: &[Claim]) {
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -21,8 +21,8 @@
     },
     protocol::{
         Message, Pool,
-        dispatch::{DispatchBody, DispatchMessage},
-        lease::LeaseMessage,
+        dispatch::{DispatchBody, DispatchMessage, STATIC_TERM},
+        lease::{Claim, LeaseMessage},
         operator::{ControlStatus, OperatorReply, OperatorRequest, PoolStatus, Status},
         record::{ClaimId, Command, KeptAnswer, RecordMessage, Reply, RequestKey, Settlement},
     },
@@ -32,8 +32,6 @@
 
 /// A pool without dispatcher for this long is served by static shares.
 const FALLBACK_AFTER: Millis = Millis(6_000);
-/// Terms of static shares have this bit, so that their grants differ from a dispatcher's.
-const FALLBACK_TERM: u64 = 1 << 63;
 /// How long a claim may take to be committed.
 const CLAIM_PATIENCE: Millis = Millis(5_000);
 /// How long a claim's end is sent again and again.
@@ -322,13 +320,33 @@
         message: &LeaseMessage,
         out: &mut Vec<Output>,
     ) {
-        for dispatcher in self.dispatchers.values_mut() {
-            dispatcher.on_sign_of_life(now, from);
-        }
         let Some(leases) = &mut self.leases else { return };
+        if let Some(entry) = &self.entry {
+            leases.set_sharing(entry.shared_services());
+        }
         let mut outputs = Vec::new();
         leases.on_message(now, from, message, &mut outputs);
         self.carry_out_leases(now, outputs, out);
+        if let LeaseMessage::Reply { granted, sharing, .. } = message {
+            self.on_acknowledged(now, from, granted, sharing);
+        }
+        self.keep_shares(now, out);
+    }
+
+    /// Notes which of this instance's leases another one knows of and makes no use against.
+    fn on_acknowledged(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        granted: &[Claim],
+        sharing: &[Service],
+    ) {
+        for Claim(service, term) in granted {
+            let Some(dispatcher) = self.dispatchers.get_mut(service) else { continue };
+            if dispatcher.term() == *term && !sharing.contains(service) {
+                dispatcher.on_acknowledged(now, from);
+            }
+        }
     }
 
     fn expire_leases(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -408,7 +426,7 @@
             return;
         }
         let service = &message.pool.0;
-        let is_own_share = message.term & FALLBACK_TERM != 0;
+        let is_own_share = message.term & STATIC_TERM != 0;
         let dispatchers = if is_own_share { &mut self.shares } else { &mut self.dispatchers };
         if let Some(dispatcher) = dispatchers.get_mut(service) {
             let mut outputs = Vec::new();
@@ -825,9 +843,9 @@
         }
         let services: Vec<Service> = self.view.documents().keys().cloned().collect();
         for service in services {
-            let has_holder =
-                self.leases.as_ref().is_some_and(|leases| leases.holder(now, &service).is_some());
-            let since = if has_holder {
+            let may_be_held =
+                self.leases.as_ref().is_some_and(|leases| leases.may_be_held(now, &service));
+            let since = if may_be_held {
                 self.homeless.remove(&service);
                 None
             } else {
@@ -855,7 +873,7 @@
             let cold = document.slots.cold;
             document.slots = SlotLimits { cold, warm: cold };
         }
-        let term = FALLBACK_TERM | now.0;
+        let term = STATIC_TERM | now.0;
         let share = self.new_dispatcher(now, service, term, document, Vec::new());
         self.shares.insert(service.clone(), share);
     }
@@ -930,7 +948,7 @@
             let loads = dispatcher.loads();
             PoolStatus {
                 service: service.clone(),
-                term: (dispatcher.term() & FALLBACK_TERM == 0).then(|| dispatcher.term()),
+                term: (dispatcher.term() & STATIC_TERM == 0).then(|| dispatcher.term()),
                 backlogged: dispatcher.counters().backlogged(),
                 upstreams: loads.map(|(name, used, limit)| (name.clone(), (used, limit))).collect(),
             }
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -40,6 +40,16 @@
     pub u64,
 );
 
+/// Terms of static shares have this bit, so that their grants differ from a dispatcher's.
+pub const STATIC_TERM: u64 = 1 << 63;
+
+impl GrantId {
+    /// Tells whether the grant is of a static share.
+    pub fn is_static(self) -> bool {
+        self.0 & STATIC_TERM != 0
+    }
+}
+
 /// A slot of an upstream, given to an organisation's next request at an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/src/kingcupgrade/protocol/lease.rs
+++ b/src/kingcupgrade/protocol/lease.rs
@@ -36,10 +36,13 @@
         #[serde(rename = "g")]
         granted: Vec<Claim>,
         /// The leases refused, with the highest term the voter knows.
-        #[serde(rename = "n")]
+        #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
         refused: Vec<Claim>,
+        /// Services of which requests still run here under a static share.
+        #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+        sharing: Vec<Service>,
     },
-    /// Tells an instance without a vote who holds leases.
+    /// Tells who holds leases; an instance without a vote answers it as a request.
     #[serde(rename = "h")]
     Announce {
         /// The leases the sender holds.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod answers;
 mod model_nodes;
+mod model_record;
 mod support;
--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -22,7 +22,7 @@
         record::{RecordMessage, StoredDocument},
     },
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Slots of each upstream; it never warms up, so one request more is one too many.
 const COLD: u32 = 2;
@@ -52,6 +52,8 @@
     frozen: bool,
     /// Messages that arrive while it is frozen.
     inbox: Vec<(Instance, Message)>,
+    /// Requests whose answers arrive while it is frozen.
+    ended: Vec<u64>,
     waiting: BTreeSet<u64>,
 }
 
@@ -108,7 +110,7 @@
 }
 
 fn state(asked: Millis) -> Message {
-    let rest = format!("slots: {{cold: {COLD}, warm: {COLD}}}\nlimits: {{deadline_ms: 100000}}\n");
+    let rest = format!("slots: {{cold: {COLD}, warm: {COLD}}}\nlimits: {{deadline_ms: 7000}}\n");
     let text = document("tutor", "model-engine", &[("alder", 1), ("birch", 3)], &rest);
     let stored = StoredDocument { service: "tutor".into(), revision: 1, index: 1, text };
     Message::Record(RecordMessage::State {
@@ -127,6 +129,7 @@
             node: None,
             frozen: false,
             inbox: Vec::new(),
+            ended: Vec::new(),
             waiting: BTreeSet::new(),
         });
         let mut world = World {
@@ -167,6 +170,7 @@
         self.hosts[host].node = None;
         self.hosts[host].frozen = false;
         self.hosts[host].inbox.clear();
+        self.hosts[host].ended.clear();
         self.hosts[host].waiting.clear();
         for upstream in &mut self.upstreams {
             upstream.running.retain(|(owner, _), _| *owner != host);
@@ -187,10 +191,7 @@
     fn carry_out(&mut self, host: usize, output: Output) {
         match output {
             Output::Send(to, Message::Record(RecordMessage::Pull { asked, .. })) => {
-                // Control instances are reached except over a cut, where the south is on its own.
-                if to.as_str() == "control" && !(self.cut && domain_of(host) == 1) {
-                    self.post(to, name(host), state(asked));
-                }
+                self.answer_pull(host, to, asked);
             }
             Output::Send(to, message) => self.post(name(host), to, message),
             Output::Start { id, upstream, .. } => {
@@ -209,6 +210,13 @@
         }
     }
 
+    /// Answers for the control instance, which the south can't reach over a cut.
+    fn answer_pull(&mut self, host: usize, to: Instance, asked: Millis) {
+        if to.as_str() == "control" && !(self.cut && domain_of(host) == 1) {
+            self.post(to, name(host), state(asked));
+        }
+    }
+
     fn post(&mut self, from: Instance, to: Instance, message: Message) {
         let copies = if !self.faulty {
             1
@@ -253,6 +261,9 @@
 
     fn thaw(&mut self, host: usize) {
         self.hosts[host].frozen = false;
+        for id in std::mem::take(&mut self.hosts[host].ended) {
+            self.end_attempt(host, id);
+        }
         for (from, message) in std::mem::take(&mut self.hosts[host].inbox) {
             self.input(host, Input::Received(from, message));
         }
@@ -294,28 +305,32 @@
                 .map(|(key, _)| *key)
                 .collect();
             for (host, id) in ended {
-                if self.hosts[host].frozen {
-                    continue;
-                }
                 self.upstreams[place].running.remove(&(host, id));
                 self.answered += 1;
-                let end = AttemptEnd::Completed;
-                let input =
-                    Input::AttemptEnded { id, end, cost: 10, first_byte_ms: Some(5), answer: None };
-                self.input(host, input);
+                if self.hosts[host].frozen {
+                    self.hosts[host].ended.push(id);
+                } else {
+                    self.end_attempt(host, id);
+                }
             }
         }
     }
 
+    fn end_attempt(&mut self, host: usize, id: u64) {
+        let end = AttemptEnd::Completed;
+        let input = Input::AttemptEnded { id, end, cost: 10, first_byte_ms: Some(5), answer: None };
+        self.input(host, input);
+    }
+
     fn list(&mut self) {
-        for place in 0..self.upstreams.len() {
+        for (place, domain) in DOMAINS.into_iter().enumerate() {
             let history = &self.upstreams[place].history;
             let back = (REPORT_LAG / STEP) as usize;
             let Some(running) = history.len().checked_sub(back + 1).map(|at| history[at]) else {
                 continue;
             };
             let listed = Listed {
-                upstream: format!("engine-{}", DOMAINS[place]).as_str().into(),
+                upstream: format!("engine-{domain}").as_str().into(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 leaving: false,
                 incarnation: 1,
@@ -432,7 +447,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     // Under any of these faults, a slot given twice makes a cold upstream fall over, two holders
     // give every slot twice, and a slot lost from the books leaves callers waiting beside it.
@@ -445,7 +460,9 @@
 // What each of these seeds first showed: a grant message that arrived twice ran two requests in one
 // slot; two entries that each kept part of the votes left a pool without dispatcher for good; a
 // failure domain whose entries all restarted was ignored by its neighbours for its lower term; an
-// entry stopped for longer than its dispatcher waited used its old grants when it was thawed.
+// entry stopped for longer than its dispatcher waited used its old grants when it was thawed; a
+// silent entry's request was hidden in a load report by a grant that had not begun to run; a static
+// share began in the moment another entry won the lease; the end of a session overtook its beginning.
 #[test]
 fn seeds_that_once_failed_hold() {
     let seeds = [
@@ -453,6 +470,9 @@
         7_506_199_382_347_824_932,
         4_160_777_665_419_217_588,
         8_275_734_748_400_450_380,
+        15_331_293_963_483_048_242,
+        12_707_757_028_555_449_445,
+        8_034_581_863_215_701_646,
     ];
     for seed in seeds {
         run(seed).unwrap_or_else(|err| panic!("seed {seed}: {err}"));
