Prove pools, deposits and the record under failure with real processes

Faults they showed, each with cause and change:

- Two entries that started in the same millisecond had the same claim names, and one took the other's claim for its own resend: the deposit was sent a second time.
Claims now bear a random number of the process.
- A killed entry's static share kept a cold pool's only upstream idle until it came back.
Ruled out: giving the slots after a silence, since a cut-off entry may use them.
A refused connection proves that the process is gone; its slots and its share are free at once, and silence still proves nothing.
- A control instance with a failed disk answered its own operators with that for good; a change is now taken to the others, as is one whose commit an isolated instance could not see.

--- a/crates/kingcup-support/src/fleet.rs
+++ b/crates/kingcup-support/src/fleet.rs
@@ -224,10 +224,20 @@
     ///
     /// Returns an error if the program can't be started.
     pub fn run(&mut self, instance: &str) -> anyhow::Result<()> {
+        let program = self.program.clone();
+        self.run_as(instance, &program)
+    }
+
+    /// Starts an instance that does not run by another program.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn run_as(&mut self, instance: &str, program: &Program) -> anyhow::Result<()> {
         let log = File::options().create(true).append(true).open(self.log_path(instance))?;
         let member = self.members.get_mut(instance).context("no such instance")?;
-        let child = Command::new(&self.program.path)
-            .args(&self.program.run)
+        let child = Command::new(&program.path)
+            .args(&program.run)
             .arg("--settings")
             .arg(&member.settings)
             .stdin(Stdio::null())
@@ -235,9 +245,19 @@
             .stderr(log)
             .spawn()?;
         member.child = Some(child);
+        self.set_down(instance, false);
         Ok(())
     }
 
+    /// Lets the proxies before an instance refuse connections, as its machine would without it.
+    fn set_down(&self, instance: &str, down: bool) {
+        for ((_, to), proxy) in &self.links {
+            if to == instance {
+                proxy.set_down(down);
+            }
+        }
+    }
+
     /// Returns where an instance's log goes.
     pub fn log_path(&self, instance: &str) -> PathBuf {
         self.folder.join(format!("{instance}.log"))
@@ -269,6 +289,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.set_down(instance, true);
     }
 
     /// Sends an instance a signal by name, as TERM, STOP or CONT.
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -32,11 +32,20 @@
 ///
 /// Panics if no port is free.
 pub fn free_address() -> SocketAddr {
+    listen().local_addr().expect("a bound listener has an address")
+}
+
+/// Listens on a free loopback address that can be listened on again after it was closed.
+///
+/// # Panics
+///
+/// Panics if no port is free.
+pub fn listen() -> TcpListener {
     for _ in PORTS {
         let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS.len() as u32;
         let port = PORTS.start + number as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("a bound listener has an address");
+            return listener;
         }
     }
     panic!("no free port");
--- a/crates/kingcup-support/src/proxy.rs
+++ b/crates/kingcup-support/src/proxy.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use crate::listen;
+
 /// How often a waiting connection looks whether its fault has ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -24,6 +26,8 @@
     delay_ms: AtomicU64,
     /// Each connection's own fault: it stands still for good.
     frozen: Mutex<Vec<Arc<AtomicBool>>>,
+    /// Nothing listens, as when the target's process is gone.
+    down: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -41,18 +45,43 @@
     ///
     /// Panics if it can't listen.
     pub fn start(target: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = listen();
         let address = listener.local_addr().expect("a bound listener has an address");
         let proxy = Proxy { address, faults: Arc::default() };
         let accepting = proxy.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                accepting.connect(stream, target);
-            }
-        });
+        thread::spawn(move || accepting.accept_all(listener, target));
         proxy
     }
 
+    /// Accepts while the target is up; refuses connections as its machine would while it is down.
+    fn accept_all(&self, listener: TcpListener, target: SocketAddr) {
+        let mut open = Some(listener);
+        loop {
+            if self.faults.down.load(Ordering::SeqCst) {
+                open = None;
+                thread::sleep(LOOK_INTERVAL);
+                continue;
+            }
+            if open.is_none() {
+                open = TcpListener::bind(self.address).ok();
+            }
+            let Some(listener) = &open else { continue };
+            let _ = listener.set_nonblocking(true);
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    self.connect(stream, target);
+                }
+                Err(_) => thread::sleep(LOOK_INTERVAL),
+            }
+        }
+    }
+
+    /// Lets connections be refused from now on, or accepted again.
+    pub fn set_down(&self, down: bool) {
+        self.faults.down.store(down, Ordering::SeqCst);
+    }
+
     /// Returns where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -85,8 +85,10 @@
 
     /// Handles the answer to a proposal; returns it if the proposal was still open.
     pub fn on_answer(&mut self, now: Millis, id: u64, reply: Reply) -> Option<Reply> {
-        let not_leader = matches!(&reply, Reply::Refused(err) if err.code == Code::NotLeader);
-        if not_leader {
+        // A leader that has lost the lead, or its disk, says nothing about the change itself.
+        let elsewhere =
+            |err: &CodedError| matches!(err.code, Code::NotLeader | Code::StorageFailed);
+        if matches!(&reply, Reply::Refused(err) if elsewhere(err)) {
             self.on_redirect(now, id, None);
             return None;
         }
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -201,10 +201,10 @@
         self.heard.insert(instance.clone(), now);
     }
 
-    /// Tells whether an instance that knows of this dispatcher was heard of late.
-    pub fn was_heard(&self, now: Millis, instance: &Instance) -> bool {
+    /// Tells whether an instance that knows of this dispatcher was heard within `span`.
+    pub fn was_heard(&self, now: Millis, instance: &Instance, span: Millis) -> bool {
         let heard = self.heard.get(instance);
-        heard.is_some_and(|heard| now.since(*heard) <= super::SESSION_SILENCE)
+        heard.is_some_and(|heard| now.since(*heard) <= span)
     }
 
     /// Sets which failure domain each instance is in.
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -31,6 +31,9 @@
 pub const RECOVERY: Millis = Millis(400);
 /// An entry silent for this long is taken for dead or cut off.
 pub const SESSION_SILENCE: Millis = Millis(3_000);
+/// A process heard so recently is not taken for gone on the word of a failed dial, which may have
+/// been under way when the process started.
+const GONE_DELAY: Millis = Millis(300);
 /// How often a session is acknowledged at least.
 const ACK_INTERVAL: Millis = Millis(500);
 /// How often totals go to the other dispatchers of the service.
@@ -97,6 +100,8 @@
     slots: BTreeMap<UpstreamName, Slots>,
     /// Instances of the failure domain that may use a static share while they can't be heard.
     residents: Vec<Instance>,
+    /// Entries whose process is known to be gone.
+    gone: BTreeSet<Instance>,
     /// Slots kept back for residents that can't be heard.
     reserved: BTreeMap<UpstreamName, u32>,
     neighbours: BTreeMap<FailureDomain, Neighbour>,
@@ -137,6 +142,7 @@
             in_flight: BTreeMap::new(),
             slots: BTreeMap::new(),
             residents,
+            gone: BTreeSet::new(),
             reserved: BTreeMap::new(),
             neighbours: BTreeMap::new(),
             next_grant: 1,
@@ -277,6 +283,7 @@
         if !self.demand.open(now, entry, session, knows_term) {
             return;
         }
+        self.gone.remove(entry);
         let kept: BTreeSet<GrantId> = held.iter().map(|held| held.id).collect();
         for id in self.grants_of(entry) {
             if !kept.contains(&id) {
@@ -423,6 +430,29 @@
         }
     }
 
+    /// Learns that an entry could not be dialled.
+    ///
+    /// A refused connection proves that the process is gone, and with it its connections to
+    /// upstreams: its slots are free at once, and it uses no static share. Silence proves nothing.
+    pub fn on_dial_failed(&mut self, now: Millis, entry: &Instance, refused: bool) {
+        if !refused {
+            self.gone.remove(entry);
+            return;
+        }
+        if self.demand.was_heard(now, entry, GONE_DELAY) {
+            return;
+        }
+        self.gone.insert(entry.clone());
+        self.withdraw_demand(now, entry);
+        self.demand.forget(entry);
+        for id in self.grants_of(entry) {
+            self.take_outstanding(id);
+        }
+        for slots in self.slots.values_mut() {
+            slots.on_entry_told(entry, 0);
+        }
+    }
+
     /// Keeps back the cold limit of each upstream that belongs to a resident by static share, from
     /// the start and whenever that resident is not known to know of this dispatcher.
     ///
@@ -430,7 +460,10 @@
     /// dispatcher gave those slots too, a cold upstream would fall over under both.
     fn reserve_for_silent_residents(&mut self, now: Millis) {
         self.reserved.clear();
-        let silent = |i: &Instance| *i != self.instance && !self.demand.was_heard(now, i);
+        let silent = |i: &Instance| {
+            let is_known = *i == self.instance || self.gone.contains(i);
+            !is_known && !self.demand.was_heard(now, i, SESSION_SILENCE)
+        };
         if !self.residents.iter().any(silent) {
             return;
         }
@@ -442,6 +475,7 @@
 
     /// Notes that a resident knows of this dispatcher and so uses no static share.
     pub fn on_acknowledged(&mut self, now: Millis, resident: &Instance) {
+        self.gone.remove(resident);
         self.demand.note_heard(now, resident);
     }
 
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -37,7 +37,7 @@
 /// How long a claim's end is sent again and again.
 const SETTLE_PATIENCE: Millis = Millis(120_000);
 /// How long an operator's change may take.
-const CHANGE_PATIENCE: Millis = Millis(8_000);
+const CHANGE_PATIENCE: Millis = Millis(5_000);
 /// Added to a claim's span, for the way to the upstream and back.
 const CLAIM_SLACK: Millis = Millis(10_000);
 
@@ -58,6 +58,13 @@
 pub enum Input {
     /// A message arrived from an authenticated instance.
     Received(Instance, Message),
+    /// An instance could not be dialled.
+    DialFailed {
+        /// The instance.
+        instance: Instance,
+        /// Whether its machine answered that no such process listens; otherwise it is silent.
+        refused: bool,
+    },
     /// A caller's request arrived.
     Arrived(Arrival, Option<KeyedRequest>),
     /// An attempt ended.
@@ -148,7 +155,6 @@
     settings: Settings,
     domain: FailureDomain,
     started: Millis,
-    incarnation: u64,
     view: View,
     entry: Option<EntryMachine>,
     leases: Option<LeaseBook>,
@@ -160,6 +166,10 @@
     client: RecordClient,
     awaited: BTreeMap<u64, Awaited>,
     claims: BTreeMap<RequestId, ClaimState>,
+    /// Names this process in claims. The incarnation would not do: two instances that start in the
+    /// same millisecond would take each other's claims for resends of their own, and both would
+    /// send the request.
+    claimer: u64,
     next_claim: u64,
     watched: BTreeSet<Service>,
     /// Messages from this instance to itself.
@@ -170,12 +180,13 @@
 impl Node {
     /// Makes the node of an instance.
     ///
-    /// `incarnation` grows with each start of the instance; `control` is its replica of the
-    /// record, if it has one.
+    /// `incarnation` grows with each start of the instance; `claimer` is a random number that no
+    /// other process has; `control` is its replica of the record, if it has one.
     pub fn new(
         now: Millis,
         settings: Settings,
         incarnation: u64,
+        claimer: u64,
         control: Option<ControlMachine>,
     ) -> Node {
         let own = settings.own().clone();
@@ -192,7 +203,6 @@
         Node {
             domain,
             started: now,
-            incarnation,
             view: View::default(),
             entry,
             leases,
@@ -203,6 +213,7 @@
             client: RecordClient::new(controls, neighbours, offset),
             awaited: BTreeMap::new(),
             claims: BTreeMap::new(),
+            claimer,
             next_claim: 1,
             watched: BTreeSet::new(),
             own: VecDeque::new(),
@@ -246,6 +257,11 @@
         self.expire_leases(now, out);
         match input {
             Input::Received(from, message) => self.on_message(now, unix_ms, &from, &message, out),
+            Input::DialFailed { instance, refused } => {
+                for dispatcher in self.dispatchers.values_mut() {
+                    dispatcher.on_dial_failed(now, &instance, refused);
+                }
+            }
             Input::Arrived(arrival, keyed) => self.on_arrival(now, arrival, keyed, out),
             Input::AttemptEnded { id, end, cost, first_byte_ms, answer } => {
                 self.on_attempt_end(now, id, end, cost, first_byte_ms, answer, out);
@@ -563,7 +579,7 @@
         };
         let document = in_force.document.clone();
         if let Some(keyed) = keyed {
-            let claim = ClaimId(self.incarnation, self.next_claim);
+            let claim = ClaimId(self.claimer, self.next_claim);
             self.next_claim += 1;
             self.claims.insert(id, ClaimState { id: claim, keyed, claimed: false });
         }
--- a/src/kingcupgrade/ops/operator.rs
+++ b/src/kingcupgrade/ops/operator.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, bail};
 
 use crate::{
-    core::{Instance, code::CodedError},
+    core::{Code, Instance, code::CodedError},
     protocol::{
         operator::{OPERATOR_PATH, OperatorReply, OperatorRequest, Status},
         record::{Command, Reply},
@@ -92,15 +92,30 @@
 
     /// Makes a change of the record.
     ///
+    /// An instance that is cut off can't know whether the change came about. The next one is asked
+    /// then; since a change has a name of its own, asking again makes it once.
+    ///
     /// # Errors
     ///
     /// Returns the record's numbered refusal, or the last failure if no instance answers.
     pub fn change(&self, command: Command) -> anyhow::Result<Reply> {
-        match self.ask(&OperatorRequest::Change { command })? {
-            OperatorReply::Changed { reply: Reply::Refused(err) } => Err(err.into()),
-            OperatorReply::Changed { reply } => Ok(reply),
-            other => bail!("unexpected answer: {other:?}"),
+        let request = OperatorRequest::Change { command };
+        let mut last = None;
+        for instance in self.instances.keys() {
+            match self.ask_one(instance, &request) {
+                Ok(OperatorReply::Changed { reply: Reply::Refused(err) }) => {
+                    if err.code != Code::CommitUnknown {
+                        return Err(err.into());
+                    }
+                    last = Some(err.into());
+                }
+                Ok(OperatorReply::Changed { reply }) => return Ok(reply),
+                Ok(OperatorReply::Failed(err)) => last = Some(err.into()),
+                Ok(other) => bail!("unexpected answer: {other:?}"),
+                Err(err) => last = Some(err.context(format!("asking {instance}"))),
+            }
         }
+        Err(last.unwrap_or_else(|| anyhow::anyhow!("no instance to ask")))
     }
 
     /// Asks one instance for its status.
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -9,7 +9,7 @@
 /// Names a request key's claim: the claiming process and a number within it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimId(
-    /// A number that differs between two processes of one instance name.
+    /// A random number that no other process has.
     pub u64,
     /// The number within the process.
     pub u64,
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -54,7 +54,8 @@
 
     let clock = Clock::start();
     let (disk, control) = open_replica(&settings, clock)?;
-    let node = Node::new(clock.now(), (*settings).clone(), unix_ms(), control);
+    let claimer = random::number()?;
+    let node = Node::new(clock.now(), (*settings).clone(), unix_ms(), claimer, control);
     let view: SharedView = Arc::new(RwLock::new(Arc::new(View::default())));
     let peers = Peers::start(settings.clone(), tx.clone())?;
     let watched = Watched::default();
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -58,6 +58,7 @@
     queues: Arc<Mutex<BTreeMap<Instance, queue::Sender<Message>>>>,
     handle: runtime::Handle,
     settings: Arc<Settings>,
+    events: mpsc::Sender<Event>,
 }
 
 impl Peers {
@@ -72,10 +73,11 @@
         let listener = runtime.block_on(TcpListener::bind(address))?;
         let handle = runtime.handle().clone();
         let key: Arc<str> = settings.fleet_key.as_str().into();
-        thread::Builder::new()
-            .name("peers".to_owned())
-            .spawn(move || runtime.block_on(accept_all(listener, key, events)))?;
-        Ok(Peers { queues: Arc::default(), handle, settings })
+        thread::Builder::new().name("peers".to_owned()).spawn({
+            let events = events.clone();
+            move || runtime.block_on(accept_all(listener, key, events))
+        })?;
+        Ok(Peers { queues: Arc::default(), handle, settings, events })
     }
 
     /// Sends a message, or drops it if its peer can't keep up or is not known.
@@ -87,6 +89,8 @@
                 let Some(peer) = self.settings.peer(to) else { return };
                 let (tx, rx) = queue::channel(QUEUE_LEN);
                 let dialer = Dialer {
+                    peer: to.clone(),
+                    events: self.events.clone(),
                     instance: self.settings.instance.clone(),
                     address: peer.address,
                     fleet_key: self.settings.fleet_key.as_str().into(),
@@ -160,6 +164,8 @@
 
 /// Writes to one peer.
 struct Dialer {
+    peer: Instance,
+    events: mpsc::Sender<Event>,
     instance: Instance,
     address: SocketAddr,
     fleet_key: Arc<str>,
@@ -172,7 +178,9 @@
         while let Some(first) = rx.recv().await {
             match timeout(DIAL_TIMEOUT, self.dial()).await {
                 Ok(Ok((socket, channel))) => self.write(socket, channel, first, &mut rx).await,
-                Ok(Err(_)) | Err(_) => {
+                failed => {
+                    let refused = matches!(failed, Ok(Err(err)) if is_refusal(&err));
+                    self.report_failure(refused);
                     tokio::time::sleep(DIAL_PAUSE).await;
                     while rx.try_recv().is_ok() {
                         counter!("kingcup_peer_messages_dropped").increment(1);
@@ -182,6 +190,12 @@
         }
     }
 
+    fn report_failure(&self, refused: bool) {
+        let instance = self.peer.clone();
+        // Without the control thread the process is about to end.
+        let _ = self.events.send(Event::Input(Input::DialFailed { instance, refused }));
+    }
+
     async fn dial(&self) -> anyhow::Result<(Socket, Channel)> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
@@ -248,6 +262,12 @@
     }
 }
 
+/// Tells whether the peer's machine answered that nothing listens there.
+fn is_refusal(err: &anyhow::Error) -> bool {
+    let err = err.downcast_ref::<std::io::Error>();
+    err.is_some_and(|err| err.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Sends a packet; returns false if the connection is of no use any more.
 async fn send(socket: &mut Socket, packet: Packet) -> bool {
     matches!(timeout(SILENCE_LIMIT, socket.send(packet)).await, Ok(Ok(())))
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,9 @@
 //! The test suite: one binary, a module for each subject.
 
 mod answers;
+mod deposits;
 mod model_nodes;
 mod model_record;
+mod pools;
+mod record;
 mod support;
--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -162,7 +162,7 @@
     fn restart(&mut self, host: usize) {
         self.incarnation = (self.incarnation + 1).max(self.now);
         let now = Millis(self.now);
-        let node = Node::new(now, settings(host), self.incarnation, None);
+        let node = Node::new(now, settings(host), self.incarnation, self.incarnation, None);
         self.hosts[host].node = Some(node);
     }
 
@@ -193,7 +193,7 @@
             Output::Send(to, Message::Record(RecordMessage::Pull { asked, .. })) => {
                 self.answer_pull(host, to, asked);
             }
-            Output::Send(to, message) => self.post(name(host), to, message),
+            Output::Send(to, message) => self.dial(host, to, message),
             Output::Start { id, upstream, .. } => {
                 let length = 50 + self.below(400);
                 let place = DOMAINS.iter().position(|d| upstream.as_str().ends_with(d));
@@ -210,6 +210,19 @@
         }
     }
 
+    /// Sends a message, or reports at once that the other instance can't be dialled.
+    fn dial(&mut self, host: usize, to: Instance, message: Message) {
+        let from = name(host);
+        let is_cut = self.is_cut(&from, &to);
+        let target = (0..self.hosts.len()).find(|n| name(*n) == to);
+        let refused = target.is_some_and(|n| self.hosts[n].node.is_none());
+        if is_cut || refused {
+            self.input(host, Input::DialFailed { instance: to, refused: refused && !is_cut });
+        } else {
+            self.post(from, to, message);
+        }
+    }
+
     /// Answers for the control instance, which the south can't reach over a cut.
     fn answer_pull(&mut self, host: usize, to: Instance, asked: Millis) {
         if to.as_str() == "control" && !(self.cut && domain_of(host) == 1) {
--- /dev/null
+++ b/tests/testsuite/pools.rs
@@ -0,0 +1,278 @@
+//! Dispatchers, entries and upstreams that fail under load.
+
+use std::{thread, time::Duration};
+
+use kingcup_support::{
+    caller::Caller,
+    engine::{Engine, EngineConfig},
+    fleet::{document, token},
+    platform::Backend,
+    wait_until,
+};
+use kingcupgrade::{ops::fresh_change_id, protocol::record::Command};
+
+use crate::support::{Crowd, PATIENCE, World, check_answers, prompt, start};
+
+/// An engine that never warms up, so that its cold limit holds all the time.
+fn cold_engine() -> EngineConfig {
+    EngineConfig { warm_after: u32::MAX, ..EngineConfig::default() }
+}
+
+fn assert_spared(world: &World) {
+    for engine in &world.engines {
+        let record = engine.record();
+        assert_eq!(record.falls, 0, "a cold engine fell over");
+        assert!(record.most_while_cold <= 2, "{} ran at once", record.most_while_cold);
+    }
+}
+
+/// Returns the dispatching entry and the others of a failure domain with three entries.
+fn split(world: &World, domain: &str) -> (String, Vec<String>) {
+    let dispatcher = world.fleet.dispatcher_of("tutor", domain).expect("a dispatcher");
+    let entries = world.fleet.entries().into_iter().map(|(instance, _)| instance);
+    let others = entries.filter(|i| *i != dispatcher && i.contains(domain)).collect();
+    (dispatcher, others)
+}
+
+// The machine with the dispatcher dies while requests wait. Were its slots forgotten or given
+// twice, candidates would wait for good, or the cold engine would fall over and fail them all.
+#[test]
+fn a_killed_dispatcher_is_replaced_and_the_backlog_served() {
+    let mut world = start(&["north"], 3, &cold_engine()).with_documents();
+    let (dispatcher, others) = split(&world, "north");
+    let crowd = Crowd::start("kept", world.fleet.entry(&others[0]), "alder", 5, 10);
+    assert!(crowd.wait_for(5));
+    world.fleet.kill(&dispatcher);
+    assert!(crowd.wait_for(20), "the backlog is not served after the take-over");
+    let answers = crowd.finish();
+    assert!(answers.iter().all(|(asked, answer)| answer.answers(asked)));
+    assert_spared(&world);
+}
+
+// A virtual machine is paused for maintenance with the dispatcher in it, and comes back after its
+// lease has passed on. It must not give slots that are another's to give by then.
+#[test]
+fn a_thawed_dispatcher_gives_no_slot_of_its_successor() {
+    let world = start(&["north"], 3, &cold_engine()).with_documents();
+    let (dispatcher, others) = split(&world, "north");
+    let crowd = Crowd::start("kept", world.fleet.entry(&others[0]), "alder", 5, 10);
+    assert!(crowd.wait_for(5));
+    world.fleet.signal(&dispatcher, "STOP");
+    let replaced = wait_until(PATIENCE, || {
+        others.iter().any(|i| {
+            let status = world.fleet.status(i);
+            status.is_ok_and(|s| s.pools.iter().any(|p| p.service.as_str() == "tutor"))
+        })
+    });
+    assert!(replaced, "nobody takes over");
+    assert!(crowd.wait_for(10), "the successor does not serve");
+    world.fleet.signal(&dispatcher, "CONT");
+    let thawed = Crowd::start("thawed", world.fleet.entry(&dispatcher), "birch", 2, 10);
+    assert!(thawed.wait_for(5), "the thawed entry does not serve");
+    assert!(crowd.wait_for(10));
+    check_answers(&crowd.finish());
+    check_answers(&thawed.finish());
+    assert_spared(&world);
+}
+
+// The lines between two failure domains go silent. Bakers on both sides still see their orders:
+// each side serves what it can, and nothing breaks when the lines come back.
+#[test]
+fn a_failure_domain_that_is_cut_off_serves_and_rejoins() {
+    let world = start(&["north", "south"], 2, &cold_engine()).with_documents();
+    let north = Crowd::start("north", world.fleet.entry("entry-north-0"), "alder", 4, 10);
+    let south = Crowd::start("south", world.fleet.entry("entry-south-0"), "birch", 4, 10);
+    assert!(north.wait_for(5) && south.wait_for(5));
+    world.fleet.cut_domain("south", true);
+    // Long enough for both sides to notice: leases, sessions and freshness have run out.
+    thread::sleep(Duration::from_secs(5));
+    assert!(north.wait_for(10), "the north does not serve");
+    assert!(south.wait_for(10), "the south does not serve");
+    world.fleet.cut_domain("south", false);
+    let fresh = || world.fleet.status("entry-south-0").is_ok_and(|status| status.fresh);
+    assert!(wait_until(PATIENCE, fresh), "the south does not rejoin");
+    assert!(north.wait_for(10) && south.wait_for(10));
+    check_answers(&north.finish());
+    check_answers(&south.finish());
+    assert_spared(&world);
+}
+
+// An entry is killed and comes back empty in the middle of the load. Its callers' answers are
+// gone; nobody else's may suffer, and it must serve again without anyone's help.
+#[test]
+fn a_restarted_entry_serves_again_and_disturbs_nobody() {
+    let mut world = start(&["north"], 3, &cold_engine()).with_documents();
+    let (_, others) = split(&world, "north");
+    let kept = Crowd::start("kept", world.fleet.entry(&others[0]), "alder", 3, 10);
+    let lost = Crowd::start("lost", world.fleet.entry(&others[1]), "birch", 3, 10);
+    assert!(kept.wait_for(5) && lost.wait_for(5));
+    world.fleet.kill(&others[1]);
+    assert!(kept.wait_for(10));
+    world.fleet.run(&others[1]).expect("a started entry");
+    assert!(lost.wait_for(10), "the restarted entry does not serve");
+    let answers = kept.finish();
+    assert!(answers.iter().all(|(asked, answer)| answer.answers(asked)));
+    check_answers(&lost.finish());
+    assert_spared(&world);
+}
+
+// One organisation sends far more than its queue holds to a single entry. It is told at once when
+// to come back; another organisation at the same entry gets every answer.
+#[test]
+fn a_flood_is_refused_at_once_and_costs_the_others_nothing() {
+    let world = start(&["north"], 1, &cold_engine()).with_documents();
+    let rest = "slots: {cold: 2, warm: 4}\nlimits: {queue_requests: 4, deadline_ms: 20000}\n";
+    let small = document("tutor", "model-engine", &[("alder", 1), ("birch", 1)], rest);
+    world.fleet.apply("tutor", 1, &small).expect("the smaller queue in force");
+    let entry = world.fleet.entry("entry-north-0");
+    let flood = Crowd::start("flood", entry, "alder", 30, 10);
+    assert!(flood.wait_for(5));
+    let other = Crowd::start("other", entry, "birch", 2, 10);
+    assert!(other.wait_for(10), "the other organisation is not served");
+    let answers = other.finish();
+    assert!(answers.iter().all(|(asked, answer)| answer.answers(asked)));
+    let answers = flood.finish();
+    let refused: Vec<_> = answers.iter().filter(|(_, answer)| answer.code == 3001).collect();
+    assert!(!refused.is_empty(), "nothing is refused");
+    for (_, answer) in refused {
+        assert_eq!(answer.outcome, "not-run");
+        assert!(answer.retry_after.is_some(), "no word of when to come back");
+    }
+}
+
+// An engine loses its cache and is cold again; its load report goes on saying warm for a while.
+// Given its full load on the word of that report, it would fall over.
+#[test]
+fn a_warm_engine_gone_cold_without_notice_does_not_fall_over() {
+    let engine = EngineConfig { warm_slots: 4, ..EngineConfig::default() };
+    let world = start(&["north"], 2, &engine).with_documents();
+    let crowd = Crowd::start("kept", world.fleet.entry("entry-north-0"), "alder", 8, 15);
+    let warmed = || world.engines[0].is_warm() && world.engines[0].running() > 2;
+    assert!(wait_until(PATIENCE, warmed), "the engine is never given more than its cold limit");
+    world.engines[0].turn_cold();
+    assert!(crowd.wait_for(20));
+    check_answers(&crowd.finish());
+    assert_eq!(world.engines[0].record().falls, 0);
+}
+
+// A firewall forgets the connections between two instances: they stay open and carry nothing,
+// while new ones work. Demand and grants would be lost in them for good.
+#[test]
+fn connections_silent_for_good_are_replaced() {
+    let world = start(&["north"], 3, &cold_engine()).with_documents();
+    let (dispatcher, others) = split(&world, "north");
+    let crowd = Crowd::start("kept", world.fleet.entry(&others[0]), "alder", 4, 10);
+    assert!(crowd.wait_for(5));
+    for other in &others {
+        world.fleet.link(other, &dispatcher).freeze_open();
+        world.fleet.link(&dispatcher, other).freeze_open();
+    }
+    assert!(crowd.wait_for(15), "nothing is served after the connections went silent");
+    let replaced = || {
+        let address = world.fleet.operator_address(&others[0]);
+        let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
+        metrics.contains("kingcup_peer_connections_replaced")
+    };
+    assert!(wait_until(PATIENCE, replaced), "no connection was replaced");
+    check_answers(&crowd.finish());
+    assert_spared(&world);
+}
+
+// Two faults at once: the dispatcher dies in the moment in which the connections among the
+// others go silent, so that the vote for its successor must find new ones first.
+#[test]
+fn a_dispatcher_killed_while_connections_are_silent_is_replaced() {
+    let mut world = start(&["north"], 3, &cold_engine()).with_documents();
+    let (dispatcher, others) = split(&world, "north");
+    let crowd = Crowd::start("kept", world.fleet.entry(&others[0]), "alder", 4, 10);
+    assert!(crowd.wait_for(5));
+    world.fleet.link(&others[0], &others[1]).freeze_open();
+    world.fleet.link(&others[1], &others[0]).freeze_open();
+    world.fleet.kill(&dispatcher);
+    assert!(crowd.wait_for(15), "the backlog is not served");
+    check_answers(&crowd.finish());
+    assert_spared(&world);
+}
+
+// Two of a failure domain's three entries are lost and no majority can vote. The last one goes on
+// alone with the upstreams that are its by static share, within their cold limit.
+#[test]
+fn the_last_entry_of_a_failure_domain_serves_its_static_share() {
+    let mut world = start(&["north"], 3, &cold_engine());
+    for n in 0..4 {
+        let engine = Engine::start(cold_engine());
+        let name = format!("engine-more-{n}");
+        world.platform.add(
+            &name,
+            "tutor",
+            "north",
+            engine.address(),
+            Backend::Engine(engine.clone()),
+        );
+        world.engines.push(engine);
+    }
+    let mut world = world.with_documents();
+    let crowd = Crowd::start("kept", world.fleet.entry("entry-north-0"), "alder", 4, 10);
+    assert!(crowd.wait_for(5));
+    world.fleet.kill("entry-north-1");
+    world.fleet.kill("entry-north-2");
+    let alone = || {
+        let status = world.fleet.status("entry-north-0");
+        status.is_ok_and(|s| {
+            s.pools.iter().any(|p| p.service.as_str() == "tutor" && p.term.is_none())
+        })
+    };
+    assert!(wait_until(PATIENCE, alone), "no static share begins");
+    assert!(crowd.wait_for(10), "the last entry does not serve");
+    check_answers(&crowd.finish());
+    assert_spared(&world);
+}
+
+// An engine is about to be replaced and must get nothing new, while what it runs ends in peace.
+#[test]
+fn a_leaving_upstream_gets_nothing_new_and_finishes_its_work() {
+    let mut world = start(&["north"], 2, &EngineConfig::default());
+    let second = Engine::start(EngineConfig::default());
+    world.platform.add(
+        "engine-2",
+        "tutor",
+        "north",
+        second.address(),
+        Backend::Engine(second.clone()),
+    );
+    world.engines.push(second);
+    let world = world.with_documents();
+    let crowd = Crowd::start("kept", world.fleet.entry("entry-north-0"), "alder", 6, 20);
+    assert!(wait_until(PATIENCE, || world.engines.iter().all(|e| e.record().begun.len() > 5)));
+    let change = fresh_change_id().expect("a change id");
+    let leave = Command::SetLeaving { change, upstream: "engine-north".into(), leaving: true };
+    world.fleet.client().change(leave).expect("an accepted change");
+    // The promise is three seconds; the load goes on all the while.
+    thread::sleep(Duration::from_secs(3));
+    let before = world.engines[0].record().begun.len();
+    assert!(crowd.wait_for(20), "the other engine does not serve");
+    assert_eq!(world.engines[0].record().begun.len(), before, "new work at a leaving engine");
+    let answers = crowd.finish();
+    assert!(answers.iter().all(|(asked, answer)| answer.answers(asked)));
+}
+
+// An engine goes silent in the middle of a quote and the connection stays open. The entry notices,
+// asks again from where the answer stopped, and the baker sees one whole quote without a repeat.
+#[test]
+fn an_answer_that_goes_silent_is_resumed_where_it_stopped() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let engine = world.engines[0].clone();
+    engine.go_silent_after(5);
+    let entry = world.fleet.entry("entry-north-0");
+    let caller = thread::spawn(move || {
+        let asked = prompt("quote", "alder", 12);
+        let answer = Caller::new(&token("alder")).prompt(entry, "tutor", &asked);
+        (asked, answer)
+    });
+    let silent = || engine.record().served.len() == 5;
+    assert!(wait_until(PATIENCE, silent), "the engine never began");
+    assert!(wait_until(PATIENCE, || engine.record().begun.len() > 1), "nobody asks again");
+    engine.go_silent_after(0);
+    let (asked, answer) = caller.join().expect("a caller");
+    assert!(answer.answers(&asked), "{answer:?}");
+}
--- /dev/null
+++ b/tests/testsuite/record.rs
@@ -0,0 +1,324 @@
+//! The durable record under killed, cut off and emptied control instances.
+
+use std::{
+    fs,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use kingcup_support::{
+    caller::Caller,
+    engine::EngineConfig,
+    fleet::{Fleet, Plan, Program, token},
+    platform::Platform,
+    wait_until,
+};
+use kingcupgrade::{
+    core::Code,
+    ops::{coded, fresh_change_id, verify},
+    protocol::{
+        consensus::Member,
+        operator::{OperatorReply, OperatorRequest},
+        record::{Command, Reply},
+    },
+};
+
+use crate::support::{PATIENCE, daemon, orders_document, start, tutor_document};
+
+fn domain_change(n: usize) -> Command {
+    Command::SetDomain {
+        change: format!("change-{n}"),
+        domain: "elsewhere".into(),
+        out: n.is_multiple_of(2),
+    }
+}
+
+fn accepted(fleet: &Fleet, command: &Command) -> (u64, u64) {
+    let mut answer = None;
+    let done = wait_until(PATIENCE, || {
+        answer = fleet.client().change(command.clone()).ok();
+        answer.is_some()
+    });
+    assert!(done, "{command:?} is never accepted");
+    match answer {
+        Some(Reply::Accepted { revision, index }) => (revision, index),
+        other => panic!("an answer that does not fit: {other:?}"),
+    }
+}
+
+fn wait_for_leader(fleet: &Fleet) -> String {
+    let mut leader = None;
+    assert!(wait_until(PATIENCE, || {
+        leader = fleet.leader();
+        leader.is_some()
+    }));
+    leader.expect("a leader")
+}
+
+fn index_of(fleet: &Fleet, instance: &str) -> u64 {
+    fleet.status(instance).map_or(0, |status| status.index)
+}
+
+fn controls_only(count: usize) -> Fleet {
+    let plans: Vec<Plan> =
+        (0..count).map(|n| Plan::control(&format!("control-{n}"), "north")).collect();
+    let platform = Platform::start(Duration::ZERO);
+    Fleet::start(daemon(), &plans, &platform, false).expect("a running fleet")
+}
+
+fn members(fleet: &Fleet) -> Vec<Member> {
+    match fleet.client().ask(&OperatorRequest::Members) {
+        Ok(OperatorReply::Members { members, .. }) => members,
+        _ => Vec::new(),
+    }
+}
+
+// The leader is killed again and again while changes and deposits go on. A change that was
+// accepted must stay, a deposit must not run twice, and one called "not run" must not have run.
+#[test]
+fn a_leader_killed_again_and_again_loses_nothing() {
+    let mut world =
+        start(&["north", "south", "west"], 1, &EngineConfig::default()).with_documents();
+    let stop = Arc::new(AtomicBool::new(false));
+    let entry = world.fleet.entry("entry-north-0");
+    let depositor = {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            let caller = Caller::new(&token("alder"));
+            let mut deposits = Vec::new();
+            while !stop.load(Ordering::SeqCst) {
+                let key = format!("key-{}", deposits.len());
+                let mut answer = caller.post(entry, "/orders/deposits", "50", Some(&key));
+                let mut only_not_run = answer.outcome == "not-run";
+                for _ in 0..3 {
+                    if answer.outcome == "done" {
+                        break;
+                    }
+                    answer = caller.post(entry, "/orders/deposits", "50", Some(&key));
+                    only_not_run &= answer.outcome == "not-run";
+                }
+                deposits.push((key, answer.outcome, only_not_run));
+            }
+            deposits
+        })
+    };
+    let mut last = (0, 0);
+    for round in 0..4 {
+        let leader = wait_for_leader(&world.fleet);
+        last = accepted(&world.fleet, &domain_change(round));
+        world.fleet.kill(&leader);
+        let again = accepted(&world.fleet, &domain_change(round));
+        assert_eq!(again, last, "a resend after the kill got another answer");
+        world.fleet.run(&leader).expect("a started control instance");
+    }
+    stop.store(true, Ordering::SeqCst);
+    let deposits = depositor.join().expect("a depositor");
+    let runs = |key: &str| world.plains.iter().map(|plain| plain.runs_of(key)).sum::<u32>();
+    assert!(deposits.iter().any(|(_, outcome, _)| outcome == "done"));
+    for (key, outcome, only_not_run) in &deposits {
+        assert!(runs(key) <= 1, "{key} ran {} times", runs(key));
+        assert!(outcome != "done" || runs(key) == 1, "{key} is done and did not run");
+        assert!(!only_not_run || runs(key) == 0, "{key} ran and was called not run");
+    }
+    for (control, _) in world.fleet.controls() {
+        let caught_up = || index_of(&world.fleet, &control) >= last.1;
+        assert!(wait_until(PATIENCE, caught_up), "{control} lacks an accepted change");
+    }
+}
+
+// All control instances lose power after hundreds of changes and start again. Every accepted
+// change must be there, entries go on with what they have meanwhile, and changes go on after.
+#[test]
+fn all_control_instances_restarted_after_hundreds_of_changes_keep_them() {
+    let mut world =
+        start(&["north", "south", "west"], 1, &EngineConfig::default()).with_documents();
+    let mut last = (0, 0);
+    for n in 0..300 {
+        last = accepted(&world.fleet, &domain_change(n));
+    }
+    let controls = world.fleet.controls();
+    controls.iter().for_each(|(control, _)| world.fleet.kill(control));
+    let held = verify(&world.fleet.data_folder("control-north")).expect("a sound data folder");
+    assert!(held.last_index > 0);
+    let entry = world.fleet.status("entry-north-0").expect("a running entry");
+    assert_eq!(entry.revisions.len(), 2, "the entry forgot its configuration");
+    controls.iter().for_each(|(control, _)| world.fleet.run(control).expect("a started instance"));
+    let all_back = || controls.iter().all(|(control, _)| index_of(&world.fleet, control) >= last.1);
+    assert!(wait_until(PATIENCE, all_back), "an accepted change is lost");
+    assert!(accepted(&world.fleet, &domain_change(300)).1 > last.1);
+}
+
+// A control instance hears and reaches nobody for a while. It must not call its old state the
+// newest, and when it is back it must not depose the leader that worked all the time.
+#[test]
+fn an_isolated_control_instance_confirms_nothing_and_disturbs_nobody() {
+    let fleet = controls_only(3);
+    let leader = wait_for_leader(&fleet);
+    let cut = fleet.controls().into_iter().map(|(i, _)| i).find(|i| *i != leader).expect("another");
+    let term = |i: &str| fleet.status(i).ok().and_then(|s| s.control).map(|c| c.term);
+    let before = term(&leader);
+    fleet.isolate(&cut, true);
+    let stale = || fleet.status(&cut).is_ok_and(|status| !status.fresh);
+    assert!(wait_until(PATIENCE, stale), "it still confirms its state");
+    let (_, index) = accepted(&fleet, &domain_change(1));
+    thread::sleep(Duration::from_secs(3));
+    assert!(index_of(&fleet, &cut) < index);
+    fleet.isolate(&cut, false);
+    let caught_up = || index_of(&fleet, &cut) >= index && fleet.status(&cut).is_ok_and(|s| s.fresh);
+    assert!(wait_until(PATIENCE, caught_up), "it does not catch up");
+    assert_eq!(term(&leader), before, "its return deposed the leader");
+}
+
+// Messages reach a control instance no more, while its own still leave. It goes on asking for
+// votes, and whoever gave in to that would depose a leader that works.
+#[test]
+fn a_control_instance_cut_off_one_way_deposes_nobody() {
+    let fleet = controls_only(3);
+    let leader = wait_for_leader(&fleet);
+    let others: Vec<String> =
+        fleet.controls().into_iter().map(|(i, _)| i).filter(|i| *i != leader).collect();
+    let deaf = &others[0];
+    fleet.link(&leader, deaf).cut(true);
+    fleet.link(&others[1], deaf).cut(true);
+    let term = || fleet.status(&leader).ok().and_then(|s| s.control).map(|c| c.term);
+    let before = term();
+    thread::sleep(Duration::from_secs(4));
+    let (_, index) = accepted(&fleet, &domain_change(1));
+    assert_eq!(term(), before, "the deaf instance deposed the leader");
+    fleet.link(&leader, deaf).cut(false);
+    fleet.link(&others[1], deaf).cut(false);
+    assert!(wait_until(PATIENCE, || index_of(&fleet, deaf) >= index), "it does not catch up");
+}
+
+// A control instance's disk is lost. It comes back as a new member, and right after that repair
+// another instance is lost. With five, every accepted change survives and changes go on.
+#[test]
+fn a_lost_disk_is_replaced_and_a_second_loss_survived() {
+    let mut fleet = controls_only(5);
+    let leader = wait_for_leader(&fleet);
+    let names: Vec<String> =
+        fleet.controls().into_iter().map(|(i, _)| i).filter(|i| *i != leader).collect();
+    let (lost, second) = (&names[0], &names[1]);
+    let (_, before) = accepted(&fleet, &domain_change(1));
+    fleet.kill(lost);
+    fs::remove_dir_all(fleet.data_folder(lost)).expect("a removed folder");
+    fleet.run(lost).expect("a started instance");
+    let add = Command::ChangeMembers { add: true, instance: lost.as_str().into(), replica: None };
+    let added = || fleet.client().change(add.clone()).is_ok();
+    assert!(wait_until(PATIENCE, added), "the new replica can't be added");
+    let votes =
+        || members(&fleet).iter().filter(|m| m.voter && m.id.0.as_str() == lost).count() == 2;
+    assert!(wait_until(PATIENCE, votes), "the new replica gets no vote");
+    let old = Some(kingcupgrade::protocol::consensus::FOUNDING_REPLICA);
+    let remove =
+        Command::ChangeMembers { add: false, instance: lost.as_str().into(), replica: old };
+    let removed = || fleet.client().change(remove.clone()).is_ok();
+    assert!(wait_until(PATIENCE, removed), "the old replica can't be removed");
+    fleet.kill(second);
+    let (_, index) = accepted(&fleet, &domain_change(2));
+    assert!(index > before);
+    assert!(wait_until(PATIENCE, || index_of(&fleet, lost) >= index), "the new replica lags");
+}
+
+// A control instance's disk is full. It must say so and stop taking part; what it could not write
+// must never count as written, and the others go on.
+#[test]
+fn a_full_disk_is_an_error_and_never_an_acknowledgement() {
+    let plans: Vec<Plan> =
+        (0..3).map(|n| Plan::control(&format!("control-{n}"), "north")).collect();
+    let platform = Platform::start(Duration::ZERO);
+    let mut fleet = Fleet::prepare(daemon(), &plans, &platform, false).expect("a prepared fleet");
+    // A limit on the size of files stands for the full disk; a write beyond it fails the same way.
+    let limited =
+        format!("trap '' XFSZ; ulimit -f 24; exec {} \"$@\"", env!("CARGO_BIN_EXE_kingcupd"));
+    let program = Program {
+        path: "/bin/sh".into(),
+        run: vec!["-c".to_owned(), limited, "sh".to_owned()],
+        init: Vec::new(),
+    };
+    fleet.run_as("control-0", &program).expect("a started instance");
+    fleet.run("control-1").expect("a started instance");
+    fleet.run("control-2").expect("a started instance");
+    wait_for_leader(&fleet);
+    let mut base = 0;
+    let failed = |fleet: &Fleet| {
+        let control = fleet.status("control-0").ok().and_then(|status| status.control);
+        control.and_then(|control| control.failure)
+    };
+    while failed(&fleet).is_none() && base < 60 {
+        let change = fresh_change_id().expect("a change id");
+        let text = orders_document();
+        let apply = Command::ApplyDocument { change, service: "orders".into(), base, text };
+        base = accepted(&fleet, &apply).0;
+    }
+    assert_eq!(failed(&fleet).map(|err| err.code), Some(Code::StorageFailed));
+    let (_, index) = accepted(&fleet, &domain_change(1));
+    for control in ["control-1", "control-2"] {
+        assert!(wait_until(PATIENCE, || index_of(&fleet, control) >= index));
+    }
+    fleet.kill("control-0");
+    let held = verify(&fleet.data_folder("control-0")).expect("a sound data folder");
+    assert!(held.last_index < index, "it holds what it could not write");
+}
+
+// Two operators change the same document from the same revision. One wins, the other is told of
+// the new revision; and the winner, whose answer was lost, sends again and gets it.
+#[test]
+fn of_two_operators_under_one_revision_one_wins() {
+    let fleet = controls_only(3);
+    wait_for_leader(&fleet);
+    let apply = |change: &str| Command::ApplyDocument {
+        change: change.to_owned(),
+        service: "tutor".into(),
+        base: 0,
+        text: tutor_document(),
+    };
+    let race = |change: &'static str| {
+        let (client, command) = (fleet.client(), apply(change));
+        thread::spawn(move || client.change(command).map_err(|err| coded(&err).map(|e| e.code)))
+    };
+    let (first, second) = (race("first"), race("second"));
+    let results = [first.join().expect("an operator"), second.join().expect("an operator")];
+    let wins = results.iter().filter(|result| result.is_ok()).count();
+    let conflicts = results.iter().filter(|r| **r == Err(Some(Code::RevisionConflict))).count();
+    assert_eq!((wins, conflicts), (1, 1), "{results:?}");
+    let winner = if results[0].is_ok() { "first" } else { "second" };
+    let again = fleet.client().change(apply(winner)).expect("the first answer again");
+    assert_eq!(Some(&again), results.iter().find_map(|result| result.as_ref().ok()));
+}
+
+// An entry restarts empty while the only control instance it reaches is an isolated one with an
+// old document. Its neighbour knows the newer one; the entry must not go back behind that.
+#[test]
+fn an_entry_restarted_beside_an_isolated_control_instance_takes_the_newest() {
+    let mut world =
+        start(&["north", "south", "west"], 2, &EngineConfig::default()).with_documents();
+    let fleet = &mut world.fleet;
+    fleet.isolate("control-north", true);
+    let text = tutor_document();
+    let change = fresh_change_id().expect("a change id");
+    let apply = Command::ApplyDocument { change, service: "tutor".into(), base: 1, text };
+    let (revision, index) = accepted(fleet, &apply);
+    assert!(wait_until(PATIENCE, || index_of(fleet, "entry-north-1") >= index));
+    fleet.kill("entry-north-0");
+    for control in ["control-south", "control-west"] {
+        fleet.link("entry-north-0", control).cut(true);
+        fleet.link(control, "entry-north-0").cut(true);
+    }
+    fleet.link("entry-north-0", "control-north").cut(false);
+    fleet.link("control-north", "entry-north-0").cut(false);
+    fleet.run("entry-north-0").expect("a started entry");
+    let newest = || {
+        let status = fleet.status("entry-north-0");
+        status.is_ok_and(|status| status.revisions.get("tutor") == Some(&revision))
+    };
+    assert!(wait_until(PATIENCE, newest), "it stays behind its neighbour");
+    thread::sleep(Duration::from_secs(2));
+    assert!(newest(), "it went back");
+    let status = fleet.status("entry-north-0").expect("a status");
+    assert!(!status.fresh, "an isolated control instance confirmed its state");
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,12 +1,22 @@
 //! Fleets for tests.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
 
 use kingcup_support::{
+    caller::{Answer, Caller},
     engine::{Engine, EngineConfig, Prompt},
-    fleet::{Fleet, Plan, Program, document},
+    fleet::{Fleet, Plan, Program, document, token},
     plain::Plain,
     platform::{Backend, Platform},
+    wait_until,
 };
 
 /// The patience of tests: far beyond what is expected, so that a busy machine fails none.
@@ -75,3 +85,77 @@
         self
     }
 }
+
+/// Callers that ask one after the other until they are told to stop.
+pub(crate) struct Crowd {
+    stop: Arc<AtomicBool>,
+    done: Arc<AtomicUsize>,
+    threads: Vec<JoinHandle<Vec<(Prompt, Answer)>>>,
+}
+
+impl Crowd {
+    /// Lets `callers` callers of `organisation` ask `entry` for answers of `tokens` tokens.
+    pub(crate) fn start(
+        name: &str,
+        entry: SocketAddr,
+        organisation: &str,
+        callers: usize,
+        tokens: u64,
+    ) -> Crowd {
+        let mut crowd = Crowd { stop: Arc::default(), done: Arc::default(), threads: Vec::new() };
+        for n in 0..callers {
+            let caller = Caller::new(&token(organisation));
+            let (stop, done) = (crowd.stop.clone(), crowd.done.clone());
+            let (name, organisation) = (name.to_owned(), organisation.to_owned());
+            let call = move || {
+                let mut answers = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("{name}-{n}-{}", answers.len());
+                    let asked = prompt(&id, &organisation, tokens);
+                    let answer = caller.prompt(entry, "tutor", &asked);
+                    if answer.answers(&asked) {
+                        done.fetch_add(1, Ordering::SeqCst);
+                    } else {
+                        std::thread::sleep(Duration::from_millis(50));
+                    }
+                    answers.push((asked, answer));
+                }
+                answers
+            };
+            crowd.threads.push(std::thread::spawn(call));
+        }
+        crowd
+    }
+
+    /// Returns how many whole answers came so far.
+    pub(crate) fn done(&self) -> usize {
+        self.done.load(Ordering::SeqCst)
+    }
+
+    /// Waits for `more` whole answers; returns false if they do not come.
+    pub(crate) fn wait_for(&self, more: usize) -> bool {
+        let goal = self.done() + more;
+        wait_until(PATIENCE, || self.done() >= goal)
+    }
+
+    /// Lets the callers finish and returns all they asked and got.
+    pub(crate) fn finish(self) -> Vec<(Prompt, Answer)> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().flat_map(|thread| thread.join().expect("a caller")).collect()
+    }
+}
+
+/// Checks that each answer is whole, or says plainly that it is not.
+///
+/// # Panics
+///
+/// Panics at the first one that does neither.
+pub(crate) fn check_answers(answers: &[(Prompt, Answer)]) {
+    for (asked, answer) in answers {
+        assert!(!answer.is_crossed(asked), "crossed: {answer:?}");
+        let is_refused = answer.outcome == "not-run" || answer.outcome == "unknown";
+        let is_marked = answer.body.contains("event: error");
+        let is_gone = !answer.is_whole;
+        assert!(answer.answers(asked) || is_refused || is_marked || is_gone, "cut: {answer:?}");
+    }
+}
