--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -21,6 +21,17 @@
             /// Prints one JSON object.
             optional --json
         }
+        /// Measures how fast the durable record commits; prints one JSON object.
+        cmd record {}
+        /// Measures what one instance of each role costs at growing sizes; prints JSON.
+        cmd slopes {}
+        /// Measures one part (entry, dispatcher, control, instance) at one size.
+        cmd slope {
+            /// The part.
+            required part: String
+            /// The size, as a multiple of the smallest.
+            required factor: usize
+        }
         /// Runs one instance; what this tool starts its fleets with.
         cmd instance {
             /// The settings file.
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -6,8 +6,10 @@
 mod flags;
 mod load;
 mod measure;
+mod record;
 mod result;
 mod scenario;
+mod slopes;
 mod world;
 
 use std::process::ExitCode;
@@ -25,6 +27,9 @@
     let result = match flags.subcommand {
         KingcupLoadCmd::Demo(args) => demo::exec(args.seconds),
         KingcupLoadCmd::Run(args) => run(&args),
+        KingcupLoadCmd::Slopes(_) => slopes::exec(),
+        KingcupLoadCmd::Slope(args) => slopes::exec_one(&args.part, args.factor),
+        KingcupLoadCmd::Record(_) => record::exec(),
         KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
         KingcupLoadCmd::Init(args) => ops::found(&args.settings).map(|()| true),
     };
--- /dev/null
+++ b/crates/kingcup-load/src/slopes.rs
@@ -0,0 +1,412 @@
+//! What one instance of each role costs, measured on its state machines alone.
+//!
+//! Each machine is fed the messages of its part at growing sizes. The figures are slopes: what
+//! docs/CAPACITY.md multiplies by the size to design for.
+
+use std::{
+    collections::BTreeMap, env, fs, hint::black_box, net::SocketAddr, process::Command,
+    time::Instant,
+};
+
+use kingcup_support::fleet::document;
+use kingcupgrade::{
+    coordination::{
+        dispatcher::{
+            Dispatcher, DispatcherOutput,
+            slots::{Listed, LoadReport},
+        },
+        entry::{Arrival, AttemptEnd, EntryMachine, EntryOutput},
+        node::{Input, Node},
+        view::View,
+    },
+    core::{
+        Document, Instance, Millis, Organisation, Settings,
+        settings::{Peer, Role},
+    },
+    protocol::{
+        Message, Pool,
+        consensus::{LogEntry, Payload},
+        dispatch::{
+            DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Session, Waiting,
+        },
+        frame::Channel,
+        record::{
+            ClaimId, Command as Change, KeptAnswer, RecordMessage, RequestKey, Settlement,
+            StoredDocument,
+        },
+    },
+    state::record::Record,
+};
+use serde_json::{Value, json};
+
+/// Organisations of the smallest size; the others are four and sixteen times as many.
+const BASE_ORGANISATIONS: usize = 306;
+/// Request keys of the smallest size.
+const BASE_KEYS: usize = 4_000;
+/// Entries of a failure domain at the size to design for.
+const ENTRIES: usize = 32;
+/// Upstreams of a pool at that size.
+const UPSTREAMS: usize = 24;
+/// Slots of an upstream.
+const SLOTS: u32 = 8;
+/// Requests driven through a machine in one measurement.
+const REQUESTS: u64 = 20_000;
+
+/// What is measured.
+const PARTS: [&str; 4] = ["entry", "dispatcher", "control", "instance"];
+
+/// Measures all parts at all sizes and prints one JSON object.
+///
+/// Each measurement has a process of its own, since memory that an earlier one gave back would
+/// hide what the next one takes.
+pub(crate) fn exec() -> anyhow::Result<bool> {
+    let mut result = serde_json::Map::new();
+    for part in PARTS {
+        let mut sizes = Vec::new();
+        for factor in ["1", "4", "16"] {
+            let output =
+                Command::new(env::current_exe()?).args(["slope", part, factor]).output()?;
+            sizes.push(serde_json::from_slice::<Value>(&output.stdout)?);
+        }
+        result.insert(part.to_owned(), sizes.into());
+    }
+    println!("{}", serde_json::to_string_pretty(&result)?);
+    Ok(true)
+}
+
+/// Measures one part at one size and prints one JSON object.
+pub(crate) fn exec_one(part: &str, factor: usize) -> anyhow::Result<bool> {
+    let result = match part {
+        "entry" => entry(60 * factor),
+        "dispatcher" => dispatcher(BASE_ORGANISATIONS * factor),
+        "control" => record(BASE_KEYS * factor),
+        "instance" => instance(BASE_ORGANISATIONS * factor),
+        other => anyhow::bail!("no part {other}; there are {}", PARTS.join(", ")),
+    };
+    println!("{result}");
+    Ok(true)
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("organisation-{n:05}")).collect()
+}
+
+fn tutor(names: &[String]) -> Document {
+    let organisations: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let rest = format!("slots: {{cold: 2, warm: {SLOTS}}}\nlimits: {{queue_requests: 1000}}\n");
+    let text = document("tutor", "model-engine", &organisations, &rest);
+    Document::parse(&text).expect("a valid document")
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000))
+}
+
+fn pool() -> Pool {
+    Pool("tutor".into(), "north".into())
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn wire_len(message: DispatchMessage) -> usize {
+    Channel::new("a fleet key of some length", [0; 16]).seal(&Message::Dispatch(message)).len()
+}
+
+fn listing() -> Vec<Listed> {
+    let names = (0..UPSTREAMS).map(|n| format!("engine-{n}"));
+    let listed = names.map(|name| Listed {
+        upstream: name.as_str().into(),
+        address: address(),
+        leaving: false,
+        incarnation: 1,
+        report: Some(LoadReport { running: 0, warm: true, age_ms: 0 }),
+    });
+    listed.collect()
+}
+
+/// A dispatcher with a tenth of its organisations backlogged: the cost of a request's grant and
+/// end, of a tick, of an exchange, and its memory.
+fn dispatcher(organisations: usize) -> Value {
+    let names = names(organisations);
+    let before = resident();
+    let own: Instance = "entry-00".into();
+    let entries: Vec<Instance> =
+        (0..ENTRIES).map(|n| Instance::from(format!("entry-{n:02}").as_str())).collect();
+    let mut machine =
+        Dispatcher::new(Millis(0), pool(), own.clone(), 1, tutor(&names), entries.clone());
+    machine.set_domains(entries.iter().map(|i| (i.clone(), "north".into())));
+    let mut out = Vec::new();
+    let backlogged: Vec<Organisation> =
+        names.iter().step_by(10).map(|name| Organisation::from(name.as_str())).collect();
+    let mut now = Millis(1_000);
+    for (n, entry) in entries.iter().enumerate() {
+        let mine = backlogged.iter().skip(n % 4).step_by(4);
+        let waiting = mine.map(|o| Waiting(o.clone(), 1_000_000)).collect();
+        let body = DispatchBody::Open { session: Session(1, 1), waiting, held: Vec::new() };
+        machine.on_message(now, entry, 1, &body, &mut out);
+    }
+    machine.on_listing(now, &listing(), &mut out);
+    let memory = resident().saturating_sub(before);
+
+    let mut grants = Vec::new();
+    let mut seqs: BTreeMap<Instance, (u64, u64)> = BTreeMap::new();
+    let (mut messages, mut bytes, mut ended) = (0, 0, 0);
+    let start = Instant::now();
+    let mut idle = Instant::now().elapsed();
+    while ended < REQUESTS {
+        for output in out.drain(..) {
+            let DispatcherOutput::Send(entry, message) = output else { continue };
+            if let DispatchBody::Grants { grants: new, .. } = &message.body {
+                seqs.entry(entry.clone()).or_default().1 += new.len() as u64;
+                grants.extend(new.iter().map(|grant| (entry.clone(), grant.id)));
+            }
+            // The length is worked out outside the measured time.
+            let pause = Instant::now();
+            messages += 1;
+            bytes += wire_len(message);
+            idle += pause.elapsed();
+        }
+        now = now + Millis(1);
+        let Some((entry, id)) = grants.pop() else {
+            machine.on_listing(now, &listing(), &mut out);
+            machine.tick(now, &mut out);
+            continue;
+        };
+        let (seq, received) = seqs.entry(entry.clone()).or_default();
+        *seq += 1;
+        let body = DispatchBody::Report {
+            session: Session(1, 1).tag(),
+            seq: *seq,
+            received: *received,
+            waiting: Vec::new(),
+            finished: vec![Finished {
+                id,
+                ending: Ending::Completed,
+                cost: 300,
+                first_byte_ms: Some(400),
+            }],
+            progress: Vec::new(),
+        };
+        machine.on_message(now, &entry, 1, &body, &mut out);
+        ended += 1;
+    }
+    let per_request = (start.elapsed() - idle).as_secs_f64() * 1e6 / ended as f64;
+    out.clear();
+    let start = Instant::now();
+    for _ in 0..200 {
+        now = now + Millis(10);
+        machine.tick(now, &mut out);
+    }
+    let per_tick = start.elapsed().as_secs_f64() * 1e6 / 200.0;
+    let exchanges: Vec<usize> = out
+        .drain(..)
+        .filter_map(|output| match output {
+            DispatcherOutput::SendToNeighbours(message) => Some(wire_len(message)),
+            _ => None,
+        })
+        .collect();
+    json!({
+        "organisations": organisations,
+        "backlogged": backlogged.len(),
+        "entries": ENTRIES,
+        "us_per_request": per_request,
+        "us_per_tick": per_tick,
+        "bytes_out_per_request": bytes as f64 / ended as f64,
+        "messages_out_per_request": f64::from(messages) / ended as f64,
+        "exchange_bytes_max": exchanges.iter().max(),
+        "memory_bytes": memory,
+        "memory_bytes_per_organisation": memory as f64 / organisations as f64,
+    })
+}
+
+/// An entry with `open` requests under way: the cost of a request from arrival to end, the bytes
+/// it sends, and the memory of an open request.
+fn entry(open: usize) -> Value {
+    let names = names(BASE_ORGANISATIONS);
+    let document = tutor(&names);
+    let view = View::default();
+    let holder: Instance = "entry-01".into();
+    let mut machine = EntryMachine::new("north".into(), 1);
+    let mut out = Vec::new();
+    let mut now = Millis(1_000);
+    machine.want_session(now, pool(), &holder, 1, None, &mut out);
+    let session = Session(1, 1).tag();
+    let before = resident();
+    let (mut next, mut bytes, mut messages) = (1_u64, 0, 0);
+    let mut running = std::collections::VecDeque::new();
+    let mut heard = 0;
+    let mut idle = std::time::Duration::ZERO;
+    let mut start = Instant::now();
+    let mut measured_from = 0;
+    while next < REQUESTS {
+        now = now + Millis(18);
+        let organisation = Organisation::from(names[next as usize % names.len()].as_str());
+        let arrival = Arrival {
+            id: next,
+            service: "tutor".into(),
+            organisation: organisation.clone(),
+            bytes: 100,
+            idempotent: true,
+            needs_claim: false,
+        };
+        machine.arrive(now, arrival, &document, &mut out);
+        let id = GrantId(1, next);
+        let grant = Grant { id, organisation, upstream: "engine-01".into(), address: address() };
+        let body = DispatchBody::Grants { session, heard, grants: vec![grant] };
+        let message = DispatchMessage { pool: pool(), term: 1, origin: None, body };
+        machine.on_message(now, &view, &holder, &message, &mut out);
+        running.push_back(next);
+        if running.len() > open {
+            let ended = running.pop_front().unwrap_or_default();
+            machine.on_attempt_end(now, ended, AttemptEnd::Completed, 300, Some(400), &mut out);
+        }
+        machine.report(now, &mut out);
+        for output in out.drain(..) {
+            let EntryOutput::Send(_, message) = output else { continue };
+            if let DispatchBody::Report { seq, .. } = &message.body {
+                heard = *seq;
+            }
+            let pause = Instant::now();
+            messages += 1;
+            bytes += wire_len(message);
+            idle += pause.elapsed();
+        }
+        next += 1;
+        if next as usize == open + 100 {
+            // From here on as many end as arrive.
+            (start, idle) = (Instant::now(), std::time::Duration::ZERO);
+            (bytes, messages, measured_from) = (0, 0, next);
+        }
+    }
+    let count = (next - measured_from) as f64;
+    let per_request = (start.elapsed() - idle).as_secs_f64() * 1e6 / count;
+    let memory = resident().saturating_sub(before);
+    black_box(&machine);
+    json!({
+        "open_requests": open,
+        "us_per_request": per_request,
+        "bytes_out_per_request": bytes as f64 / count,
+        "messages_out_per_request": f64::from(messages) / count,
+        "memory_bytes": memory,
+    })
+}
+
+/// The record with `keys` request keys: the cost of a command, memory, snapshot and recovery.
+fn record(keys: usize) -> Value {
+    let before = resident();
+    let mut record = Record::default();
+    let mut index = 0;
+    let mut log_bytes = 0;
+    let start = Instant::now();
+    for n in 0..keys {
+        let key = RequestKey {
+            service: "orders".into(),
+            organisation: format!("organisation-{:05}", n % 490).as_str().into(),
+            key: format!("deposit-{n:012}"),
+        };
+        let id = ClaimId(n as u64, 1);
+        let answer = KeptAnswer {
+            status: 200,
+            content_type: "application/json".to_owned(),
+            body: Some("{\"accepted\":true}".to_owned()),
+        };
+        let claim = Change::Claim { id, key: key.clone(), digest: n as u128, span: Millis(70_000) };
+        let settle = Change::Settle { id, key, settlement: Settlement::Done(answer) };
+        for command in [claim, settle] {
+            index += 1;
+            let payload = Payload::Command(command);
+            let entry = LogEntry { index, term: 1, unix_ms: 1_000 + index, payload };
+            if n == 0 {
+                let mut buf = Vec::new();
+                ciborium::into_writer(&entry, &mut buf).expect("writing to a vector can't fail");
+                log_bytes += buf.len();
+            }
+            black_box(record.apply(&entry));
+        }
+    }
+    let per_command = start.elapsed().as_secs_f64() * 1e6 / index as f64;
+    let memory = resident().saturating_sub(before);
+    let start = Instant::now();
+    let data = record.encode();
+    let snapshot_ms = start.elapsed().as_secs_f64() * 1e3;
+    let start = Instant::now();
+    black_box(Record::decode(&data).expect("a readable snapshot"));
+    let recovery_ms = start.elapsed().as_secs_f64() * 1e3;
+    json!({
+        "keys": keys,
+        "us_per_command": per_command,
+        "log_bytes_per_key": log_bytes,
+        "memory_bytes_per_key": memory as f64 / keys as f64,
+        "snapshot_ms": snapshot_ms,
+        "snapshot_bytes": data.len(),
+        "recovery_ms": recovery_ms,
+    })
+}
+
+/// A whole idle entry among 410 with 38 services of `organisations` in all: the cost of a tick, a
+/// hundred of which pass each second, and the memory of its configuration.
+fn instance(organisations: usize) -> Value {
+    const SERVICES: usize = 38;
+    const NODES: usize = 410;
+    const DOMAINS: usize = 13;
+    let peers = (0..NODES).map(|n| Peer {
+        instance: format!("entry-{n:03}").as_str().into(),
+        address: address(),
+        failure_domain: format!("domain-{:02}", n % DOMAINS).as_str().into(),
+        roles: vec![Role::Entry],
+    });
+    let settings = Settings {
+        instance: "entry-000".into(),
+        peers: peers.collect(),
+        caller_address: Some(address()),
+        operator_address: address(),
+        data: None,
+        fleet_key: "a fleet key of some length".to_owned(),
+        platform_list: "http://127.0.0.1:1/".to_owned(),
+        max_requests: 2_000,
+        static_shares: false,
+    };
+    let before = resident();
+    let mut node = Node::new(Millis(0), settings, 1, 1, None);
+    let names = names(organisations / SERVICES + 1);
+    let members: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let documents = (0..SERVICES).map(|n| {
+        let service = format!("service-{n:02}");
+        let text = document(&service, "model-engine", &members, "slots: {cold: 2, warm: 8}\n");
+        StoredDocument { service: service.as_str().into(), revision: 1, index: n as u64 + 1, text }
+    });
+    let state = RecordMessage::State {
+        index: SERVICES as u64,
+        asked: Some(Millis(0)),
+        age: Some(Millis(0)),
+        documents: documents.collect(),
+        domains: Vec::new(),
+        upstreams: Vec::new(),
+    };
+    let mut out = Vec::new();
+    let start = Instant::now();
+    let input = Input::Received("entry-001".into(), Message::Record(state));
+    node.handle(Millis(1), 1, input, &mut out);
+    let configuration_ms = start.elapsed().as_secs_f64() * 1e3;
+    let memory = resident().saturating_sub(before);
+    out.clear();
+    let start = Instant::now();
+    for n in 0..500 {
+        node.handle(Millis(10 + n), 1, Input::Tick, &mut out);
+        node.flush(Millis(10 + n), 1, &mut out);
+        out.clear();
+    }
+    let per_tick = start.elapsed().as_secs_f64() * 1e6 / 500.0;
+    json!({
+        "organisations": organisations,
+        "services": SERVICES,
+        "us_per_tick": per_tick,
+        "configuration_ms": configuration_ms,
+        "memory_bytes": memory,
+    })
+}
--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -119,19 +119,8 @@
         self.target = (self.target + 1) % self.controls.len().max(1);
     }
 
-    /// Handles the passing of time: returns messages to send, and the proposals given up.
-    pub fn tick(
-        &mut self,
-        now: Millis,
-        have: u64,
-        out: &mut Vec<(Instance, RecordMessage)>,
-    ) -> Vec<(u64, Reply)> {
-        self.pull(now, have, out);
-        self.send_proposals(now, out);
-        self.give_up_overdue(now)
-    }
-
-    fn pull(&mut self, now: Millis, have: u64, out: &mut Vec<(Instance, RecordMessage)>) {
+    /// Asks for the configuration when it is time to.
+    pub fn pull(&mut self, now: Millis, have: u64, out: &mut Vec<(Instance, RecordMessage)>) {
         if let Some((_, asked)) = &self.asked
             && now.since(*asked) > PULL_TIMEOUT
         {
@@ -154,7 +143,8 @@
         }
     }
 
-    fn send_proposals(&mut self, now: Millis, out: &mut Vec<(Instance, RecordMessage)>) {
+    /// Sends the proposals that are new or unanswered for long.
+    pub fn send_proposals(&mut self, now: Millis, out: &mut Vec<(Instance, RecordMessage)>) {
         let due = |proposal: &Proposal| now >= proposal.send_at;
         let unanswered = self.proposals.values().any(|p| p.sent_once && due(p));
         if unanswered {
@@ -169,7 +159,8 @@
         }
     }
 
-    fn give_up_overdue(&mut self, now: Millis) -> Vec<(u64, Reply)> {
+    /// Gives up proposals whose time is over.
+    pub fn give_up_overdue(&mut self, now: Millis) -> Vec<(u64, Reply)> {
         let overdue: Vec<u64> = self
             .proposals
             .iter()
--- a/src/kingcupgrade/coordination/dispatcher/counters.rs
+++ b/src/kingcupgrade/coordination/dispatcher/counters.rs
@@ -240,13 +240,19 @@
         self.accounts.iter().filter_map(known).collect()
     }
 
-    /// Takes up to `most` organisations whose service changed, with their totals.
-    pub fn take_changed(&mut self, most: usize) -> Vec<Served> {
-        let mut taken = Vec::new();
-        while taken.len() < most {
-            let Some(organisation) = self.changed.pop_first() else { break };
-            let account = &self.accounts[&organisation];
-            taken.push(Served(organisation, account.served, account.lift));
+    /// Takes up to `most` organisations whose service changed, with their totals; those without
+    /// backlog only if `all` are wanted, since nobody is compared with them before they have one.
+    pub fn take_changed(&mut self, most: usize, all: bool) -> Vec<Served> {
+        let accounts = &self.accounts;
+        let is_wanted = |o: &&Organisation| all || accounts[*o].waiting > 0;
+        let wanted = self.changed.iter().filter(is_wanted).take(most);
+        let taken = wanted.map(|organisation| {
+            let account = &accounts[organisation];
+            Served(organisation.clone(), account.served, account.lift)
+        });
+        let taken: Vec<Served> = taken.collect();
+        for Served(organisation, ..) in &taken {
+            self.changed.remove(organisation);
         }
         taken
     }
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -185,9 +185,15 @@
     }
 
     /// Lists the sessions due for an acknowledgement, with the grants sent in each.
-    pub fn due_acks(&mut self, now: Millis, interval: Millis) -> Vec<(Instance, SessionTag, u64)> {
+    pub fn due_acks(
+        &mut self,
+        now: Millis,
+        interval: Millis,
+        quiet_interval: Millis,
+    ) -> Vec<(Instance, SessionTag, u64)> {
         let mut due = Vec::new();
         for (entry, state) in &mut self.sessions {
+            let interval = if state.reported.is_empty() { quiet_interval } else { interval };
             if now.since(state.acked_at) >= interval {
                 state.acked_at = now;
                 due.push((entry.clone(), state.session.tag(), state.granted));
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -25,6 +25,7 @@
             Session, SessionTag, Waiting,
         },
     },
+    util::rendezvous::static_shares,
 };
 
 /// How long a new dispatcher lets entries open their sessions before it grants.
@@ -34,13 +35,16 @@
 /// A process heard so recently is not taken for gone on the word of a failed dial, which may have
 /// been under way when the process started.
 const GONE_DELAY: Millis = Millis(300);
-/// How often a session is acknowledged at least.
+/// How often a session with requests waiting is acknowledged at least, and told of offers.
 const ACK_INTERVAL: Millis = Millis(500);
+/// How often any other session is.
+const QUIET_ACK_INTERVAL: Millis = Millis(1_000);
 /// How often totals go to the other dispatchers of the service.
 const EXCHANGE_INTERVAL: Millis = Millis(1_000);
 /// What another dispatcher said is forgotten after this time.
 const EXCHANGE_TTL: Millis = Millis(3_500);
-/// Every so many exchanges all backlogged organisations are sent again.
+/// Every so many exchanges all backlogged organisations are sent again, and with them those whose
+/// service changed without a backlog.
 const FULL_EXCHANGE_EVERY: u64 = 10;
 /// Organisations in one exchange at most; the rest follow in the next.
 const EXCHANGE_BATCH: usize = 200;
@@ -100,6 +104,8 @@
     slots: BTreeMap<UpstreamName, Slots>,
     /// Instances of the failure domain that may use a static share while they can't be heard.
     residents: Vec<Instance>,
+    /// Which resident each listed upstream belongs to by static share.
+    shares: BTreeMap<UpstreamName, Instance>,
     /// Entries whose process is known to be gone.
     gone: BTreeSet<Instance>,
     /// Slots kept back for residents that can't be heard.
@@ -142,6 +148,7 @@
             in_flight: BTreeMap::new(),
             slots: BTreeMap::new(),
             residents,
+            shares: BTreeMap::new(),
             gone: BTreeSet::new(),
             reserved: BTreeMap::new(),
             neighbours: BTreeMap::new(),
@@ -188,6 +195,10 @@
     pub fn on_listing(&mut self, now: Millis, listing: &[Listed], out: &mut Vec<DispatcherOutput>) {
         let listed: BTreeSet<&UpstreamName> = listing.iter().map(|l| &l.upstream).collect();
         self.slots.retain(|name, _| listed.contains(name));
+        if !self.shares.keys().eq(listed.iter().copied()) {
+            let names = listed.iter().map(|name| (*name).clone());
+            self.shares = static_shares(names, &self.residents);
+        }
         for item in listing {
             self.on_listed(now, item, out);
         }
@@ -467,10 +478,8 @@
         if !self.residents.iter().any(silent) {
             return;
         }
-        let names = self.slots.keys().cloned();
-        let shares = crate::util::rendezvous::static_shares(names, &self.residents);
-        let kept = shares.into_iter().filter(|(_, owner)| silent(owner));
-        self.reserved = kept.map(|(name, _)| (name, self.document.slots.cold)).collect();
+        let kept = self.shares.iter().filter(|(_, owner)| silent(owner));
+        self.reserved = kept.map(|(name, _)| (name.clone(), self.document.slots.cold)).collect();
     }
 
     /// Notes that a resident knows of this dispatcher and so uses no static share.
@@ -575,7 +584,8 @@
 
     fn acknowledge(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
         let offers = self.offers(now);
-        for (entry, session, granted) in self.demand.due_acks(now, ACK_INTERVAL) {
+        for (entry, session, granted) in self.demand.due_acks(now, ACK_INTERVAL, QUIET_ACK_INTERVAL)
+        {
             let body = DispatchBody::Ack { session, granted, offers: offers.clone() };
             self.send(&entry, body, out);
         }
@@ -609,10 +619,11 @@
 
     fn exchange(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
         self.exchanges += 1;
-        if self.exchanges.is_multiple_of(FULL_EXCHANGE_EVERY) {
+        let is_full = self.exchanges.is_multiple_of(FULL_EXCHANGE_EVERY);
+        if is_full {
             self.counters.mark_backlogged_changed();
         }
-        let served = self.counters.take_changed(EXCHANGE_BATCH);
+        let served = self.counters.take_changed(EXCHANGE_BATCH, is_full);
         // A pool that can't serve says nothing of its level: nobody's demand is better off here.
         let least = if self.serving { self.counters.least() } else { None };
         let body = DispatchBody::Exchange { free: self.idle_slots(now), least, served };
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -160,6 +160,8 @@
     sessions: BTreeMap<Pool, PoolSession>,
     held: BTreeMap<(Pool, GrantId), HeldGrant>,
     services: BTreeMap<Service, ServiceState>,
+    /// Open requests of each service; looked up with every tick.
+    open: BTreeMap<Service, usize>,
     draining: bool,
 }
 
@@ -176,6 +178,7 @@
             sessions: BTreeMap::new(),
             held: BTreeMap::new(),
             services: BTreeMap::new(),
+            open: BTreeMap::new(),
             draining: false,
         }
     }
@@ -202,10 +205,20 @@
         self.requests.contains_key(&id)
     }
 
-    /// Tells whether any request of `service` waits or holds a grant here.
+    /// Lists the services of which requests are open here.
+    pub fn active_services(&self) -> impl Iterator<Item = &Service> {
+        self.open.keys()
+    }
+
+    /// Tells whether any request of `service` is open here.
     pub fn is_active(&self, service: &Service) -> bool {
-        self.queues.waiting(service).next().is_some()
-            || self.held.keys().any(|(pool, _)| pool.0 == *service)
+        self.open.contains_key(service)
+    }
+
+    /// Tells whether a grant of the pool is in use here.
+    fn holds(&self, pool: &Pool) -> bool {
+        let first = (pool.clone(), GrantId(0, 0));
+        self.held.range(first..).next().is_some_and(|((held, _), _)| held == pool)
     }
 
     /// Admits a request or refuses it.
@@ -240,6 +253,7 @@
         self.services.entry(service.clone()).or_default().budget.earn();
         self.deadlines.insert((request.deadline, id));
         self.requests.insert(id, request);
+        *self.open.entry(service.clone()).or_default() += 1;
         self.queues.push_back(&service, &organisation, id, bytes);
         self.note_changed(&service, &organisation);
     }
@@ -320,8 +334,7 @@
         };
         let pool = &message.pool;
         let is_known = self.sessions.contains_key(pool);
-        let holds = self.held.keys().any(|(held, _)| held == pool);
-        if !is_known && !holds {
+        if !is_known && !self.holds(pool) {
             let body = DispatchBody::Close { session: *session };
             self.send(from, pool.clone(), message.term, body, out);
         }
@@ -436,6 +449,12 @@
     fn remove(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.deadlines.remove(&(request.deadline, id));
+        if let Some(count) = self.open.get_mut(&request.service) {
+            *count -= 1;
+            if *count == 0 {
+                self.open.remove(&request.service);
+            }
+        }
         let Request { service, organisation, .. } = &request;
         if matches!(request.stage, Stage::Queued) {
             self.queues.take(service, organisation, |queued| queued == id);
@@ -634,7 +653,8 @@
     }
 
     fn all_held(&self, pool: &Pool) -> Vec<Held> {
-        let of_pool = self.held.iter().filter(|((p, _), _)| p == pool);
+        let first = (pool.clone(), GrantId(0, 0));
+        let of_pool = self.held.range(first..).take_while(|((p, _), _)| p == pool);
         let as_held = |((_, id), held): (&(Pool, GrantId), &HeldGrant)| Held {
             id: *id,
             organisation: held.organisation.clone(),
@@ -688,7 +708,7 @@
     fn keep_sessions(&mut self, now: Millis, view: &View, out: &mut Vec<EntryOutput>) {
         let pools: Vec<Pool> = self.sessions.keys().cloned().collect();
         for pool in pools {
-            let holds = self.held.keys().any(|(p, _)| *p == pool);
+            let holds = self.holds(&pool);
             let is_active = self.is_active(&pool.0);
             let unsure = pool.1 != self.domain && !view.is_fresh(now);
             self.mute(&pool, unsure);
--- a/src/kingcupgrade/coordination/entry/session.rs
+++ b/src/kingcupgrade/coordination/entry/session.rs
@@ -14,9 +14,9 @@
 /// A session that says nothing for this long sends an empty report.
 const HEARTBEAT: Millis = Millis(500);
 /// A session not acknowledged for this long is opened anew.
-const ACK_SILENCE: Millis = Millis(1_500);
+const ACK_SILENCE: Millis = Millis(2_200);
 /// News that may free or fill a slot is gathered for this long before it is reported.
-const GATHERING: Millis = Millis(10);
+const GATHERING: Millis = Millis(5);
 /// All other news is gathered for this long.
 const LAZY_GATHERING: Millis = Millis(100);
 /// While the dispatcher believes that at least so many requests of an organisation wait, the
--- a/src/kingcupgrade/coordination/lease.rs
+++ b/src/kingcupgrade/coordination/lease.rs
@@ -16,8 +16,10 @@
 pub const LEASE: Millis = Millis(2_000);
 /// A holder stops this much before its voters' promises end, for clocks that run at other speeds.
 const MARGIN: Millis = Millis(200);
-/// How often leases are renewed and announced.
+/// How often leases are renewed.
 const RENEWAL: Millis = Millis(500);
+/// How often they are announced to the whole failure domain.
+const ANNOUNCEMENT: Millis = Millis(1_000);
 /// Each further rank waits this much longer before it asks for a lease without holder.
 const RANK_DELAY: Millis = Millis(300);
 /// An instance that has not won a lease this long after asking gives its votes back.
@@ -84,6 +86,8 @@
     residents: Vec<Instance>,
     started: Millis,
     services: Vec<Service>,
+    /// This instance's rank for each service; looked up with every tick.
+    ranks: BTreeMap<Service, u64>,
     votes: BTreeMap<Service, Vote>,
     holders: BTreeMap<Service, Holder>,
     held: BTreeMap<Service, Lease>,
@@ -97,6 +101,7 @@
     rounds: BTreeMap<u64, Round>,
     next_round: u64,
     next_renewal: Millis,
+    next_announcement: Millis,
     retired: bool,
     /// Services of which requests run here under a static share.
     sharing: Vec<Service>,
@@ -123,6 +128,7 @@
             residents,
             started: now,
             services: Vec::new(),
+            ranks: BTreeMap::new(),
             votes: BTreeMap::new(),
             holders: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -133,6 +139,7 @@
             rounds: BTreeMap::new(),
             next_round: 1,
             next_renewal: now,
+            next_announcement: now,
             retired: false,
             sharing: Vec::new(),
         }
@@ -140,9 +147,16 @@
 
     /// Sets the services whose pools need a dispatcher.
     pub fn set_services(&mut self, services: Vec<Service>) {
+        let ranks = services.iter().map(|service| (service.clone(), self.work_out_rank(service)));
+        self.ranks = ranks.collect();
         self.services = services;
     }
 
+    fn work_out_rank(&self, service: &Service) -> u64 {
+        let ranked = ranking(service.as_str(), self.residents.iter().cloned());
+        ranked.iter().position(|i| *i == self.instance).unwrap_or(ranked.len()) as u64
+    }
+
     /// Sets the services of which requests run here under a static share.
     pub fn set_sharing(&mut self, services: Vec<Service>) {
         self.sharing = services;
@@ -190,7 +204,9 @@
         let mut claims = self.new_attempts(now);
         if now >= self.next_renewal {
             self.next_renewal = now + RENEWAL;
-            self.announce(now, out);
+            if now >= self.next_announcement {
+                self.announce(now, out);
+            }
             claims.extend(self.held_claims());
         }
         if !claims.is_empty() {
@@ -245,8 +261,7 @@
     }
 
     fn rank(&self, service: &Service) -> u64 {
-        let ranked = ranking(service.as_str(), self.residents.iter().cloned());
-        ranked.iter().position(|i| *i == self.instance).unwrap_or(ranked.len()) as u64
+        self.ranks.get(service).copied().unwrap_or(0)
     }
 
     fn request(&mut self, now: Millis, claims: Vec<Claim>, out: &mut Vec<LeaseOutput>) {
@@ -263,6 +278,8 @@
     }
 
     fn announce(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        // A little early, so that the renewal it falls on is not missed by a tick.
+        self.next_announcement = now + ANNOUNCEMENT.since(Millis(RENEWAL.0 / 2));
         let claims = self.held_claims();
         if claims.is_empty() {
             return;
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -289,6 +289,7 @@
     pub fn flush(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<Output>) {
         self.run_control(out, |control, outputs| control.flush(now, outputs));
         self.run_entry(now, out, |entry, _, outputs| entry.report(now, outputs));
+        self.send_proposals(now, out);
         self.deliver_own(now, unix_ms, out);
     }
 
@@ -387,7 +388,7 @@
 
     fn on_gained(&mut self, now: Millis, service: Service, term: u64, out: &mut Vec<Output>) {
         let Some(in_force) = self.view.documents().get(&service) else { return };
-        let document = in_force.document.clone();
+        let document = (*in_force.document).clone();
         let residents = residents(&self.settings, &self.domain);
         let dispatcher = self.new_dispatcher(now, &service, term, document, residents);
         self.dispatchers.insert(service.clone(), dispatcher);
@@ -883,7 +884,7 @@
             return;
         }
         let Some(in_force) = self.view.documents().get(service) else { return };
-        let mut document = in_force.document.clone();
+        let mut document = (*in_force.document).clone();
         if !self.settings.static_shares {
             // A dispatcher on the other side of a cut keeps back just the cold limit.
             let cold = document.slots.cold;
@@ -904,6 +905,11 @@
         out: &mut Vec<Output>,
     ) {
         let reply = match request {
+            OperatorRequest::Change { command: Command::SetDomain { domain, .. } }
+                if !self.settings.peers.iter().any(|peer| peer.failure_domain == domain) =>
+            {
+                nothing_there(&format!("no instance is in a failure domain {domain}"))
+            }
             OperatorRequest::Change { command } => {
                 let proposal = self.client.propose(now, command, CHANGE_PATIENCE);
                 self.awaited.insert(proposal, Awaited::Operator(ticket));
@@ -993,20 +999,28 @@
         }
         self.keep_shares(now, out);
         self.tick_dispatchers(now, out);
-        let services: Vec<Service> = self.view.documents().keys().cloned().collect();
-        for service in services {
+        let active = self.entry.iter().flat_map(|entry| entry.active_services().cloned());
+        for service in active.collect::<Vec<_>>() {
             self.ensure_sessions(now, &service, out);
         }
         self.run_entry(now, out, |entry, view, outputs| entry.tick(now, view, outputs));
     }
 
+    fn send_proposals(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let mut messages = Vec::new();
+        self.client.send_proposals(now, &mut messages);
+        for (to, message) in messages {
+            self.send(to, Message::Record(message), out);
+        }
+    }
+
     fn tick_client(&mut self, now: Millis, out: &mut Vec<Output>) {
         let mut messages = Vec::new();
-        let overdue = self.client.tick(now, self.view.index(), &mut messages);
+        self.client.pull(now, self.view.index(), &mut messages);
         for (to, message) in messages {
             self.send(to, Message::Record(message), out);
         }
-        for (id, reply) in overdue {
+        for (id, reply) in self.client.give_up_overdue(now) {
             self.on_answer(now, id, reply, out);
         }
     }
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -3,7 +3,10 @@
 //! Every part carries its place in the record and is replaced only by a later one, so an old
 //! message, an isolated control instance or a restarted neighbour can never take a part back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     core::{Document, FailureDomain, Millis, Service, UpstreamName},
@@ -19,8 +22,8 @@
 /// A document in force and where it stands.
 #[derive(Clone, Debug)]
 pub struct InForce {
-    /// The document.
-    pub document: Document,
+    /// The document, shared with the requests that run under it.
+    pub document: Arc<Document>,
     /// As it is stored.
     pub stored: StoredDocument,
 }
@@ -108,7 +111,7 @@
         // The record holds checked documents only; one that fails here was checked by a newer
         // program, and the known one stays in force.
         let Ok(document) = Document::parse(&stored.text) else { return false };
-        let in_force = InForce { document, stored: stored.clone() };
+        let in_force = InForce { document: Arc::new(document), stored: stored.clone() };
         self.documents.insert(stored.service.clone(), in_force);
         true
     }
--- a/src/kingcupgrade/core/document.rs
+++ b/src/kingcupgrade/core/document.rs
@@ -4,7 +4,7 @@
 //! be in force on some instances in another form than its author wrote.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
 };
 
@@ -134,6 +134,9 @@
     pub limits: Limits,
     /// Limits on upstreams.
     pub slots: SlotLimits,
+    /// Organisations by token digest; thousands of them are looked up in with every request.
+    #[serde(skip)]
+    by_digest: HashMap<String, Organisation>,
 }
 
 impl Document {
@@ -147,17 +150,24 @@
         if text.len() > MAX_DOCUMENT_LEN {
             return Err(invalid(format!("the document exceeds {MAX_DOCUMENT_LEN} bytes")));
         }
-        let document: Document =
+        let mut document: Document =
             serde_norway::from_str(text).map_err(|err| invalid(err.to_string()))?;
         document.check().map_err(invalid)?;
+        document.index_tokens();
         Ok(document)
     }
 
     /// Finds the organisation a bearer token belongs to.
     pub fn organisation_of(&self, token: &str) -> Option<&Organisation> {
-        let digest = sha256_hex(token.as_bytes());
-        let mut members = self.organisations.iter();
-        members.find(|(_, member)| member.token_digests.contains(&digest)).map(|(name, _)| name)
+        self.by_digest.get(&sha256_hex(token.as_bytes()))
+    }
+
+    fn index_tokens(&mut self) {
+        let members = self.organisations.iter();
+        let digests = members.flat_map(|(name, member)| {
+            member.token_digests.iter().map(move |digest| (digest.clone(), name.clone()))
+        });
+        self.by_digest = digests.collect();
     }
 
     /// Tells whether a request must never be repeated.
--- a/src/kingcupgrade/state/log.rs
+++ b/src/kingcupgrade/state/log.rs
@@ -51,12 +51,16 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: VecDeque<LogEntry>,
+    /// The indexes of the entries that set members; looked up with every message.
+    member_changes: Vec<u64>,
 }
 
 impl Log {
     /// Makes a log from what the disk held.
     pub fn new(snapshot: Snapshot, entries: impl IntoIterator<Item = LogEntry>) -> Log {
-        Log { snapshot, entries: entries.into_iter().collect() }
+        let mut log = Log { snapshot, entries: VecDeque::new(), member_changes: Vec::new() };
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
     }
 
     /// Returns the newest snapshot.
@@ -105,6 +109,9 @@
     /// Appends an entry.
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last().index + 1, "entries follow each other");
+        if matches!(entry.payload, Payload::Members(_)) {
+            self.member_changes.push(entry.index);
+        }
         self.entries.push_back(entry);
     }
 
@@ -112,6 +119,7 @@
     pub fn truncate(&mut self, index: u64) {
         let kept = index.saturating_sub(self.snapshot.position.index + 1);
         self.entries.truncate(kept as usize);
+        self.member_changes.retain(|change| *change < index);
     }
 
     /// Replaces the entries up to the snapshot's position by the snapshot.
@@ -119,7 +127,9 @@
         let fits = self.term(snapshot.position.index) == Some(snapshot.position.term);
         if !fits {
             self.entries.clear();
+            self.member_changes.clear();
         }
+        self.member_changes.retain(|change| *change > snapshot.position.index);
         while self.entries.front().is_some_and(|entry| entry.index <= snapshot.position.index) {
             self.entries.pop_front();
         }
@@ -128,20 +138,16 @@
 
     /// Returns the members as of the end of the log, and the index that set them.
     pub fn members(&self) -> (&[Member], u64) {
-        let last = self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Members(members) => Some((members.as_slice(), entry.index)),
-            _ => None,
-        });
-        last.unwrap_or((&self.snapshot.members, self.snapshot.position.index))
+        let index = self.member_changes.last().copied();
+        (self.members_at(u64::MAX), index.unwrap_or(self.snapshot.position.index))
     }
 
     /// Returns the members as of the entry at `index`.
     pub fn members_at(&self, index: u64) -> &[Member] {
-        let until = self.entries.iter().rev().skip_while(|entry| entry.index > index);
-        let mut members = until.filter_map(|entry| match &entry.payload {
-            Payload::Members(members) => Some(members.as_slice()),
-            _ => None,
-        });
-        members.next().unwrap_or(&self.snapshot.members)
+        let change = self.member_changes.iter().rev().find(|change| **change <= index);
+        match change.and_then(|change| self.entry(*change)).map(|entry| &entry.payload) {
+            Some(Payload::Members(members)) => members,
+            _ => &self.snapshot.members,
+        }
     }
 }
--- a/src/kingcupgrade/transport/callers.rs
+++ b/src/kingcupgrade/transport/callers.rs
@@ -41,8 +41,9 @@
 const MAX_WHOLE_ANSWER: u64 = 64 << 20;
 /// Added to a request's deadline before its thread stops waiting for the node.
 const VERDICT_SLACK: Duration = Duration::from_secs(10);
-/// How often a streaming answer's cost is reported.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(1_000);
+/// A streaming answer's cost is first reported when it reaches this, then whenever it has doubled:
+/// a dispatcher is never wrong by more than that, and a long answer costs few messages.
+const FIRST_PROGRESS: u32 = 64;
 /// Threads that accept connections.
 const ACCEPTORS: usize = 2;
 /// When a caller turned away by a full instance should come back.
@@ -175,7 +176,7 @@
         body,
         silence: Duration::from_millis(document.limits.silence_ms),
     };
-    let document = Arc::new(document.clone());
+    let document = document.clone();
     Ok(Admitted { document, service, organisation, idempotent, keyed, upstream })
 }
 
@@ -387,7 +388,7 @@
             },
         };
         let mut first_byte = None;
-        let mut reported = Instant::now();
+        let mut next_progress = FIRST_PROGRESS;
         let mut reader = response.body_mut().as_reader();
         let mut buf = [0; 16 << 10];
         let mut partial = Vec::new();
@@ -418,8 +419,8 @@
             }
             events += whole.count;
             partial.drain(..whole.len);
-            if reported.elapsed() >= PROGRESS_INTERVAL {
-                reported = Instant::now();
+            if cost_of(events) >= next_progress {
+                next_progress = cost_of(events).saturating_mul(2);
                 let input = Input::Progressed(self.id, cost_of(events));
                 let _ = self.shared.events.send(Event::Input(input));
             }
--- /dev/null
+++ b/tests/testsuite/input.rs
@@ -0,0 +1,201 @@
+//! Bad input: a numbered error that says where and what, nothing accepted in part, nothing lost.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    process::Command,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use insta::assert_snapshot;
+use kingcup_support::{
+    caller::Caller, engine::EngineConfig, fleet::token, free_address, wait_until,
+};
+use kingcupgrade::{
+    core::{Document, Settings},
+    protocol::{Message, lease::LeaseMessage},
+    transport::peers::Peers,
+};
+
+use crate::support::{PATIENCE, prompt, start, tutor_document};
+
+fn document_error(text: &str) -> String {
+    Document::parse(text).expect_err("a refused document").to_string()
+}
+
+fn settings_text() -> String {
+    "instance: entry-0\n\
+     peers:\n\
+     - {instance: entry-0, address: 127.0.0.1:7000, failure_domain: north, roles: [entry]}\n\
+     caller_address: 127.0.0.1:7001\n\
+     operator_address: 127.0.0.1:7002\n\
+     fleet_key: a key that is long enough\n\
+     platform_list: http://127.0.0.1:7003/\n"
+        .to_owned()
+}
+
+fn settings_error(from: &str, to: &str) -> String {
+    let text = settings_text();
+    assert!(text.contains(from));
+    Settings::parse(&text.replace(from, to)).expect_err("refused settings").to_string()
+}
+
+// An operator's slip in a document would otherwise be in force half: the last of two shares wins,
+// or a pattern is shadowed by another and a deposit may repeat.
+#[test]
+fn a_wrong_document_is_refused_with_place_and_reason() {
+    let digest = "0".repeat(64);
+    let with = |organisations: &str, rest: &str| {
+        format!(
+            "service: tutor\nkind: model-engine\norganisations:\n{organisations}\
+             slots: {{cold: 1, warm: 2}}\n{rest}"
+        )
+    };
+    let one = format!("  alder: {{share: 1, token_digests: [{digest:?}]}}\n");
+    let errors = [
+        document_error(&with(&format!("{one}{one}"), "")),
+        document_error(&with("  alder: {share: -1, token_digests: []}\n", "")),
+        document_error(&with("  alder: {share: 0, token_digests: []}\n", "")),
+        document_error(&with("  al der: {share: 1, token_digests: []}\n", "")),
+        document_error(&with("  alder: {share: 1, token_digests: [secret]}\n", "")),
+        document_error(&with(&one, "colour: red\n")),
+        document_error(&with(
+            &one,
+            "never_repeat:\n- {method: POST, path: /deposits/*}\n- {method: POST, path: /deposits/new}\n",
+        )),
+        document_error(&with(&one, "limits: {deadline_ms: 0}\n")),
+        document_error(&with("  {}\n", "")),
+        document_error("service: [\n"),
+    ];
+    assert_snapshot!(errors.join("\n"));
+}
+
+// A settings file with a slip must not start an instance that does something else than it says.
+#[test]
+fn wrong_settings_are_refused_with_place_and_reason() {
+    let errors = [
+        settings_error("instance: entry-0\npeers", "instance: entry-9\npeers"),
+        settings_error("127.0.0.1:7002", "localhost"),
+        settings_error("roles: [entry]", "roles: [entrance]"),
+        settings_error("roles: [entry]", "roles: [control]"),
+        settings_error("a key that is long enough", "short"),
+        settings_error("fleet_key", "fleet_keys"),
+        settings_error("http://127.0.0.1:7003/", "ftp://there"),
+    ];
+    assert_snapshot!(errors.join("\n"));
+}
+
+// Callers make mistakes all day. Each gets a number and a reason, and the entry goes on.
+#[test]
+fn wrong_requests_are_refused_with_numbers() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let entry = world.fleet.entry("entry-north-0");
+    let caller = Caller::new(&token("alder"));
+    let stranger = Caller::new("no such token");
+    let large = "x".repeat(2 << 20);
+    let codes = [
+        stranger.post(entry, "/tutor/generate", "{}", None).code,
+        caller.post(entry, "/nothing/there", "{}", None).code,
+        caller.post(entry, "/", "{}", None).code,
+        caller.post(entry, "/tutor/generate", &large, None).code,
+        caller.post(entry, "/orders/deposits", "50", None).code,
+        caller.post(entry, "/orders/deposits", "50", Some(&"k".repeat(300))).code,
+    ];
+    assert_eq!(codes, [2002, 2003, 2001, 2004, 2006, 2001]);
+    let mut raw = TcpStream::connect(entry).expect("a connection");
+    raw.write_all(b"this is not HTTP\r\n\r\n").expect("written");
+    let mut answer = String::new();
+    let _ = raw.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 400") || answer.is_empty(), "{answer}");
+    let asked = prompt("after", "alder", 3);
+    assert!(caller.prompt(entry, "tutor", &asked).answers(&asked));
+}
+
+// Somebody without the fleet key connects and claims a lease. The frame is dropped and counted,
+// and whoever looks at the metrics sees that it was tried.
+#[test]
+fn a_peer_without_the_fleet_key_is_dropped_and_counted() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let text =
+        std::fs::read_to_string(world.fleet.settings_path("entry-north-0")).expect("settings");
+    let mut settings: Settings = Settings::parse(&text).expect("valid settings");
+    let target = settings.own().address;
+    for peer in &mut settings.peers {
+        peer.address =
+            if peer.instance.as_str() == "entry-north-0" { target } else { free_address() };
+    }
+    settings.instance = "control-north".into();
+    settings.fleet_key = "another key, just as long".to_owned();
+    let (tx, _rx) = mpsc::channel();
+    let stranger = Peers::start(Arc::new(settings), tx).expect("a listening stranger");
+    let claim = Message::Lease(LeaseMessage::Announce { claims: Vec::new() });
+    stranger.send(&"entry-north-0".into(), claim);
+    let counted = || {
+        let address = world.fleet.operator_address("entry-north-0");
+        let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
+        metrics.contains("kingcup_peer_frames_refused 1")
+    };
+    assert!(wait_until(PATIENCE, counted), "the frame is not counted");
+    let asked = prompt("after", "alder", 3);
+    let entry = world.fleet.entry("entry-north-0");
+    assert!(Caller::new(&token("alder")).prompt(entry, "tutor", &asked).answers(&asked));
+}
+
+fn kingcup(fleet: &std::path::Path, args: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_kingcup"))
+        .arg("--fleet")
+        .arg(fleet)
+        .args(args)
+        .output()
+        .expect("the operator's tool");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    (output.status.code(), text)
+}
+
+// An operator works with the tool alone: each step says what came of it, in words and by exit code.
+#[test]
+fn the_operators_tool_applies_refuses_and_reports() {
+    let world = start(&["north"], 1, &EngineConfig::default());
+    let fleet = world.fleet.fleet_file().expect("a fleet file");
+    let document = fleet.with_file_name("tutor-document.yaml");
+    std::fs::write(&document, tutor_document()).expect("a written document");
+    let path = document.to_str().expect("a plain path");
+    let steps: [&[&str]; 12] = [
+        &["check", path],
+        &["apply", path, "--change-id", "first"],
+        &["apply", path, "--change-id", "first", "--base", "0"],
+        &["apply", path, "--base", "0"],
+        &["apply", "/nowhere.yaml"],
+        &["domain", "out", "north", "--wait"],
+        &["domain", "sideways", "north"],
+        &["domain", "out", "nroth"],
+        &["domain", "in", "north"],
+        &["upstream", "leave", "engine-north"],
+        &["get", "nothing"],
+        &["member", "remove", "nobody"],
+    ];
+    let mut report = String::new();
+    for step in steps {
+        let (code, text) = kingcup(&fleet, step);
+        let shown: Vec<&str> =
+            step.iter().map(|a| if *a == path { "tutor.yaml" } else { *a }).collect();
+        let text = text.replace(path, "tutor.yaml");
+        // How long a change took is not part of what is compared.
+        let text: Vec<&str> =
+            text.lines().filter(|line| !line.starts_with("in force on")).collect();
+        report += &format!("$ kingcup {}\n{}\nexit {code:?}\n", shown.join(" "), text.join("\n"));
+    }
+    assert_snapshot!(report);
+    let (code, status) = kingcup(&fleet, &["status"]);
+    assert_eq!(code, Some(0));
+    assert!(status.contains("entry-north-0") && status.contains("leads the record"), "{status}");
+    assert_eq!(kingcup(&fleet, &["nonsense"]).0, Some(2));
+    let held = fleet.with_file_name("control-north.data");
+    let (code, text) = kingcup(&fleet, &["verify", held.to_str().expect("a plain path")]);
+    assert_eq!(code, Some(0), "{text}");
+    // The instances go on after all of it.
+    let alive = || world.fleet.status("control-north").is_ok();
+    assert!(wait_until(Duration::from_secs(5), alive));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod deposits;
+mod disk;
+mod input;
 mod model_nodes;
 mod model_record;
 mod pools;
--- a/tests/testsuite/record.rs
+++ b/tests/testsuite/record.rs
@@ -29,11 +29,11 @@
 
 use crate::support::{PATIENCE, daemon, orders_document, start, tutor_document};
 
-fn domain_change(n: usize) -> Command {
-    Command::SetDomain {
+fn small_change(n: usize) -> Command {
+    Command::SetLeaving {
         change: format!("change-{n}"),
-        domain: "elsewhere".into(),
-        out: n.is_multiple_of(2),
+        upstream: "elsewhere".into(),
+        leaving: n.is_multiple_of(2),
     }
 }
 
@@ -109,9 +109,9 @@
     let mut last = (0, 0);
     for round in 0..4 {
         let leader = wait_for_leader(&world.fleet);
-        last = accepted(&world.fleet, &domain_change(round));
+        last = accepted(&world.fleet, &small_change(round));
         world.fleet.kill(&leader);
-        let again = accepted(&world.fleet, &domain_change(round));
+        let again = accepted(&world.fleet, &small_change(round));
         assert_eq!(again, last, "a resend after the kill got another answer");
         world.fleet.run(&leader).expect("a started control instance");
     }
@@ -138,7 +138,7 @@
         start(&["north", "south", "west"], 1, &EngineConfig::default()).with_documents();
     let mut last = (0, 0);
     for n in 0..300 {
-        last = accepted(&world.fleet, &domain_change(n));
+        last = accepted(&world.fleet, &small_change(n));
     }
     let controls = world.fleet.controls();
     controls.iter().for_each(|(control, _)| world.fleet.kill(control));
@@ -149,7 +149,7 @@
     controls.iter().for_each(|(control, _)| world.fleet.run(control).expect("a started instance"));
     let all_back = || controls.iter().all(|(control, _)| index_of(&world.fleet, control) >= last.1);
     assert!(wait_until(PATIENCE, all_back), "an accepted change is lost");
-    assert!(accepted(&world.fleet, &domain_change(300)).1 > last.1);
+    assert!(accepted(&world.fleet, &small_change(300)).1 > last.1);
 }
 
 // A control instance hears and reaches nobody for a while. It must not call its old state the
@@ -164,7 +164,7 @@
     fleet.isolate(&cut, true);
     let stale = || fleet.status(&cut).is_ok_and(|status| !status.fresh);
     assert!(wait_until(PATIENCE, stale), "it still confirms its state");
-    let (_, index) = accepted(&fleet, &domain_change(1));
+    let (_, index) = accepted(&fleet, &small_change(1));
     thread::sleep(Duration::from_secs(3));
     assert!(index_of(&fleet, &cut) < index);
     fleet.isolate(&cut, false);
@@ -187,7 +187,7 @@
     let term = || fleet.status(&leader).ok().and_then(|s| s.control).map(|c| c.term);
     let before = term();
     thread::sleep(Duration::from_secs(4));
-    let (_, index) = accepted(&fleet, &domain_change(1));
+    let (_, index) = accepted(&fleet, &small_change(1));
     assert_eq!(term(), before, "the deaf instance deposed the leader");
     fleet.link(&leader, deaf).cut(false);
     fleet.link(&others[1], deaf).cut(false);
@@ -203,7 +203,7 @@
     let names: Vec<String> =
         fleet.controls().into_iter().map(|(i, _)| i).filter(|i| *i != leader).collect();
     let (lost, second) = (&names[0], &names[1]);
-    let (_, before) = accepted(&fleet, &domain_change(1));
+    let (_, before) = accepted(&fleet, &small_change(1));
     fleet.kill(lost);
     fs::remove_dir_all(fleet.data_folder(lost)).expect("a removed folder");
     fleet.run(lost).expect("a started instance");
@@ -219,7 +219,7 @@
     let removed = || fleet.client().change(remove.clone()).is_ok();
     assert!(wait_until(PATIENCE, removed), "the old replica can't be removed");
     fleet.kill(second);
-    let (_, index) = accepted(&fleet, &domain_change(2));
+    let (_, index) = accepted(&fleet, &small_change(2));
     assert!(index > before);
     assert!(wait_until(PATIENCE, || index_of(&fleet, lost) >= index), "the new replica lags");
 }
@@ -256,7 +256,7 @@
         base = accepted(&fleet, &apply).0;
     }
     assert_eq!(failed(&fleet).map(|err| err.code), Some(Code::StorageFailed));
-    let (_, index) = accepted(&fleet, &domain_change(1));
+    let (_, index) = accepted(&fleet, &small_change(1));
     for control in ["control-1", "control-2"] {
         assert!(wait_until(PATIENCE, || index_of(&fleet, control) >= index));
     }
