--- a/crates/kingcup-load/src/experiment.rs
+++ b/crates/kingcup-load/src/experiment.rs
@@ -1,12 +1,13 @@
 //! One experiment: a scenario under a policy.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
 
-use kingcup_support::{caller::Caller, engine::EngineRecord};
+use kingcup_support::{caller::Caller, engine::EngineRecord, fleet::Usage};
 
 use crate::{
     load::{End, Load, MAX_TOKENS},
@@ -53,6 +54,7 @@
     let seconds = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
     let from = Instant::now();
     let control_before = control_bytes(&world);
+    let usage_before = usages(&world);
     let mut result = ExperimentResult {
         scenario: scenario.name().to_owned(),
         policy: policy.name().to_owned(),
@@ -63,6 +65,7 @@
     let changed = events.play(scenario, seconds, &mut result)?;
     let until = Instant::now();
     let control_after = control_bytes(&world);
+    let usage_after = usages(&world);
     progress("callers finish");
     load.finish();
     let window = Window { from, until };
@@ -70,6 +73,13 @@
     let pairs = control_before.iter().zip(&control_after);
     let rates = pairs.map(|(before, after)| (after - before).max(0.0) / result.seconds);
     result.control_bytes_per_s_max = rates.fold(0.0, f64::max);
+    for (instance, after) in &usage_after {
+        // An instance started meanwhile counts from zero.
+        let before = usage_before.get(instance).map_or(0.0, |usage| usage.control_seconds);
+        let percent = (after.control_seconds - before).max(0.0) / result.seconds * 100.0;
+        result.control_cpu_percent_max = result.control_cpu_percent_max.max(percent);
+        result.memory_mb_max = result.memory_mb_max.max(after.memory as f64 / 1e6);
+    }
     evaluate(scenario, &world, &load, window, changed, &mut result);
     Ok(result)
 }
@@ -229,6 +239,11 @@
     under_way + rate * others * EXCHANGE_LAG.as_secs_f64() / least_share
 }
 
+fn usages(world: &World) -> BTreeMap<String, Usage> {
+    let instances = world.fleet.entries().into_iter().chain(world.fleet.controls());
+    instances.filter_map(|(i, _)| world.fleet.usage(&i).map(|usage| (i, usage))).collect()
+}
+
 /// Returns the bytes each instance has sent to others.
 fn control_bytes(world: &World) -> Vec<f64> {
     let caller = Caller::new("");
@@ -236,12 +251,6 @@
     let bytes = instances.map(|(instance, _)| {
         let text = caller.get(world.fleet.operator_address(&instance), "/metrics");
         let text = text.unwrap_or_default();
-        if std::env::var_os("KINGCUP_TRACE").is_some() {
-            eprintln!("{instance}");
-            text.lines()
-                .filter(|l| l.starts_with("kingcup_peer_"))
-                .for_each(|l| eprintln!("  {l}"));
-        }
         let lines = text.lines().filter(|line| line.starts_with("kingcup_peer_bytes_sent"));
         let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
         values.sum()
--- a/crates/kingcup-load/src/result.rs
+++ b/crates/kingcup-load/src/result.rs
@@ -28,6 +28,10 @@
     pub(crate) fairness_bound: f64,
     pub(crate) utilisation: Option<f64>,
     pub(crate) control_bytes_per_s_max: f64,
+    /// Processor time of control state and messages of the busiest instance, in percent of a core.
+    pub(crate) control_cpu_percent_max: f64,
+    /// Resident memory of the largest instance, in megabytes; traffic threads included.
+    pub(crate) memory_mb_max: f64,
     pub(crate) first_token_ms_p95: Option<f64>,
     /// The same before the flood, of the same organisations.
     pub(crate) first_token_ms_p95_before: Option<f64>,
@@ -109,6 +113,10 @@
                 "  control traffic at most {:.0} bytes/s an instance",
                 self.control_bytes_per_s_max
             ),
+            format!(
+                "  control state at most {:.1}% of a core, memory at most {:.0} MB an instance",
+                self.control_cpu_percent_max, self.memory_mb_max
+            ),
             format!("  first token p95 {}", optional(self.first_token_ms_p95, " ms")),
             format!(
                 "  first token p95 before the flood {}",
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -33,7 +33,7 @@
 };
 
 /// How often the node sees time pass.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(25);
 /// Events handled in one turn; their writes share one sync.
 const MAX_BATCH: usize = 512;
 
