--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -21,6 +21,13 @@
             /// Prints one JSON object.
             optional --json
         }
+        /// Draws results side by side.
+        cmd report {
+            /// Files of results, one JSON object a line.
+            repeated results: PathBuf
+            /// The picture (.svg) or page (.html) to write.
+            required --out path: PathBuf
+        }
         /// Measures how fast the durable record commits; prints one JSON object.
         cmd record {}
         /// Measures what one instance of each role costs at growing sizes; prints JSON.
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod measure;
 mod record;
+mod report;
 mod result;
 mod scenario;
 mod slopes;
@@ -29,6 +30,7 @@
         KingcupLoadCmd::Run(args) => run(&args),
         KingcupLoadCmd::Slopes(_) => slopes::exec(),
         KingcupLoadCmd::Slope(args) => slopes::exec_one(&args.part, args.factor),
+        KingcupLoadCmd::Report(args) => report::exec(&args.results, &args.out),
         KingcupLoadCmd::Record(_) => record::exec(),
         KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
         KingcupLoadCmd::Init(args) => ops::found(&args.settings).map(|()| true),
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -739,6 +739,11 @@
         }
     }
 
+    /// Returns when the next report is due, if nothing else happens.
+    pub fn next_report(&self) -> Option<Millis> {
+        self.sessions.values().map(PoolSession::next_report).min()
+    }
+
     /// Sends the reports that are due.
     pub fn report(&mut self, now: Millis, out: &mut Vec<EntryOutput>) {
         let queues = &self.queues;
--- a/src/kingcupgrade/coordination/entry/session.rs
+++ b/src/kingcupgrade/coordination/entry/session.rs
@@ -159,20 +159,25 @@
         now.since(self.acked) > ACK_SILENCE
     }
 
-    /// Returns the report due now, if one is; `waiting` tells an organisation's present count.
-    pub fn report(
-        &mut self,
-        now: Millis,
-        waiting: impl Fn(&Organisation) -> u32,
-    ) -> Option<DispatchBody> {
-        let due = if self.is_urgent || !self.finished.is_empty() {
+    /// Returns when the next report is due, if nothing else happens.
+    pub fn next_report(&self) -> Millis {
+        let gathering = if self.is_urgent || !self.finished.is_empty() {
             GATHERING
         } else if !self.changed.is_empty() || !self.progress.is_empty() {
             LAZY_GATHERING
         } else {
             HEARTBEAT
         };
-        if now.since(self.sent) < due {
+        self.sent + gathering
+    }
+
+    /// Returns the report due now, if one is; `waiting` tells an organisation's present count.
+    pub fn report(
+        &mut self,
+        now: Millis,
+        waiting: impl Fn(&Organisation) -> u32,
+    ) -> Option<DispatchBody> {
+        if now < self.next_report() {
             return None;
         }
         self.sent = now;
--- a/src/kingcupgrade/coordination/node.rs
+++ b/src/kingcupgrade/coordination/node.rs
@@ -285,6 +285,11 @@
         self.deliver_own(now, unix_ms, out);
     }
 
+    /// Returns when a batch should be completed at the latest, though nothing happens.
+    pub fn next_flush(&self) -> Option<Millis> {
+        self.entry.as_ref().and_then(EntryMachine::next_report)
+    }
+
     /// Completes a batch of inputs: sends what was gathered over it.
     pub fn flush(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<Output>) {
         self.run_control(out, |control, outputs| control.flush(now, outputs));
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -126,7 +126,8 @@
         let mut drain_begun = false;
         loop {
             let now = self.clock.now();
-            let wait = next_tick.since(now).as_duration();
+            let next_flush = self.node.next_flush().unwrap_or(next_tick);
+            let wait = next_tick.min(next_flush).since(now).as_duration();
             let first = events.recv_timeout(wait).ok();
             let mut out = Vec::new();
             let rest = events.try_iter().take(MAX_BATCH);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod input;
 mod model_nodes;
 mod model_record;
+mod pages;
 mod pools;
 mod record;
 mod support;
