--- a/crates/kingcup-load/src/report.rs
+++ b/crates/kingcup-load/src/report.rs
@@ -91,7 +91,9 @@
     let values = scenarios.iter().flat_map(|scenario| {
         POLICIES.iter().filter_map(|(policy, _)| value(rows, scenario, policy, field))
     });
-    let top = values.fold(0.0, f64::max).max(1e-9) * 1.15;
+    let highest = values.fold(0.0, f64::max);
+    // Where all is zero the axis still needs a span.
+    let top = if highest > 0.0 { highest * 1.15 } else { 1.0 };
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 14))
         .margin(8)
