--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -59,7 +59,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Code::DataCorrupt`] if the snapshot can't be read.
+    /// Returns [`Code::DataCorrupt`](crate::core::Code::DataCorrupt) if the snapshot can't be read.
     pub fn new(
         now: Millis,
         id: crate::protocol::consensus::ReplicaId,
