Give a slot back when a request's thread stops waiting, or its claim comes too late

Found in reading. A claim that came back after the deadline was sent and could only time out, so its outcome was unknown for nothing: it is now refused as not run and its key released (the test failed before). A caller's thread that stopped waiting for a verdict told nobody, and a slot given later would have stayed taken; it now reports the request as gone (no test of its own: it takes a control thread that stands still for ten seconds).

Tried and taken back: holding requests back when the write of their batch fails. The claim's entry is synced a turn before it can become final, so the case can't arise; the test for it, four disks that fill up at different records, a restart and retries, passes without and stays.

--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -98,6 +98,12 @@
         let Some(request) = self.requests.get_mut(&id) else { return result.is_ok() };
         let Stage::Claiming { pool, grant } = request.stage.clone() else { return false };
         match result {
+            Ok(()) if now >= request.deadline => {
+                // Sent now, it could only time out, and its outcome would be unknown for nothing.
+                self.end_grant(&pool, grant.id, Ending::Unused, 0, None);
+                self.give_up(id, Code::DeadlineQueued, out);
+                return true;
+            }
             Ok(()) => {
                 request.claimed = true;
                 self.start(now, id, &pool, &grant, out);
--- a/src/kingcupgrade/lib.rs
+++ b/src/kingcupgrade/lib.rs
@@ -22,7 +22,25 @@
 //!   [`coordination::consensus::Consensus`] are of use on their own.
 //! - [`state`]: the record's state, and its log and snapshots on disk.
 //!
-//! Beside them stand [`core`] (names, time, result codes, settings, documents), [`ops`] (what the
+//! # Example
+//!
+//! ```
+//! use kingcupgrade::core::{Document, document::sha256_hex};
+//!
+//! let digest = sha256_hex(b"a bearer token");
+//! let document = Document::parse(&format!(
+//!     "service: tutor
+//! kind: model-engine
+//! organisations:
+//!   forestry: {{share: 2, token_digests: [{digest}]}}
+//! slots: {{cold: 2, warm: 8}}"
+//! ))?;
+//! let caller = document.organisation_of("a bearer token").map(|o| o.as_str());
+//! assert_eq!(caller, Some("forestry"));
+//! # Ok::<(), kingcupgrade::core::code::CodedError>(())
+//! ```
+//!
+//! Beside the layers stand [`core`] (names, time, result codes, settings, documents), [`ops`] (what the
 //! programs do, one function each) and [`util`].
 
 pub mod coordination;
--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -47,10 +47,7 @@
         let mut answer = Answer::Pending(request);
         loop {
             let patience = self.remaining() + VERDICT_SLACK;
-            let verdict = verdicts.recv_timeout(patience).unwrap_or(Verdict::GiveUp {
-                code: Code::DeadlineQueued,
-                retry_after: BUSY_RETRY_AFTER,
-            });
+            let verdict = verdicts.recv_timeout(patience).unwrap_or_else(|_| self.stop_waiting());
             let address = match verdict {
                 Verdict::Start(_, address) => address,
                 Verdict::Replay(kept) => {
@@ -72,6 +69,15 @@
         }
     }
 
+    /// Gives a request up that the node has said nothing about for too long.
+    ///
+    /// The node must hear of it: a slot given to the request later would stay taken for nobody.
+    fn stop_waiting(&self) -> Verdict {
+        // Without the control thread the process is about to end.
+        let _ = self.shared.events.send(Event::Input(Input::HungUp(self.id)));
+        Verdict::GiveUp { code: Code::DeadlineQueued, retry_after: BUSY_RETRY_AFTER }
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/tests/testsuite/deposits.rs
+++ b/tests/testsuite/deposits.rs
@@ -5,11 +5,15 @@
 use kingcup_support::{
     caller::{Answer, Caller},
     engine::EngineConfig,
-    fleet::{document, token},
+    fleet::{Fleet, Plan, document, token},
+    plain::Plain,
+    platform::{Backend, Platform},
+    proxy::Proxy,
     wait_until,
 };
+use kingcupgrade::core::settings::Role;
 
-use crate::support::{PATIENCE, World, start};
+use crate::support::{PATIENCE, World, daemon, daemon_with_full_disk, orders_document, start};
 
 fn deposit(world: &World, entry: &str, key: &str, body: &str) -> Answer {
     let address = world.fleet.entry(entry);
@@ -81,8 +85,8 @@
 #[test]
 fn a_deposit_lost_after_its_claim_is_not_run_again() {
     let world = start(&["north"], 3, &EngineConfig::default());
-    let behind = kingcup_support::proxy::Proxy::start(world.plains[0].address());
-    let plain = kingcup_support::platform::Backend::Plain(world.plains[0].clone());
+    let behind = Proxy::start(world.plains[0].address());
+    let plain = Backend::Plain(world.plains[0].clone());
     world.platform.add("orders-behind", "orders", "north", behind.address(), plain);
     world.platform.leave("orders-north");
     let mut world = world.with_documents();
@@ -126,8 +130,8 @@
 #[test]
 fn a_deposit_whose_answer_breaks_off_is_unknown_and_not_retried() {
     let world = start(&["north"], 1, &EngineConfig::default());
-    let behind = kingcup_support::proxy::Proxy::start(world.plains[0].address());
-    let plain = kingcup_support::platform::Backend::Plain(world.plains[0].clone());
+    let behind = Proxy::start(world.plains[0].address());
+    let plain = Backend::Plain(world.plains[0].clone());
     world.platform.add("orders-behind", "orders", "north", behind.address(), plain);
     world.platform.leave("orders-north");
     let world = world.with_documents();
@@ -165,3 +169,52 @@
     assert!(done, "{last:?}");
     assert_eq!(runs(&world, "later"), 1);
 }
+
+// A single instance is entry and record at once, and its disk fills up in the middle of deposits.
+// A deposit whose claim could not be written must not be sent: after a restart nobody would know
+// of it, and its retry would charge the bride a second time.
+#[test]
+fn a_deposit_whose_claim_can_not_be_written_is_not_sent() {
+    // Limits of which some are reached by a claim and some by its end.
+    let runs = [40, 41, 42, 43].map(|blocks| thread::spawn(move || fill_disk(blocks)));
+    for run in runs {
+        run.join().expect("each deposit runs at most once");
+    }
+}
+
+fn fill_disk(blocks: u32) {
+    let platform = Platform::start(Duration::ZERO);
+    let plain = Plain::start(Duration::ZERO);
+    platform.add("orders", "orders", "north", plain.address(), Backend::Plain(plain.clone()));
+    let roles = vec![Role::Entry, Role::Control];
+    let plan = Plan { instance: "all".to_owned(), domain: "north".to_owned(), roles };
+    let mut fleet = Fleet::prepare(daemon(), &[plan], &platform, false).expect("a prepared fleet");
+    fleet.run_as("all", &daemon_with_full_disk(blocks)).expect("a started instance");
+    assert!(wait_until(PATIENCE, || fleet.leader().is_some()));
+    fleet.apply("orders", 0, &orders_document()).expect("the document in force");
+    fleet.wait_for_dispatchers("orders").expect("a dispatcher");
+    let failed = |fleet: &Fleet| {
+        let control = fleet.status("all").ok().and_then(|status| status.control);
+        control.is_some_and(|control| control.failure.is_some())
+    };
+    let caller = Caller::new(&token("alder"));
+    let entry = fleet.entry("all");
+    let deposit = |key: &str| caller.post(entry, "/orders/deposits", "50", Some(key));
+    let mut keys = Vec::new();
+    while !failed(&fleet) && keys.len() < 2_000 {
+        let key = format!("key-{}", keys.len());
+        let answer = deposit(&key);
+        let runs = plain.runs_of(&key);
+        assert!(answer.outcome != "not-run" || runs == 0, "{key} ran: {answer:?}");
+        assert!(answer.outcome != "done" || runs == 1, "{key} did not run: {answer:?}");
+        keys.push(key);
+    }
+    assert!(failed(&fleet), "the disk never filled up");
+    fleet.kill("all");
+    fleet.run("all").expect("a started instance on a larger disk");
+    fleet.wait_for_dispatchers("orders").expect("a dispatcher");
+    for key in keys.iter().rev().take(3) {
+        deposit(key);
+        assert!(plain.runs_of(key) <= 1, "{key} ran twice");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod deposits;
 mod disk;
 mod domains;
+mod entry;
 mod input;
 mod model_nodes;
 mod model_record;
--- a/tests/testsuite/record.rs
+++ b/tests/testsuite/record.rs
@@ -13,7 +13,7 @@
 use kingcup_support::{
     caller::Caller,
     engine::EngineConfig,
-    fleet::{Fleet, Plan, Program, token},
+    fleet::{Fleet, Plan, token},
     platform::Platform,
     wait_until,
 };
@@ -27,7 +27,9 @@
     },
 };
 
-use crate::support::{PATIENCE, daemon, orders_document, start, tutor_document};
+use crate::support::{
+    PATIENCE, daemon, daemon_with_full_disk, orders_document, start, tutor_document,
+};
 
 fn small_change(n: usize) -> Command {
     Command::SetLeaving {
@@ -63,6 +65,14 @@
     fleet.status(instance).map_or(0, |status| status.index)
 }
 
+/// Returns up to where a control instance's own replica is final.
+///
+/// The index of its configuration would not do: that may come from another control instance.
+fn commit_of(fleet: &Fleet, instance: &str) -> u64 {
+    let control = fleet.status(instance).ok().and_then(|status| status.control);
+    control.map_or(0, |control| control.commit)
+}
+
 fn controls_only(count: usize) -> Fleet {
     let plans: Vec<Plan> =
         (0..count).map(|n| Plan::control(&format!("control-{n}"), "north")).collect();
@@ -125,7 +135,7 @@
         assert!(!only_not_run || runs(key) == 0, "{key} ran and was called not run");
     }
     for (control, _) in world.fleet.controls() {
-        let caught_up = || index_of(&world.fleet, &control) >= last.1;
+        let caught_up = || commit_of(&world.fleet, &control) >= last.1;
         assert!(wait_until(PATIENCE, caught_up), "{control} lacks an accepted change");
     }
 }
@@ -147,7 +157,8 @@
     let entry = world.fleet.status("entry-north-0").expect("a running entry");
     assert_eq!(entry.revisions.len(), 2, "the entry forgot its configuration");
     controls.iter().for_each(|(control, _)| world.fleet.run(control).expect("a started instance"));
-    let all_back = || controls.iter().all(|(control, _)| index_of(&world.fleet, control) >= last.1);
+    let all_back =
+        || controls.iter().all(|(control, _)| commit_of(&world.fleet, control) >= last.1);
     assert!(wait_until(PATIENCE, all_back), "an accepted change is lost");
     assert!(accepted(&world.fleet, &small_change(300)).1 > last.1);
 }
@@ -166,9 +177,10 @@
     assert!(wait_until(PATIENCE, stale), "it still confirms its state");
     let (_, index) = accepted(&fleet, &small_change(1));
     thread::sleep(Duration::from_secs(3));
-    assert!(index_of(&fleet, &cut) < index);
+    assert!(commit_of(&fleet, &cut) < index);
     fleet.isolate(&cut, false);
-    let caught_up = || index_of(&fleet, &cut) >= index && fleet.status(&cut).is_ok_and(|s| s.fresh);
+    let caught_up =
+        || commit_of(&fleet, &cut) >= index && fleet.status(&cut).is_ok_and(|s| s.fresh);
     assert!(wait_until(PATIENCE, caught_up), "it does not catch up");
     assert_eq!(term(&leader), before, "its return deposed the leader");
 }
@@ -191,7 +203,7 @@
     assert_eq!(term(), before, "the deaf instance deposed the leader");
     fleet.link(&leader, deaf).cut(false);
     fleet.link(&others[1], deaf).cut(false);
-    assert!(wait_until(PATIENCE, || index_of(&fleet, deaf) >= index), "it does not catch up");
+    assert!(wait_until(PATIENCE, || commit_of(&fleet, deaf) >= index), "it does not catch up");
 }
 
 // A control instance's disk is lost. It comes back as a new member, and right after that repair
@@ -221,7 +233,7 @@
     fleet.kill(second);
     let (_, index) = accepted(&fleet, &small_change(2));
     assert!(index > before);
-    assert!(wait_until(PATIENCE, || index_of(&fleet, lost) >= index), "the new replica lags");
+    assert!(wait_until(PATIENCE, || commit_of(&fleet, lost) >= index), "the new replica lags");
 }
 
 // A control instance's disk is full. It must say so and stop taking part; what it could not write
@@ -232,14 +244,7 @@
         (0..3).map(|n| Plan::control(&format!("control-{n}"), "north")).collect();
     let platform = Platform::start(Duration::ZERO);
     let mut fleet = Fleet::prepare(daemon(), &plans, &platform, false).expect("a prepared fleet");
-    // A limit on the size of files stands for the full disk; a write beyond it fails the same way.
-    let limited =
-        format!("trap '' XFSZ; ulimit -f 24; exec {} \"$@\"", env!("CARGO_BIN_EXE_kingcupd"));
-    let program = Program {
-        path: "/bin/sh".into(),
-        run: vec!["-c".to_owned(), limited, "sh".to_owned()],
-        init: Vec::new(),
-    };
+    let program = daemon_with_full_disk(24);
     fleet.run_as("control-0", &program).expect("a started instance");
     fleet.run("control-1").expect("a started instance");
     fleet.run("control-2").expect("a started instance");
@@ -258,7 +263,7 @@
     assert_eq!(failed(&fleet).map(|err| err.code), Some(Code::StorageFailed));
     let (_, index) = accepted(&fleet, &small_change(1));
     for control in ["control-1", "control-2"] {
-        assert!(wait_until(PATIENCE, || index_of(&fleet, control) >= index));
+        assert!(wait_until(PATIENCE, || commit_of(&fleet, control) >= index));
     }
     fleet.kill("control-0");
     let held = verify(&fleet.data_folder("control-0")).expect("a sound data folder");
@@ -346,7 +351,7 @@
     let (_, index) = accepted(&fleet, &small_change(9_999));
     assert!(index > 2_100, "too few changes for a snapshot: {index}");
     fleet.run(&away).expect("a started instance");
-    assert!(wait_until(PATIENCE, || index_of(&fleet, &away) >= index), "it does not catch up");
+    assert!(wait_until(PATIENCE, || commit_of(&fleet, &away) >= index), "it does not catch up");
     fleet.kill(&away);
     let held = verify(&fleet.data_folder(&away)).expect("a sound data folder");
     assert!(held.snapshot_index > 0, "it was not brought up by a snapshot");
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -27,6 +27,19 @@
     Program::daemon(env!("CARGO_BIN_EXE_kingcupd"))
 }
 
+/// Returns how to start the daemon with a limit of so many blocks on the size of its files.
+///
+/// It stands for a full disk; a write beyond it fails the same way.
+pub(crate) fn daemon_with_full_disk(blocks: u32) -> Program {
+    let daemon = env!("CARGO_BIN_EXE_kingcupd");
+    let limited = format!("trap '' XFSZ; ulimit -f {blocks}; exec {daemon} \"$@\"");
+    Program {
+        path: "/bin/sh".into(),
+        run: vec!["-c".to_owned(), limited, "sh".to_owned()],
+        init: Vec::new(),
+    }
+}
+
 /// Makes a prompt.
 pub(crate) fn prompt(id: &str, organisation: &str, tokens: u64) -> Prompt {
     Prompt { id: id.to_owned(), organisation: organisation.to_owned(), tokens }
