Back the record up while it runs, and restore it

A backup is one checksummed file with the state at one place. A restored record begins a thousand million places further and stamps what instances need to know with that place; ruled out: the old places, under which entries that had seen later documents would keep them. Proved with real processes: all disks lost, restored at three, in force at an entry that had seen a later document; a damaged backup and a folder in use are refused.

--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -33,7 +33,7 @@
         KingcupLoadCmd::Report(args) => report::exec(&args.results, &args.out),
         KingcupLoadCmd::Record(_) => record::exec(),
         KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
-        KingcupLoadCmd::Init(args) => ops::found(&args.settings).map(|()| true),
+        KingcupLoadCmd::Init(args) => ops::found(&args.settings, None).map(|()| true),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/src/bin/kingcup/commands/mod.rs
+++ b/src/bin/kingcup/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one in each file.
 
 mod apply;
+mod backup;
 mod check;
 mod domain;
 mod get;
@@ -46,6 +47,7 @@
     let cx = Context { client: OperatorClient::from_file(Path::new(&fleet))? };
     match flags.subcommand {
         KingcupCmd::Apply(args) => apply::exec(&cx, args),
+        KingcupCmd::Backup(args) => backup::exec(&cx, &args),
         KingcupCmd::Get(args) => get::exec(&cx, &args),
         KingcupCmd::History(args) => history::exec(&cx, &args),
         KingcupCmd::Domain(args) => domain::exec(&cx, args),
--- a/src/bin/kingcup/flags.rs
+++ b/src/bin/kingcup/flags.rs
@@ -71,6 +71,11 @@
             /// The instance, or INSTANCE#NUMBER for one of two replicas.
             optional name: String
         }
+        /// Writes the state of the running record to a file.
+        cmd backup {
+            /// The file.
+            required path: PathBuf
+        }
         /// Checks a data folder offline and says what it holds.
         cmd verify {
             /// The data folder.
--- a/src/bin/kingcupd/flags.rs
+++ b/src/bin/kingcupd/flags.rs
@@ -19,6 +19,8 @@
         cmd init {
             /// The settings file.
             required --settings path: PathBuf
+            /// Begins from this backup instead of an empty record.
+            optional --from path: PathBuf
         }
     }
 }
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -113,6 +113,11 @@
         self.commit
     }
 
+    /// Returns the index up to which entries are applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &Log {
         &self.log
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -88,6 +88,11 @@
         &self.record
     }
 
+    /// Returns the applied state, encoded, and the last entry it includes.
+    pub fn backup(&mut self) -> (u64, Vec<u8>) {
+        (self.consensus.applied(), self.record.encode())
+    }
+
     /// Stops taking part after the disk has failed.
     pub fn on_storage_failed(&mut self, err: CodedError) {
         self.failed = Some(err);
--- a/src/kingcupgrade/coordination/node/operators.rs
+++ b/src/kingcupgrade/coordination/node/operators.rs
@@ -6,9 +6,10 @@
     core::{Millis, Service},
     protocol::{
         dispatch::STATIC_TERM,
-        operator::{ControlStatus, OperatorReply, OperatorRequest, PoolStatus, Status},
+        operator::{Backup, ControlStatus, OperatorReply, OperatorRequest, PoolStatus, Status},
         record::Command,
     },
+    util::hex::to_hex,
 };
 
 impl Node {
@@ -42,6 +43,13 @@
                 }
                 None => nothing_there("ask a control instance for the history"),
             },
+            OperatorRequest::Backup => match &mut self.control {
+                Some(control) => {
+                    let (index, data) = control.backup();
+                    OperatorReply::Backup(Backup { index, data: to_hex(&data) })
+                }
+                None => nothing_there("ask a control instance for a backup"),
+            },
             OperatorRequest::Members => match &self.control {
                 Some(control) => OperatorReply::Members {
                     members: control.consensus().members().to_vec(),
--- a/src/kingcupgrade/core/document.rs
+++ b/src/kingcupgrade/core/document.rs
@@ -18,6 +18,7 @@
     code::{Code, CodedError},
     names::{Organisation, Service, is_valid_name},
 };
+use crate::util::hex::to_hex;
 
 /// The largest document accepted, in bytes.
 pub const MAX_DOCUMENT_LEN: usize = 4 << 20;
@@ -281,5 +282,5 @@
 
 /// Returns the lower-case hex SHA-256 digest of `bytes`.
 pub fn sha256_hex(bytes: &[u8]) -> String {
-    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+    to_hex(&Sha256::digest(bytes))
 }
--- a/src/kingcupgrade/ops/mod.rs
+++ b/src/kingcupgrade/ops/mod.rs
@@ -3,11 +3,13 @@
 //! The binaries read their command line and call one of these, so that an embedding program or a
 //! test can do the same without a command line.
 
+mod backup;
 mod found;
 mod operator;
 mod serve;
 mod verify;
 
+pub use backup::backup;
 pub use found::found;
 pub use operator::{OperatorClient, coded, fresh_change_id};
 pub use serve::serve;
--- a/src/kingcupgrade/protocol/operator.rs
+++ b/src/kingcupgrade/protocol/operator.rs
@@ -36,6 +36,8 @@
     },
     /// The members of the record; only control instances know them.
     Members,
+    /// The whole state of the record; only control instances have it.
+    Backup,
 }
 
 /// An answer.
@@ -63,10 +65,21 @@
         /// Who leads, if known.
         leader: Option<Instance>,
     },
+    /// Answers [`OperatorRequest::Backup`].
+    Backup(Backup),
     /// The request can't be answered.
     Failed(CodedError),
 }
 
+/// The state of the record at one place.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Backup {
+    /// The last entry included.
+    pub index: u64,
+    /// The state, encoded, in hex.
+    pub data: String,
+}
+
 /// What an instance knows and does.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
--- a/src/kingcupgrade/state/disk.rs
+++ b/src/kingcupgrade/state/disk.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     core::{Code, Instance, code::CodedError},
-    protocol::consensus::{FOUNDING_REPLICA, LogEntry, Member, ReplicaId, Snapshot},
+    protocol::consensus::{FOUNDING_REPLICA, LogEntry, Member, Position, ReplicaId, Snapshot},
 };
 
 /// A part of one synced write.
@@ -61,6 +61,21 @@
 ///
 /// Returns an error if the folder holds a replica already or can't be written.
 pub fn found(folder: &Path, instance: &Instance, members: &[Instance]) -> Result<(), CodedError> {
+    found_from(folder, instance, members, Position::default(), Vec::new())
+}
+
+/// Makes a data folder for a founding member of a record that begins from a state.
+///
+/// # Errors
+///
+/// Returns an error if the folder holds a replica already or can't be written.
+pub fn found_from(
+    folder: &Path,
+    instance: &Instance,
+    members: &[Instance],
+    position: Position,
+    data: Vec<u8>,
+) -> Result<(), CodedError> {
     if folder.join("identity").exists() {
         let detail = format!("{} holds a replica already", folder.display());
         return Err(CodedError::new(Code::DataForeign, detail));
@@ -69,7 +84,8 @@
     let members = members
         .iter()
         .map(|member| Member { id: ReplicaId(member.clone(), FOUNDING_REPLICA), voter: true });
-    write_whole(folder, "snapshot", Stored::founding(members.collect()).log.snapshot())?;
+    let snapshot = Snapshot { position, members: members.collect(), data };
+    write_whole(folder, "snapshot", &snapshot)?;
     write_whole(folder, "identity", &ReplicaId(instance.clone(), FOUNDING_REPLICA))
 }
 
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -65,6 +65,19 @@
         data
     }
 
+    /// Gives all that instances need to know the place `index`, later than any they have.
+    ///
+    /// Instances never step back, so what is restored from a backup must come after what they know;
+    /// under its old places they would keep what the backup was to replace.
+    pub fn restamp(&mut self, index: u64) {
+        self.index = index;
+        for stored in self.documents.values_mut().filter_map(VecDeque::back_mut) {
+            stored.index = index;
+        }
+        self.domains.values_mut().for_each(|standing| standing.index = index);
+        self.upstreams.values_mut().for_each(|standing| standing.index = index);
+    }
+
     /// Returns the place of the last change that instances need to know.
     pub fn index(&self) -> u64 {
         self.index
--- a/src/kingcupgrade/util/mod.rs
+++ b/src/kingcupgrade/util/mod.rs
@@ -1,5 +1,6 @@
 //! Small parts without a layer of their own.
 
+pub mod hex;
 pub mod log;
 pub mod random;
 pub mod rendezvous;
--- a/tests/testsuite/record.rs
+++ b/tests/testsuite/record.rs
@@ -19,7 +19,7 @@
 };
 use kingcupgrade::{
     core::Code,
-    ops::{coded, fresh_change_id, verify},
+    ops::{self, coded, fresh_change_id, verify},
     protocol::{
         consensus::Member,
         operator::{OperatorReply, OperatorRequest},
@@ -356,3 +356,36 @@
     let held = verify(&fleet.data_folder(&away)).expect("a sound data folder");
     assert!(held.snapshot_index > 0, "it was not brought up by a snapshot");
 }
+
+// All control instances' disks are lost. A backup of the day before is put in their place; the
+// documents in it must be in force everywhere, at entries too that had seen later ones.
+#[test]
+fn a_record_restored_from_a_backup_is_in_force_everywhere() {
+    let mut world =
+        start(&["north", "south", "west"], 1, &EngineConfig::default()).with_documents();
+    let backup = world.fleet.data_folder("backup");
+    ops::backup(&world.fleet.client(), &backup).expect("a backup");
+    world.fleet.apply("tutor", 1, &tutor_document()).expect("a later document");
+    let seen = index_of(&world.fleet, "entry-north-0");
+    let controls = world.fleet.controls();
+    for (control, _) in &controls {
+        world.fleet.kill(control);
+        fs::remove_dir_all(world.fleet.data_folder(control)).expect("a removed folder");
+        ops::found(world.fleet.settings_path(control), Some(&backup)).expect("a restored folder");
+    }
+    let again = ops::found(world.fleet.settings_path("control-north"), Some(&backup));
+    assert!(again.is_err(), "a folder in use was overwritten");
+    controls.iter().for_each(|(control, _)| world.fleet.run(control).expect("a started instance"));
+    let restored = || {
+        let status = world.fleet.status("entry-north-0");
+        status.is_ok_and(|s| s.fresh && s.index > seen && s.revisions.get("tutor") == Some(&1))
+    };
+    assert!(wait_until(PATIENCE, restored), "the restored document is not in force");
+    assert!(accepted(&world.fleet, &small_change(1)).1 > seen);
+    let damaged = world.fleet.data_folder("damaged");
+    let mut bytes = fs::read(&backup).expect("a backup");
+    bytes[40] ^= 1;
+    fs::write(&damaged, bytes).expect("a damaged backup");
+    let refused = ops::found(world.fleet.settings_path("control-north"), Some(&damaged));
+    assert!(refused.is_err());
+}
