Listen anew after a failed accept

Found in reading: the HTTP library stops accepting for good at the first error of an accept, as when the process is out of file descriptors for a moment, and the acceptor threads ended with it. The instance went on looking healthy and answered nobody. Ruled out: raising the limit, which only moves the moment.

--- a/src/kingcupgrade/transport/callers/mod.rs
+++ b/src/kingcupgrade/transport/callers/mod.rs
@@ -18,17 +18,15 @@
     time::{Duration, Instant},
 };
 
-use tiny_http::Server;
-
 use self::{admit::admit, answer::refuse, relay::Relay};
 use crate::{
     coordination::entry::Arrival,
     core::{Code, Millis, Settings, code::CodedError},
-    transport::{Event, NextRequest, SharedView, next_request},
+    transport::{Event, NextRequest, SharedView, listener, next_request},
 };
 
-/// Threads that accept connections.
-const ACCEPTORS: usize = 2;
+/// The stack of a request's thread, in bytes.
+const STACK_LEN: usize = 512 << 10;
 /// When a caller turned away by a full instance should come back.
 const BUSY_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -52,8 +50,6 @@
     events: mpsc::Sender<Event>,
 ) -> anyhow::Result<()> {
     let Some(address) = settings.caller_address else { return Ok(()) };
-    let server = Server::http(address).map_err(|err| anyhow::anyhow!("{address}: {err}"))?;
-    let server = Arc::new(server);
     let shared = Arc::new(Shared {
         view,
         events,
@@ -61,27 +57,24 @@
         open: AtomicUsize::new(0),
         max_requests: settings.max_requests,
     });
-    for n in 0..ACCEPTORS {
-        let (server, shared) = (server.clone(), shared.clone());
-        let accept = move || accept_all(&server, &shared);
-        thread::Builder::new().name(format!("callers-{n}")).spawn(accept)?;
-    }
-    Ok(())
+    listener::start("callers", address, move |request| begin(request, &shared))
 }
 
-fn accept_all(server: &Server, shared: &Arc<Shared>) {
-    while let Ok(request) = server.recv() {
-        if shared.open.fetch_add(1, Ordering::Relaxed) >= shared.max_requests {
-            shared.open.fetch_sub(1, Ordering::Relaxed);
-            refuse(request, &CodedError::new(Code::TooBusy, ""), BUSY_RETRY_AFTER);
-            continue;
-        }
-        let shared = shared.clone();
-        // Without a thread the request is dropped, which its caller sees as a closed connection.
-        let _ = thread::Builder::new().stack_size(512 << 10).spawn(move || {
-            serve(request, &shared);
-            shared.open.fetch_sub(1, Ordering::Relaxed);
-        });
+/// Serves a request on a thread of its own, or turns it away if there are too many.
+fn begin(request: tiny_http::Request, shared: &Arc<Shared>) {
+    if shared.open.fetch_add(1, Ordering::Relaxed) >= shared.max_requests {
+        shared.open.fetch_sub(1, Ordering::Relaxed);
+        refuse(request, &CodedError::new(Code::TooBusy, ""), BUSY_RETRY_AFTER);
+        return;
+    }
+    let thread_shared = shared.clone();
+    let spawned = thread::Builder::new().stack_size(STACK_LEN).spawn(move || {
+        serve(request, &thread_shared);
+        thread_shared.open.fetch_sub(1, Ordering::Relaxed);
+    });
+    if spawned.is_err() {
+        // The request is dropped with the thread; its caller sees a closed connection.
+        shared.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod callers;
 pub mod daemon;
+pub mod listener;
 pub mod operators;
 pub mod peers;
 pub mod platform;
--- a/src/kingcupgrade/transport/operators.rs
+++ b/src/kingcupgrade/transport/operators.rs
@@ -12,9 +12,9 @@
 };
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use tiny_http::{Method, Response, Server};
+use tiny_http::{Method, Response};
 
-use super::Event;
+use super::{Event, listener};
 use crate::{
     core::{Code, Settings, code::CodedError},
     protocol::operator::{OPERATOR_PATH, OperatorReply, OperatorRequest},
@@ -24,8 +24,6 @@
 const PATIENCE: Duration = Duration::from_secs(12);
 /// The largest request, in bytes.
 const MAX_REQUEST_LEN: u64 = 8 << 20;
-/// Threads that serve operators; a change that waits for its commit occupies one.
-const THREADS: usize = 4;
 
 /// Starts to serve operators.
 ///
@@ -38,20 +36,14 @@
     metrics: PrometheusHandle,
     draining: Arc<AtomicBool>,
 ) -> anyhow::Result<()> {
-    let address = settings.operator_address;
-    let server = Server::http(address).map_err(|err| anyhow::anyhow!("{address}: {err}"))?;
-    let server = Arc::new(server);
-    for n in 0..THREADS {
-        let (server, events) = (server.clone(), events.clone());
-        let (metrics, draining) = (metrics.clone(), draining.clone());
-        let serve_all = move || {
-            while let Ok(request) = server.recv() {
-                serve(request, &events, &metrics, &draining);
-            }
-        };
-        thread::Builder::new().name(format!("operators-{n}")).spawn(serve_all)?;
-    }
-    Ok(())
+    listener::start("operators", settings.operator_address, move |request| {
+        let (events, metrics, draining) = (events.clone(), metrics.clone(), draining.clone());
+        // A change that waits for its commit must not keep a health check waiting. Without a
+        // thread the request is dropped, and whoever asked asks again.
+        let _ = thread::Builder::new()
+            .name("operators".to_owned())
+            .spawn(move || serve(request, &events, &metrics, &draining));
+    })
 }
 
 fn serve(
--- a/tests/testsuite/input.rs
+++ b/tests/testsuite/input.rs
@@ -10,7 +10,10 @@
 
 use insta::assert_snapshot;
 use kingcup_support::{
-    caller::Caller, engine::EngineConfig, fleet::token, free_address, wait_until,
+    caller::Caller,
+    engine::EngineConfig,
+    fleet::{Program, token},
+    free_address, wait_until,
 };
 use kingcupgrade::{
     core::{Document, Settings},
@@ -201,3 +204,28 @@
     let alive = || world.fleet.status("control-north").is_ok();
     assert!(wait_until(Duration::from_secs(5), alive));
 }
+
+// Somebody opens more connections than the entry has file descriptors. When they are gone the
+// entry must serve again; one that stops accepting for good looks healthy and answers nobody.
+#[test]
+fn an_entry_out_of_file_descriptors_serves_again() {
+    let mut world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    world.fleet.kill("entry-north-0");
+    let daemon = env!("CARGO_BIN_EXE_kingcupd");
+    let limited = format!("ulimit -n 64; exec {daemon} \"$@\"");
+    let run = vec!["-c".to_owned(), limited, "sh".to_owned()];
+    let program = Program { path: "/bin/sh".into(), run, init: Vec::new() };
+    world.fleet.run_as("entry-north-0", &program).expect("a started entry");
+    let entry = world.fleet.entry("entry-north-0");
+    let caller = Caller::new(&token("alder"));
+    let is_served = |id: &str| {
+        let asked = prompt(id, "alder", 3);
+        caller.prompt(entry, "tutor", &asked).answers(&asked)
+    };
+    assert!(wait_until(PATIENCE, || is_served("before")));
+    let held: Vec<_> = (0..100).filter_map(|_| TcpStream::connect(entry).ok()).collect();
+    let noticed = || world.fleet.log("entry-north-0").contains("accept-failed");
+    assert!(wait_until(PATIENCE, noticed), "the limit was never reached");
+    drop(held);
+    assert!(wait_until(PATIENCE, || is_served("after")), "it does not serve again");
+}
