Order engines under fencing numbers, by the lease holder and read back

Some engines refuse an order with an old fencing number and others ignore numbers, so the number alone keeps nothing safe.

Change: the record holds the setup wanted of each upstream under the place of its last change; the holder of the pool's lease empties the engine, orders it while its lease outlasts the attempt, and reads it back again and again. One engine of a pool changes at a time and comes back cold. kingcup order; two scenarios, order and take-over.

An engine that ignores numbers can be wrong for the 5 s between two readings.

--- a/crates/kingcup-load/src/experiment.rs
+++ b/crates/kingcup-load/src/experiment.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use kingcup_support::{caller::Caller, engine::EngineRecord, fleet::Usage};
+use anyhow::Context;
+use kingcup_support::{caller::Caller, engine::EngineRecord, fleet::Usage, wait_until};
+use kingcupgrade::protocol::order::SetupChange;
 
 use crate::{
     load::{End, Load, MAX_TOKENS},
@@ -26,6 +28,8 @@
 /// The longest that service elsewhere stays unknown to a dispatcher: an exchange that was lost,
 /// and the next one.
 const EXCHANGE_LAG: Duration = Duration::from_millis(2_000);
+/// How long engines may take to be as ordered.
+const ORDER_PATIENCE: Duration = Duration::from_secs(20);
 /// The failure domain that is taken out.
 const TAKEN_OUT: &str = DOMAINS[2];
 
@@ -131,6 +135,8 @@
                 self.world.fleet.run("entry-north-0")?;
                 self.watch(third);
             }
+            Scenario::TakeOver => self.kill_dispatchers(third * 2)?,
+            Scenario::Order => self.order_engines(third * 2, result)?,
             Scenario::ControlCut => {
                 let leader =
                     self.world.fleet.leader().unwrap_or_else(|| "control-north".to_owned());
@@ -173,6 +179,46 @@
         Ok(())
     }
 
+    /// Kills the dispatcher of each failure domain in turn and starts its entry again.
+    fn kill_dispatchers(&mut self, span: Duration) -> anyhow::Result<()> {
+        for domain in DOMAINS {
+            let dispatcher = self.world.fleet.dispatcher_of("tutor", domain);
+            let dispatcher = dispatcher.context("a failure domain has no dispatcher")?;
+            (self.progress)(&format!("killing {dispatcher}, which dispatches in {domain}"));
+            self.world.fleet.kill(&dispatcher);
+            self.watch(span / 6);
+            self.world.fleet.run(&dispatcher)?;
+            self.watch(span / 6);
+        }
+        Ok(())
+    }
+
+    /// Orders the engines of one failure domain to load a model; they take turns.
+    fn order_engines(
+        &mut self,
+        span: Duration,
+        result: &mut ExperimentResult,
+    ) -> anyhow::Result<()> {
+        let start = Instant::now();
+        let names: Vec<String> = (0..ENGINES).map(|n| format!("engine-{TAKEN_OUT}-{n}")).collect();
+        for name in &names {
+            self.world.fleet.order(name, SetupChange::Load("second".to_owned()))?;
+        }
+        result.config_in_force_s = Some(start.elapsed().as_secs_f64());
+        (self.progress)(&format!("ordered the engines of {TAKEN_OUT} to load another model"));
+        let entries = self.world.fleet.entries();
+        let entries: Vec<String> = entries.into_iter().map(|(instance, _)| instance).collect();
+        let is_settled = |name: &String| {
+            let stage = self.world.fleet.order_stage(&entries, name);
+            stage.is_some_and(|(_, stage)| stage == "as ordered")
+        };
+        if wait_until(ORDER_PATIENCE, || names.iter().all(is_settled)) {
+            result.order_s = Some(start.elapsed().as_secs_f64());
+        }
+        self.watch(span.saturating_sub(start.elapsed()));
+        Ok(())
+    }
+
     /// Lets time pass and tells of the progress.
     fn watch(&self, span: Duration) {
         let start = Instant::now();
@@ -213,6 +259,7 @@
     result.fairness_bound = fairness_bound();
     result.utilisation = utilisation(&asked, &records, window);
     result.falls = records.iter().map(|record| record.falls).sum();
+    result.ordered_while_busy = records.iter().map(|record| record.ordered_while_busy).sum();
     result.oversold = records.iter().map(|record| record.oversold).sum();
     let others = |organisation: usize| organisation != FLOODER;
     if scenario == Scenario::Flood {
--- a/crates/kingcup-load/src/report.rs
+++ b/crates/kingcup-load/src/report.rs
@@ -141,6 +141,7 @@
         "first_token_ms_p95",
         "takeout_s",
         "config_in_force_s",
+        "order_s",
         "falls",
     ];
     let head: String = fields.iter().map(|field| format!("<th>{field}</th>")).collect();
--- a/crates/kingcup-load/src/result.rs
+++ b/crates/kingcup-load/src/result.rs
@@ -40,6 +40,10 @@
     /// From the order to the last request begun in the failure domain.
     pub(crate) takeout_s: Option<f64>,
     pub(crate) config_in_force_s: Option<f64>,
+    /// From the order until the engines of a failure domain, one by one, were as ordered.
+    pub(crate) order_s: Option<f64>,
+    /// Orders an engine carried out while it ran requests.
+    pub(crate) ordered_while_busy: u32,
     /// Times an engine fell over.
     pub(crate) falls: u32,
     /// Requests given to an engine beyond its warm limit.
@@ -68,6 +72,10 @@
         check(self.crossed_answers == 0, format!("{} crossed answers", self.crossed_answers));
         check(self.truncated_answers == 0, format!("{} truncated answers", self.truncated_answers));
         check(self.falls == 0, format!("engines fell over {} times", self.falls));
+        let busy = self.ordered_while_busy;
+        check(busy == 0, format!("{busy} orders to engines that ran requests"));
+        let is_ordered = self.order_s.is_some() || self.scenario != Scenario::Order.name();
+        check(is_ordered, "the engines are not as ordered".to_owned());
         let takeout = self.takeout_s.unwrap_or(0.0);
         check(
             takeout <= TAKEOUT_LIMIT,
@@ -127,6 +135,7 @@
             ),
             format!("  last new work after taking out {}", optional(self.takeout_s, " s")),
             format!("  configuration in force after {}", optional(self.config_in_force_s, " s")),
+            format!("  engines as ordered after {}", optional(self.order_s, " s")),
             verdict,
         ]
         .join("\n")
--- a/crates/kingcup-load/src/scenario.rs
+++ b/crates/kingcup-load/src/scenario.rs
@@ -35,12 +35,17 @@
     DomainOut,
     /// An entry is killed and started again.
     EntryKill,
+    /// More demand than capacity, and the dispatchers of the failure domains are killed one after
+    /// the other.
+    TakeOver,
+    /// The engines of a failure domain are ordered to load another model.
+    Order,
     /// The record's leader is cut off while a document is applied, then joined again.
     ControlCut,
 }
 
 impl Scenario {
-    const ALL: [Scenario; 8] = [
+    const ALL: [Scenario; 10] = [
         Scenario::Idle,
         Scenario::Steady,
         Scenario::Skewed,
@@ -48,6 +53,8 @@
         Scenario::Cold,
         Scenario::DomainOut,
         Scenario::EntryKill,
+        Scenario::TakeOver,
+        Scenario::Order,
         Scenario::ControlCut,
     ];
 
@@ -60,6 +67,8 @@
             Scenario::Cold => "cold",
             Scenario::DomainOut => "domain-out",
             Scenario::EntryKill => "entry-kill",
+            Scenario::TakeOver => "take-over",
+            Scenario::Order => "order",
             Scenario::ControlCut => "control-cut",
         }
     }
@@ -79,7 +88,7 @@
 
     /// Tells whether demand exceeds capacity.
     pub(crate) fn is_overloaded(self) -> bool {
-        matches!(self, Scenario::Skewed | Scenario::Cold)
+        matches!(self, Scenario::Skewed | Scenario::Cold | Scenario::TakeOver)
     }
 }
 
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -387,6 +387,7 @@
         documents: documents.collect(),
         domains: Vec::new(),
         upstreams: Vec::new(),
+        orders: Vec::new(),
     };
     let mut out = Vec::new();
     let start = Instant::now();
--- a/crates/kingcup-load/src/world.rs
+++ b/crates/kingcup-load/src/world.rs
@@ -41,6 +41,7 @@
             prefill_time: PREFILL_TIME,
             token_time: TOKEN_TIME,
             report_lag: Duration::from_millis(400),
+            ..EngineConfig::default()
         };
         let (mut engines, mut plains) = (Vec::new(), Vec::new());
         for domain in DOMAINS {
--- a/crates/kingcup-support/src/engine.rs
+++ b/crates/kingcup-support/src/engine.rs
@@ -15,10 +15,13 @@
     time::{Duration, Instant},
 };
 
-use kingcupgrade::transport::{
-    http::{self, Answer, AnswerStream, Request, Server},
-    platform::ListedLoad,
-    upstream::{OUTCOME_HEADER, RESUME_HEADER, RESUMED_HEADER},
+use kingcupgrade::{
+    protocol::order::{EngineSetup, ORDER_PATH, OrderRequest, SETUP_PATH},
+    transport::{
+        http::{self, Answer, AnswerStream, Request, Server},
+        platform::ListedLoad,
+        upstream::{OUTCOME_HEADER, RESUME_HEADER, RESUMED_HEADER},
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +33,8 @@
 const TURNING: Duration = Duration::from_millis(1_500);
 /// While it turns cold, the first token takes so many times longer.
 const TURNING_SLOWDOWN: u32 = 8;
+/// The model an engine holds at first.
+pub const FIRST_MODEL: &str = "first";
 /// The largest prompt, in bytes.
 const MAX_PROMPT_LEN: usize = 4 << 20;
 /// How often the load is noted for the report.
@@ -61,6 +66,10 @@
     pub token_time: Duration,
     /// How old its load reports are.
     pub report_lag: Duration,
+    /// How long it takes to load a model or to change its role.
+    pub load_time: Duration,
+    /// Whether it refuses an order with a number below the highest it has seen.
+    pub checks_numbers: bool,
 }
 
 impl Default for EngineConfig {
@@ -72,6 +81,8 @@
             prefill_time: Duration::from_millis(20),
             token_time: Duration::from_millis(10),
             report_lag: Duration::from_millis(300),
+            load_time: Duration::from_millis(300),
+            checks_numbers: false,
         }
     }
 }
@@ -104,6 +115,12 @@
     pub running: Vec<(Instant, u32)>,
     /// The most requests it ran at once while cold.
     pub most_while_cold: u32,
+    /// Orders it carried out, by number, and when.
+    pub ordered: Vec<(u64, Instant)>,
+    /// Orders it refused as older than another.
+    pub outdated: Vec<u64>,
+    /// Orders it carried out while requests ran.
+    pub ordered_while_busy: u32,
 }
 
 #[derive(Debug)]
@@ -124,6 +141,9 @@
     fallen_until: Mutex<Option<Instant>>,
     /// Until when it bears what it was given while warm.
     turning_until: Mutex<Option<Instant>>,
+    setup: Mutex<EngineSetup>,
+    /// Until when it loads.
+    loading_until: Mutex<Option<Instant>>,
     samples: Mutex<VecDeque<Sample>>,
     record: Mutex<EngineRecord>,
 }
@@ -151,6 +171,13 @@
             silent_after: AtomicU64::new(0),
             fallen_until: Mutex::default(),
             turning_until: Mutex::default(),
+            setup: Mutex::new(EngineSetup {
+                model: FIRST_MODEL.to_owned(),
+                role: "mixed".to_owned(),
+                drained: false,
+                ready: true,
+            }),
+            loading_until: Mutex::default(),
             samples: Mutex::default(),
             record: Mutex::default(),
         });
@@ -218,6 +245,15 @@
         self.server.stop();
     }
 
+    /// Returns its setup.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of its threads panicked.
+    pub fn setup(&self) -> EngineSetup {
+        self.state.setup()
+    }
+
     /// Tells whether it can bear its full load.
     pub fn is_warm(&self) -> bool {
         self.state.is_warm()
@@ -257,6 +293,18 @@
     }
 
     fn serve(&self, mut request: Request) {
+        match request.url() {
+            SETUP_PATH => {
+                let setup = serde_json::to_string(&self.setup()).expect("plain data");
+                request.respond(Answer::new(200, "application/json", setup));
+                return;
+            }
+            ORDER_PATH => {
+                self.take_order(request);
+                return;
+            }
+            _ => {}
+        }
         let text = request.read_text(MAX_PROMPT_LEN).unwrap_or_default();
         let Ok(prompt) = serde_json::from_str::<Prompt>(&text) else {
             request.respond(Answer::text(400, "no prompt"));
@@ -271,6 +319,56 @@
         self.end(whole);
     }
 
+    fn setup(&self) -> EngineSetup {
+        let mut setup = self.setup.lock().expect("engine setup").clone();
+        setup.ready = !self.is_loading();
+        setup
+    }
+
+    fn is_loading(&self) -> bool {
+        let until = self.loading_until.lock().expect("engine state");
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn take_order(&self, mut request: Request) {
+        let text = request.read_text(MAX_PROMPT_LEN).unwrap_or_default();
+        let Ok(order) = serde_json::from_str::<OrderRequest>(&text) else {
+            request.respond(Answer::text(400, "no order"));
+            return;
+        };
+        if self.carry_out(&order) {
+            request.respond(Answer::text(202, "accepted"));
+        } else {
+            request.respond(Answer::text(409, "outdated"));
+        }
+    }
+
+    /// Changes the setup; returns false if the order is older than another and that is checked.
+    fn carry_out(&self, order: &OrderRequest) -> bool {
+        let mut record = self.record.lock().expect("engine record");
+        let highest = record.ordered.iter().map(|(number, _)| *number).max().unwrap_or(0);
+        if self.config.checks_numbers && order.number < highest {
+            record.outdated.push(order.number);
+            return false;
+        }
+        record.ordered.push((order.number, Instant::now()));
+        if self.running.load(Ordering::SeqCst) > 0 {
+            record.ordered_while_busy += 1;
+        }
+        drop(record);
+        let mut setup = self.setup.lock().expect("engine setup");
+        let model = order.model.clone().unwrap_or_else(|| setup.model.clone());
+        let role = order.role.clone().unwrap_or_else(|| setup.role.clone());
+        if (&model, &role) != (&setup.model, &setup.role) {
+            let until = Instant::now() + self.config.load_time;
+            *self.loading_until.lock().expect("engine state") = Some(until);
+            self.completed.store(0, Ordering::SeqCst);
+        }
+        (setup.model, setup.role) = (model, role);
+        setup.drained = order.drained.unwrap_or(setup.drained);
+        true
+    }
+
     /// Takes a slot, refuses, or falls over.
     fn begin(&self, prompt: &Prompt) -> bool {
         let state = self;
@@ -279,6 +377,9 @@
         if fallen.is_some_and(|until| Instant::now() < until) {
             return false;
         }
+        if self.is_loading() || self.setup.lock().expect("engine setup").drained {
+            return false;
+        }
         let running = state.running.load(Ordering::SeqCst);
         if !self.is_warm() && !self.is_turning() && running >= state.config.cold_slots {
             record.falls += 1;
--- a/crates/kingcup-support/src/fleet.rs
+++ b/crates/kingcup-support/src/fleet.rs
@@ -20,6 +20,7 @@
     ops::{OperatorClient, fresh_change_id},
     protocol::{
         operator::Status,
+        order::SetupChange,
         record::{Command as Change, Reply},
     },
 };
@@ -433,6 +434,25 @@
         self.change_everywhere(Change::SetDomain { change, domain: domain.into(), out })
     }
 
+    /// Changes the setup wanted of an upstream, waits until all running instances know, and returns
+    /// the fencing number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is refused or not known everywhere in time.
+    pub fn order(&self, upstream: &str, setup: SetupChange) -> anyhow::Result<u64> {
+        let change = fresh_change_id()?;
+        self.change_everywhere(Change::Order { change, upstream: upstream.into(), setup })
+    }
+
+    /// Returns the fencing number of the order to an upstream that is being or was carried out,
+    /// and how far, from the instances named.
+    pub fn order_stage(&self, instances: &[String], upstream: &str) -> Option<(u64, String)> {
+        let statuses = instances.iter().filter_map(|instance| self.status(instance).ok());
+        let mut orders = statuses.flat_map(|s| s.pools).flat_map(|pool| pool.orders);
+        orders.find(|(name, _)| name.as_str() == upstream).map(|(_, stage)| stage)
+    }
+
     fn change_everywhere(&self, command: Change) -> anyhow::Result<u64> {
         let Reply::Accepted { index, .. } = self.client().change(command)? else {
             anyhow::bail!("an answer that does not fit")
--- a/src/bin/kingcup/commands/mod.rs
+++ b/src/bin/kingcup/commands/mod.rs
@@ -7,6 +7,7 @@
 mod get;
 mod history;
 mod member;
+mod order;
 mod status;
 mod upstream;
 mod verify;
@@ -52,6 +53,7 @@
         KingcupCmd::History(args) => history::exec(&cx, &args),
         KingcupCmd::Domain(args) => domain::exec(&cx, args),
         KingcupCmd::Upstream(args) => upstream::exec(&cx, args),
+        KingcupCmd::Order(args) => order::exec(&cx, args),
         KingcupCmd::Status(args) => status::exec(&cx, &args),
         KingcupCmd::Member(args) => member::exec(&cx, &args),
         KingcupCmd::Check(_) | KingcupCmd::Verify(_) => Ok(()),
--- /dev/null
+++ b/src/bin/kingcup/commands/order.rs
@@ -0,0 +1,76 @@
+use std::collections::BTreeMap;
+
+use anyhow::Context as _;
+use kingcupgrade::{
+    core::UpstreamName,
+    protocol::{
+        operator::Status,
+        order::{Setup, SetupChange, UpstreamOrder},
+        record::Command,
+    },
+};
+
+use super::Context;
+use crate::flags::Order;
+
+pub(crate) fn exec(cx: &Context, args: Order) -> anyhow::Result<()> {
+    let value = args.value.as_deref();
+    let setup = match args.action.as_str() {
+        "list" => return list(cx),
+        "load" => SetupChange::Load(value.context("name the model")?.to_owned()),
+        "role" => SetupChange::Role(value.context("name the role")?.to_owned()),
+        "drain" => SetupChange::Drained(true),
+        "undrain" => SetupChange::Drained(false),
+        "withdraw" => SetupChange::Withdraw,
+        other => {
+            anyhow::bail!("expected load, role, drain, undrain, withdraw or list, not {other}")
+        }
+    };
+    let name = args.name.as_deref().context("name the upstream")?;
+    let what = match value {
+        Some(value) => format!("order to {name}: {} {value}", args.action),
+        None => format!("order to {name}: {}", args.action),
+    };
+    let change = Context::change_id(args.change_id)?;
+    let upstream = UpstreamName::from(name);
+    cx.change(Command::Order { change, upstream, setup }, &what, args.wait)
+}
+
+fn list(cx: &Context) -> anyhow::Result<()> {
+    let statuses = cx.client.instances().filter_map(|instance| cx.client.status(instance).ok());
+    let statuses: Vec<Status> = statuses.collect();
+    let newest = statuses.iter().max_by_key(|status| status.index);
+    let newest = newest.context("no instance can be reached")?;
+    let pools = statuses.iter().flat_map(|status| &status.pools);
+    let stages: BTreeMap<&UpstreamName, &(u64, String)> =
+        pools.flat_map(|pool| &pool.orders).collect();
+    println!("upstream          number  wanted                    state");
+    for order in &newest.orders {
+        println!("{}", line(order, stages.get(&order.upstream).copied()));
+    }
+    Ok(())
+}
+
+fn line(order: &UpstreamOrder, stage: Option<&(u64, String)>) -> String {
+    let state = match stage {
+        _ if order.setup.is_empty() => "withdrawn",
+        Some((number, text)) if *number == order.index => text,
+        Some(_) => "the dispatcher does not know of it yet",
+        None => "no dispatcher has such an upstream",
+    };
+    format!(
+        "{:<16}  {:>6}  {:<24}  {state}",
+        order.upstream.as_str(),
+        order.index,
+        wanted(&order.setup)
+    )
+}
+
+fn wanted(setup: &Setup) -> String {
+    let model = setup.model.as_ref().map(|model| format!("model {model}"));
+    let role = setup.role.as_ref().map(|role| format!("role {role}"));
+    let drained = setup.drained.map(|drained| if drained { "drained" } else { "running" });
+    let parts = [model, role, drained.map(str::to_owned)];
+    let parts: Vec<String> = parts.into_iter().flatten().collect();
+    if parts.is_empty() { "nothing".to_owned() } else { parts.join(", ") }
+}
--- a/src/bin/kingcup/flags.rs
+++ b/src/bin/kingcup/flags.rs
@@ -59,6 +59,19 @@
             /// Returns when every instance that can be reached knows.
             optional --wait
         }
+        /// Orders an engine to change its setup, or lists the orders.
+        cmd order {
+            /// What to do: load, role, drain, undrain, withdraw or list.
+            required action: String
+            /// The upstream.
+            optional name: String
+            /// The model to load, or the role.
+            optional value: String
+            /// Names the change.
+            optional --change-id id: String
+            /// Returns when every instance that can be reached knows.
+            optional --wait
+        }
         /// Shows what each instance knows and does.
         cmd status {
             /// Prints JSON.
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -184,6 +184,12 @@
             answer(from, id, Reply::Refused(err), out);
             return;
         }
+        if let Command::Order { setup, .. } = command
+            && let Err(err) = setup.check()
+        {
+            answer(from, id, Reply::Refused(err), out);
+            return;
+        }
         let mut outputs = Vec::new();
         let proposed = match command {
             Command::ChangeMembers { add: true, instance, .. } => {
--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -82,6 +82,19 @@
         /// Whether the lease was gained or lost.
         held: bool,
     },
+    /// An order to an upstream went a step on.
+    Order {
+        /// The service.
+        service: Service,
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The fencing number.
+        number: u64,
+        /// How far it is carried out.
+        stage: &'static str,
+        /// What went wrong last, if anything did.
+        failure: Option<String>,
+    },
     /// This instance began or ended to use its static share of a pool.
     Fallback {
         /// The service.
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -10,7 +10,10 @@
 mod recovery;
 pub mod slots;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use self::{
     counters::Counters,
@@ -196,6 +199,28 @@
         self.leaving.clone_from(leaving);
     }
 
+    /// Returns where a listed upstream is, and whether it surely runs nothing: no grant is in use,
+    /// and none may be that is not known or can't be heard of.
+    pub fn upstream(&self, now: Millis, name: &UpstreamName) -> Option<(SocketAddr, bool)> {
+        let slots = self.slots.get(name)?;
+        let is_reserved = self.reserved.get(name).is_some_and(|count| *count > 0);
+        let is_idle = self.in_flight(name) == 0 && slots.has_only_known(now) && !is_reserved;
+        Some((slots.address, is_idle))
+    }
+
+    /// Takes an upstream for a cold one: it was changed by order.
+    pub fn on_changed(
+        &mut self,
+        now: Millis,
+        name: &UpstreamName,
+        out: &mut Vec<DispatcherOutput>,
+    ) {
+        if let Some(slots) = self.slots.get_mut(name) {
+            slots.turn_cold(now);
+            self.report_collapse(name, Some(Collapse::Changed), out);
+        }
+    }
+
     /// Takes in the platform's list of the pool's upstreams.
     pub fn on_listing(&mut self, now: Millis, listing: &[Listed], out: &mut Vec<DispatcherOutput>) {
         let listed: BTreeSet<&UpstreamName> = listing.iter().map(|l| &l.upstream).collect();
@@ -241,6 +266,7 @@
             Some(Collapse::Failed) => "failed a request",
             Some(Collapse::Slow) => "first byte far later than usual",
             Some(Collapse::Restarted) => "new incarnation",
+            Some(Collapse::Changed) => "changed by order",
         };
         out.push(DispatcherOutput::Decided(Decision::Collapse {
             service: self.pool.0.clone(),
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -60,6 +60,8 @@
     Slow,
     /// Its process is another one.
     Restarted,
+    /// Its setup was changed by order.
+    Changed,
 }
 
 /// The slots of one upstream.
@@ -137,6 +139,18 @@
         self.limit.saturating_sub(in_flight + unaccounted + reserved)
     }
 
+    /// Tells whether surely nothing runs there beside the grants in use.
+    pub fn has_only_known(&self, now: Millis) -> bool {
+        let requests = self.unaccounted.as_ref();
+        requests.is_some_and(|requests| requests.iter().all(|request| now >= request.until))
+    }
+
+    /// Takes the upstream for a cold one from now on.
+    pub fn turn_cold(&mut self, now: Millis) {
+        self.learned_first_byte = None;
+        self.collapse(now);
+    }
+
     /// Takes over changed limits from the document.
     pub fn set_limits(&mut self, limits: SlotLimits) {
         if limits == self.limits {
--- a/src/kingcupgrade/coordination/lease.rs
+++ b/src/kingcupgrade/coordination/lease.rs
@@ -179,6 +179,11 @@
         self.held.get(service).filter(|lease| now < lease.until).map(|lease| lease.term)
     }
 
+    /// Returns until when this instance surely holds the lease, if it does.
+    pub fn held_until(&self, now: Millis, service: &Service) -> Option<Millis> {
+        self.held.get(service).map(|lease| lease.until).filter(|until| now < *until)
+    }
+
     /// Ends leases that have run out; to be called before anything else is decided.
     ///
     /// A process stopped by a signal or a slow machine may wake long after its lease passed on.
--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -12,4 +12,5 @@
 pub mod entry;
 pub mod lease;
 pub mod node;
+pub mod orders;
 pub mod view;
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -4,6 +4,7 @@
 //! or a measurement feeds it messages directly.
 
 mod operators;
+mod orders;
 mod pools;
 mod record;
 mod requests;
@@ -17,6 +18,7 @@
     dispatcher::{Dispatcher, slots::Listed},
     entry::{Arrival, AttemptEnd, EntryMachine, RequestId},
     lease::LeaseBook,
+    orders::{Ask, AskId, EngineAnswer, OrderBook},
     view::View,
 };
 use crate::{
@@ -88,6 +90,8 @@
     HungUp(RequestId),
     /// The platform listed a service's upstreams in this failure domain.
     Listed(Service, Vec<Listed>),
+    /// An engine answered a question.
+    EngineAnswered(AskId, EngineAnswer),
     /// An operator asks.
     Asked(Ticket, OperatorRequest),
     /// The disk failed; the control replica must stop.
@@ -129,6 +133,8 @@
     Answer(Ticket, OperatorReply),
     /// Ask the platform for the upstreams of these services from now on.
     Watch(BTreeSet<Service>),
+    /// Ask an engine.
+    AskEngine(Ask),
     /// The configuration changed.
     ViewChanged,
     /// A caller's request needs no verdict any more.
@@ -160,6 +166,8 @@
     entry: Option<EntryMachine>,
     leases: Option<LeaseBook>,
     dispatchers: BTreeMap<Service, Dispatcher>,
+    /// Orders to the engines of the pools this instance dispatches.
+    orders: BTreeMap<Service, OrderBook>,
     /// Static shares, for pools without dispatcher.
     shares: BTreeMap<Service, Dispatcher>,
     homeless: BTreeMap<Service, Millis>,
@@ -207,6 +215,7 @@
             entry,
             leases,
             dispatchers: BTreeMap::new(),
+            orders: BTreeMap::new(),
             shares: BTreeMap::new(),
             homeless: BTreeMap::new(),
             control,
@@ -273,6 +282,7 @@
             }
             Input::HungUp(id) => self.on_hang_up(now, id),
             Input::Listed(service, listing) => self.on_listed(now, &service, &listing, out),
+            Input::EngineAnswered(id, answer) => self.on_engine_answer(now, &id, answer, out),
             Input::Asked(ticket, request) => self.on_asked(now, ticket, request, out),
             Input::StorageFailed(err) => {
                 if let Some(control) = &mut self.control {
@@ -354,6 +364,7 @@
         }
         self.keep_shares(now, out);
         self.tick_dispatchers(now, out);
+        self.tick_orders(now, out);
         let active = self.entry.iter().flat_map(|entry| entry.active_services().cloned());
         for service in active.collect::<Vec<_>>() {
             self.ensure_sessions(now, &service, out);
--- a/src/kingcupgrade/coordination/node/operators.rs
+++ b/src/kingcupgrade/coordination/node/operators.rs
@@ -1,9 +1,11 @@
 //! What operators ask of this instance.
 
+use std::collections::BTreeMap;
+
 use super::{Awaited, CHANGE_PATIENCE, Node, Output, Ticket, nothing_there};
 use crate::{
-    coordination::dispatcher::Dispatcher,
-    core::{Millis, Service},
+    coordination::{dispatcher::Dispatcher, orders::OrderBook},
+    core::{Millis, Service, UpstreamName},
     protocol::{
         dispatch::STATIC_TERM,
         operator::{Backup, ControlStatus, OperatorReply, OperatorRequest, PoolStatus, Status},
@@ -82,11 +84,17 @@
                 .collect(),
             domains: self.view.domains().cloned().collect(),
             open_requests: self.open_requests(),
+            orders: self.view.orders().cloned().collect(),
             pools: self.pool_statuses(),
             control,
         }
     }
 
+    fn order_stages(&self, service: &Service) -> BTreeMap<UpstreamName, (u64, String)> {
+        let stages = self.orders.get(service).into_iter().flat_map(OrderBook::stages);
+        stages.map(|(name, number, stage)| (name.clone(), (number, stage))).collect()
+    }
+
     fn pool_statuses(&self) -> Vec<PoolStatus> {
         let all = self.dispatchers.iter().chain(self.shares.iter());
         let describe = |(service, dispatcher): (&Service, &Dispatcher)| {
@@ -95,6 +103,7 @@
                 service: service.clone(),
                 term: (dispatcher.term() & STATIC_TERM == 0).then(|| dispatcher.term()),
                 backlogged: dispatcher.counters().backlogged(),
+                orders: self.order_stages(service),
                 upstreams: loads.map(|(name, used, limit)| (name.clone(), (used, limit))).collect(),
             }
         };
--- /dev/null
+++ b/src/kingcupgrade/coordination/node/orders.rs
@@ -0,0 +1,88 @@
+//! Orders to the engines of the pools this instance dispatches.
+
+use super::{Node, Output};
+use crate::{
+    coordination::orders::{AskId, EngineAnswer, EngineState, OrderBook, OrderOutput},
+    core::{Millis, Service},
+};
+
+impl Node {
+    pub(super) fn tick_orders(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let services: Vec<Service> = self.orders.keys().cloned().collect();
+        for service in services {
+            self.tick_order_book(now, &service, out);
+        }
+    }
+
+    fn tick_order_book(&mut self, now: Millis, service: &Service, out: &mut Vec<Output>) {
+        let until = self.leases.as_ref().and_then(|leases| leases.held_until(now, service));
+        let (Some(until), Some(dispatcher), Some(book)) =
+            (until, self.dispatchers.get(service), self.orders.get_mut(service))
+        else {
+            return;
+        };
+        let standing = self.view.orders().filter(|order| !order.setup.is_empty());
+        let engines = standing.filter_map(|order| {
+            let (address, is_idle) = dispatcher.upstream(now, &order.upstream)?;
+            Some(EngineState { order, address, is_idle })
+        });
+        let mut outputs = Vec::new();
+        let held = book.held().count();
+        book.tick(now, until, engines, &mut outputs);
+        let is_changed = book.held().count() != held;
+        self.carry_out_orders(now, service, outputs, out);
+        if is_changed {
+            self.set_standing(service);
+        }
+    }
+
+    pub(super) fn on_engine_answer(
+        &mut self,
+        now: Millis,
+        id: &AskId,
+        answer: EngineAnswer,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(book) = self.orders.get_mut(&id.service) else { return };
+        let mut outputs = Vec::new();
+        book.on_answer(now, id, answer, &mut outputs);
+        self.carry_out_orders(now, &id.service, outputs, out);
+        self.set_standing(&id.service);
+    }
+
+    fn carry_out_orders(
+        &mut self,
+        now: Millis,
+        service: &Service,
+        outputs: Vec<OrderOutput>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut dispatched = Vec::new();
+        for output in outputs {
+            match output {
+                OrderOutput::Ask(ask) => out.push(Output::AskEngine(ask)),
+                OrderOutput::Decided(decision) => out.push(Output::Decided(decision)),
+                OrderOutput::Changed(upstream) => {
+                    if let Some(dispatcher) = self.dispatchers.get_mut(service) {
+                        dispatcher.on_changed(now, &upstream, &mut dispatched);
+                    }
+                }
+            }
+        }
+        self.carry_out_dispatch(now, service, dispatched, out);
+    }
+
+    /// Tells a pool's dispatcher, and a static share, what may get no new requests.
+    pub(super) fn set_standing(&mut self, service: &Service) {
+        let serving = !self.view.is_out(&self.domain);
+        let mut withheld = self.view.leaving();
+        if let Some(share) = self.shares.get_mut(service) {
+            share.set_standing(serving, &withheld);
+        }
+        let held = self.orders.get(service).map(OrderBook::held);
+        withheld.extend(held.into_iter().flatten().cloned());
+        if let Some(dispatcher) = self.dispatchers.get_mut(service) {
+            dispatcher.set_standing(serving, &withheld);
+        }
+    }
+}
--- a/src/kingcupgrade/coordination/node/pools.rs
+++ b/src/kingcupgrade/coordination/node/pools.rs
@@ -8,6 +8,7 @@
         decision::Decision,
         dispatcher::{Dispatcher, DispatcherOutput, slots::Listed},
         lease::{LEASE, LeaseOutput},
+        orders::OrderBook,
     },
     core::{Document, FailureDomain, Instance, Millis, Service, document::SlotLimits},
     protocol::{
@@ -74,6 +75,7 @@
                 LeaseOutput::Gained(service, term) => self.on_gained(now, service, term, out),
                 LeaseOutput::Lost(service, term) => {
                     self.dispatchers.remove(&service);
+                    self.orders.remove(&service);
                     out.push(Output::Decided(Decision::Lease { service, term, held: false }));
                 }
             }
@@ -86,6 +88,7 @@
         let residents = residents(&self.settings, &self.domain);
         let dispatcher = self.new_dispatcher(now, &service, term, document, residents);
         self.dispatchers.insert(service.clone(), dispatcher);
+        self.orders.insert(service.clone(), OrderBook::new(now, service.clone(), term));
         out.push(Output::Decided(Decision::Lease { service, term, held: true }));
         self.update_watch(out);
     }
@@ -167,7 +170,7 @@
         }
     }
 
-    fn carry_out_dispatch(
+    pub(super) fn carry_out_dispatch(
         &mut self,
         now: Millis,
         service: &Service,
--- a/src/kingcupgrade/coordination/node/record.rs
+++ b/src/kingcupgrade/coordination/node/record.rs
@@ -84,15 +84,15 @@
     }
 
     fn on_view_changed(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let serving = !self.view.is_out(&self.domain);
-        let leaving = self.view.leaving();
         let services: Vec<Service> = self.view.documents().keys().cloned().collect();
         for (service, dispatcher) in self.dispatchers.iter_mut().chain(self.shares.iter_mut()) {
-            dispatcher.set_standing(serving, &leaving);
             if let Some(in_force) = self.view.documents().get(service) {
                 dispatcher.set_document(&in_force.document);
             }
         }
+        for service in &services {
+            self.set_standing(service);
+        }
         if let Some(leases) = &mut self.leases {
             leases.set_services(services);
         }
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -10,7 +10,10 @@
 
 use crate::{
     core::{Document, FailureDomain, Millis, Service, UpstreamName},
-    protocol::record::{RecordMessage, Standing, StoredDocument},
+    protocol::{
+        order::UpstreamOrder,
+        record::{RecordMessage, Standing, StoredDocument},
+    },
 };
 
 /// Without confirmation for this long, nothing new goes to other failure domains.
@@ -35,6 +38,7 @@
     documents: BTreeMap<Service, InForce>,
     domains: BTreeMap<FailureDomain, Standing<FailureDomain>>,
     upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
+    orders: BTreeMap<UpstreamName, UpstreamOrder>,
     confirmed: Option<Millis>,
 }
 
@@ -69,6 +73,16 @@
         self.upstreams.get(upstream).is_some_and(|standing| standing.out)
     }
 
+    /// Lists the orders that stand.
+    pub fn orders(&self) -> impl Iterator<Item = &UpstreamOrder> {
+        self.orders.values()
+    }
+
+    /// Returns the order that stands for an upstream.
+    pub fn order(&self, upstream: &UpstreamName) -> Option<&UpstreamOrder> {
+        self.orders.get(upstream)
+    }
+
     /// Tells whether the configuration was confirmed to be the newest of late.
     pub fn is_fresh(&self, now: Millis) -> bool {
         self.confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
@@ -79,7 +93,8 @@
     /// Only an answer confirms, and from the time it was asked for. A connection that stood still
     /// may deliver an old state late, and counted from its arrival that would look fresh.
     pub fn merge(&mut self, message: &RecordMessage) -> bool {
-        let RecordMessage::State { index, asked, age, documents, domains, upstreams } = message
+        let RecordMessage::State { index, asked, age, documents, domains, upstreams, orders } =
+            message
         else {
             return false;
         };
@@ -93,6 +108,9 @@
         for standing in upstreams {
             changed |= merge_standing(&mut self.upstreams, standing);
         }
+        for order in orders {
+            changed |= self.merge_order(order);
+        }
         if let (Some(asked), Some(age)) = (asked, age)
             && *index >= self.index
         {
@@ -116,6 +134,15 @@
         true
     }
 
+    fn merge_order(&mut self, order: &UpstreamOrder) -> bool {
+        let known = self.orders.get(&order.upstream);
+        if known.is_some_and(|known| known.index >= order.index) {
+            return false;
+        }
+        self.orders.insert(order.upstream.clone(), order.clone());
+        true
+    }
+
     /// Returns all that changed after `have`, as a neighbour passes it on: without confirmation.
     pub fn state_since(&self, have: u64) -> RecordMessage {
         let documents = self.documents.values().map(|in_force| &in_force.stored);
@@ -126,6 +153,7 @@
             documents: documents.filter(|stored| stored.index > have).cloned().collect(),
             domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
             upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
+            orders: self.orders.values().filter(|o| o.index > have).cloned().collect(),
         }
     }
 }
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -99,6 +99,7 @@
     NothingThere = 5005, NotRun, 404, "Nothing has that name.";
     StorageFailed = 5006, NotRun, 503, "The control instance cannot write its data folder.";
     MemberRefused = 5007, NotRun, 409, "The change of members is refused.";
+    OrderInvalid = 5008, NotRun, 400, "The order to the upstream is not valid.";
 
     SettingsInvalid = 6001, NotRun, 400, "The settings file is not valid.";
     DataCorrupt = 6002, NotRun, 500, "The data folder holds a record that does not match its checksum.";
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod frame;
 pub mod lease;
 pub mod operator;
+pub mod order;
 pub mod record;
 
 use serde::{Deserialize, Serialize};
--- a/src/kingcupgrade/protocol/operator.rs
+++ b/src/kingcupgrade/protocol/operator.rs
@@ -6,6 +6,7 @@
 
 use super::{
     consensus::Member,
+    order::UpstreamOrder,
     record::{Command, Reply, Standing, StoredDocument},
 };
 use crate::core::{FailureDomain, Instance, Service, UpstreamName, code::CodedError};
@@ -97,6 +98,8 @@
     pub revisions: BTreeMap<Service, u64>,
     /// Failure domains that were ever taken out.
     pub domains: Vec<Standing<FailureDomain>>,
+    /// Orders to upstreams that stand.
+    pub orders: Vec<UpstreamOrder>,
     /// Callers' requests open.
     pub open_requests: usize,
     /// The pools it dispatches.
@@ -114,6 +117,8 @@
     pub term: Option<u64>,
     /// Organisations with requests waiting.
     pub backlogged: usize,
+    /// How far orders to its upstreams are carried out: their number, and words for people.
+    pub orders: BTreeMap<UpstreamName, (u64, String)>,
     /// Requests in use and limit, by upstream.
     pub upstreams: BTreeMap<UpstreamName, (u32, u32)>,
 }
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::order::{SetupChange, UpstreamOrder};
 use crate::core::{
     FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, code::CodedError,
 };
@@ -102,6 +103,19 @@
         #[serde(rename = "x")]
         leaving: bool,
     },
+    /// Changes the setup wanted of an upstream.
+    #[serde(rename = "o")]
+    Order {
+        /// Names the change.
+        #[serde(rename = "i")]
+        change: String,
+        /// The upstream.
+        #[serde(rename = "u")]
+        upstream: UpstreamName,
+        /// What changes.
+        #[serde(rename = "x")]
+        setup: SetupChange,
+    },
     /// Claims a request key before the request is sent.
     #[serde(rename = "c")]
     Claim {
@@ -242,6 +256,9 @@
         /// Upstreams.
         #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
         upstreams: Vec<Standing<UpstreamName>>,
+        /// Orders to upstreams.
+        #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+        orders: Vec<UpstreamOrder>,
     },
     /// Asks for a change.
     #[serde(rename = "p")]
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -12,6 +12,7 @@
     core::{Code, Document, FailureDomain, Millis, Service, UpstreamName, code::CodedError},
     protocol::{
         consensus::{LogEntry, Payload},
+        order::{SetupChange, UpstreamOrder},
         record::{Command, RecordMessage, Reply, Standing, StoredDocument},
     },
 };
@@ -35,6 +36,8 @@
     domains: BTreeMap<FailureDomain, Standing<FailureDomain>>,
     #[serde(rename = "u")]
     upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
+    #[serde(rename = "o", default)]
+    orders: BTreeMap<UpstreamName, UpstreamOrder>,
     #[serde(rename = "c")]
     changes: VecDeque<(String, Reply)>,
     #[serde(rename = "k")]
@@ -76,6 +79,7 @@
         }
         self.domains.values_mut().for_each(|standing| standing.index = index);
         self.upstreams.values_mut().for_each(|standing| standing.index = index);
+        self.orders.values_mut().for_each(|order| order.index = index);
     }
 
     /// Returns the place of the last change that instances need to know.
@@ -121,6 +125,9 @@
                 record.upstreams.insert(upstream.clone(), standing);
                 record.accept(index, 0)
             }),
+            Command::Order { change, upstream, setup } => {
+                self.once(change, |record| record.order(index, upstream, setup))
+            }
             // Members are entries of their own kind; this command never reaches the log.
             Command::ChangeMembers { .. } => {
                 Reply::Refused(CodedError::new(Code::MemberRefused, "not a change of the record"))
@@ -149,6 +156,18 @@
         Reply::Accepted { revision, index }
     }
 
+    /// Files what is wanted of an upstream under the change's own place, its fencing number.
+    fn order(&mut self, index: u64, upstream: &UpstreamName, change: &SetupChange) -> Reply {
+        if let Err(err) = change.check() {
+            return Reply::Refused(err);
+        }
+        let known = self.orders.get(upstream);
+        let setup = known.map(|order| order.setup.clone()).unwrap_or_default().changed(change);
+        let order = UpstreamOrder { upstream: upstream.clone(), setup, index };
+        self.orders.insert(upstream.clone(), order);
+        self.accept(index, 0)
+    }
+
     fn apply_document(&mut self, index: u64, service: &Service, base: u64, text: &str) -> Reply {
         let revisions = self.documents.entry(service.clone()).or_default();
         let current = revisions.back().map_or(0, |stored| stored.revision);
@@ -192,6 +211,7 @@
             documents: newest.filter(|stored| stored.index > have).cloned().collect(),
             domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
             upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
+            orders: self.orders.values().filter(|o| o.index > have).cloned().collect(),
         }
     }
 }
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -15,7 +15,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use super::{
-    Event, SharedView, Verdict, callers, operators,
+    Event, SharedView, Verdict, callers, engines, operators,
     peers::Peers,
     platform::{self, Watched},
 };
@@ -63,7 +63,7 @@
     let url = settings.platform_list.clone();
     platform::start(url, own.failure_domain.clone(), watched.clone(), tx.clone())?;
     callers::start(&settings, view.clone(), tx.clone())?;
-    operators::start(&settings, tx, metrics, draining.clone())?;
+    operators::start(&settings, tx.clone(), metrics, draining.clone())?;
     log::event("started", &settings.instance);
 
     let control_thread = ControlThread {
@@ -73,6 +73,7 @@
         peers,
         watched,
         view,
+        events: tx,
         callers: BTreeMap::new(),
         operators: BTreeMap::new(),
         next_ticket: 1,
@@ -115,6 +116,8 @@
     peers: Peers,
     watched: Watched,
     view: SharedView,
+    /// For threads started on the way.
+    events: mpsc::Sender<Event>,
     callers: BTreeMap<RequestId, mpsc::Sender<Verdict>>,
     operators: BTreeMap<Ticket, mpsc::Sender<OperatorReply>>,
     next_ticket: Ticket,
@@ -237,6 +240,7 @@
                     let _ = tx.send(reply);
                 }
             }
+            Output::AskEngine(ask) => engines::ask(self.clock, ask, self.events.clone()),
             Output::Watch(services) => self.watch(services),
             Output::ViewChanged => {
                 let view = Arc::new(self.node.view().clone());
--- /dev/null
+++ b/src/kingcupgrade/transport/engines.rs
@@ -0,0 +1,79 @@
+//! Questions and orders to engines, each on a thread of its own; they are few and far between.
+
+use std::{sync::mpsc, thread};
+
+use super::Event;
+use crate::{
+    coordination::{
+        node::Input,
+        orders::{ANSWER_TIME, Ask, EngineAnswer},
+    },
+    core::clock::Clock,
+    protocol::order::{ORDER_PATH, OrderRequest, SETUP_PATH, UpstreamOrder},
+};
+
+/// The stack of a thread, in bytes.
+const STACK_LEN: usize = 256 << 10;
+/// The status with which an engine refuses a fencing number lower than the highest it has seen.
+const OUTDATED: u16 = 409;
+
+/// Asks an engine and tells the node its answer.
+pub fn ask(clock: Clock, ask: Ask, events: mpsc::Sender<Event>) {
+    let run = move || {
+        let answer = match &ask.order {
+            // The thread may have begun late, and another instance may hold the lease by now.
+            Some(_) if clock.now() >= ask.until => {
+                EngineAnswer::Failed("the order was not sent in time".to_owned())
+            }
+            Some(order) => send_order(&ask, order),
+            None => read_setup(&ask),
+        };
+        // The node outlives this thread; only at the very end of the process nobody hears.
+        let _ = events.send(Event::Input(Input::EngineAnswered(ask.id, answer)));
+    };
+    // Without a thread there is no answer; the node asks again after a while.
+    let _ = thread::Builder::new().name("engines".to_owned()).stack_size(STACK_LEN).spawn(run);
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(ANSWER_TIME.as_duration()))
+        .max_idle_connections(0)
+        .http_status_as_error(false)
+        .build();
+    ureq::Agent::new_with_config(config)
+}
+
+fn send_order(ask: &Ask, order: &UpstreamOrder) -> EngineAnswer {
+    let request = OrderRequest {
+        number: order.index,
+        model: order.setup.model.clone(),
+        role: order.setup.role.clone(),
+        drained: order.setup.drained,
+    };
+    let body = serde_json::to_string(&request).expect("an order is plain data");
+    let url = format!("http://{}{ORDER_PATH}", ask.address);
+    match agent().post(url).send(body) {
+        Ok(response) => match response.status().as_u16() {
+            200..=299 => EngineAnswer::Accepted,
+            OUTDATED => EngineAnswer::Outdated,
+            404 | 405 => EngineAnswer::Unsupported,
+            status => EngineAnswer::Failed(format!("it refused the order with status {status}")),
+        },
+        Err(err) => EngineAnswer::Failed(err.to_string()),
+    }
+}
+
+fn read_setup(ask: &Ask) -> EngineAnswer {
+    let url = format!("http://{}{SETUP_PATH}", ask.address);
+    let mut response = match agent().get(url).call() {
+        Ok(response) if response.status() == 404 => return EngineAnswer::Unsupported,
+        Ok(response) => response,
+        Err(err) => return EngineAnswer::Failed(err.to_string()),
+    };
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    match serde_json::from_str(&text) {
+        Ok(setup) => EngineAnswer::Setup(setup),
+        Err(err) => EngineAnswer::Failed(format!("its setup can't be read: {err}")),
+    }
+}
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod callers;
 pub mod daemon;
+pub mod engines;
 pub mod http;
 pub mod operators;
 pub mod peers;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod model_nodes;
 mod model_record;
+mod orders;
 mod pages;
 mod pools;
 mod record;
--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -120,6 +120,7 @@
         documents: vec![stored],
         domains: Vec::new(),
         upstreams: Vec::new(),
+        orders: Vec::new(),
     })
 }
 
