Measure what the record bears without HTTP before it

Ruled out: a slower stand-in for the disk inside the daemon (a hook for a measurement only).

Change: kingcup-load record also lets clients speak to the leader as entries do, and tells how many changes share a sync.

--- a/crates/kingcup-load/src/record.rs
+++ b/crates/kingcup-load/src/record.rs
@@ -1,6 +1,10 @@
 //! How fast the durable record commits, against a bare loop of appends and syncs on the same disk.
+//!
+//! Measured twice: by whole deposits, which also pay for HTTP, queues and grants, and by clients that
+//! speak to the record's leader as entries do, which shows what the record itself bears.
 
 use std::{
+    collections::BTreeMap,
     fs::File,
     io::Write,
     net::SocketAddr,
@@ -8,6 +12,7 @@
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc,
     },
     thread,
     time::{Duration, Instant},
@@ -20,14 +25,29 @@
     platform::{Backend, Platform},
     wait_until,
 };
+use kingcupgrade::{
+    coordination::node::Input,
+    core::{Instance, Millis, Settings},
+    protocol::{
+        Message,
+        record::{ClaimId, Command, RecordMessage, Reply, RequestKey, Settlement},
+    },
+    transport::{Event, peers::Peers},
+};
 use serde::Serialize;
 
 /// How long each step is measured.
 const SPAN: Duration = Duration::from_secs(4);
 /// The size of a bare append, about that of a claim in the log.
 const APPEND_LEN: usize = 200;
+/// How many clients are measured at once.
+const CLIENTS: [usize; 3] = [1, 16, 256];
 /// Organisations that make deposits; each may have so many request keys and no more.
 const ORGANISATIONS: usize = 16;
+/// The instance that the clients of the record speak as; no process of the fleet runs it.
+const CLIENT: &str = "client";
+/// How long a client of the record waits for an answer before it is taken for lost.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(5);
 /// Entries of the measured fleet.
 const ENTRIES: usize = 4;
 
@@ -36,7 +56,8 @@
     clients: usize,
     /// Claims and settlements made final each second.
     commits_per_s: f64,
-    deposit_ms_p95: f64,
+    /// Of a whole deposit, or of one change of the record.
+    ms_p95: f64,
     /// Commits against bare syncs.
     ratio: f64,
 }
@@ -44,7 +65,10 @@
 #[derive(Clone, Debug, Serialize)]
 struct RecordResult {
     bare_syncs_per_s: f64,
-    steps: Vec<Step>,
+    deposits: Vec<Step>,
+    changes: Vec<Step>,
+    /// Changes that shared a sync of the leader, with the most clients.
+    changes_a_sync: f64,
     seconds_without_leader: f64,
 }
 
@@ -61,18 +85,42 @@
         run: vec!["instance".to_owned()],
         init: vec!["init".to_owned()],
     };
-    let mut fleet = Fleet::start(program, &plans, &platform, false)?;
+    let running: Vec<String> = plans.iter().map(|plan| plan.instance.clone()).collect();
+    plans.push(Plan::entry(CLIENT, "elsewhere"));
+    let mut fleet = Fleet::prepare(program, &plans, &platform, false)?;
+    for instance in &running {
+        fleet.run(instance)?;
+    }
+    let is_up = || running.iter().all(|instance| fleet.status(instance).is_ok());
+    anyhow::ensure!(wait_until(ANSWER_PATIENCE, is_up), "an instance does not come up");
     let rest = "never_repeat:\n  - {method: POST, path: /deposits}\n\
                 slots: {cold: 512, warm: 512}\nlimits: {queue_requests: 1024}\n";
     let names: Vec<String> = (0..ORGANISATIONS).map(organisation).collect();
     let organisations: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
     fleet.apply("orders", 0, &document("orders", "plain-service", &organisations, rest))?;
-    fleet.wait_for_dispatchers("orders")?;
+    let is_dispatched = || fleet.dispatcher_of("orders", "north").is_some();
+    anyhow::ensure!(wait_until(ANSWER_PATIENCE, is_dispatched), "nobody dispatches");
     let bare = bare_syncs(&fleet.data_folder("control-0"))?;
-    let entries: Vec<SocketAddr> = fleet.entries().iter().map(|(i, _)| fleet.entry(i)).collect();
-    let steps = [1, 16, 256].map(|clients| measure(clients, &entries, bare)).to_vec();
+    let entries: Vec<SocketAddr> =
+        (0..ENTRIES).map(|n| fleet.entry(&format!("entry-{n}"))).collect();
+    let deposits = CLIENTS.map(|clients| measure(clients, &entries, bare)).to_vec();
+    let mut clients = RecordClients::start(&fleet)?;
+    let mut changes = Vec::new();
+    let mut changes_a_sync = 0.0;
+    for count in CLIENTS {
+        let syncs = syncs_of(&fleet, &clients.leader);
+        let (step, made) = clients.measure(count, bare)?;
+        changes.push(step);
+        changes_a_sync = made as f64 / (syncs_of(&fleet, &clients.leader) - syncs);
+    }
     let seconds_without_leader = without_leader(&mut fleet)?;
-    let result = RecordResult { bare_syncs_per_s: bare, steps, seconds_without_leader };
+    let result = RecordResult {
+        bare_syncs_per_s: bare,
+        deposits,
+        changes,
+        changes_a_sync,
+        seconds_without_leader,
+    };
     println!("{}", serde_json::to_string(&result)?);
     Ok(true)
 }
@@ -120,7 +168,7 @@
     Step {
         clients,
         commits_per_s,
-        deposit_ms_p95: p95.as_secs_f64() * 1_000.0,
+        ms_p95: p95.as_secs_f64() * 1_000.0,
         ratio: commits_per_s / bare,
     }
 }
@@ -163,3 +211,94 @@
     anyhow::ensure!(found, "nobody takes the lead");
     Ok(start.elapsed().as_secs_f64())
 }
+
+/// Returns how often an instance has synced its disk.
+fn syncs_of(fleet: &Fleet, instance: &Instance) -> f64 {
+    let address = fleet.operator_address(instance.as_str());
+    let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
+    let mut lines = metrics.lines();
+    let value = lines.find_map(|line| line.strip_prefix("kingcup_disk_syncs ")?.parse().ok());
+    value.unwrap_or(0.0)
+}
+
+/// Clients of the record in this process, each with one change under way: a claim, then its
+/// release, and so on.
+struct RecordClients {
+    peers: Peers,
+    events: mpsc::Receiver<Event>,
+    leader: Instance,
+    next: u64,
+}
+
+impl RecordClients {
+    fn start(fleet: &Fleet) -> anyhow::Result<RecordClients> {
+        let leader = fleet.leader().ok_or_else(|| anyhow::anyhow!("nobody leads"))?;
+        let text = std::fs::read_to_string(fleet.settings_path(CLIENT))?;
+        let (tx, events) = mpsc::channel();
+        let peers = Peers::start(Arc::new(Settings::parse(&text)?), tx)?;
+        Ok(RecordClients { peers, events, leader: leader.as_str().into(), next: 1 })
+    }
+
+    /// Returns what was measured, and how many changes were made in all.
+    fn measure(&mut self, clients: usize, bare: f64) -> anyhow::Result<(Step, usize)> {
+        let mut under_way: BTreeMap<u64, (usize, bool, Instant)> = BTreeMap::new();
+        for client in 0..clients {
+            let id = self.propose(client, false);
+            under_way.insert(id, (client, false, Instant::now()));
+        }
+        let (start, mut times) = (Instant::now(), Vec::new());
+        while start.elapsed() < SPAN {
+            let (id, reply) = self.next_answer()?;
+            let Some((client, was_release, sent)) = under_way.remove(&id) else { continue };
+            let is_made = matches!(reply, Reply::Claimed | Reply::Settled);
+            anyhow::ensure!(is_made, "the record answered {reply:?}");
+            times.push(sent.elapsed());
+            let id = self.propose(client, !was_release);
+            under_way.insert(id, (client, !was_release, Instant::now()));
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        // What is under way ends before the next measurement begins.
+        while !under_way.is_empty() {
+            let (id, _) = self.next_answer()?;
+            under_way.remove(&id);
+        }
+        let made = times.len();
+        times.sort();
+        let p95 = times.get(made * 95 / 100).copied().unwrap_or_default();
+        let commits_per_s = made as f64 / seconds;
+        let ms_p95 = p95.as_secs_f64() * 1_000.0;
+        Ok((Step { clients, commits_per_s, ms_p95, ratio: commits_per_s / bare }, made))
+    }
+
+    fn propose(&mut self, client: usize, release: bool) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        // A client's claims have one number, so that its release names the claim before.
+        let claim = ClaimId(u64::MAX, client as u64);
+        let key = RequestKey {
+            service: "orders".into(),
+            organisation: organisation(client % ORGANISATIONS).as_str().into(),
+            key: format!("client-{client}"),
+        };
+        let command = if release {
+            Command::Settle { id: claim, key, settlement: Settlement::Released }
+        } else {
+            Command::Claim { id: claim, key, digest: 1, span: Millis(60_000) }
+        };
+        let message = Message::Record(RecordMessage::Propose { id, command });
+        self.peers.send(&self.leader, message);
+        id
+    }
+
+    fn next_answer(&self) -> anyhow::Result<(u64, Reply)> {
+        loop {
+            let event = self.events.recv_timeout(ANSWER_PATIENCE)?;
+            let Event::Input(Input::Received(_, Message::Record(message))) = event else {
+                continue;
+            };
+            if let RecordMessage::Answer { id, reply } = message {
+                return Ok((id, reply));
+            }
+        }
+    }
+}
