Ask connections for a sign of life where something is unconfirmed

Cause: every connection was pinged each 400 ms, also those that had written nothing since the last answer.

Change: a ping follows a message after 400 ms and confirms all written before it; a connection with nothing unconfirmed is asked each 2 s.

--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -42,8 +42,11 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The pause after a failed dial.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
-/// How often a connection's other end is asked for a sign of life.
-const PING_INTERVAL: Duration = Duration::from_millis(400);
+/// How soon after a message a connection's other end is asked for a sign of life. One ping then
+/// confirms all that was written until then.
+const PING_DELAY: Duration = Duration::from_millis(400);
+/// How often it is asked when nothing is written.
+const IDLE_PING_INTERVAL: Duration = Duration::from_millis(2_000);
 /// A connection without a sign of life for this long is replaced.
 ///
 /// Something between the two ends may have lost track of it: it then stays open and silent for
@@ -221,9 +224,11 @@
         rx: &mut queue::Receiver<Message>,
     ) {
         let mut next = Some(first);
-        let mut heard = Instant::now();
         let mut written = Instant::now();
-        let mut ping = tokio::time::interval(PING_INTERVAL);
+        // Since when something is under way that no sign of life has followed.
+        let mut unconfirmed = None;
+        let mut ping = written + PING_DELAY;
+        let mut pinged: Option<Instant> = None;
         loop {
             if let Some(message) = next.take() {
                 let frame = channel.seal(&message);
@@ -231,21 +236,35 @@
                 counter!("kingcup_peer_bytes_sent", "kind" => kind).increment(frame.len() as u64);
                 counter!("kingcup_peer_messages_sent", "kind" => kind).increment(1);
                 written = Instant::now();
+                unconfirmed.get_or_insert(written);
+                if pinged.is_none() {
+                    ping = ping.min(written + PING_DELAY);
+                }
                 if !send(&mut socket, Packet::Binary(frame.into())).await {
                     return;
                 }
             }
+            let due = unconfirmed
+                .filter(|_| pinged.is_some())
+                .map_or(ping, |since| since + SILENCE_LIMIT);
             tokio::select! {
                 message = rx.recv() => match message {
                     Some(message) => next = Some(message),
                     None => return,
                 },
                 packet = socket.next() => match packet {
-                    Some(Ok(_)) => heard = Instant::now(),
+                    Some(Ok(_)) => {
+                        let now = Instant::now();
+                        // What was written after the ping is not confirmed by its answer.
+                        let is_all = pinged.is_none_or(|pinged| written <= pinged);
+                        unconfirmed = (!is_all).then_some(now);
+                        ping = now + if is_all { IDLE_PING_INTERVAL } else { PING_DELAY };
+                        pinged = None;
+                    }
                     Some(Err(_)) | None => return,
                 },
-                _ = ping.tick() => {
-                    if heard.elapsed() > SILENCE_LIMIT {
+                () = tokio::time::sleep_until(due.into()) => {
+                    if pinged.is_some() {
                         counter!("kingcup_peer_connections_replaced").increment(1);
                         log::warning("connection-silent", &self.address);
                         return;
@@ -253,6 +272,9 @@
                     if written.elapsed() > IDLE_LIMIT {
                         return;
                     }
+                    let now = Instant::now();
+                    pinged = Some(now);
+                    unconfirmed.get_or_insert(now);
                     if !send(&mut socket, Packet::Ping(Vec::new().into())).await {
                         return;
                     }
