Let the model check that counters never run backward

Cause: the model of the nodes checked slots, holders and idle slots, not that what is counted of anybody's service only grows.

Change: after each step, what every holder of a lease counts of each organisation, here and in other failure domains, is held against what it counted before.

Before: not checked.

--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -14,11 +14,12 @@
         node::{Input, Node, Output},
     },
     core::{
-        Instance, Millis, Service, Settings,
+        Instance, Millis, Organisation, Service, Settings,
         settings::{Peer, Role},
     },
     protocol::{
         Message,
+        dispatch::Served,
         record::{RecordMessage, StoredDocument},
     },
 };
@@ -29,6 +30,7 @@
 /// How old load reports are.
 const REPORT_LAG: u64 = 300;
 /// The step of time.
+const ORGANISATIONS: [&str; 2] = ["alder", "birch"];
 const STEP: u64 = 10;
 /// How long faults happen.
 const FAULTY: u64 = 15_000;
@@ -69,6 +71,9 @@
     next_request: u64,
     incarnation: u64,
     idle_since: Option<u64>,
+    /// What each holder of a lease last counted of each organisation's service, by its term and by
+    /// where the service was given.
+    served: BTreeMap<(usize, u64, usize, Organisation), i64>,
     answered: u64,
 }
 
@@ -146,6 +151,7 @@
             incarnation: 1,
             idle_since: None,
             answered: 0,
+            served: BTreeMap::new(),
         };
         for host in 0..world.hosts.len() {
             world.restart(host);
@@ -367,7 +373,7 @@
         let id = self.next_request;
         self.next_request += 1;
         self.hosts[host].waiting.insert(id);
-        let organisation = if self.below(2) == 0 { "alder" } else { "birch" };
+        let organisation = ORGANISATIONS[self.below(2) as usize];
         let arrival = Arrival {
             id,
             service: "tutor".into(),
@@ -403,6 +409,28 @@
         Ok(())
     }
 
+    /// Checks that no dispatcher counts less of anybody's service than it did before.
+    fn check_counters(&mut self) -> Result<(), TestCaseError> {
+        for (place, host) in self.hosts.iter().enumerate() {
+            let dispatchers = host.node.iter().flat_map(|node| node.dispatchers().values());
+            for dispatcher in dispatchers {
+                let counters = dispatcher.counters();
+                let here = ORGANISATIONS.map(|o| (0, o.into(), counters.served(&o.into())));
+                let elsewhere = DOMAINS.iter().enumerate().flat_map(|(n, domain)| {
+                    let remote = counters.remote(&(*domain).into());
+                    remote.into_iter().map(move |Served(o, total, _)| (1 + n, o, total))
+                });
+                for (part, organisation, now) in here.into_iter().chain(elsewhere) {
+                    let key = (place, dispatcher.term(), part, organisation);
+                    let before = *self.served.get(&key).unwrap_or(&0);
+                    prop_assert!(now >= before, "{key:?}: {before} became {now}");
+                    self.served.insert(key, now);
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that nothing has been waiting beside a free slot for long.
     fn check_idle(&mut self) -> Result<(), TestCaseError> {
         let waiting = self.hosts.iter().any(|host| !host.waiting.is_empty());
@@ -438,6 +466,7 @@
         for upstream in &mut self.upstreams {
             upstream.history.push(upstream.running.len() as u32);
         }
+        self.check_counters()?;
         self.check()
     }
 }
