Tell of a change of the held engines by the engines, not their number

Cause: the node asked the order book how many engines are held before and after a tick and told the dispatcher if that changed. When the order to drain one is withdrawn in the tick in which another's turn comes, the number stays; the second goes on getting requests, never runs empty under load, and its order waits.

Ruled out: telling the dispatcher on every tick (40 times a second for nothing).

Change: the book compares the held engines with those it told of last and says so itself, after ticks and answers alike; the node's two special cases go. The tests of orders add their second engine in one place.

Before: with numbers compared, the new test fails. After: it passes; the other tests of orders are unchanged.

--- a/src/kingcupgrade/coordination/node/orders.rs
+++ b/src/kingcupgrade/coordination/node/orders.rs
@@ -27,13 +27,8 @@
             Some(EngineState { order, address, is_idle })
         });
         let mut outputs = Vec::new();
-        let held = book.held().count();
         book.tick(now, until, engines, &mut outputs);
-        let is_changed = book.held().count() != held;
         self.carry_out_orders(now, service, outputs, out);
-        if is_changed {
-            self.set_standing(service);
-        }
     }
 
     pub(super) fn on_engine_answer(
@@ -47,7 +42,6 @@
         let mut outputs = Vec::new();
         book.on_answer(now, id, answer, &mut outputs);
         self.carry_out_orders(now, &id.service, outputs, out);
-        self.set_standing(&id.service);
     }
 
     fn carry_out_orders(
@@ -61,6 +55,7 @@
         for output in outputs {
             match output {
                 OrderOutput::Ask(ask) => out.push(Output::AskEngine(ask)),
+                OrderOutput::HeldChanged => self.set_standing(service),
                 OrderOutput::Decided(decision) => out.push(Output::Decided(decision)),
                 OrderOutput::Changed(upstream) => {
                     if let Some(dispatcher) = self.dispatchers.get_mut(service) {
--- a/src/kingcupgrade/coordination/orders.rs
+++ b/src/kingcupgrade/coordination/orders.rs
@@ -10,7 +10,10 @@
 //! it runs nothing any more; and it comes back as a cold one. In each pool one engine at a time
 //! changes, so that a model that can't be loaded costs one engine and not all.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use super::{decision::Decision, lease::LEASE};
 use crate::{
@@ -80,6 +83,8 @@
 pub enum OrderOutput {
     /// Ask an engine.
     Ask(Ask),
+    /// Other engines than before may get no new requests; see [`OrderBook::held`].
+    HeldChanged,
     /// An engine has changed and is cold.
     Changed(UpstreamName),
     /// Log a decision.
@@ -150,13 +155,22 @@
     term: u64,
     born: Millis,
     engines: BTreeMap<UpstreamName, Progress>,
+    /// The held engines as last told of.
+    told: BTreeSet<UpstreamName>,
     next_ask: u64,
 }
 
 impl OrderBook {
     /// Makes the book of a holder whose lease began at `now`.
     pub fn new(now: Millis, service: Service, term: u64) -> OrderBook {
-        OrderBook { service, term, born: now, engines: BTreeMap::new(), next_ask: 1 }
+        OrderBook {
+            service,
+            term,
+            born: now,
+            engines: BTreeMap::new(),
+            told: BTreeSet::new(),
+            next_ask: 1,
+        }
     }
 
     /// Lists the engines that may get no new requests.
@@ -195,6 +209,16 @@
         for engine in engines {
             self.step(now, may_order, &engine, out);
         }
+        self.tell_held(out);
+    }
+
+    /// Tells of it if other engines are held than were told of last.
+    fn tell_held(&mut self, out: &mut Vec<OrderOutput>) {
+        if self.held().eq(&self.told) {
+            return;
+        }
+        self.told = self.held().cloned().collect();
+        out.push(OrderOutput::HeldChanged);
     }
 
     fn take_in(&mut self, now: Millis, order: &UpstreamOrder) {
@@ -319,6 +343,7 @@
         if progress.stage != before || progress.failure.is_some() {
             self.decide(&id.upstream, out);
         }
+        self.tell_held(out);
     }
 
     fn decide(&self, upstream: &UpstreamName, out: &mut Vec<OrderOutput>) {
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -31,14 +31,20 @@
     stage.is_some_and(|(known, stage)| known == number && stage == "as ordered")
 }
 
+/// Adds another engine to the pool.
+fn add_engine(world: &World) -> Engine {
+    let other = Engine::start(EngineConfig::default());
+    let backend = Backend::Engine(other.clone());
+    world.platform.add("engine-other", "tutor", "north", other.address(), backend);
+    other
+}
+
 // An operator brings a new model to a pool while callers are served. Nobody's answer is cut, the
 // engine changes when it runs nothing, and it comes back as the cold engine it is.
 #[test]
 fn a_model_is_loaded_under_load_at_nobodys_expense() {
     let world = start(&["north"], 2, &EngineConfig::default()).with_documents();
-    let other = Engine::start(EngineConfig::default());
-    let backend = Backend::Engine(other.clone());
-    world.platform.add("engine-other", "tutor", "north", other.address(), backend);
+    let other = add_engine(&world);
     let crowd = Crowd::start("kept", world.fleet.entry("entry-north-0"), "alder", 6, 10);
     assert!(crowd.wait_for(20));
     let number = world.fleet.order("engine-north", load("second")).expect("an order");
@@ -163,9 +169,7 @@
 #[test]
 fn a_drained_engine_rests_until_it_is_ordered_back() {
     let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
-    let other = Engine::start(EngineConfig::default());
-    let backend = Backend::Engine(other.clone());
-    world.platform.add("engine-other", "tutor", "north", other.address(), backend);
+    add_engine(&world);
     let crowd = Crowd::start("kept", world.fleet.entry("entry-north-0"), "alder", 4, 10);
     assert!(crowd.wait_for(10));
     world.fleet.order("engine-north", SetupChange::Drained(true)).expect("an order");
@@ -215,12 +219,16 @@
     }
 
     fn tick(&mut self, now: u64, lease_left: u64) -> Vec<Ask> {
+        asks(self.tick_all(now, lease_left))
+    }
+
+    fn tick_all(&mut self, now: u64, lease_left: u64) -> Vec<OrderOutput> {
         let address = "127.0.0.1:1".parse().expect("an address");
         let engines =
             self.orders.iter().map(|order| EngineState { order, address, is_idle: self.is_idle });
         let mut out = Vec::new();
         self.book.tick(Millis(now), Millis(now + lease_left), engines, &mut out);
-        asks(out)
+        out
     }
 
     fn answer(&mut self, now: u64, ask: &Ask, answer: EngineAnswer) {
@@ -271,6 +279,29 @@
     assert_eq!(drive.held(), [UpstreamName::from("b")]);
 }
 
+// The order to drain one engine is withdrawn in the moment another's turn comes: as many engines
+// are held as before, and not the same ones. Unless that is told, the second goes on getting
+// requests under load, never runs empty, and its order waits for good.
+#[test]
+fn a_change_of_the_held_engines_is_told_though_their_number_stays() {
+    let mut drive = Drive::new();
+    drive.orders[0].setup = Setup { drained: Some(true), ..Setup::default() };
+    for ask in drive.tick(0, 1_800) {
+        // The first is drained as ordered, the second is to load a model.
+        let mut setup = holding("first", true);
+        if let EngineAnswer::Setup(told) = &mut setup {
+            told.drained = ask.id.upstream.as_str() == "a";
+        }
+        drive.answer(1, &ask, setup);
+    }
+    drive.tick(25, 1_800);
+    assert_eq!(drive.held(), [UpstreamName::from("a")]);
+    drive.orders.remove(0);
+    let out = drive.tick_all(2_100, 1_800);
+    assert_eq!(drive.held(), [UpstreamName::from("b")]);
+    assert!(out.iter().any(|output| matches!(output, OrderOutput::HeldChanged)), "{out:?}");
+}
+
 // A lease is about to run out. An order sent now could reach the engine when the next holder has
 // begun to order; so it waits for the renewal. An engine that still runs something is not ordered.
 #[test]
