--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -11,17 +11,13 @@
     time::{Duration, Instant},
 };
 
-use kingcup_support::fleet::document;
 use kingcupgrade::{
     coordination::{
         dispatcher::slots::{Listed, LoadReport},
         entry::{Arrival, AttemptEnd},
         node::{Input, Node, Output},
     },
-    core::{
-        Instance, Millis, Organisation, Service, Settings,
-        settings::{Peer, Role},
-    },
+    core::{Instance, Millis, Organisation, Service, Settings, settings::Role},
     protocol::{
         Message, Pool,
         dispatch::{
@@ -35,10 +31,10 @@
 };
 use serde_json::json;
 
-const DOMAINS: usize = 13;
+use crate::synthetic::{self, DOMAINS, FLEET_KEY, SERVICES};
+
 const ENTRIES: usize = 405;
 const CONTROLS: usize = 5;
-const SERVICES: usize = 38;
 /// Organisations of each service, and how many of them are backlogged.
 const MEMBERS: usize = 129;
 const BACKLOGGED: usize = 13;
@@ -77,41 +73,14 @@
 }
 
 fn settings() -> Settings {
-    let entries = (0..ENTRIES).map(|n| Peer {
-        instance: entry(n),
-        address: address(),
-        failure_domain: domain(n).as_str().into(),
-        roles: vec![Role::Entry],
-    });
-    let controls = (0..CONTROLS).map(|n| Peer {
-        instance: format!("control-{n}").as_str().into(),
-        address: address(),
-        failure_domain: domain(n).as_str().into(),
-        roles: vec![Role::Control],
-    });
-    Settings {
-        instance: entry(0),
-        peers: entries.chain(controls).collect(),
-        caller_address: Some(address()),
-        operator_address: address(),
-        data: None,
-        fleet_key: "a fleet key of some length".to_owned(),
-        platform_list: "http://127.0.0.1:1/".to_owned(),
-        max_requests: 2_000,
-        static_shares: false,
-    }
+    let entries = synthetic::peers("entry", ENTRIES, Role::Entry, address());
+    let controls = synthetic::peers("control", CONTROLS, Role::Control, address());
+    synthetic::settings(entries.chain(controls), address())
 }
 
 fn documents() -> Vec<StoredDocument> {
-    let names: Vec<String> = (0..MEMBERS).map(|n| organisation(n).as_str().to_owned()).collect();
-    let members: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
     // Each slot is used once in RUN; so many give the pool its rate.
-    let slots = "slots: {cold: 2, warm: 2}\nlimits: {queue_requests: 1000}\n";
-    let documents = (0..SERVICES).map(|n| {
-        let text = document(service(n).as_str(), "model-engine", &members, slots);
-        StoredDocument { service: service(n), revision: 1, index: n as u64 + 1, text }
-    });
-    documents.collect()
+    synthetic::documents(MEMBERS, "slots: {cold: 2, warm: 2}\nlimits: {queue_requests: 1000}\n")
 }
 
 /// An entry that calls one of the node's pools.
@@ -160,7 +129,7 @@
         Drive {
             now: 0,
             node: Node::new(Millis(0), settings(), 1, 1, None),
-            channel: Channel::new("a fleet key of some length", [0; 16]),
+            channel: Channel::new(FLEET_KEY, [0; 16]),
             inbox: VecDeque::new(),
             callers: BTreeMap::new(),
             granters: BTreeMap::new(),
--- a/crates/kingcup-load/src/experiment.rs
+++ b/crates/kingcup-load/src/experiment.rs
@@ -8,7 +8,7 @@
 };
 
 use anyhow::Context;
-use kingcup_support::{caller::Caller, engine::EngineRecord, fleet::Usage, wait_until};
+use kingcup_support::{engine::EngineRecord, fleet::Usage, wait_until};
 use kingcupgrade::protocol::order::SetupChange;
 
 use crate::{
@@ -294,11 +294,9 @@
 
 /// Returns the bytes each instance has sent to others.
 fn control_bytes(world: &World) -> Vec<f64> {
-    let caller = Caller::new("");
     let instances = world.fleet.entries().into_iter().chain(world.fleet.controls());
     let bytes = instances.map(|(instance, _)| {
-        let text = caller.get(world.fleet.operator_address(&instance), "/metrics");
-        let text = text.unwrap_or_default();
+        let text = world.fleet.metrics(&instance);
         let lines = text.lines().filter(|line| line.starts_with("kingcup_peer_bytes_sent"));
         let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
         values.sum()
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -12,6 +12,7 @@
 mod result;
 mod scenario;
 mod slopes;
+mod synthetic;
 mod world;
 
 use std::process::ExitCode;
--- a/crates/kingcup-load/src/record.rs
+++ b/crates/kingcup-load/src/record.rs
@@ -62,6 +62,15 @@
     ratio: f64,
 }
 
+impl Step {
+    fn new(clients: usize, commits_per_s: f64, mut times: Vec<Duration>, bare: f64) -> Step {
+        times.sort();
+        let p95 = times.get(times.len() * 95 / 100).copied().unwrap_or_default();
+        let ms_p95 = p95.as_secs_f64() * 1_000.0;
+        Step { clients, commits_per_s, ms_p95, ratio: commits_per_s / bare }
+    }
+}
+
 #[derive(Clone, Debug, Serialize)]
 struct RecordResult {
     bare_syncs_per_s: f64,
@@ -108,10 +117,12 @@
     let mut changes = Vec::new();
     let mut changes_a_sync = 0.0;
     for count in CLIENTS {
-        let syncs = syncs_of(&fleet, &clients.leader);
+        let leader = clients.leader.clone();
+        let syncs = || fleet.metric(leader.as_str(), "kingcup_disk_syncs");
+        let before = syncs();
         let (step, made) = clients.measure(count, bare)?;
         changes.push(step);
-        changes_a_sync = made as f64 / (syncs_of(&fleet, &clients.leader) - syncs);
+        changes_a_sync = made as f64 / (syncs() - before);
     }
     let seconds_without_leader = without_leader(&mut fleet)?;
     let result = RecordResult {
@@ -160,17 +171,8 @@
     let rate = (done.load(Ordering::SeqCst) - before) as f64 / start.elapsed().as_secs_f64();
     stop.store(true, Ordering::SeqCst);
     let times = threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default());
-    let mut times: Vec<Duration> = times.collect();
-    times.sort();
-    let p95 = times.get(times.len() * 95 / 100).copied().unwrap_or_default();
     // Each deposit is a claim and a settlement.
-    let commits_per_s = 2.0 * rate;
-    Step {
-        clients,
-        commits_per_s,
-        ms_p95: p95.as_secs_f64() * 1_000.0,
-        ratio: commits_per_s / bare,
-    }
+    Step::new(clients, 2.0 * rate, times.collect(), bare)
 }
 
 fn deposit_all(
@@ -212,15 +214,6 @@
     Ok(start.elapsed().as_secs_f64())
 }
 
-/// Returns how often an instance has synced its disk.
-fn syncs_of(fleet: &Fleet, instance: &Instance) -> f64 {
-    let address = fleet.operator_address(instance.as_str());
-    let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
-    let mut lines = metrics.lines();
-    let value = lines.find_map(|line| line.strip_prefix("kingcup_disk_syncs ")?.parse().ok());
-    value.unwrap_or(0.0)
-}
-
 /// Clients of the record in this process, each with one change under way: a claim, then its
 /// release, and so on.
 struct RecordClients {
@@ -263,11 +256,7 @@
             under_way.remove(&id);
         }
         let made = times.len();
-        times.sort();
-        let p95 = times.get(made * 95 / 100).copied().unwrap_or_default();
-        let commits_per_s = made as f64 / seconds;
-        let ms_p95 = p95.as_secs_f64() * 1_000.0;
-        Ok((Step { clients, commits_per_s, ms_p95, ratio: commits_per_s / bare }, made))
+        Ok((Step::new(clients, made as f64 / seconds, times, bare), made))
     }
 
     fn propose(&mut self, client: usize, release: bool) -> u64 {
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -19,10 +19,7 @@
         node::{Input, Node},
         view::View,
     },
-    core::{
-        Document, Instance, Millis, Organisation, Settings,
-        settings::{Peer, Role},
-    },
+    core::{Document, Instance, Millis, Organisation, settings::Role},
     protocol::{
         Message, Pool,
         consensus::{LogEntry, Payload},
@@ -30,15 +27,14 @@
             DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Session, Waiting,
         },
         frame::Channel,
-        record::{
-            ClaimId, Command as Change, KeptAnswer, RecordMessage, RequestKey, Settlement,
-            StoredDocument,
-        },
+        record::{ClaimId, Command as Change, KeptAnswer, RecordMessage, RequestKey, Settlement},
     },
     state::record::Record,
 };
 use serde_json::{Value, json};
 
+use crate::synthetic::{self, FLEET_KEY, SERVICES, names};
+
 /// Organisations of the smallest size; the others are four and sixteen times as many.
 const BASE_ORGANISATIONS: usize = 306;
 /// Request keys of the smallest size.
@@ -87,10 +83,6 @@
     Ok(true)
 }
 
-fn names(count: usize) -> Vec<String> {
-    (0..count).map(|n| format!("organisation-{n:05}")).collect()
-}
-
 fn tutor(names: &[String]) -> Document {
     let organisations: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
     let rest = format!("slots: {{cold: 2, warm: {SLOTS}}}\nlimits: {{queue_requests: 1000}}\n");
@@ -114,7 +106,7 @@
 }
 
 fn wire_len(message: DispatchMessage) -> usize {
-    Channel::new("a fleet key of some length", [0; 16]).seal(&Message::Dispatch(message)).len()
+    Channel::new(FLEET_KEY, [0; 16]).seal(&Message::Dispatch(message)).len()
 }
 
 fn listing() -> Vec<Listed> {
@@ -351,40 +343,18 @@
 /// A whole idle entry among 410 with 38 services of `organisations` in all: the cost of a tick, a
 /// hundred of which pass each second, and the memory of its configuration.
 fn instance(organisations: usize) -> Value {
-    const SERVICES: usize = 38;
     const NODES: usize = 410;
-    const DOMAINS: usize = 13;
-    let peers = (0..NODES).map(|n| Peer {
-        instance: format!("entry-{n:03}").as_str().into(),
-        address: address(),
-        failure_domain: format!("domain-{:02}", n % DOMAINS).as_str().into(),
-        roles: vec![Role::Entry],
-    });
-    let settings = Settings {
-        instance: "entry-000".into(),
-        peers: peers.collect(),
-        caller_address: Some(address()),
-        operator_address: address(),
-        data: None,
-        fleet_key: "a fleet key of some length".to_owned(),
-        platform_list: "http://127.0.0.1:1/".to_owned(),
-        max_requests: 2_000,
-        static_shares: false,
-    };
+    let peers = synthetic::peers("entry", NODES, Role::Entry, address());
+    let settings = synthetic::settings(peers, address());
     let before = resident();
     let mut node = Node::new(Millis(0), settings, 1, 1, None);
-    let names = names(organisations / SERVICES + 1);
-    let members: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let documents = (0..SERVICES).map(|n| {
-        let service = format!("service-{n:02}");
-        let text = document(&service, "model-engine", &members, "slots: {cold: 2, warm: 8}\n");
-        StoredDocument { service: service.as_str().into(), revision: 1, index: n as u64 + 1, text }
-    });
+    let members = organisations / SERVICES + 1;
+    let documents = synthetic::documents(members, "slots: {cold: 2, warm: 8}\n");
     let state = RecordMessage::State {
         index: SERVICES as u64,
         asked: Some(Millis(0)),
         age: Some(Millis(0)),
-        documents: documents.collect(),
+        documents,
         domains: Vec::new(),
         upstreams: Vec::new(),
         orders: Vec::new(),
--- a/crates/kingcup-support/src/fleet.rs
+++ b/crates/kingcup-support/src/fleet.rs
@@ -25,7 +25,7 @@
     },
 };
 
-use crate::{free_address, platform::Platform, proxy::Proxy, wait_until};
+use crate::{caller::Caller, free_address, platform::Platform, proxy::Proxy, wait_until};
 
 /// The key of fleets made here.
 pub const FLEET_KEY: &str = "a key for fleets on one machine";
@@ -380,6 +380,19 @@
         self.members[instance].operator_address
     }
 
+    /// Returns what an instance shows at `/metrics`; nothing if it can't be reached.
+    pub fn metrics(&self, instance: &str) -> String {
+        Caller::new("").get(self.operator_address(instance), "/metrics").unwrap_or_default()
+    }
+
+    /// Returns one of its metrics, zero if it is not shown.
+    pub fn metric(&self, instance: &str, name: &str) -> f64 {
+        let metrics = self.metrics(instance);
+        let mut values =
+            metrics.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        values.next().and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    }
+
     /// Returns a client of the running instances.
     pub fn client(&self) -> OperatorClient {
         let running = self.members.iter().filter(|(_, member)| member.child.is_some());
--- a/src/bin/kingcup/commands/mod.rs
+++ b/src/bin/kingcup/commands/mod.rs
@@ -20,7 +20,10 @@
 
 use kingcupgrade::{
     ops::{OperatorClient, fresh_change_id},
-    protocol::record::{Command, Reply},
+    protocol::{
+        operator::Status,
+        record::{Command, Reply},
+    },
 };
 
 use crate::flags::{Kingcup, KingcupCmd};
@@ -78,12 +81,17 @@
         if wait { self.wait_in_force(index) } else { Ok(()) }
     }
 
+    /// Returns the status of every instance that can be reached.
+    fn reached(&self) -> Vec<Status> {
+        let statuses = self.client.instances().map(|instance| self.client.status(instance));
+        statuses.filter_map(Result::ok).collect()
+    }
+
     /// Waits until every instance that can be reached has the change at `index` in force.
     fn wait_in_force(&self, index: u64) -> anyhow::Result<()> {
         let start = Instant::now();
         loop {
-            let statuses = self.client.instances().map(|instance| self.client.status(instance));
-            let reached: Vec<_> = statuses.filter_map(Result::ok).collect();
+            let reached = self.reached();
             let behind = reached.iter().filter(|status| status.index < index).count();
             if behind == 0 && !reached.is_empty() {
                 let ms = start.elapsed().as_millis();
--- a/src/bin/kingcup/commands/order.rs
+++ b/src/bin/kingcup/commands/order.rs
@@ -4,7 +4,6 @@
 use kingcupgrade::{
     core::UpstreamName,
     protocol::{
-        operator::Status,
         order::{Setup, SetupChange, UpstreamOrder},
         record::Command,
     },
@@ -37,8 +36,7 @@
 }
 
 fn list(cx: &Context) -> anyhow::Result<()> {
-    let statuses = cx.client.instances().filter_map(|instance| cx.client.status(instance).ok());
-    let statuses: Vec<Status> = statuses.collect();
+    let statuses = cx.reached();
     let newest = statuses.iter().max_by_key(|status| status.index);
     let newest = newest.context("no instance can be reached")?;
     let pools = statuses.iter().flat_map(|status| &status.pools);
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -183,15 +183,7 @@
             out.push(ControlOutput::Send(from.clone(), Message::Record(redirect)));
             return;
         }
-        if let Command::ApplyDocument { text, .. } = command
-            && let Err(err) = Document::parse(text)
-        {
-            answer(from, id, Reply::Refused(err), out);
-            return;
-        }
-        if let Command::Order { setup, .. } = command
-            && let Err(err) = setup.check()
-        {
+        if let Err(err) = check(command) {
             answer(from, id, Reply::Refused(err), out);
             return;
         }
@@ -302,6 +294,15 @@
     }
 }
 
+/// Checks what a command carries before it takes a place in the record.
+fn check(command: &Command) -> Result<(), CodedError> {
+    match command {
+        Command::ApplyDocument { text, .. } => Document::parse(text).map(|_| ()),
+        Command::Order { setup, .. } => setup.check(),
+        _ => Ok(()),
+    }
+}
+
 fn answer(to: &Instance, id: u64, reply: Reply, out: &mut Vec<ControlOutput>) {
     let message = Message::Record(RecordMessage::Answer { id, reply });
     out.push(ControlOutput::Send(to.clone(), message));
--- a/src/kingcupgrade/coordination/dispatcher/counters.rs
+++ b/src/kingcupgrade/coordination/dispatcher/counters.rs
@@ -208,8 +208,9 @@
     }
 
     /// Takes in what another failure domain served, but for organisations that the document here
-    /// does not have yet: they are told again when their service changes. Returns whether it knows less
-    /// than was already known of it.
+    /// does not have yet: they are told again when their service changes.
+    ///
+    /// Returns whether it knows less than was already known of it.
     pub fn merge_remote(&mut self, domain: &FailureDomain, served: &[Served]) -> bool {
         let mut behind = false;
         for Served(tag, total, lift) in served {
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -117,12 +117,9 @@
     /// The entry reports a count again only if it is another one than this makes it. Without it
     /// the request would count as waiting once more when its grant is under way no longer.
     fn settle_received(&mut self, entry: &Instance, organisation: &Organisation) {
-        let Some(state) = self.sessions.get_mut(entry) else { return };
-        let Some(count) = state.reported.get_mut(organisation) else { return };
-        *count = count.saturating_sub(1);
-        if *count == 0 {
-            state.reported.remove(organisation);
-            self.remove_queue(entry, organisation);
+        let reported = self.sessions.get(entry).and_then(|state| state.reported.get(organisation));
+        if let Some(count) = reported.copied() {
+            self.set(entry, organisation, count.saturating_sub(1));
         }
     }
 
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -78,11 +78,6 @@
         self.orders.values()
     }
 
-    /// Returns the order that stands for an upstream.
-    pub fn order(&self, upstream: &UpstreamName) -> Option<&UpstreamOrder> {
-        self.orders.get(upstream)
-    }
-
     /// Tells whether the configuration was confirmed to be the newest of late.
     pub fn is_fresh(&self, now: Millis) -> bool {
         self.confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
@@ -103,13 +98,13 @@
             changed |= self.merge_document(stored);
         }
         for standing in domains {
-            changed |= merge_standing(&mut self.domains, standing);
+            changed |= merge_newer(&mut self.domains, &standing.name, standing, |s| s.index);
         }
         for standing in upstreams {
-            changed |= merge_standing(&mut self.upstreams, standing);
+            changed |= merge_newer(&mut self.upstreams, &standing.name, standing, |s| s.index);
         }
         for order in orders {
-            changed |= self.merge_order(order);
+            changed |= merge_newer(&mut self.orders, &order.upstream, order, |o| o.index);
         }
         if let (Some(asked), Some(age)) = (asked, age)
             && *index >= self.index
@@ -134,15 +129,6 @@
         true
     }
 
-    fn merge_order(&mut self, order: &UpstreamOrder) -> bool {
-        let known = self.orders.get(&order.upstream);
-        if known.is_some_and(|known| known.index >= order.index) {
-            return false;
-        }
-        self.orders.insert(order.upstream.clone(), order.clone());
-        true
-    }
-
     /// Returns all that changed after `have`, as a neighbour passes it on: without confirmation.
     pub fn state_since(&self, have: u64) -> RecordMessage {
         let documents = self.documents.values().map(|in_force| &in_force.stored);
@@ -158,13 +144,16 @@
     }
 }
 
-fn merge_standing<N: Ord + Clone>(
-    known: &mut BTreeMap<N, Standing<N>>,
-    standing: &Standing<N>,
+/// Takes in a part if its place in the record is later than that of the known one.
+fn merge_newer<N: Ord + Clone, P: Clone>(
+    known: &mut BTreeMap<N, P>,
+    name: &N,
+    part: &P,
+    index: impl Fn(&P) -> u64,
 ) -> bool {
-    if known.get(&standing.name).is_some_and(|known| known.index >= standing.index) {
+    if known.get(name).is_some_and(|known| index(known) >= index(part)) {
         return false;
     }
-    known.insert(standing.name.clone(), standing.clone());
+    known.insert(name.clone(), part.clone());
     true
 }
--- a/src/kingcupgrade/transport/http/request.rs
+++ b/src/kingcupgrade/transport/http/request.rs
@@ -1,10 +1,6 @@
 //! A request as the thread sees it that serves it.
 
-use std::{
-    future::poll_fn,
-    pin::{Pin, pin},
-    time::Duration,
-};
+use std::{future::poll_fn, pin::Pin, time::Duration};
 
 use hyper::{
     Response,
@@ -23,14 +19,9 @@
 pub struct Request {
     head: Parts,
     body: Incoming,
-    responder: Responder,
-    connections: runtime::Handle,
-}
-
-/// Where the answer goes, or word that there will be none because the caller is gone.
-struct Responder {
-    tx: oneshot::Sender<Response<AnswerBody>>,
+    answer: PendingAnswer,
     hung_up: oneshot::Sender<HangUpAction>,
+    connections: runtime::Handle,
 }
 
 /// What is done when the caller hangs up before its answer begins.
@@ -46,10 +37,11 @@
     pub(super) fn new(request: hyper::Request<Incoming>) -> (Request, Pending) {
         let (head, body) = request.into_parts();
         let (tx, answer) = oneshot::channel();
-        let (hung_up_tx, hung_up) = oneshot::channel();
-        let responder = Responder { tx, hung_up: hung_up_tx };
+        let (action_tx, hung_up) = oneshot::channel();
         let connections = runtime::Handle::current();
-        (Request { head, body, responder, connections }, Pending { answer, hung_up })
+        let answer_tx = PendingAnswer { tx };
+        let request = Request { head, body, answer: answer_tx, hung_up: action_tx, connections };
+        (request, Pending { answer, hung_up })
     }
 
     /// Returns the method.
@@ -99,18 +91,18 @@
     pub fn on_hang_up(self, action: impl FnOnce() + Send + 'static) -> PendingAnswer {
         // A caller who is gone already lets the action be dropped here, undone; the thread that
         // serves the request finds out when it answers.
-        let _ = self.responder.hung_up.send(Box::new(action));
-        PendingAnswer { tx: self.responder.tx }
+        let _ = self.hung_up.send(Box::new(action));
+        self.answer
     }
 
     /// Answers with a whole answer.
     pub fn respond(self, answer: Answer) {
-        PendingAnswer { tx: self.responder.tx }.respond(answer);
+        self.answer.respond(answer);
     }
 
     /// Begins an answer whose body comes in pieces.
     pub fn stream(self, head: Answer) -> AnswerStream {
-        PendingAnswer { tx: self.responder.tx }.stream(head)
+        self.answer.stream(head)
     }
 }
 
@@ -140,8 +132,7 @@
         return Err(too_large());
     }
     let mut bytes = Vec::new();
-    let mut body = pin!(body);
-    while let Some(frame) = poll_fn(|cx| Pin::new(&mut **body).poll_frame(cx)).await {
+    while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
         let frame = frame.map_err(|err| CodedError::new(Code::BadRequest, err.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
         if bytes.len() + data.len() > limit {
--- a/tests/testsuite/answers.rs
+++ b/tests/testsuite/answers.rs
@@ -81,12 +81,7 @@
     world.fleet.apply("tutor", 0, &one_slot).expect("a document in force");
     world.fleet.wait_for_dispatchers("tutor").expect("a dispatcher");
     let entry = world.fleet.entry("entry-north-0");
-    let open = || {
-        let address = world.fleet.operator_address("entry-north-0");
-        let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
-        let mut lines = metrics.lines();
-        lines.find_map(|line| line.strip_prefix("kingcup_open_requests ").map(str::to_owned))
-    };
+    let open = || world.fleet.metric("entry-north-0", "kingcup_open_requests");
     let (end, ended) = mpsc::channel::<()>();
     let first = thread::spawn(move || {
         let body = serde_json::to_string(&prompt("first", "alder", 100_000)).expect("plain data");
@@ -103,9 +98,9 @@
     );
     let mut second = TcpStream::connect(entry).expect("a connection");
     second.write_all((head + &body).as_bytes()).expect("written");
-    assert!(wait_until(PATIENCE, || open().as_deref() == Some("2")), "the second does not wait");
+    assert!(wait_until(PATIENCE, || open() == 2.0), "the second does not wait");
     drop(second);
-    assert!(wait_until(PATIENCE, || open().as_deref() == Some("1")), "the second still waits");
+    assert!(wait_until(PATIENCE, || open() == 1.0), "the second still waits");
     drop(end);
     first.join().expect("the first caller");
     let asked = prompt("third", "alder", 3);
--- a/tests/testsuite/input.rs
+++ b/tests/testsuite/input.rs
@@ -148,11 +148,7 @@
     let stranger = Peers::start(Arc::new(settings), tx).expect("a listening stranger");
     let claim = Message::Lease(LeaseMessage::Announce { claims: Vec::new() });
     stranger.send(&"entry-north-0".into(), claim);
-    let counted = || {
-        let address = world.fleet.operator_address("entry-north-0");
-        let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
-        metrics.contains("kingcup_peer_frames_refused 1")
-    };
+    let counted = || world.fleet.metrics("entry-north-0").contains("kingcup_peer_frames_refused 1");
     assert!(wait_until(PATIENCE, counted), "the frame is not counted");
     let asked = prompt("after", "alder", 3);
     let entry = world.fleet.entry("entry-north-0");
--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -168,11 +168,7 @@
         world.fleet.link(&dispatcher, other).freeze_open();
     }
     assert!(crowd.wait_for(15), "nothing is served after the connections went silent");
-    let replaced = || {
-        let address = world.fleet.operator_address(&others[0]);
-        let metrics = Caller::new("").get(address, "/metrics").unwrap_or_default();
-        metrics.contains("kingcup_peer_connections_replaced")
-    };
+    let replaced = || world.fleet.metrics(&others[0]).contains("kingcup_peer_connections_replaced");
     assert!(wait_until(PATIENCE, replaced), "no connection was replaced");
     check_answers(&crowd.finish());
     assert_spared(&world);
--- a/tests/testsuite/record.rs
+++ b/tests/testsuite/record.rs
@@ -362,13 +362,9 @@
     assert_eq!(Some(&again), results.iter().find_map(|result| result.as_ref().ok()));
 }
 
-// An entry restarts empty while the only control instance it reaches is an isolated one with an
-// old document. Its neighbour knows the newer one; the entry must not go back behind that.
-#[test]
-fn an_entry_restarted_beside_an_isolated_control_instance_takes_the_newest() {
-    let mut world =
-        start(&["north", "south", "west"], 2, &EngineConfig::default()).with_documents();
-    let fleet = &mut world.fleet;
+/// Kills an entry and lets it reach, when it is started again, no control instance but an isolated
+/// one that has not heard of the newest document. Its neighbour has; returns that revision.
+fn leave_beside_isolated_control(fleet: &mut Fleet) -> u64 {
     fleet.isolate("control-north", true);
     let text = tutor_document();
     let change = fresh_change_id().expect("a change id");
@@ -382,6 +378,17 @@
     }
     fleet.link("entry-north-0", "control-north").cut(false);
     fleet.link("control-north", "entry-north-0").cut(false);
+    revision
+}
+
+// An entry restarts empty while the only control instance it reaches is an isolated one with an
+// old document. Its neighbour knows the newer one; the entry must not go back behind that.
+#[test]
+fn an_entry_restarted_beside_an_isolated_control_instance_takes_the_newest() {
+    let mut world =
+        start(&["north", "south", "west"], 2, &EngineConfig::default()).with_documents();
+    let fleet = &mut world.fleet;
+    let revision = leave_beside_isolated_control(fleet);
     fleet.run("entry-north-0").expect("a started entry");
     let newest = || {
         let status = fleet.status("entry-north-0");
@@ -402,19 +409,7 @@
     let mut world =
         start(&["north", "south", "west"], 2, &EngineConfig::default()).with_documents();
     let fleet = &mut world.fleet;
-    fleet.isolate("control-north", true);
-    let change = fresh_change_id().expect("a change id");
-    let text = tutor_document();
-    let apply = Command::ApplyDocument { change, service: "tutor".into(), base: 1, text };
-    let (revision, index) = accepted(fleet, &apply);
-    assert!(wait_until(PATIENCE, || index_of(fleet, "entry-north-1") >= index));
-    fleet.kill("entry-north-0");
-    for control in ["control-south", "control-west"] {
-        fleet.link("entry-north-0", control).cut(true);
-        fleet.link(control, "entry-north-0").cut(true);
-    }
-    fleet.link("entry-north-0", "control-north").cut(false);
-    fleet.link("control-north", "entry-north-0").cut(false);
+    let revision = leave_beside_isolated_control(fleet);
     // What is sent meanwhile is lost, not held back.
     fleet.link("entry-north-0", "entry-north-1").set_down(true);
     fleet.run("entry-north-0").expect("a started entry");
