--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -209,6 +209,7 @@
                     domains: Vec::new(),
                     upstreams: Vec::new(),
                     orders: Vec::new(),
+                    whole: None,
                 };
                 self.post(to, Message::Record(state));
             }
--- a/crates/kingcup-load/src/record.rs
+++ b/crates/kingcup-load/src/record.rs
@@ -32,7 +32,10 @@
         Message,
         record::{ClaimId, Command, RecordMessage, Reply, RequestKey, Settlement},
     },
-    transport::{Event, peers::Peers},
+    transport::{
+        Event,
+        peers::{PeerConfig, Peers},
+    },
 };
 use serde::Serialize;
 
@@ -228,7 +231,7 @@
         let leader = fleet.leader().ok_or_else(|| anyhow::anyhow!("nobody leads"))?;
         let text = std::fs::read_to_string(fleet.settings_path(CLIENT))?;
         let (tx, events) = mpsc::channel();
-        let peers = Peers::start(Arc::new(Settings::parse(&text)?), tx)?;
+        let peers = Peers::start(PeerConfig::of(&Arc::new(Settings::parse(&text)?), tx))?;
         Ok(RecordClients { peers, events, leader: leader.as_str().into(), next: 1 })
     }
 
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -358,6 +358,7 @@
         domains: Vec::new(),
         upstreams: Vec::new(),
         orders: Vec::new(),
+        whole: None,
     };
     let mut out = Vec::new();
     let start = Instant::now();
--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -62,6 +62,20 @@
         }
     }
 
+    /// Replaces the instances that are asked, going on with the same ones where they are still
+    /// there.
+    pub fn set_instances(&mut self, controls: Vec<Instance>, neighbours: Vec<Instance>) {
+        let place = |of: usize, controls: &[Instance], known: &[Instance]| {
+            let instance = known.get(of);
+            let place = instance.and_then(|i| controls.iter().position(|control| control == i));
+            place.unwrap_or(of % controls.len().max(1))
+        };
+        self.target = place(self.target, &controls, &self.controls);
+        self.source = place(self.source, &controls, &self.controls);
+        self.controls = controls;
+        self.neighbours = neighbours;
+    }
+
     /// Starts a proposal and returns its number.
     pub fn propose(&mut self, now: Millis, command: Command, patience: Millis) -> u64 {
         let id = self.next_id;
--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -7,7 +7,7 @@
 };
 
 /// A learner that lacks at most this many entries may vote.
-const CAUGHT_UP: u64 = 16;
+pub(super) const CAUGHT_UP: u64 = 16;
 /// How often a replica outside the record makes itself known.
 const HELLO_INTERVAL: Millis = Millis(1_000);
 /// A replica outside the record counts as present for this long after its last sign.
@@ -106,7 +106,7 @@
     }
 
     /// Checks that no other change of members is under way, and that this leader knows all of them.
-    fn check_change(&self) -> Result<(), CodedError> {
+    pub(super) fn check_change(&self) -> Result<(), CodedError> {
         let Role::Leader { since, .. } = &self.role else {
             return Err(CodedError::new(Code::NotLeader, "this instance does not lead the record"));
         };
@@ -118,7 +118,7 @@
     }
 
     /// Checks that enough of the voters in `members` can be heard now to go on.
-    fn check_majority(&self, now: Millis, members: &[Member]) -> Result<(), CodedError> {
+    pub(super) fn check_majority(&self, now: Millis, members: &[Member]) -> Result<(), CodedError> {
         let voters = members.iter().filter(|member| member.voter).count();
         let heard = self.heard_voters(now, members);
         if heard < voters / 2 + 1 {
@@ -164,18 +164,16 @@
         if self.check_change().is_err() {
             return;
         }
-        let last = self.log.last().index;
-        let Role::Leader { progress, .. } = &self.role else { return };
-        let caught_up = |id: &ReplicaId| {
-            progress.get(id).is_some_and(|p| {
-                p.matched > 0 && p.matched + CAUGHT_UP >= last && now.since(p.acked) < ELECTION_MIN
-            })
-        };
         let mut members = self.members().to_vec();
-        let learner = members.iter_mut().find(|member| !member.voter && caught_up(&member.id));
+        if self.voter_target.is_some_and(|target| self.voters().len() >= target) {
+            return;
+        }
+        let learner =
+            members.iter_mut().find(|member| !member.voter && self.is_caught_up(now, &member.id));
         let Some(learner) = learner else { return };
         learner.voter = true;
         if self.bears_newcomer(now) {
+            let last = self.log.last().index;
             let unix_ms = self.log.entry(last).map_or(0, |entry| entry.unix_ms);
             // Whoever leads is the leader here; the proposal can't be refused.
             let _ = self.propose(now, unix_ms, Payload::Members(members), out);
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -10,6 +10,7 @@
 
 mod election;
 mod members;
+mod repair;
 mod replication;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,6 +74,8 @@
     /// Replicas that belong to no record, and when they said so.
     blanks: BTreeMap<ReplicaId, Millis>,
     random: u64,
+    /// How many voters a record that repairs itself has; `None` where operators decide.
+    voter_target: Option<usize>,
 }
 
 impl Consensus {
@@ -93,11 +96,27 @@
             incoming: None,
             blanks: BTreeMap::new(),
             random: seed | 1,
+            voter_target: None,
         };
         machine.put_off_election(now);
         machine
     }
 
+    /// Limits the voters to `target`, so that learners beyond wait for one to be lost.
+    pub fn set_voter_target(&mut self, target: usize) {
+        self.voter_target = Some(target);
+    }
+
+    /// Asks the voter that has most of the log to take over, before this leader stops.
+    pub fn hand_over(&mut self, out: &mut Vec<ConsensusOutput>) {
+        let Role::Leader { progress, .. } = &self.role else { return };
+        let voters = self.other_voters();
+        let next = voters.iter().max_by_key(|id| progress.get(id).map(|p| (p.matched, p.acked)));
+        if let Some(next) = next {
+            self.send(next, ConsensusBody::TakeOver, out);
+        }
+    }
+
     /// Returns this replica's identity.
     pub fn id(&self) -> &ReplicaId {
         &self.id
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -18,6 +18,8 @@
 
 /// Entries after which a snapshot is taken.
 const SNAPSHOT_EVERY: usize = 2_000;
+/// Bytes of configurations in the log after which a snapshot is taken: a tenth of a small disk.
+const SNAPSHOT_LEN: usize = 8 << 20;
 /// An instance that asked within this time is told of changes at once.
 const SUBSCRIPTION: Millis = Millis(5_000);
 /// Freshness older than this is not passed on: the instance can't reach a majority.
@@ -52,6 +54,10 @@
     subscribers: BTreeMap<Instance, (Millis, u64)>,
     told_index: u64,
     failed: Option<CodedError>,
+    /// How many voters a record that repairs itself has; `None` where operators decide.
+    voter_target: Option<usize>,
+    /// Bytes of configurations applied since the last snapshot.
+    applied_len: usize,
 }
 
 impl ControlMachine {
@@ -75,9 +81,32 @@
             subscribers: BTreeMap::new(),
             told_index,
             failed: None,
+            voter_target: None,
+            applied_len: 0,
         })
     }
 
+    /// Lets the record repair its members by itself, up to this many voters.
+    pub fn set_voter_target(&mut self, target: usize) {
+        self.voter_target = Some(target);
+        self.consensus.set_voter_target(target);
+    }
+
+    /// Takes the next step towards voters that live, where operators don't decide.
+    pub fn repair_members(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<ControlOutput>) {
+        let Some(target) = self.voter_target.filter(|_| self.failed.is_none()) else { return };
+        let mut outputs = Vec::new();
+        self.consensus.repair_members(now, unix_ms, target, &mut outputs);
+        self.carry_out(outputs, out);
+    }
+
+    /// Hands the lead over before the process stops.
+    pub fn hand_over(&mut self, out: &mut Vec<ControlOutput>) {
+        let mut outputs = Vec::new();
+        self.consensus.hand_over(&mut outputs);
+        self.carry_out(outputs, out);
+    }
+
     /// Returns the replica.
     pub fn consensus(&self) -> &Consensus {
         &self.consensus
@@ -256,6 +285,9 @@
     }
 
     fn apply(&mut self, entry: &LogEntry, out: &mut Vec<ControlOutput>) {
+        if let Payload::Command(Command::Replace(stored)) = &entry.payload {
+            self.applied_len += stored.text.len();
+        }
         let reply = self.record.apply(entry);
         let Some(pending) = self.pending.remove(&entry.index) else { return };
         if pending.term != entry.term {
@@ -273,9 +305,10 @@
     }
 
     fn snapshot_if_due(&mut self, out: &mut Vec<ControlOutput>) {
-        if self.consensus.log().len() < SNAPSHOT_EVERY {
+        if self.consensus.log().len() < SNAPSHOT_EVERY && self.applied_len < SNAPSHOT_LEN {
             return;
         }
+        self.applied_len = 0;
         let data = self.record.encode();
         let mut outputs = Vec::new();
         self.consensus.compact(data, &mut outputs);
--- /dev/null
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -0,0 +1,394 @@
+//! One instance of a fleet that finds itself: membership, the record, and what entries tell each
+//! other.
+//!
+//! The machine serves both roles. An entry pulls the configuration and spreads its load; a control
+//! instance keeps a replica of the record besides and lists the fleet. Neither is told who the
+//! others are: they join the control instances they know, and learn the rest.
+
+mod roster;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use self::roster::Roster;
+use super::{
+    client::RecordClient,
+    control::{ControlMachine, ControlOutput},
+    view::View,
+};
+use crate::{
+    core::{
+        Instance, Millis,
+        code::CodedError,
+        fleet::{FleetSettings, role_of},
+        settings::Role,
+    },
+    protocol::{
+        Message,
+        fleet::{FleetMessage, LoadReport, Resident},
+        record::{Command, RecordMessage, Reply},
+    },
+    state::log::{Log, Persist},
+};
+
+/// How often an instance says that it is there.
+const JOIN_INTERVAL: Millis = Millis(1_000);
+/// How often it says so while it knows nobody: at a common start most of the others don't listen
+/// yet.
+const FIRST_JOIN_INTERVAL: Millis = Millis(200);
+
+/// Names an operator's request that waits for an answer.
+pub type Ticket = u64;
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum FleetInput {
+    /// A message arrived.
+    Received(Instance, Message),
+    /// An operator asks for a change or an answer of the record, for as long as given.
+    Asked(Ticket, Command, Millis),
+    /// This entry's load is to be told to the others.
+    Share(LoadReport),
+    /// The disk failed.
+    StorageFailed(CodedError),
+    /// The disk works again and holds this replica.
+    StorageBack(Box<ControlMachine>),
+    /// The settings name other control instances.
+    SeedsChanged(Vec<Instance>),
+    /// The instance is to stop.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// Something to do, in this order.
+#[derive(Debug)]
+pub enum FleetOutput {
+    /// Write to disk, synced before any later output is carried out.
+    Persist(Persist),
+    /// Send a message.
+    Send(Instance, Message),
+    /// Answer an operator.
+    Answer(Ticket, Reply),
+    /// The configuration or the standing of a failure domain changed.
+    ViewChanged,
+    /// The entries of the fleet are these.
+    Entries(Vec<Resident>),
+    /// Another entry told of its load.
+    Heard(Instance, LoadReport),
+}
+
+/// The state of one instance.
+#[derive(Debug)]
+pub struct FleetNode {
+    settings: Arc<FleetSettings>,
+    instance: Instance,
+    view: View,
+    control: Option<ControlMachine>,
+    client: RecordClient,
+    roster: Roster,
+    awaited: BTreeMap<u64, Ticket>,
+    /// Messages from this instance to itself.
+    own: VecDeque<Message>,
+    next_join: Millis,
+    told_digest: u64,
+    draining: bool,
+}
+
+impl FleetNode {
+    /// Makes the node of an instance; `control` is its replica of the record, if it has one.
+    pub fn new(settings: Arc<FleetSettings>, control: Option<ControlMachine>) -> FleetNode {
+        let instance = settings.instance();
+        let seeds = settings.seed_instances();
+        // Instances of one failure domain mostly follow each other in address; neighbours then
+        // begin with different control instances.
+        let offset = usize::from(instance.as_str().bytes().last().unwrap_or(0));
+        let client = RecordClient::new(seeds.clone(), Vec::new(), offset);
+        FleetNode {
+            view: View::default(),
+            client,
+            roster: Roster::new(seeds),
+            awaited: BTreeMap::new(),
+            own: VecDeque::new(),
+            next_join: Millis::ZERO,
+            told_digest: 0,
+            draining: false,
+            control,
+            instance,
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force here.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the replica of the record, if there is one.
+    pub fn control(&self) -> Option<&ControlMachine> {
+        self.control.as_ref()
+    }
+
+    /// Returns the log as it stands, for writing it anew.
+    pub fn log(&self) -> Option<&Log> {
+        self.control.as_ref().map(|control| control.consensus().log())
+    }
+
+    /// Handles an input; `unix_ms` is the wall clock.
+    pub fn handle(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        input: FleetInput,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        match input {
+            FleetInput::Received(from, message) => {
+                self.on_message(now, unix_ms, &from, message, out);
+            }
+            FleetInput::Asked(ticket, command, patience) => {
+                let id = self.client.propose(now, command, patience);
+                self.awaited.insert(id, ticket);
+            }
+            FleetInput::Share(report) => self.share(report, out),
+            FleetInput::StorageFailed(err) => {
+                if let Some(control) = &mut self.control {
+                    control.on_storage_failed(err);
+                }
+            }
+            FleetInput::StorageBack(control) => self.control = Some(*control),
+            FleetInput::SeedsChanged(seeds) => self.roster.set_seeds(seeds),
+            FleetInput::Drain => {
+                self.draining = true;
+                self.join(now, out);
+                self.run_control(out, |control, outputs| control.hand_over(outputs));
+            }
+            FleetInput::Tick => self.tick(now, unix_ms, out),
+        }
+        self.deliver_own(now, unix_ms, out);
+    }
+
+    /// Completes a batch of inputs: sends what was gathered over it.
+    pub fn flush(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<FleetOutput>) {
+        self.run_control(out, |control, outputs| control.flush(now, outputs));
+        let mut messages = Vec::new();
+        self.client.send_proposals(now, &mut messages);
+        self.send_all(messages, out);
+        self.deliver_own(now, unix_ms, out);
+    }
+
+    fn deliver_own(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<FleetOutput>) {
+        let instance = self.instance.clone();
+        while let Some(message) = self.own.pop_front() {
+            self.on_message(now, unix_ms, &instance, message, out);
+        }
+    }
+
+    fn send(&mut self, to: Instance, message: Message, out: &mut Vec<FleetOutput>) {
+        if to == self.instance {
+            self.own.push_back(message);
+        } else {
+            out.push(FleetOutput::Send(to, message));
+        }
+    }
+
+    fn send_all(&mut self, messages: Vec<(Instance, RecordMessage)>, out: &mut Vec<FleetOutput>) {
+        for (to, message) in messages {
+            self.send(to, Message::Record(message), out);
+        }
+    }
+
+    fn tick(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<FleetOutput>) {
+        self.run_control(out, |control, outputs| {
+            control.tick(now, outputs);
+            control.repair_members(now, unix_ms, outputs);
+        });
+        let mut messages = Vec::new();
+        let is_confirmed = self.view.is_fresh(now);
+        self.client.pull(now, self.view.index(), is_confirmed, &mut messages);
+        self.send_all(messages, out);
+        for (id, reply) in self.client.give_up_overdue(now) {
+            self.on_answer(id, reply, out);
+        }
+        self.roster.expire(now, self.control.is_some());
+        self.tell_entries(out);
+        if now >= self.next_join {
+            self.join(now, out);
+        }
+    }
+
+    /// Says to all control instances that this instance is there.
+    fn join(&mut self, now: Millis, out: &mut Vec<FleetOutput>) {
+        let is_alone = self.roster.entries().is_empty();
+        self.next_join = now + if is_alone { FIRST_JOIN_INTERVAL } else { JOIN_INTERVAL };
+        let join = FleetMessage::Join {
+            domain: self.settings.failure_domain.clone(),
+            leaving: self.draining,
+            known: self.roster.digest(),
+        };
+        for control in self.roster.controls() {
+            if control != self.instance {
+                out.push(FleetOutput::Send(control, Message::Fleet(join.clone())));
+            }
+        }
+    }
+
+    fn share(&mut self, report: LoadReport, out: &mut Vec<FleetOutput>) {
+        for Resident(entry, _) in self.roster.entries() {
+            if entry != self.instance {
+                let message = Message::Fleet(FleetMessage::Load(report.clone()));
+                out.push(FleetOutput::Send(entry, message));
+            }
+        }
+    }
+
+    fn tell_entries(&mut self, out: &mut Vec<FleetOutput>) {
+        let digest = self.roster.digest();
+        if digest == self.told_digest {
+            return;
+        }
+        self.told_digest = digest;
+        let controls = self.roster.controls();
+        self.client.set_instances(controls, self.neighbours());
+        out.push(FleetOutput::Entries(self.roster.entries()));
+    }
+
+    fn neighbours(&self) -> Vec<Instance> {
+        let entries = self.roster.entries().into_iter().map(|Resident(entry, _)| entry);
+        entries.filter(|entry| *entry != self.instance).collect()
+    }
+
+    fn on_message(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        from: &Instance,
+        message: Message,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        match message {
+            Message::Consensus(message) => {
+                self.run_control(out, |control, outputs| {
+                    control.on_consensus(now, &message, outputs);
+                });
+            }
+            Message::Record(message) => self.on_record(now, unix_ms, from, message, out),
+            Message::Fleet(message) => self.on_fleet(now, from, message, out),
+            // Of the other kind of fleet, whose pools have dispatchers.
+            Message::Lease(_) | Message::Dispatch(_) => {}
+        }
+    }
+
+    fn on_fleet(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        message: FleetMessage,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        match message {
+            FleetMessage::Join { domain, leaving, known } => {
+                self.roster.on_join(now, from, &domain, leaving);
+                if self.control.is_some() {
+                    self.answer_join(from, known, out);
+                }
+            }
+            FleetMessage::Roster { entries, controls } => {
+                if self.control.is_some() {
+                    // A control instance lists whom it hears itself; of the others' lists it
+                    // takes the control instances, to be able to reach a leader.
+                    self.roster.on_roster(now, &[], &controls);
+                } else {
+                    self.roster.on_roster(now, &entries, &controls);
+                }
+                self.tell_entries(out);
+            }
+            FleetMessage::Load(report) => {
+                self.roster.on_heard(now, from);
+                out.push(FleetOutput::Heard(from.clone(), report));
+            }
+        }
+    }
+
+    fn answer_join(&mut self, from: &Instance, _known: u64, out: &mut Vec<FleetOutput>) {
+        let mut controls = self.roster.controls();
+        if let Some(control) = &self.control {
+            let members = control.consensus().members().iter();
+            controls.extend(members.map(|member| member.id.0.clone()));
+        }
+        controls.push(self.instance.clone());
+        controls.sort();
+        controls.dedup();
+        let roster = FleetMessage::Roster { entries: self.roster.entries(), controls };
+        out.push(FleetOutput::Send(from.clone(), Message::Fleet(roster)));
+    }
+
+    fn on_record(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        from: &Instance,
+        message: RecordMessage,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        match message {
+            RecordMessage::Pull { have, .. } if self.control.is_none() => {
+                let state = Message::Record(self.view.state_since(have));
+                self.send(from.clone(), state, out);
+            }
+            RecordMessage::Pull { .. } | RecordMessage::Propose { .. } => {
+                self.run_control(out, |control, outputs| {
+                    control.on_record(now, unix_ms, from, &message, outputs);
+                });
+            }
+            RecordMessage::State { asked, age, .. } => {
+                if asked.is_some() && role_of(from) == Some(Role::Control) {
+                    self.client.on_state(from, age.is_some());
+                }
+                if self.view.merge(&message) {
+                    out.push(FleetOutput::ViewChanged);
+                }
+            }
+            RecordMessage::Answer { id, reply } => {
+                if let Some(reply) = self.client.on_answer(now, id, reply) {
+                    self.on_answer(id, reply, out);
+                }
+            }
+            RecordMessage::Redirect { id, leader } => {
+                self.client.on_redirect(now, id, leader.as_ref());
+            }
+        }
+    }
+
+    fn on_answer(&mut self, id: u64, reply: Reply, out: &mut Vec<FleetOutput>) {
+        if let Some(ticket) = self.awaited.remove(&id) {
+            out.push(FleetOutput::Answer(ticket, reply));
+        }
+    }
+
+    fn run_control(
+        &mut self,
+        out: &mut Vec<FleetOutput>,
+        run: impl FnOnce(&mut ControlMachine, &mut Vec<ControlOutput>),
+    ) {
+        let Some(control) = &mut self.control else { return };
+        let mut outputs = Vec::new();
+        run(control, &mut outputs);
+        for output in outputs {
+            match output {
+                ControlOutput::Persist(persist) => out.push(FleetOutput::Persist(persist)),
+                ControlOutput::Send(to, message) => self.send(to, message, out),
+                ControlOutput::SendToControls(message) => {
+                    for control in self.roster.controls() {
+                        if control != self.instance {
+                            let message = Message::Consensus(message.clone());
+                            out.push(FleetOutput::Send(control, message));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/fleet/roster.rs
@@ -0,0 +1,112 @@
+//! Who is in the fleet, as one instance knows it.
+//!
+//! Control instances hear everybody and tell everybody. An instance that no control instance
+//! reaches keeps the last list: neighbours that it forgot would take capacity it then counts as
+//! its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    core::{FailureDomain, Instance, Millis, fleet::role_of, settings::Role},
+    protocol::fleet::Resident,
+};
+
+/// An instance not heard for this long is not listed any more: several joins lost in a row.
+const ENTRY_TTL: Millis = Millis(4_000);
+/// A control instance stays listed longer, since it is told of by others too.
+const CONTROL_TTL: Millis = Millis(20_000);
+
+/// The instances known.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<Instance, (FailureDomain, Millis)>,
+    controls: BTreeMap<Instance, Millis>,
+    seeds: BTreeSet<Instance>,
+    /// When a control instance last listed the fleet.
+    listed: Option<Millis>,
+}
+
+impl Roster {
+    /// Makes a roster of what the settings tell.
+    pub fn new(seeds: impl IntoIterator<Item = Instance>) -> Roster {
+        Roster { seeds: seeds.into_iter().collect(), ..Roster::default() }
+    }
+
+    /// Replaces the control instances that the settings tell of.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = Instance>) {
+        self.seeds = seeds.into_iter().collect();
+    }
+
+    /// Notes a sign of life.
+    pub fn on_join(
+        &mut self,
+        now: Millis,
+        instance: &Instance,
+        domain: &FailureDomain,
+        leaving: bool,
+    ) {
+        match role_of(instance) {
+            Some(Role::Control) => {
+                self.controls.insert(instance.clone(), now);
+            }
+            Some(Role::Entry) if leaving => {
+                self.entries.remove(instance);
+            }
+            Some(Role::Entry) => {
+                self.entries.insert(instance.clone(), (domain.clone(), now));
+            }
+            None => {}
+        }
+    }
+
+    /// Notes an entry's own word to this one; its failure domain is known from the roster.
+    pub fn on_heard(&mut self, now: Millis, instance: &Instance) {
+        if let Some((_, heard)) = self.entries.get_mut(instance) {
+            *heard = now;
+        }
+    }
+
+    /// Takes in what a control instance lists.
+    pub fn on_roster(&mut self, now: Millis, entries: &[Resident], controls: &[Instance]) {
+        self.listed = Some(now);
+        for Resident(instance, domain) in entries {
+            self.entries.insert(instance.clone(), (domain.clone(), now));
+        }
+        for control in controls {
+            self.controls.insert(control.clone(), now);
+        }
+    }
+
+    /// Drops who has not been heard for long, unless nobody lists the fleet.
+    pub fn expire(&mut self, now: Millis, lists_itself: bool) {
+        let is_listed = self.listed.is_some_and(|listed| now.since(listed) <= ENTRY_TTL);
+        if lists_itself || is_listed {
+            self.entries.retain(|_, (_, heard)| now.since(*heard) <= ENTRY_TTL);
+            self.controls.retain(|_, heard| now.since(*heard) <= CONTROL_TTL);
+        }
+    }
+
+    /// Lists the entries.
+    pub fn entries(&self) -> Vec<Resident> {
+        self.entries.iter().map(|(i, (domain, _))| Resident(i.clone(), domain.clone())).collect()
+    }
+
+    /// Lists the control instances.
+    pub fn controls(&self) -> Vec<Instance> {
+        let known = self.controls.keys().chain(&self.seeds);
+        known.cloned().collect::<BTreeSet<Instance>>().into_iter().collect()
+    }
+
+    /// Returns a digest of the entries and control instances.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = crc32fast::Hasher::new();
+        for (instance, (domain, _)) in &self.entries {
+            hasher.update(instance.as_str().as_bytes());
+            hasher.update(domain.as_str().as_bytes());
+        }
+        for control in self.controls() {
+            hasher.update(control.as_str().as_bytes());
+        }
+        u64::from(hasher.finalize())
+    }
+}
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -340,6 +340,8 @@
                 });
             }
             Message::Record(message) => self.on_record(now, unix_ms, from, message, out),
+            // Of fleets that find themselves; this one's settings name all instances.
+            Message::Fleet(_) => {}
         }
     }
 
--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -0,0 +1,148 @@
+//! Where a request goes: the upstream that answers it soonest, counting what reading costs others.
+//!
+//! An engine that keeps a prompt's shared parts reads only the rest. Entries agree on where a
+//! shared part belongs without a word between them, by ranking the upstreams by a hash of the part
+//! and the upstream; what an entry sent somewhere itself it knows besides.
+
+use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
+use crate::core::{FailureDomain, Millis, UpstreamName, configuration::ServicePlan};
+
+/// The part of an engine's memory that is filled; generations run over their estimates.
+const MEMORY_PART: f64 = 0.9;
+/// Reading a shared part again takes time from everybody at that engine, not only from the one
+/// request; it counts this many times.
+const READ_AGAIN_WEIGHT: f64 = 2.0;
+/// The part of an engine's slots that is filled. Each further one slows all the others' events.
+const SLOT_PART: f64 = 0.95;
+/// Milliseconds that one request running there counts for: each makes a step of the engine longer.
+const RUNNING_WEIGHT: f64 = 0.5;
+/// A plain upstream in another failure domain counts as this much of a request busier: the way
+/// there takes time and costs the users by the byte.
+const FAR_WEIGHT: f64 = 0.4;
+
+/// Why no upstream takes a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// There is none at all, or all are out, leaving or avoided.
+    Nobody,
+    /// All are full, or would answer too late.
+    Full,
+}
+
+/// Ranks an upstream for a shared part, the same on every entry.
+fn rank(part: u64, name: &UpstreamName) -> u64 {
+    let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in name.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+impl Traffic {
+    /// Finds the upstream for a request.
+    pub(super) fn place(&mut self, now: Millis, demand: &Demand) -> Result<UpstreamName, NoPlace> {
+        let Some(plan) = self.plan(&demand.service) else { return Err(NoPlace::Nobody) };
+        let names = self.usable(now, demand);
+        if names.is_empty() {
+            return Err(NoPlace::Nobody);
+        }
+        let home = demand.affinity().and_then(|part| {
+            let warm = names.iter().filter(|name| !self.upstreams[*name].is_cold(now));
+            warm.max_by_key(|name| rank(part, name)).cloned()
+        });
+        let cold_rate = plan.cold_per_s / self.entry_count() as f64;
+        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let mut best: Option<(f64, UpstreamName)> = None;
+        for name in names {
+            let is_home = home.as_ref() == Some(&name);
+            let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
+            if upstream.is_cold(now) && !upstream.has_cold_room(now, cold_rate) {
+                continue;
+            }
+            let cost = match &plan.engine {
+                Some(engine) => {
+                    engine_cost(now, upstream, demand, engine.kv_capacity, speed, is_home)
+                }
+                None => plain_cost(now, upstream, &plan, &self.settings.failure_domain),
+            };
+            if let Some(cost) = cost
+                && best.as_ref().is_none_or(|(least, _)| cost < *least)
+            {
+                best = Some((cost, name));
+            }
+        }
+        best.map(|(_, name)| name).ok_or(NoPlace::Full)
+    }
+
+    /// Lists the upstreams that may get a request: ready, in service, and not failing unless most
+    /// of them fail.
+    fn usable(&self, now: Millis, demand: &Demand) -> Vec<UpstreamName> {
+        let all = self.by_service.get(&demand.service).into_iter().flatten();
+        let may_get = |name: &&UpstreamName| {
+            let upstream = &self.upstreams[*name];
+            upstream.listed.is_ready
+                && !self.domains_out.contains(&upstream.listed.domain)
+                && !demand.avoid.contains(name)
+        };
+        let ready: Vec<&UpstreamName> = all.filter(may_get).collect();
+        let sound = ready.iter().filter(|name| !self.upstreams[**name].health.is_aside(now));
+        let sound: Vec<UpstreamName> = sound.map(|name| (*name).clone()).collect();
+        if sound.len() * 3 >= ready.len() {
+            return sound;
+        }
+        // Where most seem to fail, the cause is more likely here or everywhere.
+        ready.into_iter().cloned().collect()
+    }
+}
+
+/// Returns the milliseconds until an engine's first event with what they cost others, or `None`
+/// if the engine is full or the event would come too late.
+fn engine_cost(
+    now: Millis,
+    upstream: &Upstream,
+    demand: &Demand,
+    kv_capacity: u64,
+    speed: EngineSpeed,
+    is_home: bool,
+) -> Option<f64> {
+    let slots = f64::from(upstream.listed.slots) * SLOT_PART;
+    let running = upstream.running(now);
+    if f64::from(running) >= slots.max(1.0) || upstream.has_waiting(now) {
+        return None;
+    }
+    let needed = demand.prompt_tokens() + u64::from(demand.output);
+    if (upstream.memory() + needed) as f64 > kv_capacity as f64 * MEMORY_PART {
+        return None;
+    }
+    let own_part = demand.prompt.last().map_or(0, |part| u64::from(part.tokens));
+    let mut unread = upstream.unread_of(now, demand);
+    if is_home {
+        // Other entries send the same parts there.
+        unread = unread.min(own_part.max(unread / 2));
+    }
+    let first_event = speed.first_event_ms(upstream.unread() + unread);
+    let left = demand.target.since(now).0 as f64;
+    if first_event > left && upstream.unread() > 0 {
+        return None;
+    }
+    let again = unread.saturating_sub(own_part) as f64 / speed.read_rate() * READ_AGAIN_WEIGHT;
+    Some(first_event + again + f64::from(running) * RUNNING_WEIGHT)
+}
+
+/// Returns how busy a plain upstream is, or `None` if it is full.
+fn plain_cost(
+    now: Millis,
+    upstream: &Upstream,
+    plan: &ServicePlan,
+    domain: &FailureDomain,
+) -> Option<f64> {
+    debug_assert!(plan.engine.is_none());
+    let running = upstream.running(now);
+    if running >= upstream.listed.slots {
+        return None;
+    }
+    let far = if upstream.listed.domain == *domain { 0.0 } else { FAR_WEIGHT };
+    Some(f64::from(running) + far + 2.0 * upstream.health.failure_share())
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -0,0 +1,169 @@
+//! What an entry believes of one upstream.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use super::{demand::Demand, health::Health};
+use crate::{
+    core::{FailureDomain, Millis, Service, UpstreamName},
+    protocol::fleet::Load,
+};
+
+/// A part not used for this long is not counted on, though the engine may keep it.
+const KEPT_SPAN: Millis = Millis(30_000);
+/// Parts remembered for one upstream.
+const MAX_KEPT: usize = 4_000;
+/// A report on an answer older than this says nothing any more.
+const REPORT_SPAN: Millis = Millis(300);
+
+/// An upstream as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedUpstream {
+    /// Its name, new with each start.
+    pub name: UpstreamName,
+    /// Its service.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+    /// How long it stays cold.
+    pub cold: Millis,
+    /// The wall clock at its start, in milliseconds since 1970; 0 if not told.
+    pub born: u64,
+}
+
+/// Requests a second to a cold upstream, in small steps.
+#[derive(Clone, Debug, Default)]
+struct ColdMeter {
+    tokens: f64,
+    at: Millis,
+}
+
+/// The beliefs about one upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// As the platform lists it.
+    pub listed: ListedUpstream,
+    /// Until when it is cold.
+    pub cold_until: Millis,
+    /// What this entry has under way there.
+    pub own: Load,
+    /// What the other entries have under way there.
+    pub others: Load,
+    /// Whether it fails.
+    pub health: Health,
+    meter: ColdMeter,
+    /// Running and waiting as the upstream last said, and when.
+    reported: Option<(u32, u32, Millis)>,
+    kept: HashMap<u64, Millis>,
+}
+
+impl Upstream {
+    /// Makes the beliefs about an upstream that was just listed.
+    pub fn new(now: Millis, listed: ListedUpstream) -> Upstream {
+        Upstream {
+            cold_until: now + listed.cold,
+            listed,
+            own: Load::default(),
+            others: Load::default(),
+            health: Health::default(),
+            meter: ColdMeter::default(),
+            reported: None,
+            kept: HashMap::new(),
+        }
+    }
+
+    /// Takes in a newer listing; an upstream that started anew knows nothing of before.
+    pub fn relist(&mut self, now: Millis, listed: ListedUpstream) {
+        let is_reborn = listed.born != self.listed.born || listed.address != self.listed.address;
+        if is_reborn {
+            self.kept.clear();
+            self.health = Health::default();
+            self.reported = None;
+        }
+        if listed.cold > Millis::ZERO {
+            self.cold_until = now + listed.cold;
+        }
+        self.listed = listed;
+    }
+
+    /// Tells whether the upstream is cold.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns the requests under way there by all entries, as far as known.
+    pub fn running(&self, now: Millis) -> u32 {
+        let known = self.own.running + self.others.running;
+        match self.reported {
+            Some((running, waiting, at)) if now.since(at) <= REPORT_SPAN => {
+                known.max(running + waiting)
+            }
+            _ => known,
+        }
+    }
+
+    /// Returns the prompt tokens unread there, as far as known.
+    pub fn unread(&self) -> u64 {
+        self.own.unread + self.others.unread
+    }
+
+    /// Returns the memory in use at the end of all requests under way, in tokens.
+    pub fn memory(&self) -> u64 {
+        self.own.memory + self.others.memory
+    }
+
+    /// Notes what the upstream says of its load on an answer.
+    pub fn on_report(&mut self, now: Millis, running: u32, waiting: u32) {
+        self.reported = Some((running, waiting, now));
+    }
+
+    /// Tells whether requests waited at the upstream when it last answered.
+    pub fn has_waiting(&self, now: Millis) -> bool {
+        self.reported.is_some_and(|(_, waiting, at)| waiting > 0 && now.since(at) <= REPORT_SPAN)
+    }
+
+    /// Returns the tokens of a prompt that the upstream has to read: those from the first part on
+    /// that it doesn't keep.
+    pub fn unread_of(&self, now: Millis, demand: &Demand) -> u64 {
+        let is_kept = |id: u64| self.kept.get(&id).is_some_and(|at| now.since(*at) <= KEPT_SPAN);
+        let unread = demand.prompt.iter().skip_while(|part| is_kept(part.id));
+        unread.map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Notes that a prompt is read there.
+    pub fn keep(&mut self, now: Millis, demand: &Demand) {
+        if self.kept.len() > MAX_KEPT {
+            self.kept.retain(|_, at| now.since(*at) <= KEPT_SPAN);
+        }
+        if self.kept.len() > MAX_KEPT {
+            self.kept.clear();
+        }
+        for part in demand.prompt.iter() {
+            self.kept.insert(part.id, now);
+        }
+    }
+
+    /// Tells whether a cold upstream bears one more request of this entry, given its part of the
+    /// rate in requests a second.
+    pub fn has_cold_room(&mut self, now: Millis, rate: f64) -> bool {
+        self.refill(now, rate);
+        self.meter.tokens >= 1.0
+    }
+
+    /// Spends a cold upstream's room.
+    pub fn spend_cold(&mut self, now: Millis, rate: f64) {
+        self.refill(now, rate);
+        self.meter.tokens -= 1.0;
+    }
+
+    fn refill(&mut self, now: Millis, rate: f64) {
+        let gained = now.since(self.meter.at).0 as f64 / 1000.0 * rate;
+        self.meter.at = now;
+        self.meter.tokens = (self.meter.tokens + gained).min(1.0);
+    }
+}
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -12,7 +12,7 @@
     core::{Document, FailureDomain, Millis, Service, UpstreamName},
     protocol::{
         order::UpstreamOrder,
-        record::{RecordMessage, Standing, StoredDocument},
+        record::{RecordMessage, Standing, StoredConfiguration, StoredDocument},
     },
 };
 
@@ -39,6 +39,7 @@
     domains: BTreeMap<FailureDomain, Standing<FailureDomain>>,
     upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
     orders: BTreeMap<UpstreamName, UpstreamOrder>,
+    whole: Option<StoredConfiguration>,
     confirmed: Option<Millis>,
 }
 
@@ -58,6 +59,11 @@
         self.domains.get(domain).is_some_and(|standing| standing.out)
     }
 
+    /// Returns the whole configuration in force, as its operator sent it.
+    pub fn whole(&self) -> Option<&StoredConfiguration> {
+        self.whole.as_ref()
+    }
+
     /// Lists the standings of failure domains.
     pub fn domains(&self) -> impl Iterator<Item = &Standing<FailureDomain>> {
         self.domains.values()
@@ -88,8 +94,16 @@
     /// Only an answer confirms, and from the time it was asked for. A connection that stood still
     /// may deliver an old state late, and counted from its arrival that would look fresh.
     pub fn merge(&mut self, message: &RecordMessage) -> bool {
-        let RecordMessage::State { index, asked, age, documents, domains, upstreams, orders } =
-            message
+        let RecordMessage::State {
+            index,
+            asked,
+            age,
+            documents,
+            domains,
+            upstreams,
+            orders,
+            whole,
+        } = message
         else {
             return false;
         };
@@ -106,6 +120,12 @@
         for order in orders {
             changed |= merge_newer(&mut self.orders, &order.upstream, order, |o| o.index);
         }
+        if let Some(whole) = whole
+            && self.whole.as_ref().is_none_or(|known| known.index < whole.index)
+        {
+            self.whole = Some(whole.clone());
+            changed = true;
+        }
         if let (Some(asked), Some(age)) = (asked, age)
             && *index >= self.index
         {
@@ -140,6 +160,7 @@
             domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
             upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
             orders: self.orders.values().filter(|o| o.index > have).cloned().collect(),
+            whole: self.whole.as_ref().filter(|whole| whole.index > have).cloned(),
         }
     }
 }
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -80,6 +80,8 @@
     KeyInProgress = 2008, Unknown, 409, "A request with this Idempotency-Key is in progress.";
     KeyUnknown = 2009, Unknown, 409, "A request with this Idempotency-Key may have run; it will not run again.";
 
+    BodyTimeout = 2010, NotRun, 408, "The request body did not arrive in time.";
+
     QueueFull = 3001, NotRun, 429, "The organisation's queue is full.";
     DeadlineQueued = 3002, NotRun, 503, "The deadline passed while the request waited for a free slot.";
     NoUpstream = 3003, NotRun, 503, "No upstream of the service can be reached.";
--- a/src/kingcupgrade/core/mod.rs
+++ b/src/kingcupgrade/core/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod clock;
 pub mod code;
+pub mod configuration;
 pub mod document;
+pub mod fleet;
 pub mod names;
 pub mod settings;
 
--- a/src/kingcupgrade/ops/mod.rs
+++ b/src/kingcupgrade/ops/mod.rs
@@ -4,12 +4,14 @@
 //! test can do the same without a command line.
 
 mod backup;
+mod fleet;
 mod found;
 mod operator;
 mod serve;
 mod verify;
 
 pub use backup::{BackupInfo, backup};
+pub use fleet::serve_fleet;
 pub use found::found;
 pub use operator::{OperatorClient, coded, fresh_change_id};
 pub use serve::serve;
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod consensus;
 pub mod dispatch;
+pub mod fleet;
 pub mod frame;
 pub mod lease;
 pub mod operator;
@@ -45,6 +46,9 @@
     /// Between entries and the durable record.
     #[serde(rename = "r")]
     Record(record::RecordMessage),
+    /// Among the instances of a fleet that finds itself.
+    #[serde(rename = "f")]
+    Fleet(fleet::FleetMessage),
 }
 
 impl Message {
@@ -55,6 +59,7 @@
             Message::Dispatch(message) => message.body.kind(),
             Message::Consensus(_) => "consensus",
             Message::Record(_) => "record",
+            Message::Fleet(_) => "fleet",
         }
     }
 }
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -145,6 +145,15 @@
         #[serde(rename = "r")]
         replica: Option<u64>,
     },
+    /// Replaces the whole configuration, if its version is higher than the one in force.
+    #[serde(rename = "w")]
+    Replace(StoredConfiguration),
+    /// Reads the whole configuration.
+    ///
+    /// It takes a place in the log like a change, so the answer is newer than every change that
+    /// was acknowledged before the question, without trust in any clock.
+    #[serde(rename = "g")]
+    Read,
     /// Ends a claim.
     #[serde(rename = "e")]
     Settle {
@@ -182,6 +191,9 @@
     /// The members are these now.
     #[serde(rename = "m")]
     Members(Vec<super::consensus::Member>),
+    /// The whole configuration in force, if there is one.
+    #[serde(rename = "w")]
+    Whole(Option<StoredConfiguration>),
     /// The claim is settled.
     #[serde(rename = "s")]
     Settled,
@@ -190,6 +202,20 @@
     Refused(CodedError),
 }
 
+/// A whole configuration as its operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredConfiguration {
+    /// Its version.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// The text.
+    #[serde(rename = "t")]
+    pub text: std::sync::Arc<str>,
+    /// The place of the change in the record; 0 before it has one.
+    #[serde(rename = "i")]
+    pub index: u64,
+}
+
 /// A document in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
@@ -259,6 +285,9 @@
         /// Orders to upstreams.
         #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
         orders: Vec<UpstreamOrder>,
+        /// The whole configuration.
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        whole: Option<StoredConfiguration>,
     },
     /// Asks for a change.
     #[serde(rename = "p")]
--- a/src/kingcupgrade/state/disk.rs
+++ b/src/kingcupgrade/state/disk.rs
@@ -76,7 +76,7 @@
     position: Position,
     data: Vec<u8>,
 ) -> Result<(), CodedError> {
-    if folder.join("identity").exists() {
+    if is_founded(folder) {
         let detail = format!("{} holds a replica already", folder.display());
         return Err(CodedError::new(Code::DataForeign, detail));
     }
@@ -89,6 +89,11 @@
     write_whole(folder, "identity", &ReplicaId(instance.clone(), FOUNDING_REPLICA))
 }
 
+/// Tells whether a folder holds a replica.
+pub fn is_founded(folder: &Path) -> bool {
+    folder.join("identity").exists()
+}
+
 /// Reads a data folder without changing it.
 ///
 /// # Errors
@@ -156,7 +161,7 @@
         instance: &Instance,
         fresh_replica: u64,
     ) -> Result<(Disk, Contents), CodedError> {
-        if !folder.join("identity").exists() {
+        if !is_founded(folder) {
             fs::create_dir_all(folder).map_err(|err| storage_failed(folder, &err))?;
             write_whole(folder, "snapshot", Stored::founding(Vec::new()).log.snapshot())?;
             write_whole(folder, "identity", &ReplicaId(instance.clone(), fresh_replica))?;
@@ -200,7 +205,11 @@
     }
 
     /// Writes the snapshot, then a log with what follows it.
-    fn rewrite(&mut self, log: &Log) -> Result<(), CodedError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::StorageFailed`].
+    pub fn rewrite(&mut self, log: &Log) -> Result<(), CodedError> {
         write_whole(&self.folder, "snapshot", log.snapshot())?;
         let entries = log.from(0, usize::MAX);
         let records = [LogRecord::HardState(self.hard_state.clone()), LogRecord::Entries(entries)];
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -13,7 +13,7 @@
     protocol::{
         consensus::{LogEntry, Payload},
         order::{SetupChange, UpstreamOrder},
-        record::{Command, RecordMessage, Reply, Standing, StoredDocument},
+        record::{Command, RecordMessage, Reply, Standing, StoredConfiguration, StoredDocument},
     },
 };
 
@@ -38,6 +38,8 @@
     upstreams: BTreeMap<UpstreamName, Standing<UpstreamName>>,
     #[serde(rename = "o", default)]
     orders: BTreeMap<UpstreamName, UpstreamOrder>,
+    #[serde(rename = "h", default)]
+    whole: Option<StoredConfiguration>,
     #[serde(rename = "c")]
     changes: VecDeque<(String, Reply)>,
     #[serde(rename = "k")]
@@ -80,6 +82,9 @@
         self.domains.values_mut().for_each(|standing| standing.index = index);
         self.upstreams.values_mut().for_each(|standing| standing.index = index);
         self.orders.values_mut().for_each(|order| order.index = index);
+        if let Some(stored) = &mut self.whole {
+            stored.index = index;
+        }
     }
 
     /// Returns the place of the last change that instances need to know.
@@ -128,6 +133,8 @@
             Command::Order { change, upstream, setup } => {
                 self.once(change, |record| record.order(index, upstream, setup))
             }
+            Command::Replace(proposed) => self.replace(index, proposed),
+            Command::Read => Reply::Whole(self.whole.clone()),
             // Members are entries of their own kind; this command never reaches the log.
             Command::ChangeMembers { .. } => {
                 Reply::Refused(CodedError::new(Code::MemberRefused, "not a change of the record"))
@@ -156,6 +163,24 @@
         Reply::Accepted { revision, index }
     }
 
+    /// Takes a whole configuration if its version is higher than the one in force.
+    ///
+    /// One that is not higher is acknowledged and changes nothing: it is a resend, or it lost a
+    /// race that its sender can't see.
+    fn replace(&mut self, index: u64, proposed: &StoredConfiguration) -> Reply {
+        let current = self.whole.as_ref().map_or(0, |stored| stored.version);
+        if proposed.version > current {
+            self.whole = Some(StoredConfiguration { index, ..proposed.clone() });
+            return self.accept(index, proposed.version);
+        }
+        Reply::Accepted { revision: current, index: self.index }
+    }
+
+    /// Returns the whole configuration in force.
+    pub fn whole(&self) -> Option<&StoredConfiguration> {
+        self.whole.as_ref()
+    }
+
     /// Files what is wanted of an upstream under the change's own place, its fencing number.
     fn order(&mut self, index: u64, upstream: &UpstreamName, change: &SetupChange) -> Reply {
         if let Err(err) = change.check() {
@@ -212,6 +237,7 @@
             domains: self.domains.values().filter(|s| s.index > have).cloned().collect(),
             upstreams: self.upstreams.values().filter(|s| s.index > have).cloned().collect(),
             orders: self.orders.values().filter(|o| o.index > have).cloned().collect(),
+            whole: self.whole.as_ref().filter(|whole| whole.index > have).cloned(),
         }
     }
 }
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Event, SharedView, Verdict, callers, engines, operators,
-    peers::Peers,
+    peers::{PeerConfig, Peers},
     platform::{self, Watched},
 };
 use crate::{
@@ -57,7 +57,7 @@
     let claimer = random::number()?;
     let node = Node::new(clock.now(), (*settings).clone(), unix_ms(), claimer, control);
     let view: SharedView = Arc::new(RwLock::new(Arc::new(View::default())));
-    let peers = Peers::start(settings.clone(), tx.clone())?;
+    let peers = Peers::start(PeerConfig::of(&settings, tx.clone()))?;
     let watched = Watched::default();
     let own = settings.own();
     let url = settings.platform_list.clone();
--- /dev/null
+++ b/src/kingcupgrade/transport/gateway/answer.rs
@@ -0,0 +1,117 @@
+//! Answers of the product's own.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, header};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::{edge::Edge, relay::Relay};
+use crate::core::{Code, Millis};
+
+/// The body of an answer to a caller.
+pub(super) enum AnswerBody<E: Edge> {
+    /// The product's own, known whole.
+    Own(Full<Bytes>),
+    /// An upstream's, passed on as it comes.
+    Relayed(Box<Relay<E>>),
+}
+
+/// Why an answer breaks off. The connection to the caller ends without the end of the body, so
+/// that what the caller has can't look whole.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the upstream's answer broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+impl<E: Edge> Body for AnswerBody<E> {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            AnswerBody::Own(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
+            AnswerBody::Relayed(relay) => relay.poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Own(body) => body.is_end_stream(),
+            AnswerBody::Relayed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Own(body) => body.size_hint(),
+            AnswerBody::Relayed(relay) => relay.size_hint(),
+        }
+    }
+}
+
+/// Makes the answer to a request that is given up.
+pub(super) fn refusal<E: Edge>(
+    edge: &E,
+    code: Code,
+    retry_after: Millis,
+    request_id: Option<&str>,
+) -> Response<AnswerBody<E>> {
+    let text = format!("{code}\n");
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if retry_after > Millis::ZERO {
+        let seconds = format!("{:.2}", retry_after.0 as f64 / 1000.0);
+        let value = HeaderValue::from_str(&seconds).expect("digits and a dot are a header value");
+        headers.insert(header::RETRY_AFTER, value);
+    }
+    if let Some(request_id) = request_id {
+        edge.mark_refusal(&mut headers, request_id);
+    }
+    let mut response = Response::new(AnswerBody::Own(Full::new(text.into())));
+    *response.status_mut() =
+        http::StatusCode::from_u16(code.status()).expect("the table of codes has HTTP statuses");
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/src/kingcupgrade/transport/gateway/send.rs
@@ -0,0 +1,563 @@
+//! One caller's request: waiting for a place, sending, and what follows from each answer.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout, timeout_at},
+};
+
+use super::{
+    Gateway,
+    answer::{AnswerBody, refusal, strip_hop_headers},
+    edge::{CallerHead, Edge, Mark},
+    pool::{Connection, NoConnection},
+    relay::Relay,
+};
+use crate::{
+    coordination::traffic::{Demand, Grant, PromptPart, RequestNo, SendEnd, Verdict},
+    core::{
+        Code, Millis, Organisation, Service, UpstreamName,
+        configuration::{Configuration, Route, RouteKind},
+    },
+    util::log,
+};
+
+/// How long a caller is taken to wait if it doesn't say.
+const DEFAULT_PATIENCE: Millis = Millis(30_000);
+/// Kept connections tried before a new one is made: each may have been closed meanwhile.
+const MAX_STALE: usize = 3;
+/// Sends that reached nobody before a request is given up; each is to another upstream.
+const MAX_UNSENT: u32 = 4;
+/// Bytes of an answer that is not streamed; larger ones are refused rather than held.
+const MAX_ANSWER_LEN: usize = 16 << 20;
+/// Bytes of a rejection read to keep its connection.
+const MAX_REJECTION_LEN: usize = 64 << 10;
+/// How long reading a rejection may take.
+const REJECTION_TIMEOUT: Millis = Millis(100);
+/// An idempotent request not answered within this many times its target goes elsewhere: by then
+/// the upstream more likely hangs than works.
+const HANG_TARGETS: u64 = 2;
+/// Never sooner than this, in milliseconds: the tail of ordinary work.
+const MIN_HANG: Millis = Millis(150);
+/// When to come back after an upstream refused a request before it ran.
+const RETRY_AFTER_REJECTED: Millis = Millis(500);
+
+/// Names the request's place in the decisions for as long as it waits or runs.
+pub(super) struct Ticket<E: Edge> {
+    gateway: Rc<Gateway<E>>,
+    no: RequestNo,
+    is_open: bool,
+}
+
+impl<E: Edge> Ticket<E> {
+    fn new(gateway: Rc<Gateway<E>>) -> Ticket<E> {
+        let no = gateway.next_request.get();
+        gateway.next_request.set(no + 1);
+        Ticket { gateway, no, is_open: true }
+    }
+
+    /// Tells how the request ended.
+    pub(super) fn end(mut self, end: SendEnd) {
+        self.close(end);
+    }
+
+    fn close(&mut self, end: SendEnd) {
+        if std::mem::take(&mut self.is_open) {
+            let now = self.gateway.now();
+            self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
+            self.gateway.poll_waiting();
+        }
+    }
+
+    pub(super) fn on_events(&self, tokens: u32) {
+        let now = self.gateway.now();
+        let mut traffic = self.gateway.traffic.borrow_mut();
+        traffic.on_first_event(now, self.no);
+        traffic.on_tokens(self.no, tokens);
+    }
+}
+
+impl<E: Edge> Drop for Ticket<E> {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.gateway.traffic.borrow_mut().forget(self.no);
+            self.gateway.waiting.borrow_mut().remove(&self.no);
+            self.close(SendEnd::Cancelled);
+        }
+    }
+}
+
+/// An answer that has begun.
+pub(super) struct Begun<E: Edge> {
+    pub(super) head: http::response::Parts,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
+    pub(super) ticket: Ticket<E>,
+}
+
+/// What became of sending a request once.
+enum SendResult<E: Edge> {
+    /// An answer has begun.
+    Begun(Box<Begun<E>>),
+    /// Nothing was sent.
+    NotSent,
+    /// The upstream says that it did not run the request.
+    Rejected,
+    /// It was sent, and nothing is known of it.
+    Unknown,
+    /// It was sent, and no answer came in time.
+    Silent,
+}
+
+/// What one caller asked, and how far it has come.
+pub(super) struct Caller<E: Edge> {
+    pub(super) gateway: Rc<Gateway<E>>,
+    request_id: Option<String>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    pub(super) route: Arc<Route>,
+    route_name: Arc<str>,
+    service: Service,
+    organisation: Option<Organisation>,
+    prompt: Arc<[PromptPart]>,
+    output: u32,
+    pub(super) stride: u32,
+    arrived: Millis,
+    target: Millis,
+    pub(super) deadline: Instant,
+    deadline_at: Millis,
+    progress: std::cell::RefCell<Progress>,
+}
+
+/// What was tried so far.
+#[derive(Default)]
+struct Progress {
+    avoid: Vec<UpstreamName>,
+    /// Upstreams the request arrived at.
+    attempts: u32,
+    unsent: u32,
+}
+
+impl<E: Edge> Caller<E> {
+    /// Finds a request's route and organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code to refuse it with.
+    pub(super) fn new(
+        gateway: Rc<Gateway<E>>,
+        configuration: &Configuration,
+        head: request::Parts,
+        decoded: CallerHead,
+        body: Bytes,
+    ) -> Result<Caller<E>, Code> {
+        let host = host_of(&head).ok_or(Code::BadRequest)?;
+        let route = configuration.route(host, head.uri.path()).ok_or(Code::UnknownService)?.clone();
+        let holder = decoded.key.as_deref().and_then(|key| configuration.organisation_of(key));
+        if configuration.needs_keys && !route.is_public && holder.is_none() {
+            return Err(Code::UnknownToken);
+        }
+        let organisation = holder.cloned();
+        let request_id = decoded.request_id.as_deref().unwrap_or_default();
+        let service = choose_service(&route, request_id).clone();
+        let plan = configuration.services.get(&service);
+        let stride = plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.stride);
+        let arrived = gateway.now();
+        let patience = decoded.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+        let mut traffic = gateway.traffic.borrow_mut();
+        let output = match decoded.max_output {
+            0 => 0,
+            most => traffic.expected_output(&route.name, decoded.output_hint, most),
+        };
+        traffic.on_request(arrived, &service);
+        drop(traffic);
+        let target = route.target.min(patience);
+        Ok(Caller {
+            request_id: decoded.request_id,
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            route_name: route.name.as_str().into(),
+            prompt: decoded.prompt.into(),
+            target: arrived + target,
+            deadline: Instant::now() + patience.as_duration(),
+            deadline_at: arrived + patience,
+            progress: std::cell::RefCell::default(),
+            gateway,
+            route,
+            service,
+            organisation,
+            output,
+            stride,
+            arrived,
+        })
+    }
+
+    /// Serves the request to its answer's head, or to its end where it is not streamed.
+    pub(super) async fn serve(self: Rc<Caller<E>>) -> Response<AnswerBody<E>> {
+        let begun = match self.obtain(None).await {
+            Ok(begun) => begun,
+            Err((code, retry_after)) => return self.refuse(code, retry_after),
+        };
+        let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
+        if is_stream && begun.head.status.is_success() {
+            return self.relay(begun);
+        }
+        self.collect(begun).await
+    }
+
+    fn relay(self: Rc<Caller<E>>, begun: Begun<E>) -> Response<AnswerBody<E>> {
+        let mut head = begun.head;
+        strip_hop_headers(&mut head.headers);
+        head.version = http::Version::HTTP_11;
+        let relay = Relay::new(self, begun.body, begun.connection, begun.ticket);
+        Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
+    }
+
+    /// Reads an answer whole before anything of it is passed on, so that one that breaks off can
+    /// be asked for again or be told as such.
+    async fn collect(self: Rc<Caller<E>>, first: Begun<E>) -> Response<AnswerBody<E>> {
+        let mut begun = first;
+        loop {
+            let Begun { head, body, connection, ticket } = begun;
+            let reading = Limited::new(body, MAX_ANSWER_LEN).collect();
+            let read = timeout_at(self.deadline, reading).await;
+            let may_repeat = self.route.kind.is_idempotent();
+            match read {
+                Ok(Ok(body)) if !head.status.is_server_error() || !may_repeat => {
+                    let is_failure = head.status.is_server_error();
+                    ticket.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
+                    self.gateway.pool.give_back(connection);
+                    return whole(head, body.to_bytes());
+                }
+                Ok(Ok(body)) => {
+                    ticket.end(SendEnd::Failed);
+                    self.gateway.pool.give_back(connection);
+                    match self.obtain_again().await {
+                        Some(again) => begun = again,
+                        None => return whole(head, body.to_bytes()),
+                    }
+                }
+                Ok(Err(_)) => {
+                    ticket.end(SendEnd::Broken);
+                    drop(connection);
+                    match self.obtain_again().await {
+                        Some(again) => begun = again,
+                        None => return self.refuse(Code::AnswerBroken, Millis::ZERO),
+                    }
+                }
+                Err(_) => {
+                    ticket.end(SendEnd::Broken);
+                    return self.refuse(Code::AnswerTimeout, Millis::ZERO);
+                }
+            }
+        }
+    }
+
+    /// Sends an idempotent request again, if it may be.
+    async fn obtain_again(self: &Rc<Caller<E>>) -> Option<Begun<E>> {
+        if !self.may_repeat() {
+            return None;
+        }
+        self.obtain(None).await.ok()
+    }
+
+    /// Tells whether a request that may have run may be sent again, and spends a repeat for it.
+    pub(super) fn may_repeat(&self) -> bool {
+        let attempts = self.progress.borrow().attempts;
+        self.route.kind.is_idempotent()
+            && attempts < self.route.max_attempts
+            && Instant::now() < self.deadline
+            && self.gateway.traffic.borrow_mut().try_repeat(self.gateway.now(), &self.service)
+    }
+
+    fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
+        log::event("refused", &(&self.request_id, code.number(), retry_after));
+        refusal(&*self.gateway.edge, code, retry_after, self.request_id.as_deref())
+    }
+
+    /// Waits for a place and sends, again and again as far as that is allowed, until an answer
+    /// begins.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is given up, and when to come back.
+    pub(super) async fn obtain(
+        self: &Rc<Caller<E>>,
+        last_event: Option<u64>,
+    ) -> Result<Begun<E>, (Code, Millis)> {
+        // Whether an earlier attempt may have run.
+        let mut may_have_run = self.progress.borrow().attempts > 0;
+        loop {
+            let ticket = Ticket::new(self.gateway.clone());
+            let given_up = |code: Code, retry_after| {
+                // "Not run" would not be true any more.
+                if may_have_run { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
+            };
+            let grant = match self.await_verdict(&ticket).await {
+                Verdict::Start(grant) => grant,
+                Verdict::Refuse { code, retry_after } => return Err(given_up(code, retry_after)),
+            };
+            match self.send_once(&grant, ticket, last_event).await {
+                SendResult::Begun(begun) => return Ok(*begun),
+                SendResult::NotSent => {
+                    let mut progress = self.progress.borrow_mut();
+                    progress.avoid.push(grant.upstream);
+                    progress.unsent += 1;
+                    if progress.unsent >= MAX_UNSENT {
+                        return Err(given_up(Code::NoUpstream, RETRY_AFTER_REJECTED));
+                    }
+                }
+                SendResult::Rejected => {
+                    self.progress.borrow_mut().avoid.push(grant.upstream);
+                    if !self.may_send_after_rejection() {
+                        return Err(given_up(Code::UpstreamRefused, RETRY_AFTER_REJECTED));
+                    }
+                }
+                SendResult::Unknown => {
+                    self.progress.borrow_mut().avoid.push(grant.upstream);
+                    if !self.may_repeat() {
+                        return Err((Code::AnswerBroken, Millis::ZERO));
+                    }
+                    may_have_run = true;
+                }
+                SendResult::Silent => {
+                    self.progress.borrow_mut().avoid.push(grant.upstream);
+                    if Instant::now() >= self.deadline || !self.may_repeat() {
+                        return Err((Code::AnswerTimeout, Millis::ZERO));
+                    }
+                    may_have_run = true;
+                }
+            }
+        }
+    }
+
+    /// Tells whether a request that surely did not run may be sent to another upstream; its arrival
+    /// counts as a repeat all the same.
+    fn may_send_after_rejection(&self) -> bool {
+        let attempts = self.progress.borrow().attempts;
+        attempts < self.route.max_attempts.max(2)
+            && Instant::now() < self.deadline
+            && self.gateway.traffic.borrow_mut().try_repeat(self.gateway.now(), &self.service)
+    }
+
+    async fn await_verdict(&self, ticket: &Ticket<E>) -> Verdict {
+        let demand = Demand {
+            no: ticket.no,
+            service: self.service.clone(),
+            route: self.route_name.clone(),
+            organisation: self.organisation.clone().unwrap_or_else(|| Organisation::from("-")),
+            arrived: self.arrived,
+            target: self.target,
+            deadline: self.deadline_at,
+            prompt: self.prompt.clone(),
+            output: self.output,
+            avoid: self.progress.borrow().avoid.clone(),
+        };
+        let now = self.gateway.now();
+        if let Some(verdict) = self.gateway.traffic.borrow_mut().admit(now, demand) {
+            return verdict;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.gateway.waiting.borrow_mut().insert(ticket.no, tx);
+        let timed_out = Verdict::Refuse { code: Code::DeadlineQueued, retry_after: Millis::ZERO };
+        match timeout_at(self.deadline, rx).await {
+            Ok(Ok(verdict)) => verdict,
+            _ => timed_out,
+        }
+    }
+
+    async fn send_once(
+        &self,
+        grant: &Grant,
+        ticket: Ticket<E>,
+        last_event: Option<u64>,
+    ) -> SendResult<E> {
+        for _ in 0..MAX_STALE {
+            let pool = &self.gateway.pool;
+            let opened = pool.checkout(&grant.upstream, grant.address, grant.max_connections);
+            let connection = match opened.await {
+                Ok(connection) => connection,
+                Err(err) => {
+                    let end = match err {
+                        NoConnection::Full => SendEnd::Cancelled,
+                        NoConnection::Unreachable => SendEnd::Unreachable,
+                    };
+                    ticket.end(end);
+                    return SendResult::NotSent;
+                }
+            };
+            match self.send_on(connection, grant, last_event).await {
+                Exchange::Stale => {}
+                Exchange::Answer(answer) => {
+                    let (head, body, connection) = *answer;
+                    return self.judge(head, body, connection, ticket, grant).await;
+                }
+                Exchange::Broken => {
+                    self.progress.borrow_mut().attempts += 1;
+                    ticket.end(SendEnd::Broken);
+                    return SendResult::Unknown;
+                }
+                Exchange::Silent => {
+                    self.progress.borrow_mut().attempts += 1;
+                    ticket.end(SendEnd::Broken);
+                    return SendResult::Silent;
+                }
+            }
+        }
+        ticket.end(SendEnd::Unreachable);
+        SendResult::NotSent
+    }
+
+    async fn send_on(
+        &self,
+        mut connection: Connection,
+        grant: &Grant,
+        last_event: Option<u64>,
+    ) -> Exchange {
+        let request = self.request(grant, last_event);
+        let sending = connection.sender.try_send_request(request);
+        match timeout_at(self.hang_deadline(), sending).await {
+            Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                Exchange::Answer(Box::new((head, body, connection)))
+            }
+            // The library hands the request back if no byte of it was written.
+            Ok(Err(mut err)) => match err.take_message() {
+                Some(_) => Exchange::Stale,
+                None => Exchange::Broken,
+            },
+            Err(_) => Exchange::Silent,
+        }
+    }
+
+    /// Returns until when an upstream may stay silent.
+    pub(super) fn hang_deadline(&self) -> Instant {
+        let can_repeat = self.route.kind.is_idempotent()
+            && self.progress.borrow().attempts + 1 < self.route.max_attempts;
+        if !can_repeat {
+            return self.deadline;
+        }
+        let span = Millis(self.route.target.0 * HANG_TARGETS).max(MIN_HANG);
+        self.deadline.min(Instant::now() + span.as_duration())
+    }
+
+    fn request(&self, grant: &Grant, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        let mark = Mark {
+            upstream: &grant.upstream,
+            organisation: self.organisation.as_ref(),
+            patience: self.deadline_at.since(self.gateway.now()),
+            last_event,
+        };
+        self.gateway.edge.mark_request(&mut headers, &mark);
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::try_from(path).unwrap_or_else(|_| self.uri.clone());
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Decides what an answer's head says about the request.
+    async fn judge(
+        &self,
+        head: http::response::Parts,
+        body: Incoming,
+        mut connection: Connection,
+        ticket: Ticket<E>,
+        grant: &Grant,
+    ) -> SendResult<E> {
+        let answer = self.gateway.edge.read_answer(&head);
+        connection.keep_alive = keep_alive_of(&head.headers);
+        if let Some((running, waiting)) = answer.load {
+            let now = self.gateway.now();
+            let mut traffic = self.gateway.traffic.borrow_mut();
+            traffic.on_load(now, &grant.upstream, running, waiting);
+        }
+        self.progress.borrow_mut().attempts += 1;
+        if answer.request_id != self.request_id {
+            log::warning("answer-of-another-request", &(&self.request_id, &answer.request_id));
+            ticket.end(SendEnd::Broken);
+            return SendResult::Unknown;
+        }
+        if answer.is_not_run || answer.is_elsewhere {
+            let end = if answer.is_elsewhere { SendEnd::Replaced } else { SendEnd::Rejected };
+            ticket.end(end);
+            self.keep_after_rejection(body, connection).await;
+            return SendResult::Rejected;
+        }
+        // A success that nobody vouches for, or a promise "not run" that the upstream did not
+        // give, would mislead the caller.
+        let is_promise = matches!(
+            head.status,
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+        );
+        if (head.status.is_success() && !answer.is_sealed) || is_promise {
+            ticket.end(SendEnd::Broken);
+            return SendResult::Unknown;
+        }
+        SendResult::Begun(Box::new(Begun { head, body, connection, ticket }))
+    }
+
+    async fn keep_after_rejection(&self, body: Incoming, connection: Connection) {
+        let reading = Limited::new(body, MAX_REJECTION_LEN).collect();
+        if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT.as_duration(), reading).await {
+            self.gateway.pool.give_back(connection);
+        }
+    }
+}
+
+/// What became of a request on one connection.
+enum Exchange {
+    Stale,
+    Answer(Box<(http::response::Parts, Incoming, Connection)>),
+    Broken,
+    Silent,
+}
+
+fn host_of(head: &request::Parts) -> Option<&str> {
+    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = named.or(head.uri.host())?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
+/// Chooses one of a route's services by its weights; the same for the same request.
+fn choose_service<'a>(route: &'a Route, request_id: &str) -> &'a Service {
+    let sum: u32 = route.targets.iter().map(|(_, weight)| *weight).sum();
+    let mut point = crc32fast::hash(request_id.as_bytes()) % sum.max(1);
+    for (service, weight) in &route.targets {
+        if point < *weight {
+            return service;
+        }
+        point -= weight;
+    }
+    &route.targets[0].0
+}
+
+/// Returns how long an upstream keeps an idle connection, if it says so.
+fn keep_alive_of(headers: &HeaderMap) -> Option<std::time::Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(std::time::Duration::from_secs)
+}
+
+fn whole<E: Edge>(mut head: http::response::Parts, body: Bytes) -> Response<AnswerBody<E>> {
+    strip_hop_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.version = http::Version::HTTP_11;
+    Response::from_parts(head, AnswerBody::Own(Full::new(body)))
+}
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -4,8 +4,11 @@
 //! [`Event`] and carry out what it answers; none of them decides anything about other requests.
 
 pub mod callers;
+pub mod controls;
 pub mod daemon;
 pub mod engines;
+pub mod fleet;
+pub mod gateway;
 pub mod http;
 pub mod operators;
 pub mod peers;
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -55,13 +55,71 @@
 /// A connection nothing was written to for this long is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// What connections bring.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A message arrived from an authenticated instance.
+    Received(Instance, Message),
+    /// An instance could not be dialled.
+    DialFailed {
+        /// The instance.
+        instance: Instance,
+        /// Whether its machine answered that no such process listens; otherwise it is silent.
+        refused: bool,
+    },
+}
+
+/// Takes what connections bring; called on the thread that reads them, so it must return at once.
+pub type PeerSink = Arc<dyn Fn(PeerEvent) + Send + Sync>;
+/// Finds where an instance listens.
+pub type AddressBook = Arc<dyn Fn(&Instance) -> Option<SocketAddr> + Send + Sync>;
+
+/// How an instance meets the others.
+#[derive(Clone)]
+pub struct PeerConfig {
+    /// Its name.
+    pub instance: Instance,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The secret that all instances share.
+    pub fleet_key: Arc<str>,
+    /// Where the others listen.
+    pub addresses: AddressBook,
+    /// What is done with what they say.
+    pub sink: PeerSink,
+}
+
+impl PeerConfig {
+    /// Describes how an instance whose settings list the others meets them; what they say goes to
+    /// its control thread.
+    pub fn of(settings: &Arc<Settings>, tx: mpsc::Sender<Event>) -> PeerConfig {
+        let listed = settings.clone();
+        let sink = move |event| {
+            let input = match event {
+                PeerEvent::Received(from, message) => Input::Received(from, message),
+                PeerEvent::DialFailed { instance, refused } => {
+                    Input::DialFailed { instance, refused }
+                }
+            };
+            // Without the control thread the process is about to end.
+            let _ = tx.send(Event::Input(input));
+        };
+        PeerConfig {
+            instance: settings.instance.clone(),
+            address: settings.own().address,
+            fleet_key: settings.fleet_key.as_str().into(),
+            addresses: Arc::new(move |instance| listed.peer(instance).map(|peer| peer.address)),
+            sink: Arc::new(sink),
+        }
+    }
+}
+
 /// Sends messages to the other instances.
 #[derive(Clone)]
 pub struct Peers {
     queues: Arc<Mutex<BTreeMap<Instance, queue::Sender<Message>>>>,
     handle: runtime::Handle,
-    settings: Arc<Settings>,
-    events: mpsc::Sender<Event>,
+    cfg: PeerConfig,
 }
 
 impl Peers {
@@ -70,17 +128,22 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be listened on.
-    pub fn start(settings: Arc<Settings>, events: mpsc::Sender<Event>) -> anyhow::Result<Peers> {
+    pub fn start(cfg: PeerConfig) -> anyhow::Result<Peers> {
+        // Bound here, so that an address in use ends the start; by the standard library, since the
+        // caller may run on an async runtime itself.
+        let listener = std::net::TcpListener::bind(cfg.address)?;
+        listener.set_nonblocking(true)?;
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-        let address = settings.own().address;
-        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let listener = {
+            let _entered = runtime.enter();
+            TcpListener::from_std(listener)?
+        };
         let handle = runtime.handle().clone();
-        let key: Arc<str> = settings.fleet_key.as_str().into();
         thread::Builder::new().name("peers".to_owned()).spawn({
-            let events = events.clone();
-            move || runtime.block_on(accept_all(listener, key, events))
+            let cfg = cfg.clone();
+            move || runtime.block_on(accept_all(listener, cfg))
         })?;
-        Ok(Peers { queues: Arc::default(), handle, settings, events })
+        Ok(Peers { queues: Arc::default(), handle, cfg })
     }
 
     /// Sends a message, or drops it if its peer can't keep up or is not known.
@@ -89,15 +152,9 @@
         let tx = match queues.get(to) {
             Some(tx) => tx,
             None => {
-                let Some(peer) = self.settings.peer(to) else { return };
+                let Some(address) = (self.cfg.addresses)(to) else { return };
                 let (tx, rx) = queue::channel(QUEUE_LEN);
-                let dialer = Dialer {
-                    peer: to.clone(),
-                    events: self.events.clone(),
-                    instance: self.settings.instance.clone(),
-                    address: peer.address,
-                    fleet_key: self.settings.fleet_key.as_str().into(),
-                };
+                let dialer = Dialer { peer: to.clone(), address, cfg: self.cfg.clone() };
                 self.handle.spawn(dialer.run(rx));
                 queues.entry(to.clone()).or_insert(tx)
             }
@@ -114,11 +171,11 @@
         .max_frame_size(Some(MAX_FRAME_LEN))
 }
 
-async fn accept_all(listener: TcpListener, key: Arc<str>, events: mpsc::Sender<Event>) {
+async fn accept_all(listener: TcpListener, cfg: PeerConfig) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(receive_all(stream, key.clone(), events.clone()));
+                tokio::spawn(receive_all(stream, cfg.clone()));
             }
             // Out of file descriptors, most likely; a pause lets some be closed.
             Err(_) => tokio::time::sleep(DIAL_PAUSE).await,
@@ -127,7 +184,7 @@
 }
 
 /// Reads one peer's messages until the connection ends or proves to be a stranger's.
-async fn receive_all(stream: TcpStream, key: Arc<str>, events: mpsc::Sender<Event>) {
+async fn receive_all(stream: TcpStream, cfg: PeerConfig) {
     let _ = stream.set_nodelay(true);
     let accepted = timeout(DIAL_TIMEOUT, accept_async_with_config(stream, Some(config()))).await;
     let Ok(Ok(mut socket)) = accepted else { return };
@@ -135,12 +192,12 @@
     if socket.send(Packet::Binary(nonce.to_vec().into())).await.is_err() {
         return;
     }
-    let mut channel = Channel::new(&key, nonce);
+    let mut channel = Channel::new(&cfg.fleet_key, nonce);
     let mut from = None;
     while let Ok(Some(Ok(packet))) = timeout(IDLE_LIMIT, socket.next()).await {
         let Packet::Binary(frame) = packet else { continue };
         counter!("kingcup_peer_bytes_received").increment(frame.len() as u64);
-        if let Err(err) = receive(&mut channel, &mut from, &frame, &events) {
+        if let Err(err) = receive(&mut channel, &mut from, &frame, &cfg.sink) {
             counter!("kingcup_peer_frames_refused").increment(1);
             log::warning("frame-refused", &format!("{err:?}"));
             return;
@@ -153,25 +210,22 @@
     channel: &mut Channel,
     from: &mut Option<Instance>,
     frame: &[u8],
-    events: &mpsc::Sender<Event>,
+    sink: &PeerSink,
 ) -> Result<(), FrameError> {
     let Some(from) = from else {
         *from = Some(channel.open_greeting(frame)?);
         return Ok(());
     };
     let message = channel.open(frame)?;
-    // Without the control thread the process is about to end.
-    let _ = events.send(Event::Input(Input::Received(from.clone(), message)));
+    sink(PeerEvent::Received(from.clone(), message));
     Ok(())
 }
 
 /// Writes to one peer.
 struct Dialer {
     peer: Instance,
-    events: mpsc::Sender<Event>,
-    instance: Instance,
     address: SocketAddr,
-    fleet_key: Arc<str>,
+    cfg: PeerConfig,
 }
 
 type Socket = WebSocketStream<TcpStream>;
@@ -195,8 +249,7 @@
 
     fn report_failure(&self, refused: bool) {
         let instance = self.peer.clone();
-        // Without the control thread the process is about to end.
-        let _ = self.events.send(Event::Input(Input::DialFailed { instance, refused }));
+        (self.cfg.sink)(PeerEvent::DialFailed { instance, refused });
     }
 
     async fn dial(&self) -> anyhow::Result<(Socket, Channel)> {
@@ -209,8 +262,8 @@
             anyhow::bail!("the peer did not greet")
         };
         let nonce: [u8; NONCE_LEN] = nonce.as_ref().try_into()?;
-        let mut channel = Channel::new(&self.fleet_key, nonce);
-        let greeting = channel.seal_greeting(&self.instance);
+        let mut channel = Channel::new(&self.cfg.fleet_key, nonce);
+        let greeting = channel.seal_greeting(&self.cfg.instance);
         socket.send(Packet::Binary(greeting.into())).await?;
         Ok((socket, channel))
     }
--- a/tests/testsuite/input.rs
+++ b/tests/testsuite/input.rs
@@ -18,7 +18,7 @@
 use kingcupgrade::{
     core::{Document, Settings},
     protocol::{Message, lease::LeaseMessage},
-    transport::peers::Peers,
+    transport::peers::{PeerConfig, Peers},
 };
 
 use crate::support::{PATIENCE, prompt, start, tutor_document};
@@ -145,7 +145,8 @@
     settings.instance = "control-north".into();
     settings.fleet_key = "another key, just as long".to_owned();
     let (tx, _rx) = mpsc::channel();
-    let stranger = Peers::start(Arc::new(settings), tx).expect("a listening stranger");
+    let stranger =
+        Peers::start(PeerConfig::of(&Arc::new(settings), tx)).expect("a listening stranger");
     let claim = Message::Lease(LeaseMessage::Announce { claims: Vec::new() });
     stranger.send(&"entry-north-0".into(), claim);
     let counted = || world.fleet.metrics("entry-north-0").contains("kingcup_peer_frames_refused 1");
--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -126,6 +126,7 @@
         domains: Vec::new(),
         upstreams: Vec::new(),
         orders: Vec::new(),
+        whole: None,
     })
 }
 
