Share capacity by organisation, place by home, reload settings, drain streams in time

Cause: requests beyond an organisation's share took room from those within it; a shared part was read at several engines because entries judged by their own sends only; SIGHUP ended the process; streams that began late in a shutdown were cut.

--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -5,17 +5,22 @@
 //! and the upstream; what an entry sent somewhere itself it knows besides.
 
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
-use crate::core::{FailureDomain, Millis, UpstreamName, configuration::ServicePlan};
+use crate::core::{FailureDomain, Millis, UpstreamName};
 
 /// The part of an engine's memory that is filled; generations run over their estimates.
 const MEMORY_PART: f64 = 0.9;
-/// Reading a shared part again takes time from everybody at that engine, not only from the one
-/// request; it counts this many times.
-const READ_AGAIN_WEIGHT: f64 = 2.0;
+/// Reading a shared part again takes an engine's time from everybody, and memory from other parts.
+/// It counts this many times its own time against an earlier first event of the one request.
+const READ_AGAIN_WEIGHT: f64 = 4.0;
 /// The part of an engine's slots that is filled. Each further one slows all the others' events.
 const SLOT_PART: f64 = 0.95;
 /// Milliseconds that one request running there counts for: each makes a step of the engine longer.
 const RUNNING_WEIGHT: f64 = 0.5;
+/// Milliseconds that each further place in a part's ranking counts for, so that entries that leave
+/// a busy home go to the same next one.
+const RANK_WEIGHT: f64 = 10.0;
+/// Time kept free before the target, for the way to the caller, in milliseconds.
+const MARGIN: f64 = 40.0;
 /// A plain upstream in another failure domain counts as this much of a request busier: the way
 /// there takes time and costs the users by the byte.
 const FAR_WEIGHT: f64 = 0.4;
@@ -41,32 +46,42 @@
 }
 
 impl Traffic {
-    /// Finds the upstream for a request.
-    pub(super) fn place(&mut self, now: Millis, demand: &Demand) -> Result<UpstreamName, NoPlace> {
+    /// Finds the upstream for a request; its first event must be expected within `budget` of the
+    /// time that is left to its target.
+    pub(super) fn place(
+        &mut self,
+        now: Millis,
+        demand: &Demand,
+        budget: f64,
+    ) -> Result<UpstreamName, NoPlace> {
         let Some(plan) = self.plan(&demand.service) else { return Err(NoPlace::Nobody) };
-        let names = self.usable(now, demand);
+        let mut names = self.usable(now, demand);
         if names.is_empty() {
             return Err(NoPlace::Nobody);
         }
-        let home = demand.affinity().and_then(|part| {
-            let warm = names.iter().filter(|name| !self.upstreams[*name].is_cold(now));
-            warm.max_by_key(|name| rank(part, name)).cloned()
-        });
+        if let Some(part) = demand.affinity() {
+            names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
+        }
         let cold_rate = plan.cold_per_s / self.entry_count() as f64;
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let left = (demand.target.since(now).0 as f64 - MARGIN) * budget;
         let mut best: Option<(f64, UpstreamName)> = None;
+        let mut place = 0;
         for name in names {
-            let is_home = home.as_ref() == Some(&name);
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
             if upstream.is_cold(now) && !upstream.has_cold_room(now, cold_rate) {
                 continue;
             }
             let cost = match &plan.engine {
                 Some(engine) => {
-                    engine_cost(now, upstream, demand, engine.kv_capacity, speed, is_home)
+                    let kv_capacity = engine.kv_capacity;
+                    let fit = Fit { kv_capacity, speed, left, place };
+                    engine_cost(now, upstream, demand, fit)
                 }
-                None => plain_cost(now, upstream, &plan, &self.settings.failure_domain),
+                None => plain_cost(now, upstream, &self.settings.failure_domain),
             };
+            // A cold one is no home yet: it can't take all of what belongs to it.
+            place += usize::from(!upstream.is_cold(now));
             if let Some(cost) = cost
                 && best.as_ref().is_none_or(|(least, _)| cost < *least)
             {
@@ -97,48 +112,45 @@
     }
 }
 
-/// Returns the milliseconds until an engine's first event with what they cost others, or `None`
-/// if the engine is full or the event would come too late.
-fn engine_cost(
-    now: Millis,
-    upstream: &Upstream,
-    demand: &Demand,
+/// What a request has to fit into at an engine.
+#[derive(Clone, Copy)]
+struct Fit {
     kv_capacity: u64,
     speed: EngineSpeed,
-    is_home: bool,
-) -> Option<f64> {
+    /// Milliseconds in which the first event must come.
+    left: f64,
+    /// The engine's place in the ranking of the request's shared part.
+    place: usize,
+}
+
+/// Returns the milliseconds until an engine's first event with what they cost others, or `None`
+/// if the engine is full or the event would come too late.
+fn engine_cost(now: Millis, upstream: &Upstream, demand: &Demand, fit: Fit) -> Option<f64> {
     let slots = f64::from(upstream.listed.slots) * SLOT_PART;
     let running = upstream.running(now);
-    if f64::from(running) >= slots.max(1.0) || upstream.has_waiting(now) {
-        return None;
-    }
-    let needed = demand.prompt_tokens() + u64::from(demand.output);
-    if (upstream.memory() + needed) as f64 > kv_capacity as f64 * MEMORY_PART {
+    if f64::from(running) >= slots.max(1.0) {
         return None;
     }
     let own_part = demand.prompt.last().map_or(0, |part| u64::from(part.tokens));
-    let mut unread = upstream.unread_of(now, demand);
-    if is_home {
-        // Other entries send the same parts there.
-        unread = unread.min(own_part.max(unread / 2));
+    // At the home of a shared part other entries have sent it before.
+    let unread =
+        if fit.place == 0 { own_part } else { upstream.unread_of(now, demand).max(own_part) };
+    let needed = upstream.memory() + unread + u64::from(demand.output);
+    if needed as f64 > fit.kv_capacity as f64 * MEMORY_PART {
+        return None;
     }
-    let first_event = speed.first_event_ms(upstream.unread() + unread);
-    let left = demand.target.since(now).0 as f64;
-    if first_event > left && upstream.unread() > 0 {
+    let first_event = fit.speed.first_event_ms(upstream.unread() + unread);
+    // A prompt that takes longer to read than there is time fits an engine that reads nothing else.
+    if first_event > fit.left && upstream.unread() > 0 {
         return None;
     }
-    let again = unread.saturating_sub(own_part) as f64 / speed.read_rate() * READ_AGAIN_WEIGHT;
-    Some(first_event + again + f64::from(running) * RUNNING_WEIGHT)
+    let again = (unread - own_part) as f64 / fit.speed.read_rate() * READ_AGAIN_WEIGHT;
+    let rank = if fit.place == 0 { 0.0 } else { fit.place as f64 * RANK_WEIGHT };
+    Some(first_event + again + f64::from(running) * RUNNING_WEIGHT + rank)
 }
 
 /// Returns how busy a plain upstream is, or `None` if it is full.
-fn plain_cost(
-    now: Millis,
-    upstream: &Upstream,
-    plan: &ServicePlan,
-    domain: &FailureDomain,
-) -> Option<f64> {
-    debug_assert!(plan.engine.is_none());
+fn plain_cost(now: Millis, upstream: &Upstream, domain: &FailureDomain) -> Option<f64> {
     let running = upstream.running(now);
     if running >= upstream.listed.slots {
         return None;
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -1,98 +1,136 @@
 //! Requests that wait for room, and those that are refused.
 //!
 //! Engines begin requests in the order of arrival. What is sent before there is room waits there,
-//! where nobody can choose any more, so it waits here, in front of them. The organisation that was
-//! served least of late goes first. Waiting is short: a request that can't meet its target any more
-//! is refused at once, with the time at which room is expected.
+//! where nobody can choose any more, so it waits here, in front of them. Those within their
+//! organisation's share go first, then the most urgent. Waiting is short: a request that can't meet
+//! its target any more is refused at once, with the time at which room is expected.
 
-use super::{Demand, NoPlace, SHARE_SPAN, Traffic, Verdict};
-use crate::core::{Code, Millis, Organisation};
+use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict};
+use crate::core::{Code, Millis};
 
-/// The part of the time to its target that a request may wait. What is left must do for the
-/// reading of its prompt.
-const WAIT_PART: f64 = 0.4;
+/// The part of the time to its target that a request within its share may wait; what is left must
+/// do for the reading of its prompt.
+const WAIT_PART: f64 = 0.5;
+/// The same beyond its share: short, since an early refusal lets the caller come back in time.
+const WAIT_PART_BEYOND: f64 = 0.12;
+/// The part of the time to its target in which the first event of a request beyond its share must
+/// be expected, so that what it adds is read before those within theirs have to wait.
+const BUDGET_FAIR: f64 = 0.6;
+/// The same for a request beyond its share of all that is served.
+const BUDGET_BEYOND: f64 = 0.35;
+/// For how long after a request found no room capacity counts as short.
+const SHORT_SPAN: Millis = Millis(1_000);
 /// Requests that may wait at one entry; more than can be served within any target.
 const MAX_WAITING: usize = 400;
+/// Requests looked at in one turn: a small processor must not spend it on looking.
+const MAX_LOOKS: usize = 24;
 /// When to come back after a refusal for want of room: the load of an engine turns over in this
 /// time.
 const RETRY_AFTER: Millis = Millis(700);
+/// When to come back after a refusal for being beyond a share: by then half of the span in which
+/// shares are counted has passed.
+const RETRY_AFTER_SHARE: Millis = Millis(2_000);
 /// When to come back after a refusal because no upstream is there: restarts take seconds.
 const RETRY_AFTER_NOBODY: Millis = Millis(1_000);
 
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) demand: Demand,
+    standing: Standing,
+    /// Until when it may wait.
+    until: Millis,
+}
+
 impl Traffic {
     /// Decides about a request; `None` if it waits.
     pub fn admit(&mut self, now: Millis, demand: Demand) -> Option<Verdict> {
-        let asked = self.asked.entry(demand.organisation.clone()).or_default();
-        asked.add(now, demand.work(), SHARE_SPAN);
-        let queue_first = self.waiting.iter().any(|other| other.service == demand.service);
-        let placed = if queue_first { Err(NoPlace::Full) } else { self.place(now, &demand) };
-        match placed {
-            Ok(name) => {
-                if let Some(grant) = self.grant(now, &demand, &name) {
-                    return Some(Verdict::Start(grant));
-                }
-                Some(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY))
-            }
+        let work = demand.work();
+        self.refresh_shares(now);
+        let standing = self.shares.standing(now, &demand.organisation, work);
+        self.shares.on_asked(now, &demand.organisation, work);
+        match self.start(now, &demand, standing) {
+            Ok(verdict) => Some(verdict),
             Err(NoPlace::Nobody) => Some(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)),
+            Err(NoPlace::Full) if standing == Standing::Beyond => {
+                Some(refuse(Code::OverShare, RETRY_AFTER_SHARE))
+            }
             Err(NoPlace::Full) if self.waiting.len() >= MAX_WAITING => {
                 Some(refuse(Code::QueueFull, RETRY_AFTER))
             }
             Err(NoPlace::Full) => {
-                self.waiting.push(demand);
+                self.wait(now, demand, standing);
                 None
             }
         }
     }
 
+    fn refresh_shares(&mut self, now: Millis) {
+        let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
+        let reports = self.reports.values().map(|(_, report)| report);
+        self.shares.refresh(now, capacity, reports);
+    }
+
+    /// Starts a request if there is room for one of its standing.
+    fn start(
+        &mut self,
+        now: Millis,
+        demand: &Demand,
+        standing: Standing,
+    ) -> Result<Verdict, NoPlace> {
+        let is_short = self.short.is_some_and(|at| now.since(at) < SHORT_SPAN);
+        let budget = match standing {
+            Standing::Within => 1.0,
+            Standing::Fair => BUDGET_FAIR,
+            Standing::Beyond if is_short && !demand.prompt.is_empty() => return Err(NoPlace::Full),
+            Standing::Beyond => BUDGET_BEYOND,
+        };
+        let name = self.place(now, demand, budget)?;
+        let granted = self.grant(now, demand, &name);
+        Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
+    }
+
+    fn wait(&mut self, now: Millis, demand: Demand, standing: Standing) {
+        self.short = Some(now);
+        let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
+        let span = demand.target.since(demand.arrived).0 as f64 * part;
+        let until = demand.arrived + Millis(span as u64);
+        self.waiting.push(Waiting { demand, standing, until });
+    }
+
     /// Forgets a request that waits: its caller left.
-    pub fn forget(&mut self, no: super::RequestNo) {
-        self.waiting.retain(|demand| demand.no != no);
+    pub fn forget(&mut self, no: RequestNo) {
+        self.waiting.retain(|waiting| waiting.demand.no != no);
     }
 
     /// Starts requests that wait, as far as there is room, and refuses those that waited too long.
-    pub fn poll(&mut self, now: Millis, out: &mut Vec<(super::RequestNo, Verdict)>) {
+    pub fn poll(&mut self, now: Millis, out: &mut Vec<(RequestNo, Verdict)>) {
         if self.waiting.is_empty() {
             return;
         }
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by(|a, b| {
-            let served = |demand: &Demand| self.served_to(now, &demand.organisation);
-            served(a).total_cmp(&served(b)).then(a.target.cmp(&b.target))
-        });
-        let mut kept = Vec::new();
-        for demand in waiting {
-            match self.place(now, &demand) {
-                Ok(name) => {
-                    let verdict = match self.grant(now, &demand, &name) {
-                        Some(grant) => Verdict::Start(grant),
-                        None => refuse(Code::NoUpstream, RETRY_AFTER_NOBODY),
-                    };
-                    out.push((demand.no, verdict));
-                }
+        waiting.sort_by_key(|waiting| (waiting.standing, waiting.demand.target));
+        let mut looks = 0;
+        for waiting in waiting {
+            looks += 1;
+            let started = match looks {
+                ..=MAX_LOOKS => self.start(now, &waiting.demand, waiting.standing),
+                _ => Err(NoPlace::Full),
+            };
+            let no = waiting.demand.no;
+            match started {
+                Ok(verdict) => out.push((no, verdict)),
                 Err(NoPlace::Nobody) => {
-                    out.push((demand.no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
+                    out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
                 }
-                Err(NoPlace::Full) if is_overdue(now, &demand) => {
-                    out.push((demand.no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
+                Err(NoPlace::Full) if now >= waiting.until => {
+                    self.short = Some(now);
+                    out.push((no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
                 }
-                Err(NoPlace::Full) => kept.push(demand),
+                Err(NoPlace::Full) => self.waiting.push(waiting),
             }
         }
-        self.waiting = kept;
     }
-
-    /// Returns the tokens served to an organisation of late by all entries.
-    fn served_to(&self, now: Millis, organisation: &Organisation) -> f64 {
-        let own = self.served.get(organisation).map_or(0.0, |count| count.get(now, SHARE_SPAN));
-        let others = self.reports.values().flat_map(|(_, report)| &report.served);
-        let theirs = others.filter(|(name, _)| name == organisation);
-        own + theirs.map(|(_, tokens)| f64::from(*tokens)).sum::<f64>()
-    }
-}
-
-fn is_overdue(now: Millis, demand: &Demand) -> bool {
-    let span = demand.target.since(demand.arrived).0 as f64 * WAIT_PART;
-    now.since(demand.arrived).0 as f64 >= span
 }
 
 fn refuse(code: Code, retry_after: Millis) -> Verdict {
--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -0,0 +1,173 @@
+//! Fair shares of organisations: who may take what while capacity is short.
+//!
+//! Shares are max-min: an organisation that asks for less than an even part gets all of it, and
+//! what it leaves is shared by those that ask for more. They are counted in tokens, over a span of
+//! a few seconds, by all entries together: each tells the others what its callers asked for and
+//! what they were given.
+
+use std::collections::BTreeMap;
+
+use super::fading::Fading;
+use crate::{
+    core::{Millis, Organisation},
+    protocol::fleet::LoadReport,
+};
+
+/// The span over which asking and getting are counted. Longer lets an organisation that was quiet
+/// take everything for longer; shorter refuses what a moment later would fit.
+pub const SHARE_SPAN: Millis = Millis(4_000);
+/// How often the levels are worked out: as often as reports arrive.
+const REFRESH: Millis = Millis(100);
+/// What is served counts for a little more when the level of all capacity is worked out, so that
+/// the level can rise with it.
+const GROWTH: f64 = 1.1;
+
+/// Where an organisation stands with one more request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Within its share of the capacity that is promised.
+    Within,
+    /// Beyond that, and within its share of all that is served.
+    Fair,
+    /// Beyond both.
+    Beyond,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    /// Asked and served by all entries in the span, in tokens.
+    asked: f64,
+    served: f64,
+    /// The part of the asking that this entry sees.
+    own_part: f64,
+}
+
+/// What one entry knows of all organisations' asking and getting.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    asked: BTreeMap<Organisation, Fading>,
+    served: BTreeMap<Organisation, Fading>,
+    counts: BTreeMap<Organisation, Counts>,
+    /// The most that one organisation gets of the capacity that is promised, in the span.
+    promised_level: f64,
+    /// The same of all that is served.
+    served_level: f64,
+    refreshed: Option<Millis>,
+}
+
+impl Shares {
+    /// Counts what a request asks for.
+    pub fn on_asked(&mut self, now: Millis, organisation: &Organisation, work: f64) {
+        count(&mut self.asked, now, organisation, work);
+    }
+
+    /// Counts what a request is given; negative where it took less than was counted before.
+    pub fn on_served(&mut self, now: Millis, organisation: &Organisation, work: f64) {
+        count(&mut self.served, now, organisation, work);
+    }
+
+    /// Works the levels out again if that is due. `capacity` is what is promised, in tokens a
+    /// second; 0 if nothing is.
+    pub fn refresh<'a>(
+        &mut self,
+        now: Millis,
+        capacity: f64,
+        reports: impl Iterator<Item = &'a LoadReport>,
+    ) {
+        if self.refreshed.is_some_and(|at| now.since(at) < REFRESH) {
+            return;
+        }
+        self.refreshed = Some(now);
+        self.counts.clear();
+        for (organisation, asked) in &self.asked {
+            let asked = asked.get(now, SHARE_SPAN);
+            let counts = self.counts.entry(organisation.clone()).or_default();
+            *counts = Counts { asked, own_part: asked, served: 0.0 };
+        }
+        for (organisation, served) in &self.served {
+            let counts = self.counts.entry(organisation.clone()).or_default();
+            counts.served = served.get(now, SHARE_SPAN);
+        }
+        for report in reports {
+            for (organisation, asked) in &report.asked {
+                self.counts.entry(organisation.clone()).or_default().asked += f64::from(*asked);
+            }
+            for (organisation, served) in &report.served {
+                self.counts.entry(organisation.clone()).or_default().served += f64::from(*served);
+            }
+        }
+        for counts in self.counts.values_mut() {
+            counts.own_part /= counts.asked.max(1.0);
+        }
+        let asked: Vec<f64> = self.counts.values().map(|counts| counts.asked).collect();
+        let served: f64 = self.counts.values().map(|counts| counts.served).sum();
+        let promised = capacity * SHARE_SPAN.0 as f64 / 1000.0;
+        self.promised_level = max_min_level(asked.clone(), promised);
+        self.served_level = max_min_level(asked, promised.max(served * GROWTH));
+    }
+
+    /// Tells where an organisation stands with one more request.
+    pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
+        let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
+        let own = self.served.get(organisation).map_or(0.0, |served| served.get(now, SHARE_SPAN));
+        // Half of the request, so that one larger than a share is not shut out for good.
+        let own = own + work / 2.0;
+        if counts.asked <= self.promised_level || own <= self.promised_level * counts.own_part {
+            return Standing::Within;
+        }
+        if own <= self.served_level * counts.own_part {
+            return Standing::Fair;
+        }
+        Standing::Beyond
+    }
+
+    /// Returns what all organisations asked for here of late, in tokens.
+    pub fn asked(&self, now: Millis) -> Vec<(Organisation, f32)> {
+        told(&self.asked, now)
+    }
+
+    /// Returns what all organisations were given here of late, in tokens.
+    pub fn served(&self, now: Millis) -> Vec<(Organisation, f32)> {
+        told(&self.served, now)
+    }
+}
+
+fn count(
+    counts: &mut BTreeMap<Organisation, Fading>,
+    now: Millis,
+    organisation: &Organisation,
+    work: f64,
+) {
+    match counts.get_mut(organisation) {
+        Some(count) => count.add(now, work, SHARE_SPAN),
+        None => {
+            let mut count = Fading::default();
+            count.add(now, work, SHARE_SPAN);
+            counts.insert(organisation.clone(), count);
+        }
+    }
+}
+
+fn told(counts: &BTreeMap<Organisation, Fading>, now: Millis) -> Vec<(Organisation, f32)> {
+    let now_counts = counts.iter().map(|(organisation, count)| {
+        (organisation.clone(), count.get(now, SHARE_SPAN).max(0.0) as f32)
+    });
+    now_counts.filter(|(_, count)| *count >= 1.0).collect()
+}
+
+/// Returns the level up to which everybody gets what they ask for, so that all together get
+/// `capacity`; without bound if they ask for less.
+fn max_min_level(mut asked: Vec<f64>, capacity: f64) -> f64 {
+    asked.sort_by(f64::total_cmp);
+    let mut left = capacity;
+    let mut others = asked.len();
+    for amount in asked {
+        let even = left / others as f64;
+        if amount > even {
+            return even;
+        }
+        left -= amount;
+        others -= 1;
+    }
+    f64::INFINITY
+}
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -90,6 +90,8 @@
     TooBusy = 3006, NotRun, 503, "This instance serves as many requests as it may.";
     NotReady = 3007, NotRun, 503, "This instance has no configuration yet.";
 
+    OverShare = 3008, NotRun, 429, "The organisation asks for more than its share while capacity is short.";
+
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
--- a/src/kingcupgrade/ops/fleet.rs
+++ b/src/kingcupgrade/ops/fleet.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use crate::{
-    core::{fleet::FleetSettings, settings::Role},
+    core::settings::Role,
     transport::{controls, gateway, gateway::edge::Edge},
     util::log,
 };
@@ -11,10 +11,10 @@
 /// # Errors
 ///
 /// Returns an error if the process can't start.
-pub fn serve_fleet<E: Edge>(edge: E, settings: FleetSettings) -> anyhow::Result<()> {
+pub fn serve_fleet<E: Edge>(edge: E) -> anyhow::Result<()> {
     log::init()?;
     let edge = Arc::new(edge);
-    let settings = Arc::new(settings);
+    let settings = Arc::new(edge.read_settings()?);
     match settings.role {
         Role::Entry => gateway::run(edge, settings),
         Role::Control => controls::run(edge, settings),
--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -19,6 +19,7 @@
 use super::{
     fleet::FleetHandle,
     gateway::edge::{Edge, OperatorCall},
+    reload,
 };
 use crate::{
     coordination::fleet::FleetInput,
@@ -61,6 +62,7 @@
     let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
     let address = settings.operator_address.context("the settings name no operators' address")?;
     let listener = TcpListener::bind(address).await?;
+    tokio::task::spawn_local(reload::follow(edge.clone(), fleet.clone(), settings.clone()));
     let controls = Rc::new(Controls { edge, fleet: fleet.clone() });
     tokio::task::spawn_local(accept_all(controls, listener));
     log::event("started", &settings.instance());
--- a/src/kingcupgrade/transport/gateway/edge.rs
+++ b/src/kingcupgrade/transport/gateway/edge.rs
@@ -9,7 +9,7 @@
     coordination::traffic::{ListedUpstream, PromptPart},
     core::{
         FailureDomain, Millis, Organisation, UpstreamName, code::CodedError,
-        configuration::Configuration,
+        configuration::Configuration, fleet::FleetSettings,
     },
 };
 
@@ -91,6 +91,13 @@
 
 /// Translates between the platform's wire and the product's types.
 pub trait Edge: Send + Sync + 'static {
+    /// Reads the settings again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the place of what can't be read.
+    fn read_settings(&self) -> anyhow::Result<FleetSettings>;
+
     /// Decodes a whole configuration.
     ///
     /// # Errors
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -30,7 +30,10 @@
 };
 
 use self::{edge::Edge, pool::Pool};
-use super::fleet::{FleetHandle, FleetNews};
+use super::{
+    fleet::{FleetHandle, FleetNews},
+    reload,
+};
 use crate::{
     coordination::{
         fleet::FleetInput,
@@ -176,6 +179,8 @@
     tokio::task::spawn_local(serve::accept_callers(gateway.clone(), callers));
     tokio::task::spawn_local(serve::accept_probes(gateway.clone(), ready));
     tokio::task::spawn_local(listing::follow(gateway.clone()));
+    let (edge, fleet) = (gateway.edge.clone(), gateway.fleet.clone());
+    tokio::task::spawn_local(reload::follow(edge, fleet, settings.clone()));
     tokio::task::spawn_local({
         let gateway = gateway.clone();
         async move {
--- a/src/kingcupgrade/transport/gateway/send.rs
+++ b/src/kingcupgrade/transport/gateway/send.rs
@@ -201,14 +201,18 @@
         })
     }
 
+    /// Tells whether the answer is a stream.
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Stream { .. })
+    }
+
     /// Serves the request to its answer's head, or to its end where it is not streamed.
     pub(super) async fn serve(self: Rc<Caller<E>>) -> Response<AnswerBody<E>> {
         let begun = match self.obtain(None).await {
             Ok(begun) => begun,
             Err((code, retry_after)) => return self.refuse(code, retry_after),
         };
-        let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
-        if is_stream && begun.head.status.is_success() {
+        if self.is_stream() && begun.head.status.is_success() {
             return self.relay(begun);
         }
         self.collect(begun).await
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -34,6 +34,10 @@
 /// When to come back to an entry that knows no configuration yet.
 const RETRY_AFTER_START: Millis = Millis(500);
 
+/// When to come back after an entry that is about to stop refused a request; other entries take it
+/// at once.
+const RETRY_AFTER_DRAIN: Millis = Millis(50);
+
 /// Counts something for as long as it lives.
 struct Counted<'a>(&'a std::cell::Cell<usize>);
 
@@ -111,6 +115,10 @@
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
     match Caller::new(gateway.clone(), &configuration, head, decoded, body) {
+        // A stream that begins now may not end within the grace time.
+        Ok(caller) if caller.is_stream() && gateway.stage() == DrainStage::Closing => {
+            refuse(Code::Draining, RETRY_AFTER_DRAIN)
+        }
         Ok(caller) => Ok(Rc::new(caller).serve().await),
         Err(code) => refuse(code, Millis::ZERO),
     }
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -13,6 +13,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+mod reload;
 pub mod upstream;
 
 use std::{
