Let estimates of unread prompts shrink with time; keep shared parts at home

Requests given up were retransmitted to upstreams that could not be reached and arrived seconds later.

--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/backlog.rs
@@ -0,0 +1,65 @@
+//! Prompt tokens that an engine has not read yet, of the requests of one entry.
+//!
+//! An engine reads prompts in the order of their arrival. Counted until their first event, long
+//! prompts look unread long after most of them is read, and requests are sent away from an engine
+//! that is about to be free. So what is unread shrinks with time, from the oldest on, and a first
+//! event clears its own prompt and all before it.
+
+use std::collections::VecDeque;
+
+use super::demand::RequestNo;
+use crate::core::Millis;
+
+#[derive(Clone, Debug)]
+struct Prompt {
+    no: RequestNo,
+    left: f64,
+}
+
+/// The unread prompts of one entry at one engine.
+#[derive(Clone, Debug, Default)]
+pub struct Backlog {
+    prompts: VecDeque<Prompt>,
+    at: Millis,
+}
+
+impl Backlog {
+    /// Adds a prompt.
+    pub fn push(&mut self, no: RequestNo, tokens: u64) {
+        if tokens > 0 {
+            self.prompts.push_back(Prompt { no, left: tokens as f64 });
+        }
+    }
+
+    /// Lets the engine read for the time since the last call, at this entry's part of its rate in
+    /// tokens a millisecond.
+    pub fn read(&mut self, now: Millis, rate: f64) {
+        let mut tokens = now.since(self.at).0 as f64 * rate;
+        self.at = now;
+        while let Some(first) = self.prompts.front_mut() {
+            if first.left > tokens {
+                first.left -= tokens;
+                return;
+            }
+            tokens -= first.left;
+            self.prompts.pop_front();
+        }
+    }
+
+    /// Notes the first event of a request: its prompt and all before it are read.
+    pub fn on_first_event(&mut self, no: RequestNo) {
+        if let Some(place) = self.prompts.iter().position(|prompt| prompt.no == no) {
+            self.prompts.drain(..=place);
+        }
+    }
+
+    /// Removes a request that ended otherwise.
+    pub fn remove(&mut self, no: RequestNo) {
+        self.prompts.retain(|prompt| prompt.no != no);
+    }
+
+    /// Returns the unread tokens.
+    pub fn tokens(&self) -> u64 {
+        self.prompts.iter().map(|prompt| prompt.left as u64).sum()
+    }
+}
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -6,6 +6,7 @@
 //! over all entries must hold, a cold upstream's rate or the budget of repeats, each keeps to its
 //! own part, so the sum holds also while they can't reach each other.
 
+mod backlog;
 mod budget;
 mod demand;
 mod engine;
@@ -23,6 +24,7 @@
 };
 
 pub use self::{
+    backlog::Backlog,
     budget::{Allowance, RetryBudget},
     demand::{Demand, PromptPart, RequestNo},
     engine::EngineSpeed,
@@ -101,8 +103,6 @@
     organisation: Organisation,
     route: Arc<str>,
     sent: Millis,
-    /// Prompt tokens this request added to the unread ones.
-    unread: u64,
     /// Tokens that were to be read until its first event.
     ahead: u64,
     memory: u64,
@@ -299,7 +299,8 @@
         // Parts that are kept there take no more memory for one more request.
         let memory = unread + u64::from(demand.output);
         upstream.own.running += 1;
-        upstream.own.unread += unread;
+        upstream.backlog.push(demand.no, unread);
+        upstream.own.unread = upstream.backlog.tokens();
         upstream.own.memory += memory;
         upstream.keep(now, demand);
         let sent = Sent {
@@ -308,7 +309,6 @@
             organisation: demand.organisation.clone(),
             route: demand.route.clone(),
             sent: now,
-            unread,
             ahead,
             memory,
             prompt,
@@ -334,7 +334,8 @@
         }
         sent.has_begun = true;
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
-            upstream.own.unread = upstream.own.unread.saturating_sub(sent.unread);
+            upstream.backlog.on_first_event(no);
+            upstream.own.unread = upstream.backlog.tokens();
         }
         let speed = self.speeds.entry(sent.service.clone()).or_default();
         speed.on_first_event(sent.ahead, now.since(sent.sent));
@@ -362,7 +363,8 @@
             upstream.own.running = upstream.own.running.saturating_sub(1);
             upstream.own.memory = upstream.own.memory.saturating_sub(sent.memory);
             if !sent.has_begun {
-                upstream.own.unread = upstream.own.unread.saturating_sub(sent.unread);
+                upstream.backlog.remove(no);
+                upstream.own.unread = upstream.backlog.tokens();
             }
             match end {
                 SendEnd::Answered => upstream.health.on_answer(),
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -10,8 +10,14 @@
 /// The part of an engine's memory that is filled; generations run over their estimates.
 const MEMORY_PART: f64 = 0.9;
 /// Reading a shared part again takes an engine's time from everybody, and memory from other parts.
-/// It counts this many times its own time against an earlier first event of the one request.
-const READ_AGAIN_WEIGHT: f64 = 4.0;
+/// It counts this many times its own time against an earlier first event of the one request: a
+/// shared part of some thousand tokens stays at its home as long as the target is met there.
+const READ_AGAIN_WEIGHT: f64 = 12.0;
+/// The part of the time left to the target up to which a first event is safe: estimates are off by
+/// what other entries sent since their last report.
+const SAFE_PART: f64 = 0.6;
+/// Each millisecond beyond the safe part counts this many times.
+const UNSAFE_WEIGHT: f64 = 4.0;
 /// The part of an engine's slots that is filled. Each further one slows all the others' events.
 const SLOT_PART: f64 = 0.95;
 /// Milliseconds that one request running there counts for: each makes a step of the engine longer.
@@ -69,6 +75,7 @@
         let mut place = 0;
         for name in names {
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
+            upstream.let_read(now, speed.read_rate());
             if upstream.is_cold(now) && !upstream.has_cold_room(now, cold_rate) {
                 continue;
             }
@@ -145,8 +152,9 @@
         return None;
     }
     let again = (unread - own_part) as f64 / fit.speed.read_rate() * READ_AGAIN_WEIGHT;
+    let unsafe_ms = (first_event - fit.left * SAFE_PART).max(0.0) * UNSAFE_WEIGHT;
     let rank = if fit.place == 0 { 0.0 } else { fit.place as f64 * RANK_WEIGHT };
-    Some(first_event + again + f64::from(running) * RUNNING_WEIGHT + rank)
+    Some(first_event + again + unsafe_ms + f64::from(running) * RUNNING_WEIGHT + rank)
 }
 
 /// Returns how busy a plain upstream is, or `None` if it is full.
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use super::{demand::Demand, health::Health};
+use super::{backlog::Backlog, demand::Demand, health::Health};
 use crate::{
     core::{FailureDomain, Millis, Service, UpstreamName},
     protocol::fleet::Load,
@@ -54,6 +54,8 @@
     pub own: Load,
     /// What the other entries have under way there.
     pub others: Load,
+    /// Prompts of this entry that it has not read.
+    pub backlog: Backlog,
     /// Whether it fails.
     pub health: Health,
     meter: ColdMeter,
@@ -70,6 +72,7 @@
             listed,
             own: Load::default(),
             others: Load::default(),
+            backlog: Backlog::default(),
             health: Health::default(),
             meter: ColdMeter::default(),
             reported: None,
@@ -107,6 +110,15 @@
         }
     }
 
+    /// Lets it read prompts until now, at a rate in tokens a millisecond that it shares between the
+    /// entries.
+    pub fn let_read(&mut self, now: Millis, rate: f64) {
+        let own = self.backlog.tokens() as f64;
+        let part = own / (own + self.others.unread as f64).max(1.0);
+        self.backlog.read(now, rate * part);
+        self.own.unread = self.backlog.tokens();
+    }
+
     /// Returns the prompt tokens unread there, as far as known.
     pub fn unread(&self) -> u64 {
         self.own.unread + self.others.unread
--- a/src/kingcupgrade/transport/gateway/pool.rs
+++ b/src/kingcupgrade/transport/gateway/pool.rs
@@ -127,6 +127,9 @@
             let stream = TcpStream::connect(address).await.ok()?;
             // Without it a short request waits for an acknowledgement; it can only be slower.
             let _ = stream.set_nodelay(true);
+            // A request that was given up must not arrive later: to an upstream that can't be
+            // reached its bytes would be sent again for minutes, unless closing resets.
+            stream.set_zero_linger().ok()?;
             let builder = http1::Builder::new();
             builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()
         };
