--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -29,6 +29,11 @@
 const FIRST_IDLE_TIMEOUT: Millis = Millis(30_000);
 /// The longest body accepted while no configuration says so; such a request is refused anyway.
 const FIRST_MAX_BODY_LEN: usize = 4 << 20;
+/// The part of the sockets up to which callers' connections are kept open after an answer. Callers
+/// keep theirs for many seconds; with all sockets in use no new caller would be heard.
+const KEPT_PART: f64 = 0.4;
+/// Idle connections are kept this much longer than callers were told.
+const IDLE_SLACK: Millis = Millis(1_000);
 /// The pause after a failed accept: it fails again at once while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to an entry that knows no configuration yet.
@@ -75,8 +80,19 @@
     let _ = stream.set_nodelay(true);
     let _counted = Counted::new(&gateway.open_connections);
     let idle = gateway.traffic.borrow().configuration().map(|c| c.limits.idle_timeout);
-    let idle = idle.unwrap_or(FIRST_IDLE_TIMEOUT).max(FIRST_IDLE_TIMEOUT);
-    let service = service_fn(|request| serve_one(gateway.clone(), request));
+    let idle = idle.unwrap_or(FIRST_IDLE_TIMEOUT) + IDLE_SLACK;
+    let service = service_fn(|request| {
+        let gateway = gateway.clone();
+        async move {
+            let mut response = serve_one(gateway.clone(), request).await?;
+            let kept = gateway.settings.max_sockets as f64 * KEPT_PART;
+            if gateway.open_connections.get() as f64 > kept {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle.as_duration())
