Hold organisations beyond their share near the backlogged one that got least, at home

Change: beyond its promised share an organisation gets at most 1.4 times what the backlogged one that got least does, and only where its shared parts are kept.

--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -40,6 +40,16 @@
     Full,
 }
 
+/// On which terms a request is placed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    /// The part of the time left to its target in which its first event must be expected.
+    pub(super) budget: f64,
+    /// Whether it goes only where its shared parts are kept. Capacity is spare only as long as
+    /// using it costs nobody else's.
+    pub(super) only_home: bool,
+}
+
 /// Ranks an upstream for a shared part, the same on every entry.
 fn rank(part: u64, name: &UpstreamName) -> u64 {
     let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
@@ -52,13 +62,12 @@
 }
 
 impl Traffic {
-    /// Finds the upstream for a request; its first event must be expected within `budget` of the
-    /// time that is left to its target.
+    /// Finds the upstream for a request.
     pub(super) fn place(
         &mut self,
         now: Millis,
         demand: &Demand,
-        budget: f64,
+        terms: Terms,
     ) -> Result<UpstreamName, NoPlace> {
         let Some(plan) = self.plan(&demand.service) else { return Err(NoPlace::Nobody) };
         let mut names = self.usable(now, demand);
@@ -70,7 +79,7 @@
         }
         let cold_rate = plan.cold_per_s / self.entry_count() as f64;
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let left = (demand.target.since(now).0 as f64 - MARGIN) * budget;
+        let left = (demand.target.since(now).0 as f64 - MARGIN) * terms.budget;
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut place = 0;
         for name in names {
@@ -82,7 +91,8 @@
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
-                    let fit = Fit { kv_capacity, speed, left, place };
+                    let only_home = terms.only_home;
+                    let fit = Fit { kv_capacity, speed, left, place, only_home };
                     engine_cost(now, upstream, demand, fit)
                 }
                 None => plain_cost(now, upstream, &self.settings.failure_domain),
@@ -128,6 +138,7 @@
     left: f64,
     /// The engine's place in the ranking of the request's shared part.
     place: usize,
+    only_home: bool,
 }
 
 /// Returns the milliseconds until an engine's first event with what they cost others, or `None`
@@ -142,6 +153,9 @@
     // At the home of a shared part other entries have sent it before.
     let unread =
         if fit.place == 0 { own_part } else { upstream.unread_of(now, demand).max(own_part) };
+    if fit.only_home && unread > own_part {
+        return None;
+    }
     let needed = upstream.memory() + unread + u64::from(demand.output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_PART {
         return None;
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -5,7 +5,7 @@
 //! organisation's share go first, then the most urgent. Waiting is short: a request that can't meet
 //! its target any more is refused at once, with the time at which room is expected.
 
-use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict};
+use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict, placement::Terms};
 use crate::core::{Code, Millis};
 
 /// The part of the time to its target that a request within its share may wait; what is left must
@@ -79,13 +79,13 @@
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
         let is_short = self.short.is_some_and(|at| now.since(at) < SHORT_SPAN);
-        let budget = match standing {
-            Standing::Within => 1.0,
-            Standing::Fair => BUDGET_FAIR,
+        let (budget, only_home) = match standing {
+            Standing::Within => (1.0, false),
+            Standing::Fair => (BUDGET_FAIR, true),
             Standing::Beyond if is_short && !demand.prompt.is_empty() => return Err(NoPlace::Full),
-            Standing::Beyond => BUDGET_BEYOND,
+            Standing::Beyond => (BUDGET_BEYOND, true),
         };
-        let name = self.place(now, demand, budget)?;
+        let name = self.place(now, demand, Terms { budget, only_home })?;
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -18,16 +18,19 @@
 pub const SHARE_SPAN: Millis = Millis(4_000);
 /// How often the levels are worked out: as often as reports arrive.
 const REFRESH: Millis = Millis(100);
-/// What is served counts for a little more when the level of all capacity is worked out, so that
-/// the level can rise with it.
-const GROWTH: f64 = 1.1;
+/// An organisation gets at most this many times what the backlogged one that got least does,
+/// beyond its promised share. Above 1, so that they can rise together; the gap between any two
+/// stays below it.
+const GAP: f64 = 1.4;
+/// An organisation is backlogged if it asked for this many times what it got.
+const BACKLOG: f64 = 1.25;
 
 /// Where an organisation stands with one more request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
     /// Within its share of the capacity that is promised.
     Within,
-    /// Beyond that, and within its share of all that is served.
+    /// Beyond that, and not far ahead of the backlogged organisation that got least.
     Fair,
     /// Beyond both.
     Beyond,
@@ -50,8 +53,8 @@
     counts: BTreeMap<Organisation, Counts>,
     /// The most that one organisation gets of the capacity that is promised, in the span.
     promised_level: f64,
-    /// The same of all that is served.
-    served_level: f64,
+    /// The most that one organisation gets of what is served beyond that, in the span.
+    spare_level: f64,
     refreshed: Option<Millis>,
 }
 
@@ -100,10 +103,12 @@
             counts.own_part /= counts.asked.max(1.0);
         }
         let asked: Vec<f64> = self.counts.values().map(|counts| counts.asked).collect();
-        let served: f64 = self.counts.values().map(|counts| counts.served).sum();
         let promised = capacity * SHARE_SPAN.0 as f64 / 1000.0;
-        self.promised_level = max_min_level(asked.clone(), promised);
-        self.served_level = max_min_level(asked, promised.max(served * GROWTH));
+        self.promised_level = max_min_level(asked, promised);
+        let backlogged =
+            self.counts.values().filter(|counts| counts.asked > counts.served * BACKLOG);
+        let least = backlogged.map(|counts| counts.served).fold(f64::INFINITY, f64::min);
+        self.spare_level = self.promised_level.max(least * GAP);
     }
 
     /// Tells where an organisation stands with one more request.
@@ -115,7 +120,7 @@
         if counts.asked <= self.promised_level || own <= self.promised_level * counts.own_part {
             return Standing::Within;
         }
-        if own <= self.served_level * counts.own_part {
+        if own <= self.spare_level * counts.own_part {
             return Standing::Fair;
         }
         Standing::Beyond
--- a/src/kingcupgrade/transport/reload.rs
+++ b/src/kingcupgrade/transport/reload.rs
@@ -11,11 +11,7 @@
 };
 
 use super::{fleet::FleetHandle, gateway::edge::Edge};
-use crate::{
-    coordination::fleet::FleetInput,
-    core::fleet::FleetSettings,
-    util::log,
-};
+use crate::{coordination::fleet::FleetInput, core::fleet::FleetSettings, util::log};
 
 /// How often the file is read without a signal: joining other control instances a few seconds
 /// late is soon enough, as the known ones tell of them.
