Count shares over 2.5 s, with a gap of 1.2

Cause: an organisation that begins to press in the middle takes a whole span's level at once; over six seconds it got more than twice what a steady one got (FAIR).

Ruled out: the promised level itself, which is the same for both.

--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -15,13 +15,13 @@
 
 /// The span over which asking and getting are counted. Longer lets an organisation that was quiet
 /// take everything for longer; shorter refuses what a moment later would fit.
-pub const SHARE_SPAN: Millis = Millis(4_000);
+pub const SHARE_SPAN: Millis = Millis(2_500);
 /// How often the levels are worked out: as often as reports arrive.
 const REFRESH: Millis = Millis(100);
 /// An organisation gets at most this many times what the backlogged one that got least does,
 /// beyond its promised share. Above 1, so that they can rise together; the gap between any two
 /// stays below it.
-const GAP: f64 = 1.4;
+const GAP: f64 = 1.2;
 /// An organisation is backlogged if it asked for this many times what it got.
 const BACKLOG: f64 = 1.25;
 
