--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -27,6 +27,9 @@
 const RANK_WEIGHT: f64 = 10.0;
 /// Time kept free before the target, for the way to the caller, in milliseconds.
 const MARGIN: f64 = 40.0;
+/// Requests under way at a plain upstream, as a multiple of its slots. Those beyond wait there for
+/// a part of one request's time, less than the reports of other entries are old.
+const PLAIN_DEPTH: u32 = 2;
 /// A plain upstream in another failure domain counts as this much of a request busier: the way
 /// there takes time and costs the users by the byte.
 const FAR_WEIGHT: f64 = 0.4;
@@ -174,7 +177,7 @@
 /// Returns how busy a plain upstream is, or `None` if it is full.
 fn plain_cost(now: Millis, upstream: &Upstream, domain: &FailureDomain) -> Option<f64> {
     let running = upstream.running(now);
-    if running >= upstream.listed.slots {
+    if running >= upstream.listed.slots * PLAIN_DEPTH {
         return None;
     }
     let far = if upstream.listed.domain == *domain { 0.0 } else { FAR_WEIGHT };
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -78,11 +78,12 @@
         demand: &Demand,
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
-        let is_short = self.short.is_some_and(|at| now.since(at) < SHORT_SPAN);
+        let short = self.short.get(&demand.service);
+        let is_short = short.is_some_and(|at| now.since(*at) < SHORT_SPAN);
         let (budget, only_home) = match standing {
             Standing::Within => (1.0, false),
             Standing::Fair => (BUDGET_FAIR, true),
-            Standing::Beyond if is_short && !demand.prompt.is_empty() => return Err(NoPlace::Full),
+            Standing::Beyond if is_short => return Err(NoPlace::Full),
             Standing::Beyond => (BUDGET_BEYOND, true),
         };
         let name = self.place(now, demand, Terms { budget, only_home })?;
@@ -91,7 +92,7 @@
     }
 
     fn wait(&mut self, now: Millis, demand: Demand, standing: Standing) {
-        self.short = Some(now);
+        self.short.insert(demand.service.clone(), now);
         let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
         let span = demand.target.since(demand.arrived).0 as f64 * part;
         let until = demand.arrived + Millis(span as u64);
@@ -124,7 +125,7 @@
                     out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
                 }
                 Err(NoPlace::Full) if now >= waiting.until => {
-                    self.short = Some(now);
+                    self.short.insert(waiting.demand.service.clone(), now);
                     out.push((no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
                 }
                 Err(NoPlace::Full) => self.waiting.push(waiting),
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -12,8 +12,9 @@
 const KEPT_SPAN: Millis = Millis(30_000);
 /// Parts remembered for one upstream.
 const MAX_KEPT: usize = 4_000;
-/// A report on an answer older than this says nothing any more.
-const REPORT_SPAN: Millis = Millis(300);
+/// A report on an answer older than this says nothing any more: plain requests take some ten
+/// milliseconds, and an upstream that was full once would look so until its next answer.
+const REPORT_SPAN: Millis = Millis(50);
 
 /// An upstream as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
