Judge shares by what the whole fleet served; tell shortage to all entries

Cause: an entry judged an organisation by its part of the asking, which is uneven; requests that never ran were charged; an entry that saw no shortage gave spare capacity to whoever asked there.

--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -108,6 +108,8 @@
     memory: u64,
     prompt: u64,
     output: u32,
+    /// What its organisation was charged.
+    work: f64,
     has_begun: bool,
     generated: u32,
 }
@@ -256,7 +258,7 @@
             loads: busy.map(|(name, upstream)| (name.clone(), upstream.own.clone())).collect(),
             served: self.shares.served(now),
             asked: self.shares.asked(now),
-            failing: Vec::new(),
+            short: self.short_here(now).cloned().collect(),
         }
     }
 
@@ -313,6 +315,7 @@
             memory,
             prompt,
             output: demand.output,
+            work: demand.work(),
             has_begun: false,
             generated: 0,
         };
@@ -378,6 +381,11 @@
                 SendEnd::Cancelled => {}
             }
         }
+        if !sent.has_begun && end != SendEnd::Answered {
+            // It never ran. Charged for it, an organisation whose upstreams crash would get less
+            // than the others just then.
+            self.shares.on_served(now, &sent.organisation, -sent.work);
+        }
         self.learn_output(now, &sent, end);
     }
 
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -6,7 +6,7 @@
 //! its target any more is refused at once, with the time at which room is expected.
 
 use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict, placement::Terms};
-use crate::core::{Code, Millis};
+use crate::core::{Code, Millis, Service};
 
 /// The part of the time to its target that a request within its share may wait; what is left must
 /// do for the reading of its prompt.
@@ -78,8 +78,7 @@
         demand: &Demand,
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
-        let short = self.short.get(&demand.service);
-        let is_short = short.is_some_and(|at| now.since(*at) < SHORT_SPAN);
+        let is_short = self.is_short(now, &demand.service);
         let (budget, only_home) = match standing {
             Standing::Within => (1.0, false),
             Standing::Fair => (BUDGET_FAIR, true),
@@ -91,6 +90,19 @@
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
 
+    /// Lists the services of which a request found no room here of late.
+    pub(super) fn short_here(&self, now: Millis) -> impl Iterator<Item = &Service> {
+        let short = self.short.iter().filter(move |(_, at)| now.since(**at) < SHORT_SPAN);
+        short.map(|(service, _)| service)
+    }
+
+    /// Tells whether a request found no room of late, at any entry.
+    fn is_short(&self, now: Millis, service: &Service) -> bool {
+        let mut reports = self.reports.values();
+        self.short_here(now).any(|short| short == service)
+            || reports.any(|(_, report)| report.short.contains(service))
+    }
+
     fn wait(&mut self, now: Millis, demand: Demand, standing: Standing) {
         self.short.insert(demand.service.clone(), now);
         let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -38,11 +38,10 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
-    /// Asked and served by all entries in the span, in tokens.
+    /// Asked of all entries in the span, in tokens.
     asked: f64,
-    served: f64,
-    /// The part of the asking that this entry sees.
-    own_part: f64,
+    /// Served by the other entries, in tokens.
+    served_elsewhere: f64,
 }
 
 /// What one entry knows of all organisations' asking and getting.
@@ -83,47 +82,43 @@
         self.refreshed = Some(now);
         self.counts.clear();
         for (organisation, asked) in &self.asked {
-            let asked = asked.get(now, SHARE_SPAN);
             let counts = self.counts.entry(organisation.clone()).or_default();
-            *counts = Counts { asked, own_part: asked, served: 0.0 };
-        }
-        for (organisation, served) in &self.served {
-            let counts = self.counts.entry(organisation.clone()).or_default();
-            counts.served = served.get(now, SHARE_SPAN);
+            counts.asked = asked.get(now, SHARE_SPAN);
         }
         for report in reports {
             for (organisation, asked) in &report.asked {
                 self.counts.entry(organisation.clone()).or_default().asked += f64::from(*asked);
             }
             for (organisation, served) in &report.served {
-                self.counts.entry(organisation.clone()).or_default().served += f64::from(*served);
+                let counts = self.counts.entry(organisation.clone()).or_default();
+                counts.served_elsewhere += f64::from(*served);
             }
         }
-        for counts in self.counts.values_mut() {
-            counts.own_part /= counts.asked.max(1.0);
-        }
         let asked: Vec<f64> = self.counts.values().map(|counts| counts.asked).collect();
         let promised = capacity * SHARE_SPAN.0 as f64 / 1000.0;
         self.promised_level = max_min_level(asked, promised);
-        let backlogged =
-            self.counts.values().filter(|counts| counts.asked > counts.served * BACKLOG);
-        let least = backlogged.map(|counts| counts.served).fold(f64::INFINITY, f64::min);
+        let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
+            let served = counts.served_elsewhere + self.own(now, organisation);
+            (counts.asked > served * BACKLOG).then_some(served)
+        });
+        let least = backlogged.fold(f64::INFINITY, f64::min);
         self.spare_level = self.promised_level.max(least * GAP);
     }
 
     /// Tells where an organisation stands with one more request.
     pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
-        let own = self.served.get(organisation).map_or(0.0, |served| served.get(now, SHARE_SPAN));
         // Half of the request, so that one larger than a share is not shut out for good.
-        let own = own + work / 2.0;
-        if counts.asked <= self.promised_level || own <= self.promised_level * counts.own_part {
+        let served = counts.served_elsewhere + self.own(now, organisation) + work / 2.0;
+        if counts.asked <= self.promised_level || served <= self.promised_level {
             return Standing::Within;
         }
-        if own <= self.spare_level * counts.own_part {
-            return Standing::Fair;
-        }
-        Standing::Beyond
+        if served <= self.spare_level { Standing::Fair } else { Standing::Beyond }
+    }
+
+    /// Returns what an organisation was given by this entry in the span, in tokens.
+    fn own(&self, now: Millis, organisation: &Organisation) -> f64 {
+        self.served.get(organisation).map_or(0.0, |served| served.get(now, SHARE_SPAN))
     }
 
     /// Returns what all organisations asked for here of late, in tokens.
