Let nobody beyond its share get ahead of a backlogged organisation

Cause: spare capacity went to organisations at entries that saw no shortage, while others waited elsewhere; organisations within their share counted as backlogged when a few requests failed. Plain requests of an organisation beyond its share were refused though they take no tokens.

--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -48,9 +48,8 @@
 pub(super) struct Terms {
     /// The part of the time left to its target in which its first event must be expected.
     pub(super) budget: f64,
-    /// Whether it goes only where its shared parts are kept. Capacity is spare only as long as
-    /// using it costs nobody else's.
-    pub(super) only_home: bool,
+    /// The same at engines that would read shared parts again.
+    pub(super) away: f64,
 }
 
 /// Ranks an upstream for a shared part, the same on every entry.
@@ -82,7 +81,7 @@
         }
         let cold_rate = plan.cold_per_s / self.entry_count() as f64;
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let left = (demand.target.since(now).0 as f64 - MARGIN) * terms.budget;
+        let left = (demand.target.since(now).0 as f64 - MARGIN).max(0.0);
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut place = 0;
         for name in names {
@@ -94,8 +93,7 @@
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
-                    let only_home = terms.only_home;
-                    let fit = Fit { kv_capacity, speed, left, place, only_home };
+                    let fit = Fit { kv_capacity, speed, left, place, terms };
                     engine_cost(now, upstream, demand, fit)
                 }
                 None => plain_cost(now, upstream, &self.settings.failure_domain),
@@ -141,7 +139,7 @@
     left: f64,
     /// The engine's place in the ranking of the request's shared part.
     place: usize,
-    only_home: bool,
+    terms: Terms,
 }
 
 /// Returns the milliseconds until an engine's first event with what they cost others, or `None`
@@ -156,16 +154,15 @@
     // At the home of a shared part other entries have sent it before.
     let unread =
         if fit.place == 0 { own_part } else { upstream.unread_of(now, demand).max(own_part) };
-    if fit.only_home && unread > own_part {
-        return None;
-    }
+    let part = if unread > own_part { fit.terms.away } else { fit.terms.budget };
+    let left = fit.left * part;
     let needed = upstream.memory() + unread + u64::from(demand.output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_PART {
         return None;
     }
     let first_event = fit.speed.first_event_ms(upstream.unread() + unread);
     // A prompt that takes longer to read than there is time fits an engine that reads nothing else.
-    if first_event > fit.left && upstream.unread() > 0 {
+    if first_event > left && upstream.unread() > 0 {
         return None;
     }
     let again = (unread - own_part) as f64 / fit.speed.read_rate() * READ_AGAIN_WEIGHT;
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -6,7 +6,7 @@
 //! its target any more is refused at once, with the time at which room is expected.
 
 use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict, placement::Terms};
-use crate::core::{Code, Millis, Service};
+use crate::core::{Code, Millis};
 
 /// The part of the time to its target that a request within its share may wait; what is left must
 /// do for the reading of its prompt.
@@ -16,10 +16,9 @@
 /// The part of the time to its target in which the first event of a request beyond its share must
 /// be expected, so that what it adds is read before those within theirs have to wait.
 const BUDGET_FAIR: f64 = 0.6;
-/// The same for a request beyond its share of all that is served.
-const BUDGET_BEYOND: f64 = 0.35;
-/// For how long after a request found no room capacity counts as short.
-const SHORT_SPAN: Millis = Millis(1_000);
+/// The same where its shared parts are not kept: capacity is spare only as long as reading them
+/// again keeps nobody waiting.
+const BUDGET_FAIR_AWAY: f64 = 0.3;
 /// Requests that may wait at one entry; more than can be served within any target.
 const MAX_WAITING: usize = 400;
 /// Requests looked at in one turn: a small processor must not spend it on looking.
@@ -47,7 +46,11 @@
     pub fn admit(&mut self, now: Millis, demand: Demand) -> Option<Verdict> {
         let work = demand.work();
         self.refresh_shares(now);
-        let standing = self.shares.standing(now, &demand.organisation, work);
+        let standing = match demand.prompt.is_empty() {
+            // Shares are counted in tokens; plain requests take none.
+            true => Standing::Within,
+            false => self.shares.standing(now, &demand.organisation, work),
+        };
         self.shares.on_asked(now, &demand.organisation, work);
         match self.start(now, &demand, standing) {
             Ok(verdict) => Some(verdict),
@@ -78,33 +81,17 @@
         demand: &Demand,
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
-        let is_short = self.is_short(now, &demand.service);
-        let (budget, only_home) = match standing {
-            Standing::Within => (1.0, false),
-            Standing::Fair => (BUDGET_FAIR, true),
-            Standing::Beyond if is_short => return Err(NoPlace::Full),
-            Standing::Beyond => (BUDGET_BEYOND, true),
+        let (budget, away) = match standing {
+            Standing::Within => (1.0, 1.0),
+            Standing::Fair => (BUDGET_FAIR, BUDGET_FAIR_AWAY),
+            Standing::Beyond => return Err(NoPlace::Full),
         };
-        let name = self.place(now, demand, Terms { budget, only_home })?;
+        let name = self.place(now, demand, Terms { budget, away })?;
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
 
-    /// Lists the services of which a request found no room here of late.
-    pub(super) fn short_here(&self, now: Millis) -> impl Iterator<Item = &Service> {
-        let short = self.short.iter().filter(move |(_, at)| now.since(**at) < SHORT_SPAN);
-        short.map(|(service, _)| service)
-    }
-
-    /// Tells whether a request found no room of late, at any entry.
-    fn is_short(&self, now: Millis, service: &Service) -> bool {
-        let mut reports = self.reports.values();
-        self.short_here(now).any(|short| short == service)
-            || reports.any(|(_, report)| report.short.contains(service))
-    }
-
     fn wait(&mut self, now: Millis, demand: Demand, standing: Standing) {
-        self.short.insert(demand.service.clone(), now);
         let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
         let span = demand.target.since(demand.arrived).0 as f64 * part;
         let until = demand.arrived + Millis(span as u64);
@@ -137,7 +124,6 @@
                     out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
                 }
                 Err(NoPlace::Full) if now >= waiting.until => {
-                    self.short.insert(waiting.demand.service.clone(), now);
                     out.push((no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
                 }
                 Err(NoPlace::Full) => self.waiting.push(waiting),
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -22,7 +22,8 @@
 /// beyond its promised share. Above 1, so that they can rise together; the gap between any two
 /// stays below it.
 const GAP: f64 = 1.2;
-/// An organisation is backlogged if it asked for this many times what it got.
+/// An organisation is backlogged if it asked for this many times what it got, and for more than
+/// its promised share.
 const BACKLOG: f64 = 1.25;
 
 /// Where an organisation stands with one more request.
@@ -99,7 +100,8 @@
         self.promised_level = max_min_level(asked, promised);
         let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
             let served = counts.served_elsewhere + self.own(now, organisation);
-            (counts.asked > served * BACKLOG).then_some(served)
+            let is_limited = counts.asked > self.promised_level;
+            (is_limited && counts.asked > served * BACKLOG).then_some(served)
         });
         let least = backlogged.fold(f64::INFINITY, f64::min);
         self.spare_level = self.promised_level.max(least * GAP);
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{FailureDomain, Instance, Organisation, Service, UpstreamName};
+use crate::core::{FailureDomain, Instance, Organisation, UpstreamName};
 
 /// An entry as a control instance knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -39,9 +39,6 @@
     /// Tokens asked for by each organisation of late, fading with time.
     #[serde(rename = "a")]
     pub asked: Vec<(Organisation, f32)>,
-    /// Services of which a request found no room of late.
-    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    pub short: Vec<Service>,
 }
 
 /// A message among the instances of a fleet that finds itself.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -68,7 +68,8 @@
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
-    /// Set once the process is to stop.
+    /// When the process ends at the latest, once it is to stop.
+    ends_at: Cell<Option<Millis>>,
     drain: tokio::sync::watch::Sender<DrainStage>,
     fleet: FleetHandle,
 }
@@ -93,6 +94,17 @@
         *self.drain.borrow()
     }
 
+    /// Tells whether a request that may take this long surely ends before the process does.
+    ///
+    /// One that is cut may have run, and its caller can't tell; refused before it is sent, it is
+    /// taken by another entry at once.
+    fn has_time_for(&self, patience: Millis) -> bool {
+        match self.ends_at.get() {
+            Some(ends_at) if self.stage() == DrainStage::Closing => self.now() + patience < ends_at,
+            _ => true,
+        }
+    }
+
     fn is_ready(&self) -> bool {
         let traffic = self.traffic.borrow();
         self.stage() == DrainStage::Serving
@@ -170,6 +182,7 @@
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
         open_connections: Cell::new(0),
+        ends_at: Cell::new(None),
         drain: tokio::sync::watch::channel(DrainStage::Serving).0,
         fleet,
         settings: settings.clone(),
@@ -213,7 +226,9 @@
             _ = ticks.tick() => {}
             _ = terminated.recv() => {
                 let now = gateway.now();
-                drain_began.get_or_insert(now);
+                let grace = gateway.settings.grace.0 as f64 * GRACE_PART;
+                let began = *drain_began.get_or_insert(now);
+                gateway.ends_at.set(Some(began + Millis(grace as u64)));
                 gateway.drain.send_replace(DrainStage::Noticed);
                 log::event("draining", &gateway.open_requests.get());
             }
@@ -250,6 +265,5 @@
         gateway.drain.send_replace(DrainStage::Closing);
     }
     let is_idle = gateway.open_requests.get() == 0 && gateway.open_connections.get() == 0;
-    let last = gateway.settings.grace.0 as f64 * GRACE_PART;
-    is_idle || span.0 as f64 >= last
+    is_idle || gateway.ends_at.get().is_some_and(|ends_at| now >= ends_at)
 }
--- a/src/kingcupgrade/transport/gateway/send.rs
+++ b/src/kingcupgrade/transport/gateway/send.rs
@@ -202,10 +202,15 @@
     }
 
     /// Tells whether the answer is a stream.
-    pub(super) fn is_stream(&self) -> bool {
+    fn is_stream(&self) -> bool {
         matches!(self.route.kind, RouteKind::Stream { .. })
     }
 
+    /// Returns how long the request may take.
+    pub(super) fn patience(&self) -> Millis {
+        self.deadline_at.since(self.arrived)
+    }
+
     /// Serves the request to its answer's head, or to its end where it is not streamed.
     pub(super) async fn serve(self: Rc<Caller<E>>) -> Response<AnswerBody<E>> {
         let begun = match self.obtain(None).await {
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -131,8 +131,7 @@
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
     match Caller::new(gateway.clone(), &configuration, head, decoded, body) {
-        // A stream that begins now may not end within the grace time.
-        Ok(caller) if caller.is_stream() && gateway.stage() == DrainStage::Closing => {
+        Ok(caller) if !gateway.has_time_for(caller.patience()) => {
             refuse(Code::Draining, RETRY_AFTER_DRAIN)
         }
         Ok(caller) => Ok(Rc::new(caller).serve().await),
