--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -48,8 +48,8 @@
 pub(super) struct Terms {
     /// The part of the time left to its target in which its first event must be expected.
     pub(super) budget: f64,
-    /// The same at engines that would read shared parts again.
-    pub(super) away: f64,
+    /// The most tokens that are read again, as a part of the request's own work.
+    pub(super) again: f64,
 }
 
 /// Ranks an upstream for a shared part, the same on every entry.
@@ -154,8 +154,12 @@
     // At the home of a shared part other entries have sent it before.
     let unread =
         if fit.place == 0 { own_part } else { upstream.unread_of(now, demand).max(own_part) };
-    let part = if unread > own_part { fit.terms.away } else { fit.terms.budget };
-    let left = fit.left * part;
+    let again = (unread - own_part) as f64;
+    let own_work = own_part as f64 + 2.0 * f64::from(demand.output);
+    if again > own_work * fit.terms.again {
+        return None;
+    }
+    let left = fit.left * fit.terms.budget;
     let needed = upstream.memory() + unread + u64::from(demand.output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_PART {
         return None;
@@ -165,7 +169,7 @@
     if first_event > left && upstream.unread() > 0 {
         return None;
     }
-    let again = (unread - own_part) as f64 / fit.speed.read_rate() * READ_AGAIN_WEIGHT;
+    let again = again / fit.speed.read_rate() * READ_AGAIN_WEIGHT;
     let unsafe_ms = (first_event - fit.left * SAFE_PART).max(0.0) * UNSAFE_WEIGHT;
     let rank = if fit.place == 0 { 0.0 } else { fit.place as f64 * RANK_WEIGHT };
     Some(first_event + again + unsafe_ms + f64::from(running) * RUNNING_WEIGHT + rank)
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -16,9 +16,9 @@
 /// The part of the time to its target in which the first event of a request beyond its share must
 /// be expected, so that what it adds is read before those within theirs have to wait.
 const BUDGET_FAIR: f64 = 0.6;
-/// The same where its shared parts are not kept: capacity is spare only as long as reading them
-/// again keeps nobody waiting.
-const BUDGET_FAIR_AWAY: f64 = 0.3;
+/// The most that a request beyond its share lets an engine read again, as a part of its own work.
+/// Capacity is spare only as long as using it wastes little of it.
+const AGAIN_FAIR: f64 = 0.35;
 /// Requests that may wait at one entry; more than can be served within any target.
 const MAX_WAITING: usize = 400;
 /// Requests looked at in one turn: a small processor must not spend it on looking.
@@ -81,12 +81,12 @@
         demand: &Demand,
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
-        let (budget, away) = match standing {
-            Standing::Within => (1.0, 1.0),
-            Standing::Fair => (BUDGET_FAIR, BUDGET_FAIR_AWAY),
+        let (budget, again) = match standing {
+            Standing::Within => (1.0, f64::INFINITY),
+            Standing::Fair => (BUDGET_FAIR, AGAIN_FAIR),
             Standing::Beyond => return Err(NoPlace::Full),
         };
-        let name = self.place(now, demand, Terms { budget, away })?;
+        let name = self.place(now, demand, Terms { budget, again })?;
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
