--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -62,7 +62,7 @@
                 Some(refuse(Code::QueueFull, RETRY_AFTER))
             }
             Err(NoPlace::Full) => {
-                self.wait(now, demand, standing);
+                self.wait(demand, standing);
                 None
             }
         }
@@ -91,7 +91,7 @@
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
 
-    fn wait(&mut self, now: Millis, demand: Demand, standing: Standing) {
+    fn wait(&mut self, demand: Demand, standing: Standing) {
         let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
         let span = demand.target.since(demand.arrived).0 as f64 * part;
         let until = demand.arrived + Millis(span as u64);
--- a/src/kingcupgrade/transport/gateway/send.rs
+++ b/src/kingcupgrade/transport/gateway/send.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use serde::Serialize;
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout, timeout_at},
@@ -136,6 +137,22 @@
     progress: std::cell::RefCell<Progress>,
 }
 
+/// The line that tells why a request was given up.
+#[derive(Serialize)]
+struct Refused<'a> {
+    request: Option<&'a str>,
+    code: u16,
+    route: &'a str,
+    organisation: Option<&'a Organisation>,
+    retry_after_ms: Millis,
+    /// How long after its arrival.
+    after_ms: Millis,
+    /// Upstreams it arrived at.
+    attempts: u32,
+    /// Upstreams it was or would have been sent to.
+    tried: &'a [UpstreamName],
+}
+
 /// What was tried so far.
 #[derive(Default)]
 struct Progress {
@@ -289,7 +306,21 @@
     }
 
     fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
-        log::event("refused", &(&self.request_id, code.number(), retry_after));
+        let progress = self.progress.borrow();
+        log::event(
+            "refused",
+            &Refused {
+                request: self.request_id.as_deref(),
+                code: code.number(),
+                route: &self.route.name,
+                organisation: self.organisation.as_ref(),
+                retry_after_ms: retry_after,
+                after_ms: self.gateway.now().since(self.arrived),
+                attempts: progress.attempts,
+                tried: &progress.avoid,
+            },
+        );
+        drop(progress);
         refusal(&*self.gateway.edge, code, retry_after, self.request_id.as_deref())
     }
 
@@ -496,7 +527,8 @@
         }
         self.progress.borrow_mut().attempts += 1;
         if answer.request_id != self.request_id {
-            log::warning("answer-of-another-request", &(&self.request_id, &answer.request_id));
+            let (asked, answered) = (&self.request_id, &answer.request_id);
+            log::warning("answer-of-another-request", &(&grant.upstream, asked, answered));
             ticket.end(SendEnd::Broken);
             return SendResult::Unknown;
         }
