--- a/src/kingcupgrade/core/fleet.rs
+++ b/src/kingcupgrade/core/fleet.rs
@@ -39,6 +39,8 @@
     pub data: Option<PathBuf>,
     /// Whether the whole fleet starts for the first time, with empty disks.
     pub is_first_start: bool,
+    /// Losses of control instances that the record must bear at once.
+    pub tolerated_losses: usize,
     /// How long a process may take to stop.
     pub grace: Millis,
     /// Repeats allowed for each request of callers.
@@ -67,6 +69,12 @@
         Some(SocketAddr::new(ip, port))
     }
 
+    /// Returns how many replicas of the record vote, so that a majority is left after the losses
+    /// that must be borne.
+    pub fn voters(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
+
     /// Returns the control instances known from the start.
     pub fn seed_instances(&self) -> Vec<Instance> {
         self.seeds.iter().map(|ip| name_of(Role::Control, *ip)).collect()
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -160,7 +160,7 @@
     disk.rewrite(&contents.stored.log)?;
     let seed = random::number()?;
     let mut control = ControlMachine::new(clock.now(), contents.id, contents.stored, seed)?;
-    control.set_voter_target(settings.seeds.len());
+    control.set_voter_target(settings.voters());
     Ok((disk, control))
 }
 
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -28,6 +28,10 @@
 /// in the middle of its stream.
 const MIN_SILENCE: u64 = 1_000;
 
+/// A stream is cut this long after its caller's time is over, in milliseconds: a caller that keeps
+/// its own time leaves first, and is not cut off by a clock that runs a little ahead.
+const CUT_SLACK: Duration = Duration::from_millis(100);
+
 /// What is being read.
 struct Source<E: Edge> {
     body: Incoming,
@@ -49,6 +53,8 @@
     state: State<E>,
     cutter: EventCutter,
     last_id: Option<u64>,
+    /// When it is cut.
+    cut_at: Instant,
     /// Until when the upstream may stay silent.
     silent_until: Instant,
     alarm: Pin<Box<Sleep>>,
@@ -66,6 +72,7 @@
             state: State::Reading(Source { body, connection, ticket }),
             cutter: EventCutter::default(),
             last_id: None,
+            cut_at: caller.deadline + CUT_SLACK,
             alarm: Box::pin(sleep_until(silent_until)),
             silent_until,
             caller,
@@ -133,7 +140,7 @@
         }
         let gap = self.caller.route.max_gap.0 * SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE));
-        self.silent_until = self.caller.deadline.min(Instant::now() + silence);
+        self.silent_until = self.cut_at.min(Instant::now() + silence);
         Some(events.bytes)
     }
 
@@ -144,7 +151,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         while self.alarm.as_mut().poll(cx).is_ready() {
             let now = Instant::now();
-            if now >= self.caller.deadline {
+            if now >= self.cut_at {
                 return self.break_off(SendEnd::Cancelled);
             }
             let can_resume = matches!(
@@ -153,10 +160,9 @@
             );
             if now >= self.silent_until && can_resume && self.resume() {
                 cx.waker().wake_by_ref();
-                self.silent_until = self.caller.deadline;
+                self.silent_until = self.cut_at;
             }
-            let next =
-                if self.silent_until > now { self.silent_until } else { self.caller.deadline };
+            let next = if self.silent_until > now { self.silent_until } else { self.cut_at };
             self.alarm.as_mut().reset(next);
         }
         Poll::Pending
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -34,6 +34,7 @@
         listing_rate: 1.0,
         data: None,
         is_first_start: false,
+        tolerated_losses: 1,
         grace: Millis(8_000),
         retry_ratio: 0.2,
         retry_slack: 10.0,
