--- a/src/kingcupgrade/transport/gateway/send.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -1,26 +1,29 @@
 //! One caller's request: waiting for a place, sending, and what follows from each answer.
 
+mod exchange;
+mod ticket;
+
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, request};
+use http::{HeaderMap, Method, Response, Uri, header, request};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::{
     sync::oneshot,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 
+use self::exchange::SendResult;
+pub(super) use self::ticket::{Begun, Ticket};
 use super::{
     Gateway,
     answer::{AnswerBody, refusal, strip_hop_headers},
-    edge::{CallerHead, Edge, Mark},
-    pool::{Connection, NoConnection},
+    edge::{CallerHead, Edge},
     relay::Relay,
 };
 use crate::{
-    coordination::traffic::{Demand, Grant, PromptPart, RequestNo, SendEnd, Verdict},
+    coordination::traffic::{Demand, PromptPart, SendEnd, Verdict},
     core::{
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
@@ -30,16 +33,10 @@
 
 /// How long a caller is taken to wait if it doesn't say.
 const DEFAULT_PATIENCE: Millis = Millis(30_000);
-/// Kept connections tried before a new one is made: each may have been closed meanwhile.
-const MAX_STALE: usize = 3;
 /// Sends that reached nobody before a request is given up; each is to another upstream.
 const MAX_UNSENT: u32 = 4;
 /// Bytes of an answer that is not streamed; larger ones are refused rather than held.
 const MAX_ANSWER_LEN: usize = 16 << 20;
-/// Bytes of a rejection read to keep its connection.
-const MAX_REJECTION_LEN: usize = 64 << 10;
-/// How long reading a rejection may take.
-const REJECTION_TIMEOUT: Millis = Millis(100);
 /// An idempotent request not answered within this many times its target goes elsewhere: by then
 /// the upstream more likely hangs than works.
 const HANG_TARGETS: u64 = 2;
@@ -48,73 +45,6 @@
 /// When to come back after an upstream refused a request before it ran.
 const RETRY_AFTER_REJECTED: Millis = Millis(500);
 
-/// Names the request's place in the decisions for as long as it waits or runs.
-pub(super) struct Ticket<E: Edge> {
-    gateway: Rc<Gateway<E>>,
-    no: RequestNo,
-    is_open: bool,
-}
-
-impl<E: Edge> Ticket<E> {
-    fn new(gateway: Rc<Gateway<E>>) -> Ticket<E> {
-        let no = gateway.next_request.get();
-        gateway.next_request.set(no + 1);
-        Ticket { gateway, no, is_open: true }
-    }
-
-    /// Tells how the request ended.
-    pub(super) fn end(mut self, end: SendEnd) {
-        self.close(end);
-    }
-
-    fn close(&mut self, end: SendEnd) {
-        if std::mem::take(&mut self.is_open) {
-            let now = self.gateway.now();
-            self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
-            self.gateway.poll_waiting();
-        }
-    }
-
-    pub(super) fn on_events(&self, tokens: u32) {
-        let now = self.gateway.now();
-        let mut traffic = self.gateway.traffic.borrow_mut();
-        traffic.on_first_event(now, self.no);
-        traffic.on_tokens(self.no, tokens);
-    }
-}
-
-impl<E: Edge> Drop for Ticket<E> {
-    fn drop(&mut self) {
-        if self.is_open {
-            self.gateway.traffic.borrow_mut().forget(self.no);
-            self.gateway.waiting.borrow_mut().remove(&self.no);
-            self.close(SendEnd::Cancelled);
-        }
-    }
-}
-
-/// An answer that has begun.
-pub(super) struct Begun<E: Edge> {
-    pub(super) head: http::response::Parts,
-    pub(super) body: Incoming,
-    pub(super) connection: Connection,
-    pub(super) ticket: Ticket<E>,
-}
-
-/// What became of sending a request once.
-enum SendResult<E: Edge> {
-    /// An answer has begun.
-    Begun(Box<Begun<E>>),
-    /// Nothing was sent.
-    NotSent,
-    /// The upstream says that it did not run the request.
-    Rejected,
-    /// It was sent, and nothing is known of it.
-    Unknown,
-    /// It was sent, and no answer came in time.
-    Silent,
-}
-
 /// What one caller asked, and how far it has come.
 pub(super) struct Caller<E: Edge> {
     pub(super) gateway: Rc<Gateway<E>>,
@@ -415,70 +345,6 @@
         }
     }
 
-    async fn send_once(
-        &self,
-        grant: &Grant,
-        ticket: Ticket<E>,
-        last_event: Option<u64>,
-    ) -> SendResult<E> {
-        for _ in 0..MAX_STALE {
-            let pool = &self.gateway.pool;
-            let opened = pool.checkout(&grant.upstream, grant.address, grant.max_connections);
-            let connection = match opened.await {
-                Ok(connection) => connection,
-                Err(err) => {
-                    let end = match err {
-                        NoConnection::Full => SendEnd::Cancelled,
-                        NoConnection::Unreachable => SendEnd::Unreachable,
-                    };
-                    ticket.end(end);
-                    return SendResult::NotSent;
-                }
-            };
-            match self.send_on(connection, grant, last_event).await {
-                Exchange::Stale => {}
-                Exchange::Answer(answer) => {
-                    let (head, body, connection) = *answer;
-                    return self.judge(head, body, connection, ticket, grant).await;
-                }
-                Exchange::Broken => {
-                    self.progress.borrow_mut().attempts += 1;
-                    ticket.end(SendEnd::Broken);
-                    return SendResult::Unknown;
-                }
-                Exchange::Silent => {
-                    self.progress.borrow_mut().attempts += 1;
-                    ticket.end(SendEnd::Broken);
-                    return SendResult::Silent;
-                }
-            }
-        }
-        ticket.end(SendEnd::Unreachable);
-        SendResult::NotSent
-    }
-
-    async fn send_on(
-        &self,
-        mut connection: Connection,
-        grant: &Grant,
-        last_event: Option<u64>,
-    ) -> Exchange {
-        let request = self.request(grant, last_event);
-        let sending = connection.sender.try_send_request(request);
-        match timeout_at(self.hang_deadline(), sending).await {
-            Ok(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                Exchange::Answer(Box::new((head, body, connection)))
-            }
-            // The library hands the request back if no byte of it was written.
-            Ok(Err(mut err)) => match err.take_message() {
-                Some(_) => Exchange::Stale,
-                None => Exchange::Broken,
-            },
-            Err(_) => Exchange::Silent,
-        }
-    }
-
     /// Returns until when an upstream may stay silent.
     pub(super) fn hang_deadline(&self) -> Instant {
         let can_repeat = self.route.kind.is_idempotent()
@@ -489,85 +355,6 @@
         let span = Millis(self.route.target.0 * HANG_TARGETS).max(MIN_HANG);
         self.deadline.min(Instant::now() + span.as_duration())
     }
-
-    fn request(&self, grant: &Grant, last_event: Option<u64>) -> Request<Full<Bytes>> {
-        let mut headers = self.headers.clone();
-        strip_hop_headers(&mut headers);
-        headers.remove(header::CONTENT_LENGTH);
-        let mark = Mark {
-            upstream: &grant.upstream,
-            organisation: self.organisation.as_ref(),
-            patience: self.deadline_at.since(self.gateway.now()),
-            last_event,
-        };
-        self.gateway.edge.mark_request(&mut headers, &mark);
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = Uri::try_from(path).unwrap_or_else(|_| self.uri.clone());
-        *request.headers_mut() = headers;
-        request
-    }
-
-    /// Decides what an answer's head says about the request.
-    async fn judge(
-        &self,
-        head: http::response::Parts,
-        body: Incoming,
-        mut connection: Connection,
-        ticket: Ticket<E>,
-        grant: &Grant,
-    ) -> SendResult<E> {
-        let answer = self.gateway.edge.read_answer(&head);
-        connection.keep_alive = keep_alive_of(&head.headers);
-        if let Some((running, waiting)) = answer.load {
-            let now = self.gateway.now();
-            let mut traffic = self.gateway.traffic.borrow_mut();
-            traffic.on_load(now, &grant.upstream, running, waiting);
-        }
-        self.progress.borrow_mut().attempts += 1;
-        if answer.request_id != self.request_id {
-            let (asked, answered) = (&self.request_id, &answer.request_id);
-            log::warning("answer-of-another-request", &(&grant.upstream, asked, answered));
-            ticket.end(SendEnd::Broken);
-            return SendResult::Unknown;
-        }
-        if answer.is_not_run || answer.is_elsewhere {
-            let end = if answer.is_elsewhere { SendEnd::Replaced } else { SendEnd::Rejected };
-            ticket.end(end);
-            self.keep_after_rejection(body, connection).await;
-            return SendResult::Rejected;
-        }
-        // A success that nobody vouches for, or a promise "not run" that the upstream did not
-        // give, would mislead the caller.
-        let is_promise = matches!(
-            head.status,
-            StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::REQUEST_TIMEOUT
-                | StatusCode::MISDIRECTED_REQUEST
-        );
-        if (head.status.is_success() && !answer.is_sealed) || is_promise {
-            ticket.end(SendEnd::Broken);
-            return SendResult::Unknown;
-        }
-        SendResult::Begun(Box::new(Begun { head, body, connection, ticket }))
-    }
-
-    async fn keep_after_rejection(&self, body: Incoming, connection: Connection) {
-        let reading = Limited::new(body, MAX_REJECTION_LEN).collect();
-        if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT.as_duration(), reading).await {
-            self.gateway.pool.give_back(connection);
-        }
-    }
-}
-
-/// What became of a request on one connection.
-enum Exchange {
-    Stale,
-    Answer(Box<(http::response::Parts, Incoming, Connection)>),
-    Broken,
-    Silent,
 }
 
 fn host_of(head: &request::Parts) -> Option<&str> {
@@ -589,13 +376,6 @@
     &route.targets[0].0
 }
 
-/// Returns how long an upstream keeps an idle connection, if it says so.
-fn keep_alive_of(headers: &HeaderMap) -> Option<std::time::Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(std::time::Duration::from_secs)
-}
-
 fn whole<E: Edge>(mut head: http::response::Parts, body: Bytes) -> Response<AnswerBody<E>> {
     strip_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -4,12 +4,13 @@
 //! turn; decisions are calls of [`Traffic`], without a message or a lock.
 
 mod answer;
+mod caller;
 pub mod edge;
 pub mod events;
 mod listing;
 mod pool;
 mod relay;
-mod send;
+
 mod serve;
 
 use std::{
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -14,10 +14,10 @@
 
 use super::{
     answer::BrokenOff,
+    caller::{Begun, Caller, Ticket},
     edge::Edge,
     events::EventCutter,
     pool::Connection,
-    send::{Begun, Caller, Ticket},
 };
 use crate::{coordination::traffic::SendEnd, core::configuration::RouteKind};
 
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -15,8 +15,8 @@
 use super::{
     DrainStage, Gateway,
     answer::{AnswerBody, refusal},
+    caller::Caller,
     edge::Edge,
-    send::Caller,
 };
 use crate::{
     core::{Code, Millis, configuration::Limits},
