Forget the hellos of replicas that have become members

Cause: a replica that was added says no more hellos, but its last one counted for ten seconds. Lost and removed, it was added again in place of the one that came back, if that one had not been heard yet, and the record stayed one vote short (seen once in a_replacement_lost_before_the_repair_ends_costs_nothing, beside load).

Change: members are dropped from the blank replicas with each tick. The test without processes fails before and holds after.

--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -180,6 +180,16 @@
         }
     }
 
+    /// Forgets the hellos of replicas that have become members.
+    ///
+    /// A member says no more hellos, so its last one tells only that it was there. If it is lost
+    /// and removed, that one would let it be added again in place of the replica that came back,
+    /// and wait for a vote that it can never get.
+    pub(super) fn forget_added(&mut self) {
+        let members = self.log.members().0;
+        self.blanks.retain(|blank, _| members.iter().all(|member| member.id != *blank));
+    }
+
     /// Makes a replica outside any record known to those that the settings name.
     pub(super) fn say_hello(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
         if !self.members().is_empty() || now < self.next_heartbeat {
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -179,6 +179,7 @@
             _ if self.is_voter() && now >= self.election_at => self.ask_for_votes(now, true, out),
             _ => {}
         }
+        self.forget_added();
         self.say_hello(now, out);
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod events;
 mod input;
+mod members;
 mod model_fleet;
 mod model_nodes;
 mod model_record;
