--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -54,10 +54,9 @@
         out: &mut Vec<ConsensusOutput>,
     ) -> Result<u64, CodedError> {
         self.check_change()?;
-        let present = |(id, seen): &(&ReplicaId, &Millis)| {
-            id.0 == *instance && now.since(**seen) <= HELLO_TTL
-        };
-        let found = self.blanks.iter().filter(present).max_by_key(|(_, seen)| **seen);
+        let present =
+            |(id, seen): &(&ReplicaId, Millis)| id.0 == *instance && now.since(*seen) <= HELLO_TTL;
+        let found = self.addable().filter(present).max_by_key(|(_, seen)| *seen);
         let Some((id, _)) = found else {
             return Err(refused(format!(
                 "{instance} has not made itself known: start it with an empty data folder first"
@@ -180,14 +179,24 @@
         }
     }
 
-    /// Forgets the hellos of replicas that have become members.
+    /// Notes which of the replicas that were heard as blank have become members.
     ///
     /// A member says no more hellos, so its last one tells only that it was there. If it is lost
     /// and removed, that one would let it be added again in place of the replica that came back,
-    /// and wait for a vote that it can never get.
-    pub(super) fn forget_added(&mut self) {
+    /// and wait for a vote that it can never get. The hello itself is kept: it still tells that
+    /// the replica before it is lost.
+    pub(super) fn note_added(&mut self) {
         let members = self.log.members().0;
-        self.blanks.retain(|blank, _| members.iter().all(|member| member.id != *blank));
+        let is_member = |id: &ReplicaId| members.iter().any(|member| member.id == *id);
+        let joined = self.blanks.keys().filter(|id| is_member(id)).cloned();
+        self.once_members.extend(joined);
+        self.once_members.retain(|id| self.blanks.contains_key(id));
+    }
+
+    /// Lists the blank replicas that may be added, and when each was last heard.
+    pub(super) fn addable(&self) -> impl Iterator<Item = (&ReplicaId, Millis)> {
+        let never_members = |(id, _): &(&ReplicaId, &Millis)| !self.once_members.contains(*id);
+        self.blanks.iter().filter(never_members).map(|(id, seen)| (id, *seen))
     }
 
     /// Makes a replica outside any record known to those that the settings name.
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -73,6 +73,8 @@
     incoming: Option<(Position, Vec<u8>)>,
     /// Replicas that belong to no record, and when they said so.
     blanks: BTreeMap<ReplicaId, Millis>,
+    /// Blank replicas that have become members since they were heard.
+    once_members: BTreeSet<ReplicaId>,
     random: u64,
     /// How many voters a record that repairs itself has; `None` where operators decide.
     voter_target: Option<usize>,
@@ -95,6 +97,7 @@
             next_heartbeat: now,
             incoming: None,
             blanks: BTreeMap::new(),
+            once_members: BTreeSet::new(),
             random: seed | 1,
             voter_target: None,
         };
@@ -179,7 +182,7 @@
             _ if self.is_voter() && now >= self.election_at => self.ask_for_votes(now, true, out),
             _ => {}
         }
-        self.forget_added();
+        self.note_added();
         self.say_hello(now, out);
     }
 
--- a/src/kingcupgrade/coordination/consensus/repair.rs
+++ b/src/kingcupgrade/coordination/consensus/repair.rs
@@ -62,8 +62,8 @@
     fn add_blank(&self, now: Millis) -> Option<Vec<Member>> {
         let members = self.members();
         let is_member = |id: &ReplicaId| members.iter().any(|member| member.id == *id);
-        let mut blanks = self.blanks.iter();
-        let (id, _) = blanks.find(|(id, seen)| now.since(**seen) <= BLANK_TTL && !is_member(id))?;
+        let mut blanks = self.addable();
+        let (id, _) = blanks.find(|(id, seen)| now.since(*seen) <= BLANK_TTL && !is_member(id))?;
         let kept = members.iter().filter(|member| member.voter || member.id.0 != id.0);
         let mut next: Vec<Member> = kept.cloned().collect();
         next.push(Member { id: id.clone(), voter: false });
--- a/tests/testsuite/members.rs
+++ b/tests/testsuite/members.rs
@@ -42,3 +42,47 @@
     let added = ReplicaId("b".into(), 78);
     assert!(leader.members().iter().any(|member| member.id == added));
 }
+
+/// A voter's disk is lost and the replica in its place is added at once, while the lost one was
+/// heard a moment ago. The newcomer must wait for its vote until the lost one is removed: with four
+/// voters of which one is lost, the loss of the newcomer too would stop the record for good.
+#[test]
+fn a_newcomer_waits_for_its_vote_beside_a_replica_that_was_just_lost() {
+    let voters = ["a", "b", "c"].map(|name| ReplicaId(name.into(), 1));
+    let founding: Vec<Member> =
+        voters.iter().map(|id| Member { id: id.clone(), voter: true }).collect();
+    let mut leader = Consensus::new(Millis(0), voters[0].clone(), Stored::founding(founding), 7);
+    let out = &mut Vec::new();
+    leader.tick(Millis(5_000), out);
+    for pre in [true, false] {
+        let body = ConsensusBody::VoteReply { pre, granted: true };
+        let term = leader.term();
+        leader.on_message(Millis(5_010), &reply(&voters[1], &voters[0], term, body), out);
+    }
+    assert!(leader.is_leader());
+    let acknowledge = |leader: &mut Consensus, from: &ReplicaId, now: u64, out: &mut _| {
+        let index = leader.log().last().index;
+        let body = ConsensusBody::AppendReply { matched: true, index, sent: Millis(now) };
+        let message = reply(from, &voters[0], leader.term(), body);
+        leader.on_message(Millis(now), &message, out);
+    };
+    for voter in &voters[1..] {
+        acknowledge(&mut leader, voter, 5_100, out);
+    }
+    hello(&mut leader, Millis(5_200), 77);
+    leader.add_member(Millis(5_210), 1, &"b".into(), out).expect("a replica that was heard");
+    let newcomer = ReplicaId("b".into(), 77);
+    acknowledge(&mut leader, &voters[2], 5_220, out);
+    acknowledge(&mut leader, &newcomer, 5_230, out);
+    for now in (5_240..5_900).step_by(20) {
+        leader.tick(Millis(now), out);
+        acknowledge(&mut leader, &voters[2], now, out);
+        acknowledge(&mut leader, &newcomer, now, out);
+    }
+    let has_vote = leader.members().iter().any(|m| m.id == newcomer && m.voter);
+    assert!(!has_vote, "{:?}", leader.members());
+}
+
+fn reply(from: &ReplicaId, to: &ReplicaId, term: u64, body: ConsensusBody) -> ConsensusMessage {
+    ConsensusMessage { from: from.clone(), to: to.clone(), term, body }
+}
