--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -36,7 +36,13 @@
         let Role::Leader { progress, .. } = &mut self.role else { return };
         progress.retain(|id, _| ids.contains(id));
         for id in ids {
-            let fresh = Progress { next: next.max(1), matched: 0, acked: now, snapshot: None };
+            let fresh = Progress {
+                next: next.max(1),
+                matched: 0,
+                acked: now,
+                has_answered: false,
+                snapshot: None,
+            };
             progress.entry(id).or_insert(fresh);
         }
     }
@@ -131,8 +137,13 @@
     fn heard_voters(&self, now: Millis, members: &[Member]) -> usize {
         let Role::Leader { progress, .. } = &self.role else { return 0 };
         let is_heard = |id: &ReplicaId| {
-            let is_near =
-                |p: &Progress| now.since(p.acked) < ELECTION_MIN && !self.is_replaced(id, p.acked);
+            // A new leader has heard nobody yet. One that took the lost voter for heard would give
+            // a newcomer its vote beside it.
+            let is_near = |p: &Progress| {
+                p.has_answered
+                    && now.since(p.acked) < ELECTION_MIN
+                    && !self.is_replaced(id, p.acked)
+            };
             *id == self.id || progress.get(id).is_some_and(is_near)
         };
         members.iter().filter(|member| member.voter && is_heard(&member.id)).count()
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -195,6 +195,8 @@
     ) {
         if matches!(message.body, ConsensusBody::Hello) {
             self.blanks.insert(message.from.clone(), now);
+            // One that was a member by an entry that was never final is blank still, and says so.
+            self.once_members.remove(&message.from);
             return;
         }
         if message.to != self.id {
--- a/src/kingcupgrade/coordination/consensus/replication.rs
+++ b/src/kingcupgrade/coordination/consensus/replication.rs
@@ -21,6 +21,8 @@
     pub(super) matched: u64,
     /// The leader's clock in the newest message it answered.
     pub(super) acked: Millis,
+    /// Whether it has answered this leader at all. Until then `acked` is when it was taken up.
+    pub(super) has_answered: bool,
     /// How much of the snapshot it has; `Some` while one is being sent.
     pub(super) snapshot: Option<(Position, u64)>,
 }
@@ -164,6 +166,7 @@
         let Role::Leader { progress, .. } = &mut self.role else { return };
         let Some(state) = progress.get_mut(from) else { return };
         state.acked = state.acked.max(sent);
+        state.has_answered = true;
         if matched {
             state.matched = state.matched.max(index.min(last));
             state.next = state.next.max(state.matched + 1);
@@ -237,6 +240,7 @@
         let Role::Leader { progress, .. } = &mut self.role else { return };
         let Some(state) = progress.get_mut(from) else { return };
         state.acked = state.acked.max(sent);
+        state.has_answered = true;
         let Some((sending, offset)) = &mut state.snapshot else { return };
         if *sending == position {
             *offset = received;
--- a/tests/testsuite/members.rs
+++ b/tests/testsuite/members.rs
@@ -83,6 +83,40 @@
     assert!(!has_vote, "{:?}", leader.members());
 }
 
+/// The lead changes while a lost voter's newcomer catches up. The new leader has heard nobody yet, and
+/// must not count the lost voter as there: the newcomer's vote beside it would make four voters of
+/// which one is gone.
+#[test]
+fn a_new_leader_counts_a_voter_only_once_it_has_answered() {
+    let voters = ["a", "b", "c"].map(|name| ReplicaId(name.into(), 1));
+    let newcomer = ReplicaId("b".into(), 77);
+    let mut members: Vec<Member> =
+        voters.iter().map(|id| Member { id: id.clone(), voter: true }).collect();
+    members.push(Member { id: newcomer.clone(), voter: false });
+    let founding = Stored::founding(members);
+    let mut leader = Consensus::new(Millis(0), voters[0].clone(), founding, 7);
+    let out = &mut Vec::new();
+    hello(&mut leader, Millis(4_000), 77);
+    leader.tick(Millis(5_000), out);
+    for pre in [true, false] {
+        let body = ConsensusBody::VoteReply { pre, granted: true };
+        let term = leader.term();
+        leader.on_message(Millis(5_010), &reply(&voters[2], &voters[0], term, body), out);
+    }
+    assert!(leader.is_leader());
+    for now in (5_020..5_800).step_by(20) {
+        for from in [&voters[2], &newcomer] {
+            let index = leader.log().last().index;
+            let body = ConsensusBody::AppendReply { matched: true, index, sent: Millis(now) };
+            let message = reply(from, &voters[0], leader.term(), body);
+            leader.on_message(Millis(now), &message, out);
+        }
+        leader.tick(Millis(now), out);
+    }
+    let has_vote = leader.members().iter().any(|m| m.id == newcomer && m.voter);
+    assert!(!has_vote, "{:?}", leader.members());
+}
+
 fn reply(from: &ReplicaId, to: &ReplicaId, term: u64, body: ConsensusBody) -> ConsensusMessage {
     ConsensusMessage { from: from.clone(), to: to.clone(), term, body }
 }
