Accept the adding of a member again after a lost answer

Change: asked again, it is accepted and changes nothing; a test without processes covers it. A replica that was removed still needs a new hello.

--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -49,6 +49,8 @@
 
     /// Proposes to add a replica that has made itself known, first without a vote.
     ///
+    /// Asked again after a lost answer, it is accepted again and changes nothing.
+    ///
     /// # Errors
     ///
     /// Returns [`Code::NotLeader`], or [`Code::MemberRefused`] with the reason.
@@ -60,6 +62,11 @@
         out: &mut Vec<ConsensusOutput>,
     ) -> Result<u64, CodedError> {
         self.check_change()?;
+        if self.is_added(now, instance) {
+            // The answer to the first request was lost; the members stay as they are.
+            let members = self.members().to_vec();
+            return self.propose(now, unix_ms, Payload::Members(members), out);
+        }
         let present =
             |(id, seen): &(&ReplicaId, Millis)| id.0 == *instance && now.since(*seen) <= HELLO_TTL;
         let found = self.addable().filter(present).max_by_key(|(_, seen)| *seen);
@@ -69,13 +76,19 @@
             )));
         };
         let mut members = self.members().to_vec();
-        if members.iter().any(|member| member.id == *id) {
-            return Err(refused(format!("{id} is a member already")));
-        }
         members.push(Member { id: id.clone(), voter: false });
         self.propose(now, unix_ms, Payload::Members(members), out)
     }
 
+    /// Tells whether the newest replica that an instance made known is a member already.
+    fn is_added(&self, now: Millis, instance: &Instance) -> bool {
+        let of_instance = self.blanks.iter().filter(|(id, _)| id.0 == *instance);
+        let newest = of_instance.max_by_key(|(_, seen)| **seen);
+        newest.is_some_and(|(id, seen)| {
+            now.since(*seen) <= HELLO_TTL && self.members().iter().any(|m| m.id == *id)
+        })
+    }
+
     /// Proposes to remove a replica.
     ///
     /// # Errors
--- a/tests/testsuite/members.rs
+++ b/tests/testsuite/members.rs
@@ -43,6 +43,20 @@
     assert!(leader.members().iter().any(|member| member.id == added));
 }
 
+/// An operator adds a replica and the answer is lost, so the operator asks again. Refused then, the
+/// operator would believe that nothing was added, and try for good.
+#[test]
+fn adding_a_replica_again_after_a_lost_answer_is_accepted_and_changes_nothing() {
+    let mut leader = leader();
+    let (now, out) = (Millis(5_100), &mut Vec::new());
+    hello(&mut leader, now, 77);
+    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
+    leader.tick(now + Millis(10), out);
+    let members = leader.members().to_vec();
+    leader.add_member(now + Millis(20), 1, &"b".into(), out).expect("a resend");
+    assert_eq!(leader.members(), members);
+}
+
 /// A voter's disk is lost and the replica in its place is added at once, while the lost one was
 /// heard a moment ago. The newcomer must wait for its vote until the lost one is removed: with four
 /// voters of which one is lost, the loss of the newcomer too would stop the record for good.
