Remove what the platform's work wrote twice, and what nobody reads

The wall clock in milliseconds and the settings of a machine without I/O stood twice. A join carried a digest that nobody looked at, with a comment that said otherwise; two decoded headers were not used.

--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -226,7 +226,6 @@
         let join = FleetMessage::Join {
             domain: self.settings.failure_domain.clone(),
             leaving: self.draining,
-            known: self.roster.digest(),
         };
         for control in self.roster.controls() {
             if control != self.instance {
@@ -289,10 +288,10 @@
         out: &mut Vec<FleetOutput>,
     ) {
         match message {
-            FleetMessage::Join { domain, leaving, known } => {
+            FleetMessage::Join { domain, leaving } => {
                 self.roster.on_join(now, from, &domain, leaving);
                 if self.control.is_some() {
-                    self.answer_join(from, known, out);
+                    self.answer_join(from, out);
                 }
             }
             FleetMessage::Roster { entries, controls } => {
@@ -312,7 +311,7 @@
         }
     }
 
-    fn answer_join(&mut self, from: &Instance, _known: u64, out: &mut Vec<FleetOutput>) {
+    fn answer_join(&mut self, from: &Instance, out: &mut Vec<FleetOutput>) {
         let mut controls = self.roster.controls();
         if let Some(control) = &self.control {
             let members = control.consensus().members().iter();
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -53,9 +53,6 @@
         /// Whether it is about to stop.
         #[serde(rename = "x")]
         leaving: bool,
-        /// A digest of the roster it knows; an answer follows only where it differs.
-        #[serde(rename = "k")]
-        known: u64,
     },
     /// Tells who is there.
     #[serde(rename = "o")]
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicBool, Ordering},
         mpsc,
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use metrics::{counter, gauge};
@@ -15,7 +15,9 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use super::{
-    Event, SharedView, Verdict, callers, engines, operators,
+    Event, SharedView, Verdict, callers, engines,
+    fleet::unix_ms,
+    operators,
     peers::{PeerConfig, Peers},
     platform::{self, Watched},
 };
@@ -103,11 +105,6 @@
     Ok((Some(disk), Some(control)))
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// The thread that owns the node.
 struct ControlThread {
     clock: Clock,
--- a/src/kingcupgrade/transport/gateway/edge.rs
+++ b/src/kingcupgrade/transport/gateway/edge.rs
@@ -24,14 +24,10 @@
     pub patience: Option<Millis>,
     /// The parts of the prompt.
     pub prompt: Vec<PromptPart>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
     /// The most tokens that are generated.
     pub max_output: u32,
     /// The caller's guess of the tokens that are generated.
     pub output_hint: Option<u32>,
-    /// The event after which a broken answer is to go on.
-    pub last_event: Option<u64>,
 }
 
 /// What a request that is sent on says beside what its caller said.
--- a/tests/testsuite/model_fleet.rs
+++ b/tests/testsuite/model_fleet.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
 
+use crate::support::fleet_settings;
 use kingcupgrade::{
     coordination::{
         control::ControlMachine,
@@ -39,27 +40,7 @@
 }
 
 fn settings(host: usize, seeds: Vec<IpAddr>) -> FleetSettings {
-    FleetSettings {
-        ip: ip(host),
-        role: Role::Control,
-        failure_domain: "north".into(),
-        entry_port: 1,
-        control_port: 2,
-        seeds,
-        caller_address: None,
-        ready_address: None,
-        operator_address: None,
-        listing_address: None,
-        listing_rate: 1.0,
-        data: None,
-        is_first_start: false,
-        tolerated_losses: 1,
-        grace: Millis(8_000),
-        retry_ratio: 0.2,
-        retry_slack: 10.0,
-        retry_window: Millis(10_000),
-        max_sockets: 100,
-    }
+    FleetSettings { ip: ip(host), role: Role::Control, seeds, ..fleet_settings() }
 }
 
 struct Host {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::support::fleet_settings;
 use kingcupgrade::{
     coordination::traffic::{
         Allowance, Backlog, Demand, Health, ListedUpstream, PromptPart, RequestNo, RetryBudget,
@@ -10,8 +11,6 @@
     core::{
         Code, Millis, Organisation, Outcome, Service, UpstreamName,
         configuration::{Configuration, EngineLimits, Limits, Route, RouteKind, ServicePlan},
-        fleet::FleetSettings,
-        settings::Role,
     },
     protocol::fleet::LoadReport,
 };
@@ -19,30 +18,6 @@
 const ENGINE_SLOTS: u32 = 64;
 const TARGET: Millis = Millis(500);
 
-fn settings() -> FleetSettings {
-    FleetSettings {
-        ip: "127.0.0.1".parse().expect("an address"),
-        role: Role::Entry,
-        failure_domain: "north".into(),
-        entry_port: 1,
-        control_port: 2,
-        seeds: Vec::new(),
-        caller_address: None,
-        ready_address: None,
-        operator_address: None,
-        listing_address: None,
-        listing_rate: 1.0,
-        data: None,
-        is_first_start: false,
-        tolerated_losses: 1,
-        grace: Millis(8_000),
-        retry_ratio: 0.2,
-        retry_slack: 10.0,
-        retry_window: Millis(10_000),
-        max_sockets: 100,
-    }
-}
-
 fn configuration(tokens_per_s: f64) -> Configuration {
     let route = Route {
         name: "review".to_owned(),
@@ -89,7 +64,7 @@
 }
 
 fn traffic(tokens_per_s: f64, engines: usize) -> Traffic {
-    let mut traffic = Traffic::new(Arc::new(settings()));
+    let mut traffic = Traffic::new(Arc::new(fleet_settings()));
     traffic.set_configuration(Arc::new(configuration(tokens_per_s)));
     let names = (0..engines).map(|n| listed("engine", &format!("engine-{n}"), Millis::ZERO));
     let plain = (0..3).map(|n| listed("plain", &format!("plain-{n}"), Millis::ZERO));
