Close the listener before an entry that stops ends

Cause: once nothing was open, an entry that was told to stop waited 10 ms for its last message and ended, with its listener open all the while.

Change: stopping is a machine of its own (coordination/shutdown): the listener closes once nothing is open, what was accepted until then is finished, and the process ends at a later look. Stages only grow; a second signal changes nothing.

--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -14,5 +14,6 @@
 pub mod lease;
 pub mod node;
 pub mod orders;
+pub mod shutdown;
 pub mod traffic;
 pub mod view;
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -38,6 +38,7 @@
 use crate::{
     coordination::{
         fleet::FleetInput,
+        shutdown::{DrainStage, Shutdown},
         traffic::{RequestNo, Traffic, Verdict},
     },
     core::{Millis, clock::Clock, fleet::FleetSettings},
@@ -51,12 +52,6 @@
 const SHARE: Millis = Millis(100);
 /// How often idle connections are looked at.
 const SWEEP: Millis = Millis(1_000);
-/// How long an entry that stops says that it is not ready before it closes connections: the
-/// balancer asks once a second and believes the second answer.
-const NOTICE: Millis = Millis(2_600);
-/// The part of the grace time after which a process that stops ends whatever is still open.
-const GRACE_PART: f64 = 0.97;
-
 /// Everything the tasks of one entry share.
 pub(crate) struct Gateway<E> {
     edge: Arc<E>,
@@ -69,23 +64,12 @@
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
-    /// When the process ends at the latest, once it is to stop.
-    ends_at: Cell<Option<Millis>>,
+    shutdown: Cell<Shutdown>,
+    /// Tells the tasks how far the stopping has come.
     drain: tokio::sync::watch::Sender<DrainStage>,
     fleet: FleetHandle,
 }
 
-/// How far a process that stops has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum DrainStage {
-    /// It serves.
-    Serving,
-    /// It says that it is not ready, and still serves what comes.
-    Noticed,
-    /// It closes connections as they become idle.
-    Closing,
-}
-
 impl<E: Edge> Gateway<E> {
     fn now(&self) -> Millis {
         self.clock.now()
@@ -96,14 +80,21 @@
     }
 
     /// Tells whether a request that may take this long surely ends before the process does.
-    ///
-    /// One that is cut may have run, and its caller can't tell; refused before it is sent, it is
-    /// taken by another entry at once.
     fn has_time_for(&self, patience: Millis) -> bool {
-        match self.ends_at.get() {
-            Some(ends_at) if self.stage() == DrainStage::Closing => self.now() + patience < ends_at,
-            _ => true,
+        self.shutdown.get().has_time_for(self.now(), patience)
+    }
+
+    /// Moves an entry that stops on by a stage, if it is time.
+    fn step_shutdown(&self) -> DrainStage {
+        let mut shutdown = self.shutdown.get();
+        let before = shutdown.stage();
+        let is_idle = self.open_requests.get() == 0 && self.open_connections.get() == 0;
+        let stage = shutdown.step(self.now(), is_idle);
+        self.shutdown.set(shutdown);
+        if stage != before {
+            self.drain.send_replace(stage);
         }
+        stage
     }
 
     fn is_ready(&self) -> bool {
@@ -183,7 +174,7 @@
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
         open_connections: Cell::new(0),
-        ends_at: Cell::new(None),
+        shutdown: Cell::default(),
         drain: tokio::sync::watch::channel(DrainStage::Serving).0,
         fleet,
         settings: settings.clone(),
@@ -221,18 +212,10 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut next_share = Millis::ZERO;
     let mut next_sweep = Millis::ZERO;
-    let mut drain_began: Option<Millis> = None;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
-            _ = terminated.recv() => {
-                let now = gateway.now();
-                let grace = gateway.settings.grace.0 as f64 * GRACE_PART;
-                let began = *drain_began.get_or_insert(now);
-                gateway.ends_at.set(Some(began + Millis(grace as u64)));
-                gateway.drain.send_replace(DrainStage::Noticed);
-                log::event("draining", &gateway.open_requests.get());
-            }
+            _ = terminated.recv() => begin_shutdown(gateway),
         }
         let now = gateway.now();
         gateway.poll_waiting();
@@ -246,9 +229,7 @@
             let traffic = gateway.traffic.borrow();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
-        if let Some(began) = drain_began
-            && is_stopped(gateway, now, began)
-        {
+        if gateway.step_shutdown() == DrainStage::Stopped {
             gateway.fleet.tell(FleetInput::Drain);
             time::sleep(POLL).await;
             return Ok(());
@@ -256,15 +237,10 @@
     }
 }
 
-/// Moves a process that stops on; tells whether it has stopped.
-fn is_stopped<E: Edge>(gateway: &Gateway<E>, now: Millis, began: Millis) -> bool {
-    let span = now.since(began);
-    if span < NOTICE {
-        return false;
-    }
-    if gateway.stage() < DrainStage::Closing {
-        gateway.drain.send_replace(DrainStage::Closing);
-    }
-    let is_idle = gateway.open_requests.get() == 0 && gateway.open_connections.get() == 0;
-    is_idle || gateway.ends_at.get().is_some_and(|ends_at| now >= ends_at)
+fn begin_shutdown<E: Edge>(gateway: &Gateway<E>) {
+    let mut shutdown = gateway.shutdown.get();
+    shutdown.begin(gateway.now(), gateway.settings.grace);
+    gateway.shutdown.set(shutdown);
+    gateway.drain.send_replace(shutdown.stage());
+    log::event("draining", &gateway.open_requests.get());
 }
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -13,12 +13,13 @@
 };
 
 use super::{
-    DrainStage, Gateway,
+    Gateway,
     answer::{AnswerBody, refusal},
     caller::Caller,
     edge::Edge,
 };
 use crate::{
+    coordination::shutdown::DrainStage,
     core::{Code, Millis, configuration::Limits},
     util::log,
 };
@@ -59,10 +60,16 @@
     }
 }
 
-/// Accepts callers' connections for good.
+/// Accepts callers' connections until the entry is to listen no more.
 pub(super) async fn accept_callers<E: Edge>(gateway: Rc<Gateway<E>>, listener: TcpListener) {
+    let mut drain = gateway.drain.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = drain.wait_for(|stage| *stage >= DrainStage::Deaf) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
             }
@@ -100,7 +107,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut drain = gateway.drain.subscribe();
-    let closing = drain.wait_for(|stage| *stage == DrainStage::Closing);
+    let closing = drain.wait_for(|stage| *stage >= DrainStage::Closing);
     tokio::select! {
         // A caller that broke off is told of where its request is served.
         _ = connection.as_mut() => return,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod pages;
 mod pools;
 mod record;
+mod shutdown;
 mod slots;
 mod support;
 mod traffic;
