Answer callers that connect while an entry closes its connections

Cause: an entry that is told to stop closes its connections after 2.6 s. A connection made after that was shut down before its request was read, and the library closes such a one at once; a kept one was closed just as its caller sent on it. Where most entries of a failure domain restart in turn, the balancer uses all of them, so these callers lost one try after the other.

Change: late connections are read, within 500 ms, and closed after one answer; and from the signal on each answer says that its connection closes.

--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -35,6 +35,9 @@
 const KEPT_PART: f64 = 0.4;
 /// Idle connections are kept this much longer than callers were told.
 const IDLE_SLACK: Millis = Millis(1_000);
+/// How long a connection that is accepted while the others are being closed may take for its head;
+/// callers that connect send at once.
+const LATE_HEAD_TIMEOUT: Millis = Millis(500);
 /// The pause after a failed accept: it fails again at once while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to an entry that knows no configuration yet.
@@ -87,13 +90,16 @@
     let _ = stream.set_nodelay(true);
     let _counted = Counted::new(&gateway.open_connections);
     let idle = gateway.traffic.borrow().configuration().map(|c| c.limits.idle_timeout);
-    let idle = idle.unwrap_or(FIRST_IDLE_TIMEOUT) + IDLE_SLACK;
+    let is_late = gateway.stage() >= DrainStage::Closing;
+    let idle = match is_late {
+        true => LATE_HEAD_TIMEOUT,
+        false => idle.unwrap_or(FIRST_IDLE_TIMEOUT) + IDLE_SLACK,
+    };
     let service = service_fn(|request| {
         let gateway = gateway.clone();
         async move {
             let mut response = serve_one(gateway.clone(), request).await?;
-            let kept = gateway.settings.max_sockets as f64 * KEPT_PART;
-            if gateway.open_connections.get() as f64 > kept {
+            if !may_keep_connection(&gateway) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -106,6 +112,11 @@
         .max_buf_size(MAX_BUF_LEN)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    if is_late {
+        // Shut down, the library would close it before its request is read.
+        let _ = connection.await;
+        return;
+    }
     let mut drain = gateway.drain.subscribe();
     let closing = drain.wait_for(|stage| *stage >= DrainStage::Closing);
     tokio::select! {
@@ -118,6 +129,15 @@
     let _ = connection.await;
 }
 
+/// Tells whether a caller may keep its connection after an answer.
+///
+/// An entry that is told to stop says so with each answer: a connection that it closes later may
+/// be closed just as its caller sends on it, and the caller has lost a try.
+fn may_keep_connection<E: Edge>(gateway: &Gateway<E>) -> bool {
+    let kept = gateway.settings.max_sockets as f64 * KEPT_PART;
+    gateway.stage() == DrainStage::Serving && gateway.open_connections.get() as f64 <= kept
+}
+
 async fn serve_one<E: Edge>(
     gateway: Rc<Gateway<E>>,
     request: Request<Incoming>,
