Let an entry with too many callers ask for no new ones; tell all refusals, within bounds

Change: such an entry says that it is not ready until it refuses nothing, and closes its connections after their answers meanwhile; the balancer then names another. Refusals without a route are logged too; at most 100 lines a second, the rest counted by code. An entry that hears of no reader of the list reads it within three seconds, not all at once.

--- a/src/kingcupgrade/coordination/listing.rs
+++ b/src/kingcupgrade/coordination/listing.rs
@@ -26,31 +26,49 @@
 /// What the readers' ranking is drawn by.
 const RANKING_KEY: &str = "listing";
 
+/// Entries that lose their readers at the same moment begin to read within this span, not at once.
+const STAGGER: Millis = Millis(1_000);
+
 /// When one entry reads the list next.
 #[derive(Clone, Debug, Default)]
 pub struct ListingPlan {
+    stagger: Millis,
     heard: Option<Millis>,
+    /// When it reads next as a reader.
     next: Millis,
+    /// When it reads next if it hears nothing.
+    next_alone: Millis,
 }
 
 impl ListingPlan {
+    /// Makes the plan of an entry that has heard and read nothing.
+    pub fn new(entry: &Instance) -> ListingPlan {
+        let place = u64::from(crc32fast::hash(entry.as_str().as_bytes()));
+        ListingPlan { stagger: Millis(place % STAGGER.0), ..ListingPlan::default() }
+    }
+
     /// Notes that another entry told what it read.
     pub fn on_heard(&mut self, now: Millis) {
         self.heard = Some(now);
+        self.next_alone = now;
     }
 
-    /// Notes that the list was read here or could not be; `is_reader` and `entries`, how many the
-    /// fleet has, as known now.
-    pub fn on_read(&mut self, now: Millis, is_ok: bool, is_reader: bool, entries: usize) {
+    /// Notes that the list was read here or could not be, in a fleet of so many entries.
+    pub fn on_read(&mut self, now: Millis, is_ok: bool, entries: usize) {
         let pause = if is_ok { INTERVAL } else { PAUSE };
-        let crowd = if is_reader { 1 } else { entries.div_ceil(ENTRIES_AT_PACE).max(1) };
-        self.next = now + Millis(pause.0 * crowd as u64);
+        let crowd = entries.div_ceil(ENTRIES_AT_PACE).max(1);
+        self.next = now + pause;
+        self.next_alone = now + Millis(pause.0 * crowd as u64);
     }
 
     /// Tells whether it is time to read.
     pub fn is_due(&self, now: Millis, is_reader: bool) -> bool {
-        let is_silent = self.heard.is_none_or(|heard| now.since(heard) > SILENCE);
-        now >= self.next && (is_reader || is_silent)
+        if is_reader {
+            return now >= self.next;
+        }
+        let silence = SILENCE + self.stagger;
+        let is_silent = self.heard.is_none_or(|heard| now.since(heard) > silence);
+        is_silent && now >= self.next_alone
     }
 }
 
--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -21,9 +21,15 @@
 /// The most that is refused: the rest shows whether it is still too much.
 const MAX_PART: f64 = 0.95;
 
+/// An entry that refuses this part asks the balancer for no new callers, until it refuses nothing:
+/// callers that are refused come back to the entry that the balancer's hash gives them, so only
+/// another entry in its place helps them.
+const FULL_PART: f64 = 0.25;
+
 /// How much an entry refuses.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overload {
+    is_full: bool,
     part: f64,
     /// The parts of requests not refused so far.
     owed: f64,
@@ -37,7 +43,9 @@
         self.part = (self.part + step).clamp(0.0, MAX_PART);
         if self.part == 0.0 {
             self.owed = 0.0;
+            self.is_full = false;
         }
+        self.is_full |= self.part >= FULL_PART;
     }
 
     /// Returns the part of requests that is refused.
@@ -45,6 +53,11 @@
         self.part
     }
 
+    /// Tells whether new callers are better sent elsewhere.
+    pub fn is_full(&self) -> bool {
+        self.is_full
+    }
+
     /// Tells whether the request that came now is refused; spread evenly over requests.
     pub fn refuses(&mut self) -> bool {
         self.owed += self.part;
--- a/src/kingcupgrade/transport/gateway/caller/mod.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, header, request};
 use http_body_util::{BodyExt, Full, Limited};
-use serde::Serialize;
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -20,6 +19,7 @@
     Gateway,
     answer::{AnswerBody, refusal, strip_hop_headers},
     edge::{CallerHead, Edge},
+    refusals::Refused,
     relay::Relay,
 };
 use crate::{
@@ -28,7 +28,6 @@
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
     },
-    util::log,
 };
 
 /// How long a caller is taken to wait if it doesn't say.
@@ -67,22 +66,6 @@
     progress: std::cell::RefCell<Progress>,
 }
 
-/// The line that tells why a request was given up.
-#[derive(Serialize)]
-struct Refused<'a> {
-    request: Option<&'a str>,
-    code: u16,
-    route: &'a str,
-    organisation: Option<&'a Organisation>,
-    retry_after_ms: Millis,
-    /// How long after its arrival.
-    after_ms: Millis,
-    /// Upstreams it arrived at.
-    attempts: u32,
-    /// Upstreams it was or would have been sent to.
-    tried: &'a [UpstreamName],
-}
-
 /// What was tried so far.
 #[derive(Default)]
 struct Progress {
@@ -237,19 +220,17 @@
 
     fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
         let progress = self.progress.borrow();
-        log::event(
-            "refused",
-            &Refused {
-                request: self.request_id.as_deref(),
-                code: code.number(),
-                route: &self.route.name,
-                organisation: self.organisation.as_ref(),
-                retry_after_ms: retry_after,
-                after_ms: self.gateway.now().since(self.arrived),
-                attempts: progress.attempts,
-                tried: &progress.avoid,
-            },
-        );
+        let line = Refused {
+            request: self.request_id.as_deref(),
+            code: code.number(),
+            route: Some(&self.route.name),
+            organisation: self.organisation.as_ref(),
+            retry_after_ms: retry_after,
+            after_ms: self.gateway.now().since(self.arrived),
+            attempts: progress.attempts,
+            tried: &progress.avoid,
+        };
+        self.gateway.refusals.refused(code, &line);
         drop(progress);
         refusal(&*self.gateway.edge, code, retry_after, self.request_id.as_deref())
     }
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -44,7 +44,7 @@
         let read = read_whole(&gateway, &mut sender).await;
         let entries = gateway.traffic.borrow().entry_count();
         let now = gateway.now();
-        gateway.listing_plan.borrow_mut().on_read(now, read.is_ok(), is_reader, entries);
+        gateway.listing_plan.borrow_mut().on_read(now, read.is_ok(), entries);
         match read {
             Ok(listing) => {
                 if !is_reachable {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod events;
 mod listing;
 mod pool;
+mod refusals;
 mod relay;
 
 mod serve;
@@ -31,7 +32,11 @@
     time,
 };
 
-use self::{edge::Edge, pool::Pool};
+use self::{
+    edge::Edge,
+    pool::Pool,
+    refusals::{RefusalLog, Refused},
+};
 use super::{
     fleet::{FleetHandle, FleetNews},
     reload,
@@ -44,7 +49,7 @@
         shutdown::{DrainStage, Shutdown},
         traffic::{RequestNo, Traffic, Verdict},
     },
-    core::{Instance, Millis, clock::Clock, fleet::FleetSettings},
+    core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
     protocol::fleet::{ListedUpstream, Resident},
     util::log,
 };
@@ -76,6 +81,7 @@
     /// Requests that wait for a verdict.
     waiting: RefCell<HashMap<RequestNo, oneshot::Sender<Verdict>>>,
     pool: Rc<Pool>,
+    refusals: RefusalLog,
     overload: Cell<Overload>,
     /// Whether a measurement for it is under way.
     is_probing: Cell<bool>,
@@ -121,6 +127,7 @@
     fn is_ready(&self) -> bool {
         let traffic = self.traffic.borrow();
         self.stage() == DrainStage::Serving
+            && !self.overload.get().is_full()
             && traffic.configuration().is_some()
             && traffic.has_upstreams()
     }
@@ -131,6 +138,21 @@
         self.overload.set(overload);
     }
 
+    /// Tells of a refusal before the request's route was looked for.
+    fn refuse_unplaced(&self, code: Code, retry_after: Millis, request: Option<&str>) {
+        let line = Refused {
+            request,
+            code: code.number(),
+            route: None,
+            organisation: None,
+            retry_after_ms: retry_after,
+            after_ms: Millis::ZERO,
+            attempts: 0,
+            tried: &[],
+        };
+        self.refusals.refused(code, &line);
+    }
+
     /// Logs what this entry refuses for want of processor time, if anything.
     fn log_overload(&self) {
         let part = self.overload.get().part();
@@ -230,9 +252,10 @@
         clock: Clock::start(),
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
+        refusals: RefusalLog::default(),
         overload: Cell::default(),
         is_probing: Cell::default(),
-        listing_plan: RefCell::default(),
+        listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
         is_reader: Cell::new(false),
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
@@ -306,6 +329,7 @@
             next_sweep = now + SWEEP;
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
+            gateway.refusals.next_second();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
         if gateway.step_shutdown() == DrainStage::Stopped {
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -135,11 +135,14 @@
 
 /// Tells whether a caller may keep its connection after an answer.
 ///
-/// An entry that is told to stop says so with each answer: a connection that it closes later may
+/// An entry that has more callers than it can carry parts with them: they come back to the entry
+/// that the balancer names then. One that is told to stop says so with each answer: a connection that it closes later may
 /// be closed just as its caller sends on it, and the caller has lost a try.
 fn may_keep_connection<E: Edge>(gateway: &Gateway<E>) -> bool {
     let kept = gateway.settings.max_sockets as f64 * KEPT_PART;
-    gateway.stage() == DrainStage::Serving && gateway.open_connections.get() as f64 <= kept
+    gateway.stage() == DrainStage::Serving
+        && !gateway.overload.get().is_full()
+        && gateway.open_connections.get() as f64 <= kept
 }
 
 async fn serve_one<E: Edge>(
@@ -150,8 +153,10 @@
     let (head, body) = request.into_parts();
     let decoded = gateway.edge.read_caller(&head);
     let request_id = decoded.request_id.clone();
-    let refuse =
-        |code, retry_after| Ok(refusal(&*gateway.edge, code, retry_after, request_id.as_deref()));
+    let refuse = |code, retry_after| {
+        gateway.refuse_unplaced(code, retry_after, request_id.as_deref());
+        Ok(refusal(&*gateway.edge, code, retry_after, request_id.as_deref()))
+    };
     let configuration = gateway.traffic.borrow().configuration().cloned();
     let limits = configuration.as_ref().map(|configuration| &configuration.limits);
     let body = match read_body(body, limits).await {
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -34,11 +34,11 @@
     for _ in 0..100 {
         overload.on_turn(Millis(300));
     }
-    assert!(overload.part() > 0.5);
+    assert!(overload.part() > 0.5 && overload.is_full());
     for _ in 0..200 {
         overload.on_turn(Millis(1));
     }
-    assert!(!(0..100).any(|_| overload.refuses()));
+    assert!(!(0..100).any(|_| overload.refuses()) && !overload.is_full());
 }
 
 /// In a process that stood still for seconds one task has waited that long. Nothing is too much for
