Serve metrics of the platform's processes

Cause: an engineer on call had logs and nothing to plot; counters were kept by the platform's processes and never shown.

Samples are put into their buckets every 5 s, so that they don't pile up unread; gauges of upstreams that are gone are dropped after a minute.

--- a/src/kingcupgrade/coordination/listing.rs
+++ b/src/kingcupgrade/coordination/listing.rs
@@ -34,6 +34,8 @@
 pub struct ListingPlan {
     stagger: Millis,
     heard: Option<Millis>,
+    /// When it was last read here.
+    read: Millis,
     /// When it reads next as a reader.
     next: Millis,
     /// When it reads next if it hears nothing.
@@ -57,10 +59,18 @@
     pub fn on_read(&mut self, now: Millis, is_ok: bool, entries: usize) {
         let pause = if is_ok { INTERVAL } else { PAUSE };
         let crowd = entries.div_ceil(ENTRIES_AT_PACE).max(1);
+        if is_ok {
+            self.read = now;
+        }
         self.next = now + pause;
         self.next_alone = now + Millis(pause.0 * crowd as u64);
     }
 
+    /// Returns how long ago the list was last read or heard of; since the start if never.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.heard.unwrap_or_default().max(self.read))
+    }
+
     /// Tells whether it is time to read.
     pub fn is_due(&self, now: Millis, is_reader: bool) -> bool {
         if is_reader {
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -96,6 +96,21 @@
     Cancelled,
 }
 
+impl SendEnd {
+    /// Returns the word used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SendEnd::Answered => "answered",
+            SendEnd::Failed => "failed",
+            SendEnd::Broken => "broken",
+            SendEnd::Unreachable => "unreachable",
+            SendEnd::Rejected => "rejected",
+            SendEnd::Replaced => "replaced",
+            SendEnd::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// A request that was sent.
 #[derive(Clone, Debug)]
 struct Sent {
--- a/src/kingcupgrade/core/fleet.rs
+++ b/src/kingcupgrade/core/fleet.rs
@@ -33,6 +33,8 @@
     pub operator_address: Option<SocketAddr>,
     /// Where the platform's list of upstreams is served; needed by entries.
     pub listing_address: Option<SocketAddr>,
+    /// Where metrics are served, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
     /// Calls a second that the list bears from the whole fleet.
     pub listing_rate: f64,
     /// The data folder; needed by control instances.
--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -19,7 +19,7 @@
 use super::{
     fleet::FleetHandle,
     gateway::edge::{Edge, OperatorCall},
-    reload,
+    metrics, reload,
 };
 use crate::{
     coordination::fleet::FleetInput,
@@ -59,6 +59,7 @@
 }
 
 async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+    metrics::start(settings.metrics_address).await.context("metrics")?;
     let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
     let address = settings.operator_address.context("the settings name no operators' address")?;
     let listener = TcpListener::bind(address).await?;
--- a/src/kingcupgrade/transport/gateway/caller/mod.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, header, request};
 use http_body_util::{BodyExt, Full, Limited};
+use metrics::{counter, histogram};
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -147,6 +148,10 @@
             Ok(begun) => begun,
             Err((code, retry_after)) => return self.refuse(code, retry_after),
         };
+        let took = self.gateway.now().since(self.arrived);
+        histogram!("kingcup_first_byte_ms").record(took.0 as f64);
+        let number = Code::Done.number().to_string();
+        counter!("kingcup_requests", "code" => number).increment(1);
         if self.is_stream() && begun.head.status.is_success() {
             return self.relay(begun);
         }
@@ -320,7 +325,10 @@
         let (tx, rx) = oneshot::channel();
         self.gateway.waiting.borrow_mut().insert(ticket.no, tx);
         let timed_out = Verdict::Refuse { code: Code::DeadlineQueued, retry_after: Millis::ZERO };
-        match timeout_at(self.deadline, rx).await {
+        let verdict = timeout_at(self.deadline, rx).await;
+        let waited = self.gateway.now().since(now);
+        histogram!("kingcup_queue_ms").record(waited.0 as f64);
+        match verdict {
             Ok(Ok(verdict)) => verdict,
             _ => timed_out,
         }
--- a/src/kingcupgrade/transport/gateway/caller/ticket.rs
+++ b/src/kingcupgrade/transport/gateway/caller/ticket.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use hyper::body::Incoming;
+use metrics::counter;
 
 use crate::{
     coordination::traffic::{RequestNo, SendEnd},
@@ -30,6 +31,7 @@
 
     fn close(&mut self, end: SendEnd) {
         if std::mem::take(&mut self.is_open) {
+            counter!("kingcup_attempts", "end" => end.as_str()).increment(1);
             let now = self.gateway.now();
             self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
             self.gateway.poll_waiting();
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -23,6 +23,7 @@
     time::Duration,
 };
 
+use ::metrics::gauge;
 use anyhow::Context;
 use serde::Serialize;
 use tokio::{
@@ -39,7 +40,7 @@
 };
 use super::{
     fleet::{FleetHandle, FleetNews},
-    reload,
+    metrics, reload,
 };
 use crate::{
     coordination::{
@@ -138,6 +139,27 @@
         self.overload.set(overload);
     }
 
+    /// Shows what this entry holds and believes as metrics.
+    fn show_state(&self, now: Millis) {
+        let traffic = self.traffic.borrow();
+        gauge!("kingcup_open_requests").set(self.open_requests.get() as f64);
+        gauge!("kingcup_open_connections").set(self.open_connections.get() as f64);
+        gauge!("kingcup_waiting_requests").set(traffic.waiting() as f64);
+        gauge!("kingcup_refused_part").set(self.overload.get().part());
+        gauge!("kingcup_entries").set(traffic.entry_count() as f64);
+        let listing_age = self.listing_plan.borrow().age(now);
+        gauge!("kingcup_listing_age_ms").set(listing_age.0 as f64);
+        let version = traffic.configuration().map_or(0, |configuration| configuration.version);
+        gauge!("kingcup_configuration_version").set(version as f64);
+        for (name, upstream) in traffic.upstreams() {
+            let label = name.as_str().to_owned();
+            gauge!("kingcup_upstream_running", "upstream" => label.clone())
+                .set(f64::from(upstream.running(now)));
+            gauge!("kingcup_upstream_memory_tokens", "upstream" => label)
+                .set(upstream.memory() as f64);
+        }
+    }
+
     /// Tells of a refusal before the request's route was looked for.
     fn refuse_unplaced(&self, code: Code, retry_after: Millis, request: Option<&str>) {
         let line = Refused {
@@ -240,6 +262,7 @@
 }
 
 async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+    metrics::start(settings.metrics_address).await.context("metrics")?;
     let (news_tx, mut news) = mpsc::unbounded_channel();
     let sink = move |event| {
         // Without the traffic thread the process is about to end.
@@ -329,6 +352,7 @@
             next_sweep = now + SWEEP;
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
+            gateway.show_state(now);
             gateway.refusals.next_second();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
--- a/src/kingcupgrade/transport/gateway/refusals.rs
+++ b/src/kingcupgrade/transport/gateway/refusals.rs
@@ -6,6 +6,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap};
 
+use metrics::counter;
 use serde::Serialize;
 
 use crate::{
@@ -43,11 +44,13 @@
 impl RefusalLog {
     /// Tells of a refusal, or counts it.
     pub(super) fn refused(&self, code: Code, line: &Refused<'_>) {
+        counter!("kingcup_requests", "code" => code.number().to_string()).increment(1);
         let mut lines = self.lines.borrow_mut();
         if *lines < MAX_LINES {
             *lines += 1;
             log::event("refused", line);
         } else {
+            counter!("kingcup_log_lines_untold").increment(1);
             *self.untold.borrow_mut().entry(code.number()).or_default() += 1;
         }
     }
--- /dev/null
+++ b/src/kingcupgrade/transport/metrics.rs
@@ -0,0 +1,97 @@
+//! Counters and histograms of one process, served as text.
+//!
+//! Samples of histograms pile up in memory until they are put into their buckets, which the library
+//! does when somebody asks. Nobody may ask for days, so it is also done from time to time.
+
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use metrics_util::MetricKindMask;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{interval, sleep},
+};
+
+use crate::util::log;
+
+/// Where they are served.
+const PATH: &str = "/metrics";
+/// How often samples are put into their buckets: some thousand samples at the most.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// A gauge not set for this long is dropped: upstreams get new names with each start, and their
+/// gauges would pile up.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a reader may take to ask.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+/// The upper ends of histogram buckets, in milliseconds: about doubling, from a plain request in
+/// its own failure domain to the longest deadline.
+const BUCKETS_MS: [f64; 12] =
+    [5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0, 15_000.0];
+
+/// Begins to count, and serves the counts at an address if there is one.
+///
+/// # Errors
+///
+/// Returns an error if something counts already or the address can't be listened on.
+pub(crate) async fn start(address: Option<SocketAddr>) -> anyhow::Result<()> {
+    let matcher = Matcher::Suffix("_ms".to_owned());
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(matcher, &BUCKETS_MS)?
+        .idle_timeout(MetricKindMask::GAUGE, Some(IDLE_TIMEOUT));
+    let handle = builder.install_recorder()?;
+    tokio::task::spawn_local(keep_up(handle.clone()));
+    if let Some(address) = address {
+        let listener = TcpListener::bind(address).await?;
+        tokio::task::spawn_local(accept_all(listener, handle));
+    }
+    Ok(())
+}
+
+async fn keep_up(handle: PrometheusHandle) {
+    let mut ticks = interval(UPKEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        handle.run_upkeep();
+    }
+}
+
+async fn accept_all(listener: TcpListener, handle: PrometheusHandle) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(stream, handle.clone()));
+            }
+            Err(err) => {
+                log::warning("accept-failed", &err.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handle: PrometheusHandle) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let is_known = request.uri().path() == PATH;
+        let text = if is_known { handle.render() } else { String::new() };
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        if !is_known {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        let plain = http::HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(header::CONTENT_TYPE, plain);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(READ_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A reader that broke off asks again.
+    let _ = connection.await;
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -36,6 +36,7 @@
         ready_address: None,
         operator_address: None,
         listing_address: None,
+        metrics_address: None,
         listing_rate: 1.0,
         data: None,
         is_first_start: false,
