Look at two dozen upstreams before one is taken; write logs by a thread of their own

Placement: looking at each of 90 upstreams takes a small processor half a millisecond a request, and again at each turn while requests wait. The first 24 by rank are looked at, then the next ones if none of these fits: those behind cost a quarter of a second more by their place alone. Sites of up to 24 upstreams are placed as before. Turns for waiting requests are 3 ms apart at least.

Logs: they went to standard error, and a full pipe held up the thread that logged and with it every caller. They go to standard output now, by the library's queue; lines that find it full are dropped and counted.

--- a/crates/kingcup-support/src/fleet.rs
+++ b/crates/kingcup-support/src/fleet.rs
@@ -242,7 +242,7 @@
             .arg("--settings")
             .arg(&member.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         member.child = Some(child);
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -34,6 +34,11 @@
 /// there takes time and costs the users by the byte.
 const FAR_WEIGHT: f64 = 0.4;
 
+/// Upstreams looked at before the best of them is taken, in the order of their ranking. Those
+/// behind cost a quarter of a second more by their place alone, and looking at each of a hundred
+/// takes a small processor half a millisecond a request.
+const LOOKED_AT_ONCE: usize = 24;
+
 /// Why no upstream takes a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoPlace {
@@ -83,7 +88,10 @@
         let left = (demand.target.since(now).0 as f64 - MARGIN).max(0.0);
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut place = 0;
-        for name in names {
+        for (looked_at, name) in names.into_iter().enumerate() {
+            if looked_at % LOOKED_AT_ONCE == 0 && best.is_some() {
+                break;
+            }
             let Some(upstream) = self.upstreams.get(&name) else { continue };
             let cold_rate = upstream.is_cold(now).then(|| self.cold_rate(&plan, &name));
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
@@ -114,20 +122,18 @@
     /// of them fail.
     fn usable(&self, now: Millis, demand: &Demand) -> Vec<UpstreamName> {
         let all = self.by_service.get(&demand.service).into_iter().flatten();
-        let may_get = |name: &&UpstreamName| {
-            let upstream = &self.upstreams[*name];
+        let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
+        let ready = known.filter(|(name, upstream)| {
             upstream.listed.is_ready
                 && !self.domains_out.contains(&upstream.listed.domain)
                 && !demand.avoid.contains(name)
-        };
-        let ready: Vec<&UpstreamName> = all.filter(may_get).collect();
-        let sound = ready.iter().filter(|name| !self.upstreams[**name].health.is_aside(now));
-        let sound: Vec<UpstreamName> = sound.map(|name| (*name).clone()).collect();
-        if sound.len() * 3 >= ready.len() {
-            return sound;
-        }
+        });
+        let (aside, sound): (Vec<_>, Vec<_>) =
+            ready.partition(|(_, upstream)| upstream.health.is_aside(now));
+        let is_most = sound.len() * 3 >= sound.len() + aside.len();
         // Where most seem to fail, the cause is more likely here or everywhere.
-        ready.into_iter().cloned().collect()
+        let usable = if is_most { Vec::new() } else { aside };
+        sound.into_iter().chain(usable).map(|(name, _)| name.clone()).collect()
     }
 }
 
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -23,6 +23,9 @@
 const MAX_WAITING: usize = 400;
 /// Requests looked at in one turn: a small processor must not spend it on looking.
 const MAX_LOOKS: usize = 24;
+/// Turns are at least this far apart, however many requests end: a fraction of any target, and of
+/// what looking takes.
+const MIN_POLL_INTERVAL: Millis = Millis(3);
 /// Upstreams looked at in one turn, each a quarter of a microsecond: under a fiftieth of the time
 /// between two turns.
 const MAX_UPSTREAM_LOOKS: usize = 600;
@@ -107,9 +110,10 @@
 
     /// Starts requests that wait, as far as there is room, and refuses those that waited too long.
     pub fn poll(&mut self, now: Millis, out: &mut Vec<(RequestNo, Verdict)>) {
-        if self.waiting.is_empty() {
+        if self.waiting.is_empty() || now.since(self.polled) < MIN_POLL_INTERVAL {
             return;
         }
+        self.polled = now;
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| (waiting.standing, waiting.demand.target));
         let max_looks = (MAX_UPSTREAM_LOOKS / self.upstreams.len().max(1)).clamp(1, MAX_LOOKS);
--- a/src/kingcupgrade/ops/fleet.rs
+++ b/src/kingcupgrade/ops/fleet.rs
@@ -15,8 +15,10 @@
     log::init()?;
     let edge = Arc::new(edge);
     let settings = Arc::new(edge.read_settings()?);
-    match settings.role {
+    let ended = match settings.role {
         Role::Entry => gateway::run(edge, settings),
         Role::Control => controls::run(edge, settings),
-    }
+    };
+    log::finish();
+    ended
 }
--- a/src/kingcupgrade/util/log.rs
+++ b/src/kingcupgrade/util/log.rs
@@ -1,19 +1,35 @@
-//! Structured logs: one JSON object a line on standard error.
+//! Structured logs: one JSON object a line on standard output.
 //!
 //! A decision about a request or a placement gets a line of its own with its reason, so that the
 //! question "why did this request go there" has an answer after the fact.
+//!
+//! Whoever reads the output may stop reading. A full pipe would then hold up whoever logs, and with
+//! them every caller, so lines are written by a thread of their own, and dropped and counted once
+//! too many wait.
 
-use std::sync::Arc;
+use std::{
+    num::NonZeroUsize,
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
 
+use metrics::counter;
 use serde::Serialize;
 use serde_json::json;
 use spdlog::{
-    Logger,
+    Logger, ThreadPool,
     formatter::{Formatter, FormatterContext},
     prelude::*,
-    sink::{StdStream, StdStreamSink},
+    sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
 
+/// Lines that may wait to be written, a quarter of a kilobyte each: some seconds of the most that is
+/// logged.
+const QUEUE_LEN: NonZeroUsize = NonZeroUsize::new(2_048).expect("more than none");
+/// How long a process that ends waits for its last lines to be written.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Writes the payload as it is; every payload is a JSON object already.
 #[derive(Clone)]
 struct JsonLines;
@@ -35,20 +51,38 @@
     }
 }
 
-/// Directs this process's logs to standard error as JSON lines.
+/// Directs this process's logs to standard output as JSON lines.
 ///
 /// # Errors
 ///
 /// Returns an error if the logger can't be built.
 pub fn init() -> anyhow::Result<()> {
-    let sink =
-        StdStreamSink::builder().std_stream(StdStream::Stderr).formatter(JsonLines).build_arc()?;
-    let logger =
-        Logger::builder().sink(sink).flush_level_filter(spdlog::LevelFilter::All).build()?;
+    let lines =
+        StdStreamSink::builder().std_stream(StdStream::Stdout).formatter(JsonLines).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(lines)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(ThreadPool::builder().capacity(QUEUE_LEN).build_arc()?)
+        .error_handler(|_err| counter!("kingcup_log_lines_dropped").increment(1))
+        .build_arc()?;
+    let logger = Logger::builder().sink(sink).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
 
+/// Writes what still waits, before the process ends; gives up if nobody reads.
+pub fn finish() {
+    let Ok(empty) = Logger::builder().build() else { return };
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        // The last owner of the queue waits for it to be written.
+        drop(spdlog::swap_default_logger(Arc::new(empty)));
+        // Nobody waits for it after the timeout.
+        let _ = tx.send(());
+    });
+    let _ = rx.recv_timeout(FINISH_TIMEOUT);
+}
+
 /// Logs something that happened, with its fields.
 pub fn event(name: &str, fields: &impl Serialize) {
     info!("{}", line(name, fields));
