Take a state told to the process before as a part only

Cause: control instances push changes to those that asked of late, from the place these last named. An entry that restarted keeps its name, so a push meant for the process before it says "up to 118" and leaves out what that one had. The new process took all up to 118 as known and asked for later changes only; where the answer to its first question came from an instance that was behind, it went by that old configuration until the next change.

Ruled out: a control instance that lags by itself (its answers are asked for again each 0.8 s, from another one); configurations dropped by version.

Change: a state says after which place its changes begin; one that begins later than what is known adds its parts, but counts neither as complete nor as confirmed.

--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -199,6 +199,7 @@
                 let documents = documents().into_iter().filter(|stored| stored.index > have);
                 let state = RecordMessage::State {
                     index: SERVICES as u64,
+                    since: 0,
                     asked: Some(asked),
                     age: Some(Millis::ZERO),
                     documents: if have < SERVICES as u64 {
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -352,6 +352,7 @@
     let documents = synthetic::documents(members, "slots: {cold: 2, warm: 8}\n");
     let state = RecordMessage::State {
         index: SERVICES as u64,
+        since: 0,
         asked: Some(Millis(0)),
         age: Some(Millis(0)),
         documents,
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -96,6 +96,7 @@
     pub fn merge(&mut self, message: &RecordMessage) -> bool {
         let RecordMessage::State {
             index,
+            since,
             asked,
             age,
             documents,
@@ -126,6 +127,12 @@
             self.whole = Some(whole.clone());
             changed = true;
         }
+        // Told to the process that had this one's place before, a state leaves out what that one
+        // had. Taken as whole, this one would ask for later changes only, and go by an older
+        // configuration until the next.
+        if *since > self.index {
+            return changed;
+        }
         if let (Some(asked), Some(age)) = (asked, age)
             && *index >= self.index
         {
@@ -154,6 +161,7 @@
         let documents = self.documents.values().map(|in_force| &in_force.stored);
         RecordMessage::State {
             index: self.index,
+            since: have,
             asked: None,
             age: None,
             documents: documents.filter(|stored| stored.index > have).cloned().collect(),
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -266,6 +266,9 @@
         /// The place of the last change included.
         #[serde(rename = "i")]
         index: u64,
+        /// The place after which changes are included; what is older is taken as known.
+        #[serde(rename = "b")]
+        since: u64,
         /// The asker's clock, as it was sent; `None` where nobody asked.
         #[serde(rename = "s")]
         asked: Option<Millis>,
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -231,6 +231,7 @@
         let newest = self.documents.values().filter_map(VecDeque::back);
         RecordMessage::State {
             index: self.index,
+            since: have,
             asked,
             age,
             documents: newest.filter(|stored| stored.index > have).cloned().collect(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,3 +22,4 @@
 mod support;
 mod totals;
 mod traffic;
+mod view;
--- a/tests/testsuite/model_nodes.rs
+++ b/tests/testsuite/model_nodes.rs
@@ -120,6 +120,7 @@
     let stored = StoredDocument { service: "tutor".into(), revision: 1, index: 1, text };
     Message::Record(RecordMessage::State {
         index: 1,
+        since: 0,
         asked: Some(asked),
         age: Some(Millis::ZERO),
         documents: vec![stored],
