Judge shares by what is really served where that is less than promised

Cause: with upstreams lost, the promised capacity is not there, and by the promise nobody is beyond its share: whoever asks most takes what is left.

Change: the even level is worked out over 1.15 times what the fleet served of late, if that is less than promised. Those above it are placed on the terms of spare capacity, so that those below find room.

Test: two organisations while half of the promised capacity is served; it failed before.

--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -19,6 +19,10 @@
 /// beyond its promised share. Above 1, so that they can rise together; the gap between any two
 /// stays below it.
 const GAP: f64 = 1.2;
+/// What is served may be this many times what was served of late: with upstreams lost, the promised
+/// capacity is not there, and an even share of it would let whoever comes first take all. Above 1,
+/// so that the level rises again once they are back.
+const GROWTH: f64 = 1.15;
 /// An organisation is backlogged if it asked for this many times what it got, and for more than
 /// its promised share.
 const BACKLOG: f64 = 1.25;
@@ -50,6 +54,9 @@
     counts: BTreeMap<Organisation, Counts>,
     /// The most that one organisation gets of the capacity that is promised, in the span.
     promised_level: f64,
+    /// The most that one organisation gets of what is really served, where that is less than
+    /// promised, in the span.
+    even_level: f64,
     /// The most that one organisation gets of what is served beyond that, in the span.
     spare_level: f64,
     refreshed: Option<Millis>,
@@ -85,7 +92,13 @@
         }
         let asked: Vec<f64> = self.counts.values().map(|counts| counts.asked).collect();
         let promised = capacity * SHARE_SPAN.0 as f64 / 1000.0;
-        self.promised_level = max_min_level(asked, promised);
+        self.promised_level = max_min_level(asked.clone(), promised);
+        let served: f64 = self
+            .counts
+            .iter()
+            .map(|(organisation, counts)| counts.served_elsewhere + self.own(now, organisation))
+            .sum();
+        self.even_level = self.promised_level.min(max_min_level(asked, served * GROWTH));
         let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
             let served = counts.served_elsewhere + self.own(now, organisation);
             let is_limited = counts.asked > self.promised_level;
@@ -100,10 +113,14 @@
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
         // Half of the request, so that one larger than a share is not shut out for good.
         let served = counts.served_elsewhere + self.own(now, organisation) + work / 2.0;
-        if counts.asked <= self.promised_level || served <= self.promised_level {
+        if counts.asked <= self.even_level || served <= self.even_level {
             return Standing::Within;
         }
-        if served <= self.spare_level { Standing::Fair } else { Standing::Beyond }
+        if counts.asked <= self.promised_level || served <= self.spare_level {
+            Standing::Fair
+        } else {
+            Standing::Beyond
+        }
     }
 
     /// Returns what an organisation was given by this entry in the span, in tokens.
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -409,3 +409,24 @@
     assert!(matches!(ahead, Some(Verdict::Refuse { code: Code::OverShare, .. })), "{ahead:?}");
     assert!(place(traffic.admit(now, demand(2, now, "behind", 5, 100))).is_some());
 }
+
+/// Most upstreams of a service are lost, so half of the promised capacity is served. By the
+/// promise nobody is beyond its share, and whoever asks most took what is left: another
+/// organisation waited all through and got a third of it. What an organisation got of what is
+/// really served decides who goes first.
+#[test]
+fn shares_follow_what_is_really_served() {
+    let mut traffic = traffic(1_000_000.0, 1);
+    let told = |organisation: &str, tokens: f32| (Organisation::from(organisation), tokens);
+    let report = LoadReport {
+        served: vec![told("ahead", 900_000.0), told("behind", 200_000.0)],
+        asked: vec![told("ahead", 2_000_000.0), told("behind", 2_000_000.0)],
+        ..LoadReport::default()
+    };
+    traffic.on_report(Millis(100), "e-127.0.0.9".into(), report);
+    let now = Millis(110);
+    assert!(place(traffic.admit(now, demand(1, now, "behind", 5, 9_000))).is_some());
+    // The engine would begin one more just in time; it is kept for the one that is behind.
+    assert_eq!(traffic.admit(now, demand(2, now, "ahead", 6, 100)), None);
+    assert!(place(traffic.admit(now, demand(3, now, "behind", 7, 100))).is_some());
+}
