--- a/src/bin/kingcup/commands/mod.rs
+++ b/src/bin/kingcup/commands/mod.rs
@@ -4,6 +4,7 @@
 mod backup;
 mod check;
 mod domain;
+mod explain;
 mod get;
 mod history;
 mod member;
@@ -45,6 +46,7 @@
     match &flags.subcommand {
         KingcupCmd::Check(args) => return check::exec(args),
         KingcupCmd::Verify(args) => return verify::exec(args),
+        KingcupCmd::Explain(args) => return explain::exec(args),
         _ => {}
     }
     let fleet = flags.fleet.unwrap_or_else(|| PathBuf::from(DEFAULT_FLEET));
@@ -59,7 +61,7 @@
         KingcupCmd::Order(args) => order::exec(&cx, args),
         KingcupCmd::Status(args) => status::exec(&cx, &args),
         KingcupCmd::Member(args) => member::exec(&cx, &args),
-        KingcupCmd::Check(_) | KingcupCmd::Verify(_) => Ok(()),
+        KingcupCmd::Check(_) | KingcupCmd::Verify(_) | KingcupCmd::Explain(_) => Ok(()),
     }
 }
 
--- a/src/bin/kingcup/flags.rs
+++ b/src/bin/kingcup/flags.rs
@@ -89,6 +89,13 @@
             /// The file.
             required path: PathBuf
         }
+        /// Joins what the logs of all processes say of one request.
+        cmd explain {
+            /// The request's id.
+            required request: String
+            /// The logs.
+            repeated logs: PathBuf
+        }
         /// Checks a data folder offline and says what it holds.
         cmd verify {
             /// The data folder.
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -25,6 +25,8 @@
     sync::Arc,
 };
 
+use serde::Serialize;
+
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
@@ -61,6 +63,25 @@
     pub address: SocketAddr,
     /// Connections that this entry may have open to it.
     pub max_connections: usize,
+    /// What it was decided on.
+    pub basis: Basis,
+}
+
+/// What was believed of an upstream when a request was given to it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Basis {
+    /// Requests under way there, by this entry and by all others as last told.
+    pub running: (u32, u32),
+    /// Prompt tokens unread there, without this request's.
+    pub unread: u64,
+    /// Prompt tokens of this request that are not kept there.
+    pub to_read: u64,
+    /// Tokens in memory there at the end of all that is under way.
+    pub memory: u64,
+    /// The share of requests that failed there of late.
+    pub failures: f64,
+    /// Whether it is cold.
+    pub is_cold: bool,
 }
 
 /// What is decided about a request.
@@ -310,6 +331,14 @@
         let unread = upstream.unread_of(now, demand);
         let ahead = upstream.unread() + unread;
         let prompt = demand.prompt_tokens();
+        let basis = Basis {
+            running: (upstream.own.running, upstream.others.running),
+            unread: upstream.unread(),
+            to_read: unread,
+            memory: upstream.memory(),
+            failures: upstream.health.failure_share(),
+            is_cold: upstream.is_cold(now),
+        };
         // Parts that are kept there take no more memory for one more request.
         let memory = unread + u64::from(demand.output);
         upstream.own.running += 1;
@@ -338,6 +367,7 @@
             upstream: name.clone(),
             address: upstream.listed.address,
             max_connections: (share as usize).max(1),
+            basis,
         })
     }
 
--- a/src/kingcupgrade/ops/mod.rs
+++ b/src/kingcupgrade/ops/mod.rs
@@ -4,6 +4,7 @@
 //! test can do the same without a command line.
 
 mod backup;
+mod explain;
 mod fleet;
 mod found;
 mod operator;
@@ -11,6 +12,7 @@
 mod verify;
 
 pub use backup::{BackupInfo, backup};
+pub use explain::{Explanation, LogLine, explain};
 pub use fleet::serve_fleet;
 pub use found::found;
 pub use operator::{OperatorClient, coded, fresh_change_id};
--- a/src/kingcupgrade/transport/gateway/caller/mod.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -19,12 +19,12 @@
 use super::{
     Gateway,
     answer::{AnswerBody, refusal, strip_hop_headers},
+    decisions::{GivenUp, Placed},
     edge::{CallerHead, Edge},
-    refusals::Refused,
     relay::Relay,
 };
 use crate::{
-    coordination::traffic::{Demand, PromptPart, SendEnd, Verdict},
+    coordination::traffic::{Demand, Grant, PromptPart, SendEnd, Verdict},
     core::{
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
@@ -223,19 +223,49 @@
             && self.gateway.traffic.borrow_mut().try_repeat(self.gateway.now(), &self.service)
     }
 
-    fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
+    /// Tells that an answer is cut after it had begun.
+    pub(super) fn tell_broken_off(&self, code: Code) {
         let progress = self.progress.borrow();
-        let line = Refused {
+        self.gateway.decisions.broken_off(code, &self.given_up(code, Millis::ZERO, &progress));
+    }
+
+    fn given_up<'a>(
+        &'a self,
+        code: Code,
+        retry_after_ms: Millis,
+        progress: &'a Progress,
+    ) -> GivenUp<'a> {
+        GivenUp {
             request: self.request_id.as_deref(),
             code: code.number(),
             route: Some(&self.route.name),
             organisation: self.organisation.as_ref(),
-            retry_after_ms: retry_after,
+            retry_after_ms,
             after_ms: self.gateway.now().since(self.arrived),
             attempts: progress.attempts,
             tried: &progress.avoid,
-        };
-        self.gateway.refusals.refused(code, &line);
+        }
+    }
+
+    fn tell_placed(&self, grant: &Grant) {
+        let now = self.gateway.now();
+        let version = self.gateway.traffic.borrow().configuration().map_or(0, |c| c.version);
+        self.gateway.decisions.placed(&Placed {
+            request: self.request_id.as_deref(),
+            route: &self.route.name,
+            organisation: self.organisation.as_ref(),
+            upstream: &grant.upstream,
+            attempts: self.progress.borrow().attempts,
+            after_ms: now.since(self.arrived),
+            basis: &grant.basis,
+            version,
+            listing_age_ms: self.gateway.listing_plan.borrow().age(now),
+        });
+    }
+
+    fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
+        let progress = self.progress.borrow();
+        self.gateway.decisions.refused(code, &self.given_up(code, retry_after, &progress));
         drop(progress);
         refusal(&*self.gateway.edge, code, retry_after, self.request_id.as_deref())
     }
@@ -262,6 +292,7 @@
                 Verdict::Start(grant) => grant,
                 Verdict::Refuse { code, retry_after } => return Err(given_up(code, retry_after)),
             };
+            self.tell_placed(&grant);
             match self.send_once(&grant, ticket, last_event).await {
                 SendResult::Begun(begun) => return Ok(*begun),
                 SendResult::NotSent => {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,11 +5,11 @@
 
 mod answer;
 mod caller;
+mod decisions;
 pub mod edge;
 pub mod events;
 mod listing;
 mod pool;
-mod refusals;
 mod relay;
 
 mod serve;
@@ -34,9 +34,9 @@
 };
 
 use self::{
+    decisions::{DecisionLog, GivenUp},
     edge::Edge,
     pool::Pool,
-    refusals::{RefusalLog, Refused},
 };
 use super::{
     fleet::{FleetHandle, FleetNews},
@@ -82,7 +82,7 @@
     /// Requests that wait for a verdict.
     waiting: RefCell<HashMap<RequestNo, oneshot::Sender<Verdict>>>,
     pool: Rc<Pool>,
-    refusals: RefusalLog,
+    decisions: DecisionLog,
     overload: Cell<Overload>,
     /// Whether a measurement for it is under way.
     is_probing: Cell<bool>,
@@ -162,7 +162,7 @@
 
     /// Tells of a refusal before the request's route was looked for.
     fn refuse_unplaced(&self, code: Code, retry_after: Millis, request: Option<&str>) {
-        let line = Refused {
+        let line = GivenUp {
             request,
             code: code.number(),
             route: None,
@@ -172,7 +172,7 @@
             attempts: 0,
             tried: &[],
         };
-        self.refusals.refused(code, &line);
+        self.decisions.refused(code, &line);
     }
 
     /// Logs what this entry refuses for want of processor time, if anything.
@@ -275,7 +275,7 @@
         clock: Clock::start(),
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
-        refusals: RefusalLog::default(),
+        decisions: DecisionLog::default(),
         overload: Cell::default(),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
@@ -353,7 +353,7 @@
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.show_state(now);
-            gateway.refusals.next_second();
+            gateway.decisions.next_second();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
         if gateway.step_shutdown() == DrainStage::Stopped {
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -19,7 +19,10 @@
     events::EventCutter,
     pool::Connection,
 };
-use crate::{coordination::traffic::SendEnd, core::configuration::RouteKind};
+use crate::{
+    coordination::traffic::SendEnd,
+    core::{Code, configuration::RouteKind},
+};
 
 /// An upstream silent for this many of the longest pauses in the middle of a stream is given up:
 /// ordinary pauses stay within one, and a caller gives up after eight.
@@ -202,6 +205,9 @@
     }
 
     fn break_off(&mut self, end: SendEnd) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let is_overdue = end == SendEnd::Cancelled;
+        let code = if is_overdue { Code::AnswerTimeout } else { Code::AnswerBroken };
+        self.caller.tell_broken_off(code);
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
             source.ticket.end(end);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod domains;
 mod entry;
 mod events;
+mod explain;
 mod input;
 mod listing;
 mod members;
