--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! instance keeps a replica of the record besides and lists the fleet. Neither is told who the
 //! others are: they join the control instances they know, and learn the rest.
 
+mod io;
 mod roster;
 mod totals;
 
@@ -13,7 +14,10 @@
     sync::Arc,
 };
 
-pub use self::totals::{report_ttl, share_interval};
+pub use self::{
+    io::{FleetInput, FleetOutput, Ticket},
+    totals::{report_ttl, share_interval},
+};
 use self::{
     roster::Roster,
     totals::{Totals, TotalsOutput},
@@ -26,16 +30,15 @@
 use crate::{
     core::{
         Instance, Millis,
-        code::CodedError,
         fleet::{FleetSettings, role_of},
         settings::Role,
     },
     protocol::{
         Message,
-        fleet::{FleetMessage, ListedUpstream, LoadReport, Resident},
-        record::{Command, RecordMessage, Reply},
+        fleet::{FleetMessage, LoadReport, Resident},
+        record::{RecordMessage, Reply},
     },
-    state::log::{Log, Persist},
+    state::log::Log,
 };
 
 /// How often an instance says that it is there.
@@ -44,53 +47,6 @@
 /// yet.
 const FIRST_JOIN_INTERVAL: Millis = Millis(200);
 
-/// Names an operator's request that waits for an answer.
-pub type Ticket = u64;
-
-/// Something that happened.
-#[derive(Debug)]
-pub enum FleetInput {
-    /// A message arrived.
-    Received(Instance, Message),
-    /// An operator asks for a change or an answer of the record, for as long as given.
-    Asked(Ticket, Command, Millis),
-    /// This entry's load is to be told to the others.
-    Share(LoadReport),
-    /// The platform's list was read here, for the entries of this failure domain.
-    ShareListing(Vec<ListedUpstream>),
-    /// The disk failed.
-    StorageFailed(CodedError),
-    /// The disk works again and holds this replica.
-    StorageBack(Box<ControlMachine>),
-    /// The settings name other control instances.
-    SeedsChanged(Vec<Instance>),
-    /// The instance is to stop.
-    Drain,
-    /// Time has passed.
-    Tick,
-}
-
-/// Something to do, in this order.
-#[derive(Debug)]
-pub enum FleetOutput {
-    /// Write to disk, synced before any later output is carried out.
-    Persist(Persist),
-    /// Send a message.
-    Send(Instance, Message),
-    /// Send the same message to several instances.
-    SendToAll(Vec<Instance>, Message),
-    /// Answer an operator.
-    Answer(Ticket, Reply),
-    /// The configuration or the standing of a failure domain changed.
-    ViewChanged,
-    /// The entries of the fleet are these.
-    Entries(Vec<Resident>),
-    /// Another entry told of its load.
-    Heard(Instance, LoadReport),
-    /// Another entry read the platform's list.
-    Listed(Vec<ListedUpstream>),
-}
-
 impl From<TotalsOutput> for FleetOutput {
     fn from(output: TotalsOutput) -> FleetOutput {
         match output {
--- a/src/kingcupgrade/transport/metrics.rs
+++ b/src/kingcupgrade/transport/metrics.rs
@@ -39,7 +39,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if something counts already or the address can't be listened on.
+/// Returns an error if something counts already.
 pub(crate) async fn start(address: Option<SocketAddr>) -> anyhow::Result<()> {
     let matcher = Matcher::Suffix("_ms".to_owned());
     let builder = PrometheusBuilder::new()
@@ -47,9 +47,13 @@
         .idle_timeout(MetricKindMask::GAUGE, Some(IDLE_TIMEOUT));
     let handle = builder.install_recorder()?;
     tokio::task::spawn_local(keep_up(handle.clone()));
-    if let Some(address) = address {
-        let listener = TcpListener::bind(address).await?;
-        tokio::task::spawn_local(accept_all(listener, handle));
+    let Some(address) = address else { return Ok(()) };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            tokio::task::spawn_local(accept_all(listener, handle));
+        }
+        // Another process of the machine may have the port; callers are served without it.
+        Err(err) => log::warning("metrics-not-served", &(address, err.to_string())),
     }
     Ok(())
 }
