Refuse for want of processor only where tasks wait beyond 100 ms

Refusing began at 40 ms, which a short rush reaches on entries that carry it a little late.

Change: the limit is 100 ms, the longest pause that callers still take for none.

--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -9,8 +9,9 @@
 
 use crate::core::Millis;
 
-/// A task may wait this long: a tenth of the time in which callers want a first event.
-const LATE_LIMIT: Millis = Millis(40);
+/// A task may wait this long: a pause that callers of streams still take for none. Below it a short
+/// rush is carried a little late, which serves more of them than refusing a part.
+const LATE_LIMIT: Millis = Millis(100);
 /// What one task that waits twice as long adds to the refused part.
 const GAIN: f64 = 0.06;
 /// The most that one task adds: a process that stood still for seconds is not overloaded.
