--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -11,7 +11,6 @@
 mod listing;
 mod pool;
 mod relay;
-
 mod serve;
 
 use std::{
@@ -62,6 +61,7 @@
 const BACKLOG: u32 = 4_096;
 /// How often idle connections are looked at.
 const SWEEP: Millis = Millis(1_000);
+
 /// The line that tells how far an entry's processor is behind.
 #[derive(Serialize)]
 struct Overloaded {
