Accept a removal of a member again after its answer was lost

Cause: record::a_replacement_lost_before_the_repair_ends_costs_nothing failed once at the line that waits for a removal. A proposal that is not answered within 700 ms (a slow sync is enough) is sent again. An addition that is sent again was accepted, a removal was refused: first with 'another change is under way', then for good with 'is no member', though it had been carried out. Of the refusals of a removal that is the only one that does not pass by itself. Ruled out: check_majority (leader and the other voter are heard), the number of the replica (read from the members just before). Not replayed: the failure was seen once. Change: a replica that the log still shows as a member of before is accepted as removed; one that it never showed is refused as before. Test: removing_a_replica_again_after_a_lost_answer..., failed before ('b is no member').

--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -91,6 +91,8 @@
 
     /// Proposes to remove a replica.
     ///
+    /// Asked again after a lost answer, it is accepted again and changes nothing.
+    ///
     /// # Errors
     ///
     /// Returns [`Code::NotLeader`], or [`Code::MemberRefused`] with the reason.
@@ -106,6 +108,10 @@
         let is_meant = |id: &ReplicaId| id.0 == *instance && replica.is_none_or(|r| r == id.1);
         let meant: Vec<&Member> = self.members().iter().filter(|m| is_meant(&m.id)).collect();
         let id = match meant.as_slice() {
+            [] if self.was_member(is_meant) => {
+                let members = self.members().to_vec();
+                return self.propose(now, unix_ms, Payload::Members(members), out);
+            }
             [] => return Err(refused(format!("{instance} is no member"))),
             [member] => member.id.clone(),
             _ => {
@@ -123,6 +129,16 @@
         self.propose(now, unix_ms, Payload::Members(members), out)
     }
 
+    /// Tells whether the log still shows a member like this from before.
+    fn was_member(&self, is_meant: impl Fn(&ReplicaId) -> bool) -> bool {
+        let held = |members: &[Member]| members.iter().any(|member| is_meant(&member.id));
+        let snapshot = self.log.snapshot();
+        let mut entries =
+            (snapshot.position.index + 1..=self.log.last().index).filter_map(|i| self.log.entry(i));
+        held(&snapshot.members)
+            || entries.any(|entry| matches!(&entry.payload, Payload::Members(m) if held(m)))
+    }
+
     /// Checks that no other change of members is under way, and that this leader knows all of them.
     pub(super) fn check_change(&self) -> Result<(), CodedError> {
         let Role::Leader { since, .. } = &self.role else {
--- a/tests/testsuite/members.rs
+++ b/tests/testsuite/members.rs
@@ -57,6 +57,27 @@
     assert_eq!(leader.members(), members);
 }
 
+/// Guards against a removal whose answer was lost and that is refused for good when it is sent
+/// again.
+#[test]
+fn removing_a_replica_again_after_a_lost_answer_is_accepted_and_changes_nothing() {
+    let mut leader = leader();
+    let (now, out) = (Millis(5_100), &mut Vec::new());
+    hello(&mut leader, now, 77);
+    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
+    leader.tick(now + Millis(10), out);
+    leader.remove_member(now + Millis(20), 1, &"b".into(), Some(77), out).expect("a member");
+    leader.tick(now + Millis(30), out);
+    let members = leader.members().to_vec();
+    for replica in [Some(77), None] {
+        leader.remove_member(now + Millis(40), 1, &"b".into(), replica, out).expect("a resend");
+        leader.tick(now + Millis(50), out);
+    }
+    assert_eq!(leader.members(), members);
+    let never = leader.remove_member(now + Millis(60), 1, &"b".into(), Some(78), out);
+    assert_eq!(never.map_err(|err| err.code), Err(Code::MemberRefused));
+}
+
 /// A voter's disk is lost and the replica in its place is added at once, while the lost one was
 /// heard a moment ago. The newcomer must wait for its vote until the lost one is removed: with four
 /// voters of which one is lost, the loss of the newcomer too would stop the record for good.
