--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -252,6 +252,8 @@
         let unread = upstream.unread_of(now, demand);
         let ahead = upstream.unread() + unread;
         let prompt = demand.prompt_tokens();
+        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let is_engine = plan.engine.is_some();
         let basis = Basis {
             running: (upstream.own.running, upstream.others.running),
             unread: upstream.unread(),
@@ -259,6 +261,7 @@
             memory: upstream.memory(),
             failures: upstream.health.failure_share(),
             is_cold: upstream.is_cold(now),
+            expected_ms: if is_engine { speed.first_event_ms(ahead) as u64 } else { 0 },
         };
         // Parts that are kept there take no more memory for one more request.
         let memory = unread + u64::from(demand.output);
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -34,6 +34,9 @@
     pub failures: f64,
     /// Whether it is cold.
     pub is_cold: bool,
+    /// After how long its first event was expected, in milliseconds; 0 from a plain upstream, where
+    /// nothing is expected.
+    pub expected_ms: u64,
 }
 
 /// What is decided about a request.
--- a/src/kingcupgrade/transport/gateway/caller/mod.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -1,6 +1,7 @@
 //! One caller's request: waiting for a place, sending, and what follows from each answer.
 
 mod exchange;
+mod telling;
 mod ticket;
 
 use std::{rc::Rc, sync::Arc};
@@ -18,13 +19,12 @@
 pub(super) use self::ticket::{Begun, Ticket};
 use super::{
     Gateway,
-    answer::{AnswerBody, refusal, strip_hop_headers},
-    decisions::{GivenUp, Placed},
+    answer::{AnswerBody, strip_hop_headers},
     edge::{CallerHead, Edge},
     relay::Relay,
 };
 use crate::{
-    coordination::traffic::{Demand, Grant, PromptPart, SendEnd, Verdict},
+    coordination::traffic::{Demand, PromptPart, SendEnd, Verdict},
     core::{
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
@@ -74,6 +74,20 @@
     /// Upstreams the request arrived at.
     attempts: u32,
     unsent: u32,
+    /// How long it waited for places.
+    queued: Millis,
+    /// Where it was sent last before its first byte came.
+    sent: Option<LastSend>,
+    /// When its first byte came: of a stream the first event's, otherwise the answer's end.
+    first_byte: Option<Millis>,
+}
+
+/// Where and when a request was sent, and what was expected then.
+struct LastSend {
+    upstream: UpstreamName,
+    at: Millis,
+    /// After how long the first byte was expected; zero where nothing was.
+    expected: Millis,
 }
 
 impl<E: Edge> Caller<E> {
@@ -178,6 +192,10 @@
             match read {
                 Ok(Ok(body)) if !head.status.is_server_error() || !may_repeat => {
                     let is_failure = head.status.is_server_error();
+                    if !is_failure {
+                        self.on_first_byte();
+                        self.tell_answered(Millis::ZERO);
+                    }
                     ticket.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
                     self.gateway.pool.give_back(connection);
                     return whole(head, body.to_bytes());
@@ -223,53 +241,6 @@
             && self.gateway.traffic.borrow_mut().try_repeat(self.gateway.now(), &self.service)
     }
 
-    /// Tells that an answer is cut after it had begun.
-    pub(super) fn tell_broken_off(&self, code: Code) {
-        let progress = self.progress.borrow();
-        self.gateway.decisions.broken_off(code, &self.given_up(code, Millis::ZERO, &progress));
-    }
-
-    fn given_up<'a>(
-        &'a self,
-        code: Code,
-        retry_after_ms: Millis,
-        progress: &'a Progress,
-    ) -> GivenUp<'a> {
-        GivenUp {
-            request: self.request_id.as_deref(),
-            code: code.number(),
-            route: Some(&self.route.name),
-            organisation: self.organisation.as_ref(),
-            retry_after_ms,
-            after_ms: self.gateway.now().since(self.arrived),
-            attempts: progress.attempts,
-            tried: &progress.avoid,
-        }
-    }
-
-    fn tell_placed(&self, grant: &Grant) {
-        let now = self.gateway.now();
-        let version = self.gateway.traffic.borrow().configuration().map_or(0, |c| c.version);
-        self.gateway.decisions.placed(&Placed {
-            request: self.request_id.as_deref(),
-            route: &self.route.name,
-            organisation: self.organisation.as_ref(),
-            upstream: &grant.upstream,
-            attempts: self.progress.borrow().attempts,
-            after_ms: now.since(self.arrived),
-            basis: &grant.basis,
-            version,
-            listing_age_ms: self.gateway.listing_plan.borrow().age(now),
-        });
-    }
-
-    fn refuse(&self, code: Code, retry_after: Millis) -> Response<AnswerBody<E>> {
-        let progress = self.progress.borrow();
-        self.gateway.decisions.refused(code, &self.given_up(code, retry_after, &progress));
-        drop(progress);
-        refusal(&*self.gateway.edge, code, retry_after, self.request_id.as_deref())
-    }
-
     /// Waits for a place and sends, again and again as far as that is allowed, until an answer
     /// begins.
     ///
@@ -359,6 +330,9 @@
         let verdict = timeout_at(self.deadline, rx).await;
         let waited = self.gateway.now().since(now);
         histogram!("kingcup_queue_ms").record(waited.0 as f64);
+        let mut progress = self.progress.borrow_mut();
+        progress.queued = progress.queued + waited;
+        drop(progress);
         match verdict {
             Ok(Ok(verdict)) => verdict,
             _ => timed_out,
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -10,6 +10,7 @@
 use metrics::counter;
 use serde::Serialize;
 
+use super::course::{self, Answered, Judgement, Times};
 use crate::{
     coordination::traffic::Basis,
     core::{Code, Millis, Organisation, UpstreamName},
@@ -81,6 +82,16 @@
         }
     }
 
+    /// Counts an answer, and tells of one that was not on time.
+    pub(super) fn answered(&self, times: &Times, line: &Answered<'_>) {
+        course::count(times, line.judgement, line.route);
+        let mut lines = self.lines.borrow_mut();
+        if line.judgement != Judgement::OnTime && *lines < MAX_LINES {
+            *lines += 1;
+            log::event("answered-late", line);
+        }
+    }
+
     /// Tells of a refusal, or counts it.
     pub(super) fn refused(&self, code: Code, line: &GivenUp<'_>) {
         self.given_up("refused", code, line);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod caller;
+pub mod course;
 mod decisions;
 pub mod edge;
 pub mod events;
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     coordination::traffic::SendEnd,
-    core::{Code, configuration::RouteKind},
+    core::{Code, Millis, configuration::RouteKind},
 };
 
 /// An upstream silent for this many of the longest pauses in the middle of a stream is given up:
@@ -56,6 +56,9 @@
     state: State<E>,
     cutter: EventCutter,
     last_id: Option<u64>,
+    /// When the last event came.
+    last_event: Option<Instant>,
+    longest_pause: Duration,
     /// When it is cut.
     cut_at: Instant,
     /// Until when the upstream may stay silent.
@@ -75,6 +78,8 @@
             state: State::Reading(Source { body, connection, ticket }),
             cutter: EventCutter::default(),
             last_id: None,
+            last_event: None,
+            longest_pause: Duration::ZERO,
             cut_at: caller.deadline + CUT_SLACK,
             alarm: Box::pin(sleep_until(silent_until)),
             silent_until,
@@ -141,9 +146,14 @@
         if let State::Reading(source) = &self.state {
             source.ticket.on_events(events.count * self.caller.stride);
         }
+        let now = Instant::now();
+        match self.last_event.replace(now) {
+            Some(before) => self.longest_pause = self.longest_pause.max(now - before),
+            None => self.caller.on_first_byte(),
+        }
         let gap = self.caller.route.max_gap.0 * SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE));
-        self.silent_until = self.cut_at.min(Instant::now() + silence);
+        self.silent_until = self.cut_at.min(now + silence);
         Some(events.bytes)
     }
 
@@ -200,6 +210,7 @@
     fn finish(&mut self) {
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
             source.ticket.end(SendEnd::Answered);
+            self.caller.tell_answered(Millis(self.longest_pause.as_millis() as u64));
             self.caller.gateway.pool.give_back(source.connection);
         }
     }
--- /dev/null
+++ b/tests/testsuite/course.rs
@@ -0,0 +1,34 @@
+//! How answered requests are judged.
+
+use kingcupgrade::{
+    core::Millis,
+    transport::gateway::course::{Judgement, Times},
+};
+
+fn times(queued: u64, expected: u64, took: u64) -> Times {
+    Times {
+        target: Millis(500),
+        queued: Millis(queued),
+        expected: Millis(expected),
+        took: Millis(took),
+        first_byte: Millis(queued + took),
+        longest_pause: Millis(100),
+        max_pause: Millis(250),
+        attempts: 1,
+    }
+}
+
+/// Guards against late answers that are blamed on the wrong cause: whoever looks for why callers
+/// wait would mend the queue for a slow upstream, or the other way round.
+#[test]
+fn a_late_answer_is_counted_under_what_made_it_late() {
+    assert_eq!(times(200, 200, 250).judge(), Judgement::OnTime);
+    assert_eq!(times(300, 200, 250).judge(), Judgement::LateQueued);
+    assert_eq!(times(100, 200, 900).judge(), Judgement::LateUpstream);
+    let repeated = Times { first_byte: Millis(1_500), attempts: 2, ..times(0, 200, 300) };
+    assert_eq!(repeated.judge(), Judgement::LateRepeated);
+    let paused = Times { longest_pause: Millis(400), ..times(0, 200, 300) };
+    assert_eq!(paused.judge(), Judgement::Paused);
+    // Nothing is said of pauses where the route allows any.
+    assert_eq!(Times { max_pause: Millis::ZERO, ..paused }.judge(), Judgement::OnTime);
+}
