Let only those who are refused now hold others back

Cause: engines idled while 200 requests a second were refused as beyond their share. An organisation counted as backlogged while it had asked for 1.25 times what it got over 2.5 s; one whose flood was over, or that was refused a large request, held all others at 1.2 times its service. What was refused came back and was asked for again, so the shares stayed closed until a restart forgot the counts. Change: reports tell what was refused a moment ago; backlogged is who is refused a tenth of what it asks and gets less than two thirds of it; the one that got least is not refused for a request's size. The test of an organisation far ahead elsewhere now tells what was refused, as reports do.

--- a/src/kingcupgrade/coordination/fleet/totals.rs
+++ b/src/kingcupgrade/coordination/fleet/totals.rs
@@ -263,6 +263,7 @@
     loads: BTreeMap<UpstreamName, [i64; 3]>,
     served: BTreeMap<Organisation, f64>,
     asked: BTreeMap<Organisation, f64>,
+    refused: BTreeMap<Organisation, f64>,
 }
 
 impl Sum {
@@ -273,7 +274,11 @@
             let sums = self.loads.entry(name.clone()).or_default();
             sums.iter_mut().zip(amounts).for_each(|(sum, amount)| *sum += sign * amount);
         }
-        let all = [(&mut self.served, &report.served), (&mut self.asked, &report.asked)];
+        let all = [
+            (&mut self.served, &report.served),
+            (&mut self.asked, &report.asked),
+            (&mut self.refused, &report.refused),
+        ];
         for (sums, told) in all {
             for (organisation, tokens) in told {
                 *sums.entry(organisation.clone()).or_default() += sign as f64 * f64::from(*tokens);
@@ -297,6 +302,7 @@
             served: tokens(&self.served),
             asked: tokens(&self.asked),
             kept: Vec::new(),
+            refused: tokens(&self.refused),
         }
     }
 }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -228,6 +228,7 @@
             served: self.shares.served(now),
             asked: self.shares.asked(now),
             kept: Vec::new(),
+            refused: self.shares.refused(now),
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/others.rs
+++ b/src/kingcupgrade/coordination/traffic/others.rs
@@ -23,6 +23,8 @@
     pub asked: f64,
     /// Served.
     pub served: f64,
+    /// Refused a moment ago.
+    pub refused: f64,
 }
 
 /// The other entries' reports.
@@ -87,6 +89,9 @@
         for (organisation, served) in &report.served {
             self.told_mut(organisation).served += sign * f64::from(*served);
         }
+        for (organisation, refused) in &report.refused {
+            self.told_mut(organisation).refused += sign * f64::from(*refused);
+        }
     }
 
     fn told_mut(&mut self, organisation: &Organisation) -> &mut Told {
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -62,9 +62,11 @@
             Ok(verdict) => Some(verdict),
             Err(NoPlace::Nobody) => Some(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)),
             Err(NoPlace::Full) if standing == Standing::Beyond => {
+                self.shares.on_refused(now, &demand.organisation, work);
                 Some(refuse(Code::OverShare, RETRY_AFTER_SHARE))
             }
             Err(NoPlace::Full) if self.waiting.len() >= MAX_WAITING => {
+                self.shares.on_refused(now, &demand.organisation, work);
                 Some(refuse(Code::QueueFull, RETRY_AFTER))
             }
             Err(NoPlace::Full) => {
@@ -131,6 +133,8 @@
                     out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
                 }
                 Err(NoPlace::Full) if now >= waiting.until => {
+                    let Demand { organisation, .. } = &waiting.demand;
+                    self.shares.on_refused(now, organisation, waiting.demand.work());
                     out.push((no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
                 }
                 Err(NoPlace::Full) => self.waiting.push(waiting),
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -23,9 +23,15 @@
 /// capacity is not there, and an even share of it would let whoever comes first take all. Above 1,
 /// so that the level rises again once they are back.
 const GROWTH: f64 = 1.15;
+/// The span over which refusals are counted: an organisation that was refused before it, and is
+/// served now, holds nobody back.
+const REFUSED_SPAN: Millis = Millis(500);
 /// An organisation is backlogged if it asked for this many times what it got, and for more than
-/// its promised share.
-const BACKLOG: f64 = 1.25;
+/// its promised share, and is refused now. One that gets most of what it asks for holds nobody
+/// back: a request of it may be refused for its size alone.
+const BACKLOG: f64 = 1.5;
+/// It is refused now if this part of what it asks for is.
+const REFUSED_PART: f64 = 0.1;
 
 /// Where an organisation stands with one more request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,6 +50,16 @@
     asked: f64,
     /// Served by the other entries, in tokens.
     served_elsewhere: f64,
+    /// Refused by all entries a moment ago, in tokens.
+    refused: f64,
+}
+
+impl Counts {
+    /// Tells whether a part worth counting of what is asked for now is refused.
+    fn is_refused(&self) -> bool {
+        let asked = self.asked * REFUSED_SPAN.0 as f64 / SHARE_SPAN.0 as f64;
+        self.refused > asked * REFUSED_PART
+    }
 }
 
 /// What one entry knows of all organisations' asking and getting.
@@ -51,6 +67,7 @@
 pub struct Shares {
     asked: BTreeMap<Organisation, Fading>,
     served: BTreeMap<Organisation, Fading>,
+    refused: BTreeMap<Organisation, Fading>,
     counts: BTreeMap<Organisation, Counts>,
     /// The most that one organisation gets of the capacity that is promised, in the span.
     promised_level: f64,
@@ -65,12 +82,17 @@
 impl Shares {
     /// Counts what a request asks for.
     pub fn on_asked(&mut self, now: Millis, organisation: &Organisation, work: f64) {
-        count(&mut self.asked, now, organisation, work);
+        count(&mut self.asked, now, organisation, work, SHARE_SPAN);
+    }
+
+    /// Counts what is refused for want of room or of a share.
+    pub fn on_refused(&mut self, now: Millis, organisation: &Organisation, work: f64) {
+        count(&mut self.refused, now, organisation, work, REFUSED_SPAN);
     }
 
     /// Counts what a request is given; negative where it took less than was counted before.
     pub fn on_served(&mut self, now: Millis, organisation: &Organisation, work: f64) {
-        count(&mut self.served, now, organisation, work);
+        count(&mut self.served, now, organisation, work, SHARE_SPAN);
     }
 
     /// Works the levels out again if that is due. `capacity` is what is promised, in tokens a
@@ -89,6 +111,11 @@
             let counts = self.counts.entry(organisation.clone()).or_default();
             counts.asked += told.asked;
             counts.served_elsewhere += told.served;
+            counts.refused += told.refused;
+        }
+        for (organisation, refused) in &self.refused {
+            let counts = self.counts.entry(organisation.clone()).or_default();
+            counts.refused += refused.get(now, REFUSED_SPAN);
         }
         let asked: Vec<f64> = self.counts.values().map(|counts| counts.asked).collect();
         let promised = capacity * SHARE_SPAN.0 as f64 / 1000.0;
@@ -102,7 +129,8 @@
         let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
             let served = counts.served_elsewhere + self.own(now, organisation);
             let is_limited = counts.asked > self.promised_level;
-            (is_limited && counts.asked > served * BACKLOG).then_some(served)
+            let is_short = counts.asked > served * BACKLOG;
+            (is_limited && is_short && counts.is_refused()).then_some(served)
         });
         let least = backlogged.fold(f64::INFINITY, f64::min);
         self.spare_level = self.promised_level.max(least * GAP);
@@ -112,11 +140,13 @@
     pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
         // Half of the request, so that one larger than a share is not shut out for good.
-        let served = counts.served_elsewhere + self.own(now, organisation) + work / 2.0;
+        let before = counts.served_elsewhere + self.own(now, organisation);
+        let served = before + work / 2.0;
         if counts.asked <= self.even_level || served <= self.even_level {
             return Standing::Within;
         }
-        if counts.asked <= self.promised_level || served <= self.spare_level {
+        // Without the request itself: the one that got least is never held back for its size.
+        if counts.asked <= self.promised_level || before <= self.spare_level {
             Standing::Fair
         } else {
             Standing::Beyond
@@ -130,12 +160,17 @@
 
     /// Returns what all organisations asked for here of late, in tokens.
     pub fn asked(&self, now: Millis) -> Vec<(Organisation, f32)> {
-        told(&self.asked, now)
+        told(&self.asked, now, SHARE_SPAN)
     }
 
     /// Returns what all organisations were given here of late, in tokens.
     pub fn served(&self, now: Millis) -> Vec<(Organisation, f32)> {
-        told(&self.served, now)
+        told(&self.served, now, SHARE_SPAN)
+    }
+
+    /// Returns what was refused to all organisations here a moment ago, in tokens.
+    pub fn refused(&self, now: Millis) -> Vec<(Organisation, f32)> {
+        told(&self.refused, now, REFUSED_SPAN)
     }
 }
 
@@ -144,21 +179,26 @@
     now: Millis,
     organisation: &Organisation,
     work: f64,
+    span: Millis,
 ) {
     match counts.get_mut(organisation) {
-        Some(count) => count.add(now, work, SHARE_SPAN),
+        Some(count) => count.add(now, work, span),
         None => {
             let mut count = Fading::default();
-            count.add(now, work, SHARE_SPAN);
+            count.add(now, work, span);
             counts.insert(organisation.clone(), count);
         }
     }
 }
 
-fn told(counts: &BTreeMap<Organisation, Fading>, now: Millis) -> Vec<(Organisation, f32)> {
-    let now_counts = counts.iter().map(|(organisation, count)| {
-        (organisation.clone(), count.get(now, SHARE_SPAN).max(0.0) as f32)
-    });
+fn told(
+    counts: &BTreeMap<Organisation, Fading>,
+    now: Millis,
+    span: Millis,
+) -> Vec<(Organisation, f32)> {
+    let now_counts = counts
+        .iter()
+        .map(|(organisation, count)| (organisation.clone(), count.get(now, span).max(0.0) as f32));
     now_counts.filter(|(_, count)| *count >= 1.0).collect()
 }
 
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -85,6 +85,9 @@
     /// Shared parts of prompts that upstreams keep since they were last told of.
     #[serde(rename = "k", default)]
     pub kept: Vec<KeptParts>,
+    /// Tokens refused to each organisation a moment ago, fading with time.
+    #[serde(rename = "f", default)]
+    pub refused: Vec<(Organisation, f32)>,
 }
 
 /// What all entries of the fleet have under way together.
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -406,6 +406,7 @@
     let report = LoadReport {
         served: vec![told("ahead", 900_000.0), told("behind", 100_000.0)],
         asked: vec![told("ahead", 2_000_000.0), told("behind", 2_000_000.0)],
+        refused: vec![told("ahead", 200_000.0), told("behind", 200_000.0)],
         ..LoadReport::default()
     };
     traffic.on_report(Millis(100), "e-127.0.0.9".into(), report);
