--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -18,7 +18,7 @@
 const BUDGET_FAIR: f64 = 0.6;
 /// The most that a request beyond its share lets an engine read again, as a part of its own work.
 /// Capacity is spare only as long as using it wastes little of it.
-const AGAIN_FAIR: f64 = 0.35;
+const AGAIN_FAIR: f64 = 0.0;
 /// Requests that may wait at one entry; more than can be served within any target.
 const MAX_WAITING: usize = 400;
 /// Requests looked at in one turn: a small processor must not spend it on looking.
