Learn an engine's speed from small amounts that are read sooner than expected

Cause: found by tests/testsuite/load.rs: after one overload the learned read rate stood at its floor. Believed slow, engines got single small requests, and amounts under 4,000 tokens told nothing: 24 of 42 requests a second were served with engines half idle, for good. Change: amounts over 1,000 tokens count too, if they come sooner than expected. Test: engines_that_were_overrun_once_are_not_believed_slow_for_good, failed before.

--- a/src/kingcupgrade/coordination/traffic/engine.rs
+++ b/src/kingcupgrade/coordination/traffic/engine.rs
@@ -13,8 +13,11 @@
 const READ_RATES: (f64, f64) = (20.0, 160.0);
 /// The time to a first event that doesn't depend on the prompt, in milliseconds.
 const FIRST_EVENT_BASE: f64 = 80.0;
-/// Answers with less to read than this say nothing about the rate, in tokens.
+/// Answers with less to read than this say nothing about the rate, in tokens, unless they come
+/// sooner than expected.
 const TELLING_TOKENS: u64 = 4_000;
+/// Answers with less to read than this say nothing at all.
+const LEAST_TOKENS: u64 = 1_000;
 /// The weight of one answer.
 const GAIN: f64 = 0.05;
 
@@ -32,8 +35,12 @@
 
 impl EngineSpeed {
     /// Learns from the time to a first event; `tokens` were to be read until then.
+    ///
+    /// An engine thought slow gets little at a time. Were only large amounts to tell its rate, one
+    /// overload would be believed for good.
     pub fn on_first_event(&mut self, tokens: u64, took: Millis) {
-        if tokens < TELLING_TOKENS {
+        let is_sooner = (took.0 as f64) < self.first_event_ms(tokens);
+        if tokens < LEAST_TOKENS || (tokens < TELLING_TOKENS && !is_sooner) {
             return;
         }
         let reading = (took.0 as f64 - FIRST_EVENT_BASE).max(1.0);
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use kingcupgrade::{
-    coordination::traffic::{RequestNo, SendEnd, Traffic, Verdict},
+    coordination::traffic::{EngineSpeed, RequestNo, SendEnd, Traffic, Verdict},
     core::{Millis, UpstreamName},
 };
 
@@ -165,3 +165,18 @@
     assert_eq!(refused, 0, "{seconds:?}");
     assert!(on_time >= 3 * 42 * 9 / 10, "{seconds:?}");
 }
+
+/// The pattern: engines are overrun once, then get little at a time. Guards against believing them
+/// slow for good: nothing that is sent to a slow engine would show that it is not.
+#[test]
+fn engines_that_were_overrun_once_are_not_believed_slow_for_good() {
+    let mut speed = EngineSpeed::default();
+    for _ in 0..200 {
+        speed.on_first_event(6_000, Millis(900));
+    }
+    assert!(speed.read_rate() < 25.0);
+    for _ in 0..200 {
+        speed.on_first_event(2_000, Millis(130));
+    }
+    assert!(speed.read_rate() > 35.0, "{}", speed.read_rate());
+}
