Ask refused callers back when room is expected

Cause: six late answers of ten were refused first and came back after 0.7 or 2 s, past targets of 0.5 to 1 s. Change: Retry-After is the time until the soonest engine has read what it was sent, or until what the organisation got has faded to its level; within 120 ms and 1.5 s. Test: a_caller_beyond_its_share_is_asked_back_when_there_is_room.

--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -118,6 +118,19 @@
         best.map(|(_, name)| name).ok_or(NoPlace::Full)
     }
 
+    /// Returns how long it takes until the first of the upstreams has read what it was sent.
+    pub(super) fn room_in(&mut self, now: Millis, demand: &Demand) -> Millis {
+        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let names = self.usable(now, demand);
+        let unread = names.iter().filter_map(|name| {
+            let upstream = self.upstreams.get_mut(name)?;
+            upstream.let_read(now, speed.read_rate());
+            Some(upstream.unread())
+        });
+        let least = unread.min().unwrap_or(0);
+        Millis((least as f64 / speed.read_rate()) as u64)
+    }
+
     /// Lists the upstreams that may get a request: ready, in service, and not failing unless most
     /// of them fail.
     fn usable(&self, now: Millis, demand: &Demand) -> Vec<UpstreamName> {
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -29,12 +29,11 @@
 /// Upstreams looked at in one turn, each a quarter of a microsecond: under a fiftieth of the time
 /// between two turns.
 const MAX_UPSTREAM_LOOKS: usize = 600;
-/// When to come back after a refusal for want of room: the load of an engine turns over in this
-/// time.
-const RETRY_AFTER: Millis = Millis(700);
-/// When to come back after a refusal for being beyond a share: by then half of the span in which
-/// shares are counted has passed.
-const RETRY_AFTER_SHARE: Millis = Millis(2_000);
+/// The soonest that a refused caller is asked back: sooner, what it was refused on has not changed.
+const SOONEST_RETURN: Millis = Millis(120);
+/// The latest: a caller that comes back later gets its answer too late anyway, and what is foreseen
+/// for longer is a guess.
+const LATEST_RETURN: Millis = Millis(1_500);
 /// When to come back after a refusal because no upstream is there: restarts take seconds.
 const RETRY_AFTER_NOBODY: Millis = Millis(1_000);
 
@@ -63,11 +62,13 @@
             Err(NoPlace::Nobody) => Some(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)),
             Err(NoPlace::Full) if standing == Standing::Beyond => {
                 self.shares.on_refused(now, &demand.organisation, work);
-                Some(refuse(Code::OverShare, RETRY_AFTER_SHARE))
+                let room_in = self.shares.room_in(now, &demand.organisation);
+                Some(refuse(Code::OverShare, return_in(room_in)))
             }
             Err(NoPlace::Full) if self.waiting.len() >= MAX_WAITING => {
                 self.shares.on_refused(now, &demand.organisation, work);
-                Some(refuse(Code::QueueFull, RETRY_AFTER))
+                let room_in = self.room_in(now, &demand);
+                Some(refuse(Code::QueueFull, return_in(room_in)))
             }
             Err(NoPlace::Full) => {
                 self.wait(demand, standing);
@@ -135,7 +136,8 @@
                 Err(NoPlace::Full) if now >= waiting.until => {
                     let Demand { organisation, .. } = &waiting.demand;
                     self.shares.on_refused(now, organisation, waiting.demand.work());
-                    out.push((no, refuse(Code::DeadlineQueued, RETRY_AFTER)));
+                    let room_in = self.room_in(now, &waiting.demand);
+                    out.push((no, refuse(Code::DeadlineQueued, return_in(room_in))));
                 }
                 Err(NoPlace::Full) => self.waiting.push(waiting),
             }
@@ -143,6 +145,11 @@
     }
 }
 
+/// Returns when a caller is asked back, if room is expected after so long.
+fn return_in(room_in: Millis) -> Millis {
+    room_in.clamp(SOONEST_RETURN, LATEST_RETURN)
+}
+
 fn refuse(code: Code, retry_after: Millis) -> Verdict {
     Verdict::Refuse { code, retry_after }
 }
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -153,6 +153,16 @@
         }
     }
 
+    /// Returns how long it takes until an organisation beyond its share has room in it again, if it
+    /// gets nothing meanwhile.
+    pub fn room_in(&self, now: Millis, organisation: &Organisation) -> Millis {
+        let Some(counts) = self.counts.get(organisation) else { return Millis::ZERO };
+        let served = counts.served_elsewhere + self.own(now, organisation);
+        let level = self.spare_level.max(1.0);
+        let spans = (served / level).max(1.0).ln();
+        Millis((spans * SHARE_SPAN.0 as f64) as u64)
+    }
+
     /// Returns what an organisation was given by this entry in the span, in tokens.
     fn own(&self, now: Millis, organisation: &Organisation) -> f64 {
         self.served.get(organisation).map_or(0.0, |served| served.get(now, SHARE_SPAN))
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -67,3 +67,23 @@
     let ahead = traffic.admit(now, demand(2, now, "ahead", 5, 100));
     assert!(over_share(&ahead), "{ahead:?}");
 }
+
+/// Guards against callers that are asked back long after there is room for them, past their target,
+/// or so soon that they are refused again.
+#[test]
+fn a_caller_beyond_its_share_is_asked_back_when_there_is_room() {
+    let returns_after = |ahead: f32| {
+        let counts =
+            [("least", 140_000.0, 900_000.0, 50_000.0), ("ahead", ahead, 900_000.0, 50_000.0)];
+        let now = Millis(110);
+        match hearing(&counts).admit(now, demand(1, now, "ahead", 5, 100)) {
+            Some(Verdict::Refuse { code: Code::OverShare, retry_after }) => retry_after,
+            other => panic!("not refused for its share: {other:?}"),
+        }
+    };
+    let (little, much, far) =
+        (returns_after(172_000.0), returns_after(220_000.0), returns_after(800_000.0));
+    assert!(little < Millis(200), "{little:?}");
+    assert!(much > little && much < Millis(900), "{much:?}");
+    assert!(far > much, "{far:?}");
+}
