Hold nobody far ahead of one that is short where reports are late

Reports in a fleet of 66 are 200 ms and more old; whenever nobody seemed refused the shares opened, and the one with most callers took it. Ruled out: overload of entries (no line), refusals that are not counted (all are K3008 and K3002).

--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -6,7 +6,10 @@
 //! its target any more is refused at once, with the time at which room is expected.
 
 use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict, placement::Terms};
-use crate::core::{Code, Millis};
+use crate::{
+    coordination::fleet::share_interval,
+    core::{Code, Millis},
+};
 
 /// The part of the time to its target that a request within its share may wait; what is left must
 /// do for the reading of its prompt.
@@ -79,7 +82,8 @@
 
     fn refresh_shares(&mut self, now: Millis) {
         let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
-        self.shares.refresh(now, capacity, self.others.told());
+        let interval = share_interval(self.entry_count());
+        self.shares.refresh(now, capacity, self.others.told(), interval);
     }
 
     /// Starts a request if there is room for one of its standing.
