--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -6,10 +6,7 @@
 //! its target any more is refused at once, with the time at which room is expected.
 
 use super::{Demand, NoPlace, RequestNo, Standing, Traffic, Verdict, placement::Terms};
-use crate::{
-    coordination::fleet::share_interval,
-    core::{Code, Millis},
-};
+use crate::core::{Code, Millis};
 
 /// The part of the time to its target that a request within its share may wait; what is left must
 /// do for the reading of its prompt.
@@ -82,8 +79,7 @@
 
     fn refresh_shares(&mut self, now: Millis) {
         let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
-        let interval = share_interval(self.entry_count());
-        self.shares.refresh(now, capacity, self.others.told(), interval);
+        self.shares.refresh(now, capacity, self.others.told());
     }
 
     /// Starts a request if there is room for one of its standing.
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -19,12 +19,6 @@
 /// beyond its promised share. Above 1, so that they can rise together; the gap between any two
 /// stays below it.
 const GAP: f64 = 1.2;
-/// An organisation gets at most this many times what the one that got least does of those that got
-/// less than a part of what they asked for, refused now or not, where reports are late: who is
-/// refused now is not known in time, and one with many callers takes all that opens meanwhile.
-const WIDE_GAP: f64 = 1.6;
-/// That part is one in this many.
-const FAR_SHORT: f64 = 2.0;
 /// What is served may be this many times what was served of late: with upstreams lost, the promised
 /// capacity is not there, and an even share of it would let whoever comes first take all. Above 1,
 /// so that the level rises again once they are back.
@@ -103,15 +97,7 @@
 
     /// Works the levels out again if that is due. `capacity` is what is promised, in tokens a
     /// second; 0 if nothing is.
-    ///
-    /// `interval` is how often entries tell each other.
-    pub fn refresh(
-        &mut self,
-        now: Millis,
-        capacity: f64,
-        others: &BTreeMap<Organisation, Told>,
-        interval: Millis,
-    ) {
+    pub fn refresh(&mut self, now: Millis, capacity: f64, others: &BTreeMap<Organisation, Told>) {
         if self.refreshed.is_some_and(|at| now.since(at) < REFRESH) {
             return;
         }
@@ -140,24 +126,14 @@
             .map(|(organisation, counts)| counts.served_elsewhere + self.own(now, organisation))
             .sum();
         self.even_level = self.promised_level.min(max_min_level(asked, served * GROWTH));
-        let limited: Vec<(&Counts, f64)> = self
-            .counts
-            .iter()
-            .filter(|(_, counts)| counts.asked > self.promised_level)
-            .map(|(name, counts)| (counts, counts.served_elsewhere + self.own(now, name)))
-            .collect();
-        let least_of = |is_meant: &dyn Fn(&Counts, f64) -> bool| {
-            let meant = limited.iter().filter(|(counts, served)| is_meant(counts, *served));
-            meant.map(|(_, served)| *served).fold(f64::INFINITY, f64::min)
-        };
-        let backlogged =
-            least_of(&|counts, served| counts.asked > served * BACKLOG && counts.is_refused());
-        let far_short = least_of(&|counts, served| counts.asked > served * FAR_SHORT);
-        let level = match interval > REFRESH {
-            true => (backlogged * GAP).min(far_short * WIDE_GAP),
-            false => backlogged * GAP,
-        };
-        self.spare_level = self.promised_level.max(level);
+        let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
+            let served = counts.served_elsewhere + self.own(now, organisation);
+            let is_limited = counts.asked > self.promised_level;
+            let is_short = counts.asked > served * BACKLOG;
+            (is_limited && is_short && counts.is_refused()).then_some(served)
+        });
+        let least = backlogged.fold(f64::INFINITY, f64::min);
+        self.spare_level = self.promised_level.max(least * GAP);
     }
 
     /// Tells where an organisation stands with one more request.
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -6,7 +6,7 @@
     protocol::fleet::LoadReport,
 };
 
-use crate::traffic::{demand, entries, place, traffic};
+use crate::traffic::{demand, place, traffic};
 
 /// Tokens a second that are promised.
 const PROMISED: f64 = 100_000.0;
@@ -87,18 +87,3 @@
     assert!(much > little && much < Millis(900), "{much:?}");
     assert!(far > much, "{far:?}");
 }
-
-/// Guards against an organisation with many callers that takes twice what another one gets in a
-/// large fleet: who is refused now is told late there, and all that opens meanwhile is taken.
-#[test]
-fn in_a_large_fleet_nobody_gets_far_ahead_of_one_that_is_short() {
-    let counts = [("short", 200_000.0, 900_000.0, 0.0), ("many", 360_000.0, 4_000_000.0, 90_000.0)];
-    let now = Millis(110);
-    let refused_in = |fleet: usize| {
-        let mut traffic = hearing(&counts);
-        traffic.set_entries(entries(fleet));
-        place(traffic.admit(now, demand(1, now, "many", 5, 100))).is_none()
-    };
-    assert!(refused_in(66));
-    assert!(!refused_in(8), "a small fleet knows in time who is refused");
-}
