--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -33,7 +33,7 @@
 /// One that has heard of no leader since its start waits only for as long as a leader's next
 /// heartbeat takes to reach it: after a common stop nobody leads, and callers wait. Where somebody
 /// does, the others refuse it before it disturbs anyone.
-pub const FIRST_ELECTION_MIN: Millis = Millis(2 * HEARTBEAT.0);
+const FIRST_ELECTION_MIN: Millis = Millis(2 * HEARTBEAT.0);
 /// Each of these waits is longer by a random part of this.
 const FIRST_ELECTION_SPREAD: u64 = 2 * HEARTBEAT.0;
 /// A leader not confirmed by a majority for this long steps down.
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -53,8 +53,8 @@
 pub(super) struct Terms {
     /// The part of the time left to its target in which its first event must be expected.
     pub(super) budget: f64,
-    /// The most tokens that are read again, as a part of the request's own work.
-    pub(super) again: f64,
+    /// Whether shared parts may be read again.
+    pub(super) may_read_again: bool,
 }
 
 /// Ranks an upstream for a shared part, the same on every entry.
@@ -175,8 +175,7 @@
     let unread =
         if fit.place == 0 { own_part } else { upstream.unread_of(now, demand).max(own_part) };
     let again = (unread - own_part) as f64;
-    let own_work = own_part as f64 + 2.0 * f64::from(demand.output);
-    if again > own_work * fit.terms.again {
+    if again > 0.0 && !fit.terms.may_read_again {
         return None;
     }
     let left = fit.left * fit.terms.budget;
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -16,9 +16,6 @@
 /// The part of the time to its target in which the first event of a request beyond its share must
 /// be expected, so that what it adds is read before those within theirs have to wait.
 const BUDGET_FAIR: f64 = 0.6;
-/// The most that a request beyond its share lets an engine read again, as a part of its own work.
-/// Capacity is spare only as long as using it wastes little of it.
-const AGAIN_FAIR: f64 = 0.0;
 /// Requests that may wait at one entry; more than can be served within any target.
 const MAX_WAITING: usize = 400;
 /// Requests looked at in one turn: a small processor must not spend it on looking.
@@ -61,14 +58,10 @@
             Ok(verdict) => Some(verdict),
             Err(NoPlace::Nobody) => Some(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)),
             Err(NoPlace::Full) if standing == Standing::Beyond => {
-                self.shares.on_refused(now, &demand.organisation, work);
-                let room_in = self.shares.room_in(now, &demand.organisation);
-                Some(refuse(Code::OverShare, return_in(room_in)))
+                Some(self.refuse_for_now(now, Code::OverShare, &demand))
             }
             Err(NoPlace::Full) if self.waiting.len() >= MAX_WAITING => {
-                self.shares.on_refused(now, &demand.organisation, work);
-                let room_in = self.room_in(now, &demand);
-                Some(refuse(Code::QueueFull, return_in(room_in)))
+                Some(self.refuse_for_now(now, Code::QueueFull, &demand))
             }
             Err(NoPlace::Full) => {
                 self.wait(demand, standing);
@@ -89,16 +82,27 @@
         demand: &Demand,
         standing: Standing,
     ) -> Result<Verdict, NoPlace> {
-        let (budget, again) = match standing {
-            Standing::Within => (1.0, f64::INFINITY),
-            Standing::Fair => (BUDGET_FAIR, AGAIN_FAIR),
+        let terms = match standing {
+            Standing::Within => Terms { budget: 1.0, may_read_again: true },
+            // Capacity is not spare where using it takes reading what another engine keeps.
+            Standing::Fair => Terms { budget: BUDGET_FAIR, may_read_again: false },
             Standing::Beyond => return Err(NoPlace::Full),
         };
-        let name = self.place(now, demand, Terms { budget, again })?;
+        let name = self.place(now, demand, terms)?;
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NOBODY), Verdict::Start))
     }
 
+    /// Refuses a request for want of room or of a share, until there is some.
+    fn refuse_for_now(&mut self, now: Millis, code: Code, demand: &Demand) -> Verdict {
+        self.shares.on_refused(now, &demand.organisation, demand.work());
+        let room_in = match code {
+            Code::OverShare => self.shares.room_in(now, &demand.organisation),
+            _ => self.room_in(now, demand),
+        };
+        refuse(code, room_in.clamp(SOONEST_RETURN, LATEST_RETURN))
+    }
+
     fn wait(&mut self, demand: Demand, standing: Standing) {
         let part = if standing == Standing::Within { WAIT_PART } else { WAIT_PART_BEYOND };
         let span = demand.target.since(demand.arrived).0 as f64 * part;
@@ -134,10 +138,7 @@
                     out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NOBODY)));
                 }
                 Err(NoPlace::Full) if now >= waiting.until => {
-                    let Demand { organisation, .. } = &waiting.demand;
-                    self.shares.on_refused(now, organisation, waiting.demand.work());
-                    let room_in = self.room_in(now, &waiting.demand);
-                    out.push((no, refuse(Code::DeadlineQueued, return_in(room_in))));
+                    out.push((no, self.refuse_for_now(now, Code::DeadlineQueued, &waiting.demand)));
                 }
                 Err(NoPlace::Full) => self.waiting.push(waiting),
             }
@@ -145,11 +146,6 @@
     }
 }
 
-/// Returns when a caller is asked back, if room is expected after so long.
-fn return_in(room_in: Millis) -> Millis {
-    room_in.clamp(SOONEST_RETURN, LATEST_RETURN)
-}
-
 fn refuse(code: Code, retry_after: Millis) -> Verdict {
     Verdict::Refuse { code, retry_after }
 }
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -123,11 +123,11 @@
         let served: f64 = self
             .counts
             .iter()
-            .map(|(organisation, counts)| counts.served_elsewhere + self.own(now, organisation))
+            .map(|(organisation, counts)| self.served_in_all(now, organisation, counts))
             .sum();
         self.even_level = self.promised_level.min(max_min_level(asked, served * GROWTH));
         let backlogged = self.counts.iter().filter_map(|(organisation, counts)| {
-            let served = counts.served_elsewhere + self.own(now, organisation);
+            let served = self.served_in_all(now, organisation, counts);
             let is_limited = counts.asked > self.promised_level;
             let is_short = counts.asked > served * BACKLOG;
             (is_limited && is_short && counts.is_refused()).then_some(served)
@@ -139,8 +139,8 @@
     /// Tells where an organisation stands with one more request.
     pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
+        let before = self.served_in_all(now, organisation, counts);
         // Half of the request, so that one larger than a share is not shut out for good.
-        let before = counts.served_elsewhere + self.own(now, organisation);
         let served = before + work / 2.0;
         if counts.asked <= self.even_level || served <= self.even_level {
             return Standing::Within;
@@ -157,12 +157,17 @@
     /// gets nothing meanwhile.
     pub fn room_in(&self, now: Millis, organisation: &Organisation) -> Millis {
         let Some(counts) = self.counts.get(organisation) else { return Millis::ZERO };
-        let served = counts.served_elsewhere + self.own(now, organisation);
+        let served = self.served_in_all(now, organisation, counts);
         let level = self.spare_level.max(1.0);
         let spans = (served / level).max(1.0).ln();
         Millis((spans * SHARE_SPAN.0 as f64) as u64)
     }
 
+    /// Returns what an organisation was given by all entries in the span, in tokens.
+    fn served_in_all(&self, now: Millis, organisation: &Organisation, counts: &Counts) -> f64 {
+        counts.served_elsewhere + self.own(now, organisation)
+    }
+
     /// Returns what an organisation was given by this entry in the span, in tokens.
     fn own(&self, now: Millis, organisation: &Organisation) -> f64 {
         self.served.get(organisation).map_or(0.0, |served| served.get(now, SHARE_SPAN))
--- a/tests/testsuite/members.rs
+++ b/tests/testsuite/members.rs
@@ -23,16 +23,22 @@
     leader.on_message(now, &message, &mut Vec::<ConsensusOutput>::new());
 }
 
+/// Returns a leader that has added a replica as a learner.
+fn leader_that_added(now: Millis, replica: u64, out: &mut Vec<ConsensusOutput>) -> Consensus {
+    let mut leader = leader();
+    hello(&mut leader, now, replica);
+    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
+    leader.tick(now + Millis(10), out);
+    leader
+}
+
 /// A replica is added and its disk is lost before it gets a vote, so an operator removes it and adds
 /// the one that came back in its place. If that one has not been heard yet, the lost one must not
 /// be added a second time: it never catches up, and the record stays one vote short for good.
 #[test]
 fn a_replica_that_was_removed_is_not_added_again_for_its_last_hello() {
-    let mut leader = leader();
     let (now, out) = (Millis(5_100), &mut Vec::new());
-    hello(&mut leader, now, 77);
-    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
-    leader.tick(now + Millis(10), out);
+    let mut leader = leader_that_added(now, 77, out);
     leader.remove_member(now + Millis(20), 1, &"b".into(), Some(77), out).expect("a member");
     leader.tick(now + Millis(30), out);
     let again = leader.add_member(now + Millis(40), 1, &"b".into(), out);
@@ -47,11 +53,8 @@
 /// operator would believe that nothing was added, and try for good.
 #[test]
 fn adding_a_replica_again_after_a_lost_answer_is_accepted_and_changes_nothing() {
-    let mut leader = leader();
     let (now, out) = (Millis(5_100), &mut Vec::new());
-    hello(&mut leader, now, 77);
-    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
-    leader.tick(now + Millis(10), out);
+    let mut leader = leader_that_added(now, 77, out);
     let members = leader.members().to_vec();
     leader.add_member(now + Millis(20), 1, &"b".into(), out).expect("a resend");
     assert_eq!(leader.members(), members);
@@ -61,11 +64,8 @@
 /// again.
 #[test]
 fn removing_a_replica_again_after_a_lost_answer_is_accepted_and_changes_nothing() {
-    let mut leader = leader();
     let (now, out) = (Millis(5_100), &mut Vec::new());
-    hello(&mut leader, now, 77);
-    leader.add_member(now, 1, &"b".into(), out).expect("a replica that was heard");
-    leader.tick(now + Millis(10), out);
+    let mut leader = leader_that_added(now, 77, out);
     leader.remove_member(now + Millis(20), 1, &"b".into(), Some(77), out).expect("a member");
     leader.tick(now + Millis(30), out);
     let members = leader.members().to_vec();
