--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -80,6 +80,11 @@
         self.neighbours = neighbours;
     }
 
+    /// Returns the control instance that is asked for the configuration.
+    pub fn source(&self) -> Option<&Instance> {
+        self.controls.get(self.source)
+    }
+
     /// Starts a proposal and returns its number.
     pub fn propose(&mut self, now: Millis, command: Command, patience: Millis) -> u64 {
         let id = self.next_id;
@@ -165,9 +170,9 @@
         }
         self.next_pull = now + interval;
         self.pulls += 1;
-        if let Some(control) = self.controls.get(self.source) {
+        if let Some(control) = self.source().cloned() {
             self.asked = Some((control.clone(), now));
-            out.push((control.clone(), RecordMessage::Pull { have, asked: now }));
+            out.push((control, RecordMessage::Pull { have, asked: now }));
         }
         if !is_confirmed && !self.neighbours.is_empty() {
             let neighbour = &self.neighbours[self.pulls % self.neighbours.len()];
--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -1,5 +1,7 @@
 //! What goes into and comes out of one instance.
 
+use serde::Serialize;
+
 use crate::{
     coordination::control::ControlMachine,
     core::{Instance, Millis, code::CodedError},
@@ -56,4 +58,34 @@
     Heard(Instance, LoadReport),
     /// Another entry read the platform's list.
     Listed(Vec<ListedUpstream>),
+    /// Whom this instance asks for the configuration, or whether it is confirmed, changed.
+    SourceChanged(ConfigurationSource),
+    /// The part of this control instance in the record changed.
+    StandingChanged(RecordStanding),
+}
+
+/// On whose word an instance goes by its configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ConfigurationSource {
+    /// The control instance that is asked.
+    pub asks: Option<Instance>,
+    /// Whether the configuration was confirmed to be the newest of late.
+    pub is_fresh: bool,
+    /// The place in the record of the last change known.
+    pub index: u64,
+    /// How long ago it was last confirmed to be the newest; `None` if never.
+    pub confirmed_ms: Option<Millis>,
+}
+
+/// The part of a control instance in the record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RecordStanding {
+    /// The term.
+    pub term: u64,
+    /// Whom it follows; itself if it leads.
+    pub leader: Option<Instance>,
+    /// Whether it tells others that what it has is the newest.
+    pub confirms: bool,
+    /// The last entry that is final here.
+    pub commit: u64,
 }
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod io;
 mod roster;
+mod telling;
 mod totals;
 
 use std::{
@@ -15,7 +16,7 @@
 };
 
 pub use self::{
-    io::{FleetInput, FleetOutput, Ticket},
+    io::{ConfigurationSource, FleetInput, FleetOutput, RecordStanding, Ticket},
     totals::{report_ttl, share_interval},
 };
 use self::{
@@ -71,6 +72,8 @@
     own: VecDeque<Message>,
     next_join: Millis,
     told_digest: u64,
+    told_source: Option<ConfigurationSource>,
+    told_standing: Option<RecordStanding>,
     draining: bool,
 }
 
@@ -92,6 +95,8 @@
             own: VecDeque::new(),
             next_join: Millis::ZERO,
             told_digest: 0,
+            told_source: None,
+            told_standing: None,
             draining: false,
             control,
             instance,
@@ -196,6 +201,8 @@
         }
         self.roster.expire(now, self.control.is_some());
         self.tell_entries(out);
+        self.tell_source(now, out);
+        self.tell_standing(now, out);
         if now >= self.next_join {
             self.join(now, out);
         }
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -84,9 +84,14 @@
         self.orders.values()
     }
 
+    /// Returns how long ago the configuration was confirmed to be the newest, if it ever was.
+    pub fn confirmed_age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
     /// Tells whether the configuration was confirmed to be the newest of late.
     pub fn is_fresh(&self, now: Millis) -> bool {
-        self.confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
+        self.confirmed_age(now).is_some_and(|age| age <= FRESHNESS_LIMIT)
     }
 
     /// Takes in a [`RecordMessage::State`]; returns whether anything changed.
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -12,7 +12,7 @@
 };
 
 use anyhow::Context;
-use metrics::counter;
+use metrics::{counter, gauge};
 use tokio::sync::oneshot;
 
 use super::peers::{PeerConfig, PeerEvent, Peers};
@@ -206,12 +206,21 @@
                 next_tick = now + TICK;
                 self.retry_disk(now, &mut out);
                 self.node.handle(now, unix_ms(), FleetInput::Tick, &mut out);
+                self.show_state(now);
             }
             self.node.flush(self.clock.now(), unix_ms(), &mut out);
             self.carry_out(out);
         }
     }
 
+    /// Shows how far this instance's configuration is confirmed as metrics.
+    fn show_state(&self, now: Millis) {
+        let view = self.node.view();
+        gauge!("kingcup_record_index").set(view.index() as f64);
+        let age = view.confirmed_age(now).unwrap_or(now);
+        gauge!("kingcup_configuration_confirmed_age_ms").set(age.0 as f64);
+    }
+
     fn on_event(&mut self, event: Event, out: &mut Vec<FleetOutput>) {
         let input = match event {
             Event::Input(input) => input,
@@ -302,6 +311,8 @@
             }
             FleetOutput::Heard(from, report) => (self.news)(FleetNews::Heard(from, report)),
             FleetOutput::Listed(listing) => (self.news)(FleetNews::Listed(listing)),
+            FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
+            FleetOutput::StandingChanged(standing) => log::event("record-standing", &standing),
         }
     }
 }
