Enter a test of entries beside a control instance that is cut off, which fails

All seven entries asked a-1, which followed, from its cut at 34.0 s to 39.7 s, and got their next change at 40.5 s; a-1 said until 38.9 s that what it has is confirmed.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod explain;
 mod input;
+mod isolation;
 mod kept;
 mod listing;
 mod load;
