Leave a control instance that has heard nothing from the leader for 600 ms

Callers were served, or refused with 404, by a configuration up to 6.4 s older than one acknowledged.

Cause: an entry pulls its configuration from one control instance and stays with it for as long as its answers bear any confirmation. One that is cut off from the others, but not from entries, bears the last one for 5 s (MAX_AGE); after that the entry waits for the next pull, 0.8 s, to ask another. That is 5.8 to 6.6 s, where the change must be in force 2 s after its acknowledgement. The presence of an answer was taken for its being current.

Ruled out: a leader that is cut off (it steps down after 1.5 s and vouches for nothing then; the test with leaders passed before), lost pushes (every pull was answered), a configuration that is held but not gone by (place 107 all the while).

Change: what counts is when the answer was confirmed, by the asker's own clock, so an answer held up on its way counts as old as it is. Older than 600 ms, four heartbeats, and the next control instance is asked 100 ms later, until each was asked in turn; then at the usual pace.

--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::consensus::HEARTBEAT;
 use crate::{
     core::{Code, Instance, Millis, code::CodedError},
     protocol::record::{Command, RecordMessage, Reply},
@@ -18,6 +19,9 @@
 const FIRST_PULL_TIMEOUT: Millis = Millis(250);
 /// A control instance that has not answered a pull for this long is passed over.
 const PULL_TIMEOUT: Millis = Millis(1_000);
+/// So is one that knows of nothing later from the leader: it may be cut off from the others, and
+/// what they accept meanwhile has to be in force here as soon as elsewhere.
+const SOURCE_FRESHNESS: Millis = Millis(4 * HEARTBEAT.0);
 /// A proposal not answered for this long is sent to the next control instance.
 const RESEND_AFTER: Millis = Millis(700);
 /// The pause before a proposal is sent again when nobody is known to lead.
@@ -46,6 +50,8 @@
     /// The pull not answered yet: whom, when.
     asked: Option<(Instance, Millis)>,
     pulls: usize,
+    /// Control instances that were passed over since one was last found to be good.
+    passed_over: usize,
 }
 
 impl RecordClient {
@@ -63,6 +69,7 @@
             next_pull: Millis::ZERO,
             asked: None,
             pulls: 0,
+            passed_over: 0,
         }
     }
 
@@ -95,17 +102,32 @@
         id
     }
 
-    /// Notes a state that arrived from `from`; one that can't confirm itself is passed over.
-    pub fn on_state(&mut self, from: &Instance, confirms: bool) {
+    /// Notes a state that arrived from `from`, which was the newest at `confirmed`, if that is known.
+    ///
+    /// One that is too old, or vouches for nothing, makes the next control instance be asked: soon,
+    /// until each was asked in turn.
+    pub fn on_state(&mut self, now: Millis, from: &Instance, confirmed: Option<Millis>) {
         if self.asked.as_ref().is_none_or(|(instance, _)| instance != from) {
             return;
         }
         self.asked = None;
-        if !confirms {
-            self.source = (self.source + 1) % self.controls.len().max(1);
+        if confirmed.is_some_and(|confirmed| now.since(confirmed) <= SOURCE_FRESHNESS) {
+            self.passed_over = 0;
+            return;
+        }
+        self.pass_over();
+        if self.passed_over < self.controls.len() {
+            self.next_pull = self.next_pull.min(now + FIRST_PULL_INTERVAL);
+        } else {
+            self.passed_over = 0;
         }
     }
 
+    fn pass_over(&mut self) {
+        self.passed_over += 1;
+        self.source = (self.source + 1) % self.controls.len().max(1);
+    }
+
     /// Handles the answer to a proposal; returns it if the proposal was still open.
     pub fn on_answer(&mut self, now: Millis, id: u64, reply: Reply) -> Option<Reply> {
         // A leader that has lost the lead, or its disk, says nothing about the change itself.
@@ -162,7 +184,7 @@
             && now.since(*asked) > patience
         {
             self.asked = None;
-            self.source = (self.source + 1) % self.controls.len().max(1);
+            self.pass_over();
             self.next_pull = now;
         }
         if now < self.next_pull || self.asked.is_some() {
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -345,9 +345,9 @@
                     control.on_record(now, unix_ms, from, &message, outputs);
                 });
             }
-            RecordMessage::State { asked, age, .. } => {
+            RecordMessage::State { asked, .. } => {
                 if asked.is_some() && role_of(from) == Some(Role::Control) {
-                    self.client.on_state(from, age.is_some());
+                    self.client.on_state(now, from, message.confirmed());
                 }
                 if self.view.merge(&message) {
                     out.push(FleetOutput::ViewChanged);
--- a/src/kingcupgrade/coordination/node/record.rs
+++ b/src/kingcupgrade/coordination/node/record.rs
@@ -54,9 +54,9 @@
                     control.on_record(now, unix_ms, from, message, outputs);
                 });
             }
-            RecordMessage::State { asked, age, .. } => {
+            RecordMessage::State { asked, .. } => {
                 if asked.is_some() {
-                    self.client.on_state(from, age.is_some());
+                    self.client.on_state(now, from, message.confirmed());
                 }
                 if self.view.merge(message) {
                     self.on_view_changed(now, out);
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -100,15 +100,7 @@
     /// may deliver an old state late, and counted from its arrival that would look fresh.
     pub fn merge(&mut self, message: &RecordMessage) -> bool {
         let RecordMessage::State {
-            index,
-            since,
-            asked,
-            age,
-            documents,
-            domains,
-            upstreams,
-            orders,
-            whole,
+            index, since, documents, domains, upstreams, orders, whole, ..
         } = message
         else {
             return false;
@@ -138,10 +130,9 @@
         if *since > self.index {
             return changed;
         }
-        if let (Some(asked), Some(age)) = (asked, age)
+        if let Some(confirmed) = message.confirmed()
             && *index >= self.index
         {
-            let confirmed = asked.since(*age);
             self.confirmed = Some(self.confirmed.map_or(confirmed, |known| known.max(confirmed)));
         }
         self.index = self.index.max(*index);
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -323,3 +323,14 @@
         leader: Option<Instance>,
     },
 }
+
+impl RecordMessage {
+    /// Returns when a majority confirmed that this state is the newest, by the asker's clock, if
+    /// this answers a question and a majority did.
+    pub fn confirmed(&self) -> Option<Millis> {
+        match self {
+            RecordMessage::State { asked, age, .. } => Some(asked.as_ref()?.since((*age)?)),
+            _ => None,
+        }
+    }
+}
--- a/tests/testsuite/pulls.rs
+++ b/tests/testsuite/pulls.rs
@@ -37,7 +37,7 @@
     let mut client = RecordClient::new(controls.clone(), Vec::new(), 0);
     let mut out = Vec::new();
     client.pull(Millis(0), 0, false, &mut out);
-    client.on_state(&controls[0], false);
+    client.on_state(Millis(2), &controls[0], None);
     client.pull(Millis(120), 0, false, &mut out);
     let asked: Vec<&Instance> = out.iter().map(|(instance, _)| instance).collect();
     assert_eq!(asked, [&controls[0], &controls[1]]);
