Let each instance pass over control instances in an order of its own

Change: the order is the rendezvous ranking of the control instances for the instance's own name, so those that leave one spread over the rest. The offsets by which clients were spread before go.

--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -9,6 +9,7 @@
 use crate::{
     core::{Code, Instance, Millis, code::CodedError},
     protocol::record::{Command, RecordMessage, Reply},
+    util::rendezvous::ranking,
 };
 
 /// How often the configuration is pulled.
@@ -38,6 +39,10 @@
 /// The state of the client.
 #[derive(Clone, Debug)]
 pub struct RecordClient {
+    own: Instance,
+    /// In an order of this instance's own. In the same order for all, those that leave one control
+    /// instance would all go to the same next one, and in the end the whole fleet would know no
+    /// more than that one does.
     controls: Vec<Instance>,
     neighbours: Vec<Instance>,
     /// The place among `controls` that proposals go to.
@@ -55,15 +60,19 @@
 }
 
 impl RecordClient {
-    /// Makes a client of the given control instances; `neighbours` are asked as well while the
-    /// configuration is not confirmed. `offset` spreads the clients over the control instances.
-    pub fn new(controls: Vec<Instance>, neighbours: Vec<Instance>, offset: usize) -> RecordClient {
-        let start = offset % controls.len().max(1);
+    /// Makes the client of instance `own` of the given control instances; `neighbours` are asked as
+    /// well while the configuration is not confirmed.
+    pub fn new(
+        own: &Instance,
+        controls: impl IntoIterator<Item = Instance>,
+        neighbours: Vec<Instance>,
+    ) -> RecordClient {
         RecordClient {
-            controls,
+            controls: ranking(own.as_str(), controls),
+            own: own.clone(),
             neighbours,
-            target: start,
-            source: start,
+            target: 0,
+            source: 0,
             next_id: 1,
             proposals: BTreeMap::new(),
             next_pull: Millis::ZERO,
@@ -75,7 +84,12 @@
 
     /// Replaces the instances that are asked, going on with the same ones where they are still
     /// there.
-    pub fn set_instances(&mut self, controls: Vec<Instance>, neighbours: Vec<Instance>) {
+    pub fn set_instances(
+        &mut self,
+        controls: impl IntoIterator<Item = Instance>,
+        neighbours: Vec<Instance>,
+    ) {
+        let controls = ranking(self.own.as_str(), controls);
         let place = |of: usize, controls: &[Instance], known: &[Instance]| {
             let instance = known.get(of);
             let place = instance.and_then(|i| controls.iter().position(|control| control == i));
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -82,10 +82,7 @@
     pub fn new(settings: Arc<FleetSettings>, control: Option<ControlMachine>) -> FleetNode {
         let instance = settings.instance();
         let seeds = settings.seed_instances();
-        // Instances of one failure domain mostly follow each other in address; neighbours then
-        // begin with different control instances.
-        let offset = usize::from(instance.as_str().bytes().last().unwrap_or(0));
-        let client = RecordClient::new(seeds.clone(), Vec::new(), offset);
+        let client = RecordClient::new(&instance, seeds.clone(), Vec::new());
         FleetNode {
             view: View::default(),
             client,
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -204,8 +204,8 @@
         let is_entry = own.has_role(Role::Entry);
         let residents = residents(&settings, &domain);
         let neighbours = residents.iter().filter(|i| **i != instance).cloned().collect();
-        let controls = settings.with_role(Role::Control).map(|p| p.instance.clone()).collect();
-        let offset = settings.peers.iter().position(|p| p.instance == instance).unwrap_or(0);
+        let controls = settings.with_role(Role::Control).map(|p| p.instance.clone());
+        let client = RecordClient::new(&instance, controls, neighbours);
         let entry = is_entry.then(|| EntryMachine::new(domain.clone(), incarnation));
         let leases = (is_entry && !settings.static_shares)
             .then(|| LeaseBook::new(now, incarnation, instance, &domain, residents));
@@ -219,7 +219,7 @@
             shares: BTreeMap::new(),
             homeless: BTreeMap::new(),
             control,
-            client: RecordClient::new(controls, neighbours, offset),
+            client,
             awaited: BTreeMap::new(),
             claims: BTreeMap::new(),
             claimer,
