Count what an entry turns away for want of processor time as asked for and refused

Traced: from second 16 to 22 all callers of the one that is short (loba190) come by three entries, one after the other; that entry refuses 50 to 95 in 100 of its requests for want of processor time (3006, some 900 a second at front-glenorchy-d-14 from second 17 to 20). These were refused before their organisation was looked at, so to the fleet it asked for little more than it got, was not short, and held nobody back. The one ahead (kafi361) comes by all 66 entries and took what was left.

Ruled out: large prompts that fit nowhere (3002 is a tenth of its refusals), its share (3008) alone, engines (the other one was given 2.3 M tokens a second meanwhile).

Change: the route and organisation are found first, the request counts as asked for and refused, and the line of the refusal names both.

shares::what_a_busy_entry_turns_away_holds_back_those_far_ahead failed with nothing counted.

--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -31,6 +31,9 @@
 /// The latest: a caller that comes back later gets its answer too late anyway, and what is foreseen
 /// for longer is a guess.
 const LATEST_RETURN: Millis = Millis(1_500);
+/// When to come back after an entry refused what its processor can't carry; other entries take it
+/// at once.
+const RETRY_AFTER_BUSY: Millis = Millis(50);
 /// When to come back after a refusal because no upstream is there: restarts take seconds.
 const RETRY_AFTER_NOBODY: Millis = Millis(1_000);
 
@@ -70,6 +73,18 @@
         }
     }
 
+    /// Counts a request that is refused before it is decided about, for want of this entry's
+    /// processor time, and returns when its caller is to come back.
+    ///
+    /// It counts as asked for and refused. Uncounted, an organisation whose callers all come by one
+    /// busy entry would seem to ask for little, and hold back nobody that takes its share elsewhere.
+    pub fn turn_away(&mut self, now: Millis, demand: &Demand) -> Millis {
+        let work = demand.work();
+        self.shares.on_asked(now, &demand.organisation, work);
+        self.shares.on_refused(now, &demand.organisation, work);
+        RETRY_AFTER_BUSY
+    }
+
     fn refresh_shares(&mut self, now: Millis) {
         let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
         self.shares.refresh(now, capacity, self.others.told());
--- a/src/kingcupgrade/transport/gateway/caller/mod.rs
+++ b/src/kingcupgrade/transport/gateway/caller/mod.rs
@@ -24,7 +24,7 @@
     relay::Relay,
 };
 use crate::{
-    coordination::traffic::{Demand, PromptPart, SendEnd, Verdict},
+    coordination::traffic::{Demand, PromptPart, RequestNo, SendEnd, Verdict},
     core::{
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
@@ -156,6 +156,14 @@
         self.deadline_at.since(self.arrived)
     }
 
+    /// Refuses the request for want of this entry's processor time.
+    pub(super) fn turn_away(&self) -> Response<AnswerBody<E>> {
+        // Nothing is kept of it that its number would name.
+        let demand = self.demand(0);
+        let retry_after = self.gateway.traffic.borrow_mut().turn_away(self.arrived, &demand);
+        self.refuse(Code::TooBusy, retry_after)
+    }
+
     /// Serves the request to its answer's head, or to its end where it is not streamed.
     pub(super) async fn serve(self: Rc<Caller<E>>) -> Response<AnswerBody<E>> {
         let begun = match self.obtain(None).await {
@@ -307,9 +315,9 @@
             && self.gateway.traffic.borrow_mut().try_repeat(self.gateway.now(), &self.service)
     }
 
-    async fn await_verdict(&self, ticket: &Ticket<E>) -> Verdict {
-        let demand = Demand {
-            no: ticket.no,
+    fn demand(&self, no: RequestNo) -> Demand {
+        Demand {
+            no,
             service: self.service.clone(),
             route: self.route_name.clone(),
             organisation: self.organisation.clone().unwrap_or_else(|| Organisation::from("-")),
@@ -319,7 +327,11 @@
             prompt: self.prompt.clone(),
             output: self.output,
             avoid: self.progress.borrow().avoid.clone(),
-        };
+        }
+    }
+
+    async fn await_verdict(&self, ticket: &Ticket<E>) -> Verdict {
+        let demand = self.demand(ticket.no);
         let now = self.gateway.now();
         if let Some(verdict) = self.gateway.traffic.borrow_mut().admit(now, demand) {
             return verdict;
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -47,10 +47,6 @@
 /// at once.
 const RETRY_AFTER_DRAIN: Millis = Millis(50);
 
-/// When to come back after an entry refused what its processor can't carry; other entries take it
-/// at once.
-const RETRY_AFTER_BUSY: Millis = Millis(50);
-
 /// Counts something for as long as it lives.
 struct Counted<'a>(&'a std::cell::Cell<usize>);
 
@@ -166,13 +162,11 @@
     let Some(configuration) = configuration else {
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
-    if gateway.is_too_much() {
-        return refuse(Code::TooBusy, RETRY_AFTER_BUSY);
-    }
     match Caller::new(gateway.clone(), &configuration, head, decoded, body) {
         Ok(caller) if !gateway.has_time_for(caller.patience()) => {
             refuse(Code::Draining, RETRY_AFTER_DRAIN)
         }
+        Ok(caller) if gateway.is_too_much() => Ok(caller.turn_away()),
         Ok(caller) => Ok(Rc::new(caller).serve().await),
         Err(code) => refuse(code, Millis::ZERO),
     }
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -87,3 +87,19 @@
     assert!(much > little && much < Millis(900), "{much:?}");
     assert!(far > much, "{far:?}");
 }
+
+/// Guards against an organisation whose callers all come by one busy entry: what that turns away
+/// unread seems not to be asked for, and others take what is left, many times as much.
+#[test]
+fn what_a_busy_entry_turns_away_holds_back_those_far_ahead() {
+    let counts = [("near", 150_000.0, 200_000.0, 0.0), ("wide", 800_000.0, 2_000_000.0, 50_000.0)];
+    let mut traffic = hearing(&counts);
+    let before = Millis(110);
+    assert!(place(traffic.admit(before, demand(1, before, "wide", 5, 100))).is_some());
+    for no in 2..100 {
+        traffic.turn_away(before, &demand(no, before, "near", 6, 100));
+    }
+    let after = Millis(220);
+    let ahead = traffic.admit(after, demand(100, after, "wide", 5, 100));
+    assert!(matches!(ahead, Some(Verdict::Refuse { code: Code::OverShare, .. })), "{ahead:?}");
+}
