--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod counters;
 mod demand;
+mod grants;
 mod neighbours;
 mod recovery;
 pub mod slots;
@@ -25,7 +26,7 @@
     core::{Document, FailureDomain, Instance, Millis, Organisation, UpstreamName},
     protocol::{
         Pool,
-        dispatch::{DispatchBody, DispatchMessage, Ending, Finished, Grant, GrantId, Waiting},
+        dispatch::{DispatchBody, DispatchMessage, Ending, Finished, GrantId, Waiting},
     },
     util::rendezvous::static_shares,
 };
@@ -381,97 +382,6 @@
         }
     }
 
-    /// Returns how long a request may be at an upstream before its deadline has ended it.
-    fn longest_run(&self) -> Millis {
-        Millis(self.document.limits.deadline_ms) + DEADLINE_SLACK
-    }
-
-    fn in_flight(&self, upstream: &UpstreamName) -> u32 {
-        self.in_flight.get(upstream).copied().unwrap_or(0)
-    }
-
-    fn free_slots(&self, now: Millis, name: &UpstreamName, slots: &Slots) -> u32 {
-        if self.leaving.contains(name) {
-            return 0;
-        }
-        let reserved = self.reserved.get(name).copied().unwrap_or(0);
-        slots.free(now, self.in_flight(name), reserved)
-    }
-
-    fn can_grant(&self, now: Millis) -> bool {
-        self.serving && now >= self.born + RECOVERY
-    }
-
-    /// Finds the upstream with the largest part of its limit free.
-    fn roomiest(&self, now: Millis) -> Option<&UpstreamName> {
-        let with_room = self.slots.iter().filter_map(|(name, slots)| {
-            let free = self.free_slots(now, name, slots);
-            (free > 0).then(|| (name, u64::from(free) * 1_000 / u64::from(slots.limit().max(1))))
-        });
-        with_room.max_by_key(|(_, room)| *room).map(|(name, _)| name)
-    }
-
-    /// Gives free slots, one at a time, to whoever is furthest behind.
-    fn dispatch(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
-        if !self.can_grant(now) {
-            return;
-        }
-        let mut batches: BTreeMap<Instance, Vec<Grant>> = BTreeMap::new();
-        while let Some(organisation) = self.counters.first().cloned() {
-            let Some(upstream) = self.roomiest(now).cloned() else { break };
-            let Some(entry) = self.demand.longest_queue(&organisation) else { break };
-            let grant = self.grant(now, organisation, upstream, &entry, out);
-            batches.entry(entry).or_default().push(grant);
-        }
-        for (entry, grants) in batches {
-            let Some(session) = self.demand.session(&entry) else { continue };
-            let heard = self.demand.last_report(&entry);
-            self.send(&entry, DispatchBody::Grants { session, heard, grants }, out);
-        }
-    }
-
-    fn grant(
-        &mut self,
-        now: Millis,
-        organisation: Organisation,
-        upstream: UpstreamName,
-        entry: &Instance,
-        out: &mut Vec<DispatcherOutput>,
-    ) -> Grant {
-        let counter = self.counters.key(&organisation);
-        let estimate = self.counters.charge_estimate(&organisation);
-        let charge = counters::charge(estimate, self.document.share(&organisation));
-        self.average_charge += (charge - self.average_charge) / 8;
-        self.demand.on_granted(entry, &organisation);
-        self.refresh_waiting(now, &organisation);
-        *self.in_flight.entry(upstream.clone()).or_default() += 1;
-        let id = GrantId(self.term, self.next_grant);
-        self.next_grant += 1;
-        let outstanding = Outstanding {
-            entry: entry.clone(),
-            organisation: organisation.clone(),
-            upstream: upstream.clone(),
-            estimate,
-            counted: 0,
-            granted_at: now,
-        };
-        self.outstanding.insert(id, outstanding);
-        let slots = &self.slots[&upstream];
-        out.push(DispatcherOutput::Decided(Decision::Grant {
-            service: self.pool.0.clone(),
-            failure_domain: self.pool.1.clone(),
-            term: self.term,
-            grant: id.1,
-            organisation: organisation.clone(),
-            counter,
-            entry: entry.clone(),
-            upstream: upstream.clone(),
-            in_flight: self.in_flight(&upstream),
-            limit: slots.limit(),
-        }));
-        Grant { id, organisation, upstream, address: slots.address }
-    }
-
     fn send(&self, to: &Instance, body: DispatchBody, out: &mut Vec<DispatcherOutput>) {
         out.push(DispatcherOutput::Send(to.clone(), self.message(body)));
     }
