--- a/tests/testsuite/fleet_load.rs
+++ b/tests/testsuite/fleet_load.rs
@@ -318,7 +318,7 @@
 /// the while, because what the other's one busy entry turns away unread seems not to be asked for.
 #[test]
 fn an_organisation_that_comes_by_one_busy_entry_is_not_left_behind() {
-    let mut world = play_near_and_wide();
+    let world = play_near_and_wide();
     world.check_gap(NEAR, WIDE, SECONDS);
     let (got, due) = world.got_and_due(SMALL, SMALL, SECONDS.start);
     assert!(got >= due * 0.95, "the small one got {got} of {due}");
