--- a/tests/testsuite/fleet_load.rs
+++ b/tests/testsuite/fleet_load.rs
@@ -55,6 +55,8 @@
     own: u32,
     /// The entry that all of its callers come by, if it is one.
     entry: Option<usize>,
+    /// The second from which it asks.
+    from: u64,
 }
 
 struct Request {
@@ -131,7 +133,8 @@
             self.ask(now, request);
         }
         for who in 0..self.asking.len() {
-            let rate = self.asking[who].rate;
+            let is_asking = now >= self.asking[who].from * 1_000;
+            let rate = if is_asking { self.asking[who].rate } else { 0 };
             let due = |at: u64| at * rate / 1_000;
             for _ in due(now)..due(now + STEP) {
                 let anywhere = (self.next as usize * 7) % ENTRIES;
@@ -306,9 +309,9 @@
 /// requests are several times as large, come by one entry, which turns most of them away for want
 /// of processor time.
 fn play_near_and_wide() -> World {
-    let near = Asking { organisation: "near", rate: 500, own: 14_000, entry: Some(3) };
-    let wide = Asking { organisation: "wide", rate: 900, own: 3_000, entry: None };
-    let small = Asking { organisation: "small", rate: 40, own: 2_000, entry: None };
+    let near = Asking { organisation: "near", rate: 500, own: 14_000, entry: Some(3), from: 0 };
+    let wide = Asking { organisation: "wide", rate: 900, own: 3_000, entry: None, from: 0 };
+    let small = Asking { organisation: "small", rate: 40, own: 2_000, entry: None, from: 0 };
     let mut world = World::new(vec![near, wide, small]);
     world.play(SECONDS.end);
     world
@@ -336,3 +339,27 @@
     let swings = got.iter().filter(|got| **got > mean * 2.0 || **got < mean / 2.0).count();
     assert_eq!(swings, 0, "{got:?}");
 }
+
+/// Guards against an organisation that is refused for seconds for what it took while nobody else
+/// wanted it, once others begin to ask.
+#[test]
+fn what_was_spare_is_not_held_against_who_took_it() {
+    let early = Asking { organisation: "early", rate: 600, own: 6_000, entry: None, from: 0 };
+    let late = ["late-0", "late-1", "late-2"].map(|organisation| Asking {
+        organisation,
+        rate: 700,
+        own: 6_000,
+        entry: None,
+        from: 6,
+    });
+    let mut world = World::new([early].into_iter().chain(late).collect());
+    world.play(10);
+    for second in 7..10 {
+        let at = second * 1_000;
+        let (early, late) = (world.second(0, at).got, world.second(1, at).got);
+        assert!(
+            early >= late / 4.0,
+            "second {second}: the early one got {early}, a late one {late}"
+        );
+    }
+}
