Read 8 KiB at once from another instance's connection

Cause: the WebSocket library keeps a read buffer of 128 KiB for each connection and fills it with zeros before each read, so all of it becomes resident and each message costs writing 128 KiB twice. A control instance has two connections to each entry, a collector two to each of its domain.

Ruled out: the write buffer (allocated by what is written), the message limit (not allocated).

Change: a read buffer of 8 KiB. Messages that are longer take more reads.

Test peers::a_connection_to_another_instance_takes_little_memory, 100 connections held at one entry: 13,840,384 bytes before (failed), under 4,096,000 now.

--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -58,6 +58,10 @@
 /// A connection nothing was written to for this long is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// Bytes read at once. The library fills a buffer of this size with zeros before each read and keeps
+/// it for each connection; most messages are shorter.
+const READ_BUF_LEN: usize = 8 << 10;
+
 /// What connections bring.
 #[derive(Debug)]
 pub enum PeerEvent {
@@ -184,6 +188,7 @@
     WebSocketConfig::default()
         .max_message_size(Some(MAX_FRAME_LEN))
         .max_frame_size(Some(MAX_FRAME_LEN))
+        .read_buffer_size(READ_BUF_LEN)
 }
 
 async fn accept_all(listener: TcpListener, cfg: PeerConfig) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod overload;
 mod pages;
+mod peers;
 mod pools;
 mod pulls;
 mod record;
