List the fleet to an instance only when it has changed

Cause: an entry says each second that it is there, to every control instance, and each answers with the whole list of entries. With 195 entries that is 4,017 bytes from each of five control instances for each entry and second, 3.9 MB a second in all, four fifths of it between failure domains, put into bytes anew each time and read by each entry.

Ruled out: joining less often (an entry that is gone is then known for longer).

Change: a join names the number of the list that was told last; the answer is the whole list, or that it is the same. A control instance draws a new number from its wall clock whenever its list changes, so the numbers of an earlier process are not used again. Finding the others moved to a module of its own.

Tests, module roster: 195 entries that stay the same, under 100 bytes a second for each (4,017 before); entries that come and go are known within the same seconds as before; a list that was lost, or one of a restarted control instance, is told again.

--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! others are: they join the control instances they know, and learn the rest.
 
 mod io;
+mod joining;
 mod roster;
 mod telling;
 mod totals;
@@ -20,7 +21,7 @@
     totals::{report_age, report_ttl, share_interval},
 };
 use self::{
-    roster::Roster,
+    roster::{Roster, Told},
     totals::{Totals, TotalsOutput},
 };
 use super::{
@@ -36,18 +37,12 @@
     },
     protocol::{
         Message,
-        fleet::{FleetMessage, LoadReport, Resident},
+        fleet::{FleetMessage, LoadReport},
         record::{RecordMessage, Reply},
     },
     state::log::Log,
 };
 
-/// How often an instance says that it is there.
-const JOIN_INTERVAL: Millis = Millis(1_000);
-/// How often it says so while it knows nobody: at a common start most of the others don't listen
-/// yet.
-const FIRST_JOIN_INTERVAL: Millis = Millis(200);
-
 impl From<TotalsOutput> for FleetOutput {
     fn from(output: TotalsOutput) -> FleetOutput {
         match output {
@@ -205,21 +200,6 @@
         }
     }
 
-    /// Says to all control instances that this instance is there.
-    fn join(&mut self, now: Millis, out: &mut Vec<FleetOutput>) {
-        let is_alone = self.roster.entries().is_empty();
-        self.next_join = now + if is_alone { FIRST_JOIN_INTERVAL } else { JOIN_INTERVAL };
-        let join = FleetMessage::Join {
-            domain: self.settings.failure_domain.clone(),
-            leaving: self.draining,
-        };
-        for control in self.roster.controls() {
-            if control != self.instance {
-                out.push(FleetOutput::Send(control, Message::Fleet(join.clone())));
-            }
-        }
-    }
-
     fn share(&mut self, now: Millis, report: LoadReport, out: &mut Vec<FleetOutput>) {
         let domain = &self.settings.failure_domain;
         let mut outputs = Vec::new();
@@ -227,33 +207,6 @@
         out.extend(outputs.into_iter().map(FleetOutput::from));
     }
 
-    fn tell_entries(&mut self, out: &mut Vec<FleetOutput>) {
-        let digest = self.roster.digest();
-        if digest == self.told_digest {
-            return;
-        }
-        self.told_digest = digest;
-        let controls = self.roster.controls();
-        self.client.set_instances(controls, self.neighbours());
-        let residents = self.roster.entries();
-        self.totals.set_residents(&self.instance, &self.settings.failure_domain, &residents);
-        out.push(FleetOutput::Entries(self.roster.entries()));
-    }
-
-    fn neighbours(&self) -> Vec<Instance> {
-        let entries = self.roster.entries().into_iter().map(|Resident(entry, _)| entry);
-        entries.filter(|entry| *entry != self.instance).collect()
-    }
-
-    /// Lists the other entries of this failure domain.
-    fn domain_neighbours(&self) -> Vec<Instance> {
-        let own = &self.settings.failure_domain;
-        let entries = self.roster.entries().into_iter();
-        let here =
-            entries.filter(|Resident(entry, domain)| domain == own && *entry != self.instance);
-        here.map(|Resident(entry, _)| entry).collect()
-    }
-
     fn on_message(
         &mut self,
         now: Millis,
@@ -269,7 +222,7 @@
                 });
             }
             Message::Record(message) => self.on_record(now, unix_ms, from, message, out),
-            Message::Fleet(message) => self.on_fleet(now, from, message, out),
+            Message::Fleet(message) => self.on_fleet(now, unix_ms, from, message, out),
             // Of the other kind of fleet, whose pools have dispatchers.
             Message::Lease(_) | Message::Dispatch(_) => {}
         }
@@ -278,27 +231,26 @@
     fn on_fleet(
         &mut self,
         now: Millis,
+        unix_ms: u64,
         from: &Instance,
         message: FleetMessage,
         out: &mut Vec<FleetOutput>,
     ) {
         match message {
-            FleetMessage::Join { domain, leaving } => {
+            FleetMessage::Join { domain, leaving, known } => {
                 self.roster.on_join(now, from, &domain, leaving);
                 if self.control.is_some() {
-                    self.answer_join(from, out);
+                    self.answer_join(unix_ms, from, known, out);
                 }
             }
-            FleetMessage::Roster { entries, controls } => {
-                if self.control.is_some() {
-                    // A control instance lists whom it hears itself; of the others' lists it
-                    // takes the control instances, to be able to reach a leader.
-                    self.roster.on_roster(now, &[], &controls);
-                } else {
-                    self.roster.on_roster(now, &entries, &controls);
-                }
+            FleetMessage::Roster { number, entries, controls } => {
+                // A control instance lists whom it hears itself; of the others' lists it takes the
+                // control instances, to be able to reach a leader.
+                let entries = if self.control.is_some() { Vec::new() } else { entries };
+                self.roster.on_told(now, from, Told { number, entries, controls });
                 self.tell_entries(out);
             }
+            FleetMessage::SameRoster(number) => self.roster.on_same(now, from, number),
             FleetMessage::Load(report) => {
                 self.roster.on_heard(now, from);
                 out.extend(self.totals.on_load(now, from, report).map(FleetOutput::from));
@@ -311,19 +263,6 @@
         }
     }
 
-    fn answer_join(&mut self, from: &Instance, out: &mut Vec<FleetOutput>) {
-        let mut controls = self.roster.controls();
-        if let Some(control) = &self.control {
-            let members = control.consensus().members().iter();
-            controls.extend(members.map(|member| member.id.0.clone()));
-        }
-        controls.push(self.instance.clone());
-        controls.sort();
-        controls.dedup();
-        let roster = FleetMessage::Roster { entries: self.roster.entries(), controls };
-        out.push(FleetOutput::Send(from.clone(), Message::Fleet(roster)));
-    }
-
     fn on_record(
         &mut self,
         now: Millis,
--- a/src/kingcupgrade/coordination/fleet/roster.rs
+++ b/src/kingcupgrade/coordination/fleet/roster.rs
@@ -3,6 +3,9 @@
 //! Control instances hear everybody and tell everybody. An instance that no control instance
 //! reaches keeps the last list: neighbours that it forgot would take capacity it then counts as
 //! its own.
+//!
+//! Everybody says each second that it is there. A control instance answers with the whole list only
+//! if it has changed: told each time, it would be most of what a fleet of hundreds sends.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,6 +19,17 @@
 /// A control instance stays listed longer, since it is told of by others too.
 const CONTROL_TTL: Millis = Millis(20_000);
 
+/// Who is there by the word of one control instance.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// Its place among those of the control instance; 0 if there is none.
+    pub number: u64,
+    /// Entries that it heard of late.
+    pub entries: Vec<Resident>,
+    /// The control instances that it knows.
+    pub controls: Vec<Instance>,
+}
+
 /// The instances known.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -24,6 +38,10 @@
     seeds: BTreeSet<Instance>,
     /// When a control instance last listed the fleet.
     listed: Option<Millis>,
+    /// What each control instance told last.
+    told: BTreeMap<Instance, Told>,
+    /// What this control instance tells.
+    own: Told,
 }
 
 impl Roster {
@@ -66,23 +84,56 @@
         }
     }
 
-    /// Takes in what a control instance lists.
-    pub fn on_roster(&mut self, now: Millis, entries: &[Resident], controls: &[Instance]) {
+    /// Returns the number of what a control instance told last; 0 if it told nothing.
+    pub fn number_told_by(&self, control: &Instance) -> u64 {
+        self.told.get(control).map_or(0, |told| told.number)
+    }
+
+    /// Takes in what a control instance tells.
+    pub fn on_told(&mut self, now: Millis, control: &Instance, told: Told) {
+        self.listed = Some(now);
+        self.refresh(now, &told);
+        self.told.insert(control.clone(), told);
+    }
+
+    /// Takes in that a control instance would tell the same again.
+    pub fn on_same(&mut self, now: Millis, control: &Instance, number: u64) {
+        let Some(told) = self.told.get(control).filter(|told| told.number == number).cloned()
+        else {
+            return;
+        };
         self.listed = Some(now);
-        for Resident(instance, domain) in entries {
+        self.refresh(now, &told);
+    }
+
+    fn refresh(&mut self, now: Millis, told: &Told) {
+        for Resident(instance, domain) in &told.entries {
             self.entries.insert(instance.clone(), (domain.clone(), now));
         }
-        for control in controls {
+        for control in &told.controls {
             self.controls.insert(control.clone(), now);
         }
     }
 
+    /// Returns what this control instance tells, under a new number if it has changed. Numbers are
+    /// drawn from the wall clock, so that those of an earlier process are not used again.
+    pub fn to_tell(&mut self, unix_ms: u64, controls: Vec<Instance>) -> &Told {
+        let entries = self.entries();
+        if self.own.number == 0 || self.own.entries != entries || self.own.controls != controls {
+            let number = unix_ms.max(self.own.number + 1);
+            self.own = Told { number, entries, controls };
+        }
+        &self.own
+    }
+
     /// Drops who has not been heard for long, unless nobody lists the fleet.
     pub fn expire(&mut self, now: Millis, lists_itself: bool) {
         let is_listed = self.listed.is_some_and(|listed| now.since(listed) <= ENTRY_TTL);
         if lists_itself || is_listed {
             self.entries.retain(|_, (_, heard)| now.since(*heard) <= ENTRY_TTL);
             self.controls.retain(|_, heard| now.since(*heard) <= CONTROL_TTL);
+            let (controls, seeds) = (&self.controls, &self.seeds);
+            self.told.retain(|told, _| controls.contains_key(told) || seeds.contains(told));
         }
     }
 
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -113,10 +113,16 @@
         /// Whether it is about to stop.
         #[serde(rename = "x")]
         leaving: bool,
+        /// The number of the roster that the receiver told it last; 0 if none.
+        #[serde(rename = "k", default)]
+        known: u64,
     },
     /// Tells who is there.
     #[serde(rename = "o")]
     Roster {
+        /// Its place among the rosters of the sender.
+        #[serde(rename = "n", default)]
+        number: u64,
         /// Entries heard of late.
         #[serde(rename = "e")]
         entries: Vec<Resident>,
@@ -124,6 +130,9 @@
         #[serde(rename = "c")]
         controls: Vec<Instance>,
     },
+    /// Tells that the same are there as in the roster of this number.
+    #[serde(rename = "q")]
+    SameRoster(u64),
     /// Tells an entry of another one's load.
     #[serde(rename = "l")]
     Load(LoadReport),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod pools;
 mod pulls;
 mod record;
+mod roster;
 mod shares;
 mod shutdown;
 mod slots;
--- a/tests/testsuite/totals.rs
+++ b/tests/testsuite/totals.rs
@@ -56,7 +56,8 @@
             down: Vec::new(),
         };
         let entries = fleet.residents.clone();
-        let roster = Message::Fleet(FleetMessage::Roster { entries, controls: Vec::new() });
+        let roster =
+            Message::Fleet(FleetMessage::Roster { number: 1, entries, controls: Vec::new() });
         let control: Instance = "c-127.9.9.9".into();
         for entry in fleet.names() {
             let told = FleetInput::Received(control.clone(), roster.clone());
