--- a/src/kingcupgrade/coordination/fleet/joining.rs
+++ b/src/kingcupgrade/coordination/fleet/joining.rs
@@ -49,7 +49,7 @@
         controls.push(self.instance.clone());
         controls.sort();
         controls.dedup();
-        let told = self.roster.to_tell(unix_ms, controls);
+        let told = self.roster.tell(unix_ms, controls);
         let answer = match told.number == known {
             true => FleetMessage::SameRoster(known),
             false => {
--- a/src/kingcupgrade/coordination/fleet/roster.rs
+++ b/src/kingcupgrade/coordination/fleet/roster.rs
@@ -117,7 +117,7 @@
 
     /// Returns what this control instance tells, under a new number if it has changed. Numbers are
     /// drawn from the wall clock, so that those of an earlier process are not used again.
-    pub fn to_tell(&mut self, unix_ms: u64, controls: Vec<Instance>) -> &Told {
+    pub fn tell(&mut self, unix_ms: u64, controls: Vec<Instance>) -> &Told {
         let entries = self.entries();
         if self.own.number == 0 || self.own.entries != entries || self.own.controls != controls {
             let number = unix_ms.max(self.own.number + 1);
