Charge organisations only for what was not spare

Cause: a share counts what was served over a fading span, also what nobody else wanted.

Change: while nobody is backlogged, what each organisation got beyond the level of then is set aside. It fades as what was served does; levels, standing and the time of return go by the rest.

--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -69,6 +69,8 @@
 pub struct Shares {
     asked: BTreeMap<Organisation, Fading>,
     served: BTreeMap<Organisation, Fading>,
+    /// What all entries served while it was spare, beyond the level of then.
+    spare: BTreeMap<Organisation, Fading>,
     /// What was served here in about the time that the others' sums are old.
     served_untold: BTreeMap<Organisation, Fading>,
     refused: BTreeMap<Organisation, Fading>,
@@ -151,17 +153,34 @@
             let served = self.served_in_all(now, organisation, counts);
             let is_limited = counts.asked > self.promised_level;
             let is_short = counts.asked > served * BACKLOG;
-            (is_limited && is_short && counts.is_refused()).then_some(served)
+            let is_backlogged = is_limited && is_short && counts.is_refused();
+            is_backlogged.then(|| self.charged(now, organisation, counts))
         });
         let least = backlogged.fold(f64::INFINITY, f64::min);
         self.spare_level = self.promised_level.max(least * GAP);
+        if least.is_infinite() {
+            self.set_spare(now);
+        }
+    }
+
+    /// Counts as spare what organisations got beyond the level while nobody is backlogged.
+    ///
+    /// Held against them, it would keep them from their share for seconds once others are.
+    fn set_spare(&mut self, now: Millis) {
+        self.spare.clear();
+        for (organisation, counts) in &self.counts {
+            let beyond = self.served_in_all(now, organisation, counts) - self.promised_level;
+            if beyond > 0.0 {
+                count(&mut self.spare, now, organisation, beyond, SHARE_SPAN);
+            }
+        }
     }
 
     /// Tells where an organisation stands with one more request.
     pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
-        let before = self.served_in_all(now, organisation, counts)
-            + self.served_untold(now, organisation, counts);
+        let before =
+            self.charged(now, organisation, counts) + self.served_untold(now, organisation, counts);
         // Half of the request, so that one larger than a share is not shut out for good.
         let served = before + work / 2.0;
         if counts.asked <= self.even_level || served <= self.even_level {
@@ -179,12 +198,19 @@
     /// gets nothing meanwhile.
     pub fn room_in(&self, now: Millis, organisation: &Organisation) -> Millis {
         let Some(counts) = self.counts.get(organisation) else { return Millis::ZERO };
-        let served = self.served_in_all(now, organisation, counts);
+        let charged = self.charged(now, organisation, counts);
         let level = self.spare_level.max(1.0);
-        let spans = (served / level).max(1.0).ln();
+        let spans = (charged / level).max(1.0).ln();
         Millis((spans * SHARE_SPAN.0 as f64) as u64)
     }
 
+    /// Returns what an organisation was given by all entries in the span, in tokens, without what
+    /// was spare.
+    fn charged(&self, now: Millis, organisation: &Organisation, counts: &Counts) -> f64 {
+        let spare = self.spare.get(organisation).map_or(0.0, |spare| spare.get(now, SHARE_SPAN));
+        (self.served_in_all(now, organisation, counts) - spare).max(0.0)
+    }
+
     /// Returns what an organisation was given by all entries in the span, in tokens.
     fn served_in_all(&self, now: Millis, organisation: &Organisation, counts: &Counts) -> f64 {
         counts.served_elsewhere + self.own(now, organisation)
