Read the platform's list by one entry of each failure domain

Ruled out: reading less often (an upstream that leaves is then known later); one reader for the whole fleet (its word would go through a second entry, which may be frozen on the way and tell an old list as a new one).

Change: one entry reads, the second in rank stands in after 1.3 s of silence, any other after two to three seconds as before. An entry that starts asks those two what they know and reads only if neither answers within 0.3 to 0.8 s. A list is told with its age, by both clocks, and counts from when it was read.

--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -7,7 +7,7 @@
     core::{Instance, Millis, code::CodedError},
     protocol::{
         Message,
-        fleet::{ListedUpstream, LoadReport, Resident},
+        fleet::{Listing, LoadReport, Resident},
         record::{Command, Reply},
     },
     state::log::Persist,
@@ -26,7 +26,11 @@
     /// This entry's load is to be told to the others.
     Share(LoadReport),
     /// The platform's list was read here, for the entries of this failure domain.
-    ShareListing(Vec<ListedUpstream>),
+    ShareListing(Listing),
+    /// The platform's list is not known here.
+    WantListing,
+    /// An entry that wants the platform's list is told.
+    TellListing(Instance, Listing),
     /// The disk failed.
     StorageFailed(CodedError),
     /// The disk works again and holds this replica.
@@ -57,7 +61,9 @@
     /// Another entry told of its load.
     Heard(Instance, LoadReport),
     /// Another entry read the platform's list.
-    Listed(Vec<ListedUpstream>),
+    Listed(Listing),
+    /// Another entry wants the platform's list.
+    ListingWanted(Instance),
     /// Whom this instance asks for the configuration, or whether it is confirmed, changed.
     SourceChanged(ConfigurationSource),
     /// The part of this control instance in the record changed.
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -27,6 +27,7 @@
 use super::{
     client::RecordClient,
     control::{ControlMachine, ControlOutput},
+    listing,
     view::View,
 };
 use crate::{
@@ -132,6 +133,14 @@
                 let message = Message::Fleet(FleetMessage::Listing(listing));
                 out.push(FleetOutput::SendToAll(self.domain_neighbours(), message));
             }
+            FleetInput::WantListing => {
+                let readers = listing::readers(&self.domain_neighbours());
+                let message = Message::Fleet(FleetMessage::ListingWanted);
+                out.push(FleetOutput::SendToAll(readers, message));
+            }
+            FleetInput::TellListing(to, listing) => {
+                out.push(FleetOutput::Send(to, Message::Fleet(FleetMessage::Listing(listing))));
+            }
             FleetInput::StorageFailed(err) => {
                 if let Some(control) = &mut self.control {
                     control.on_storage_failed(err);
@@ -260,6 +269,7 @@
                 out.extend(self.totals.on_total(&self.instance, &total).map(FleetOutput::from));
             }
             FleetMessage::Listing(listing) => out.push(FleetOutput::Listed(listing)),
+            FleetMessage::ListingWanted => out.push(FleetOutput::ListingWanted(from.clone())),
         }
     }
 
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -44,6 +44,17 @@
     pub born: u64,
 }
 
+/// The platform's list of upstreams as one entry knows it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// How long ago it was read.
+    #[serde(rename = "g")]
+    pub age: Millis,
+    /// The upstreams.
+    #[serde(rename = "u")]
+    pub upstreams: Vec<ListedUpstream>,
+}
+
 /// What one entry has under way at one upstream.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -142,7 +153,10 @@
     /// Tells the entries of a failure domain of the whole fleet's load.
     #[serde(rename = "t")]
     Total(Total),
-    /// Tells the entries of a failure domain what the platform lists.
+    /// Tells entries of a failure domain what the platform lists.
     #[serde(rename = "u")]
-    Listing(Vec<ListedUpstream>),
+    Listing(Listing),
+    /// Asks for what the platform lists, at the start of an entry.
+    #[serde(rename = "w")]
+    ListingWanted,
 }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -25,7 +25,7 @@
     core::{Instance, Millis, clock::Clock, fleet::FleetSettings, settings::Role},
     protocol::{
         Message,
-        fleet::{ListedUpstream, LoadReport, Resident},
+        fleet::{Listing, LoadReport, Resident},
         record::{Command, Reply},
     },
     state::{
@@ -61,7 +61,9 @@
     /// Another entry told of its load.
     Heard(Instance, LoadReport),
     /// Another entry read the platform's list.
-    Listed(Vec<ListedUpstream>),
+    Listed(Listing),
+    /// Another entry wants the platform's list.
+    ListingWanted(Instance),
 }
 
 /// Takes news; called on the control thread, so it must return at once.
@@ -311,6 +313,7 @@
             }
             FleetOutput::Heard(from, report) => (self.news)(FleetNews::Heard(from, report)),
             FleetOutput::Listed(listing) => (self.news)(FleetNews::Listed(listing)),
+            FleetOutput::ListingWanted(from) => (self.news)(FleetNews::ListingWanted(from)),
             FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
             FleetOutput::StandingChanged(standing) => log::event("record-standing", &standing),
         }
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -16,13 +16,21 @@
 };
 
 use super::{Gateway, edge::Edge};
-use crate::{coordination::fleet::FleetInput, protocol::fleet::ListedUpstream, util::log};
+use crate::{
+    coordination::{
+        fleet::FleetInput,
+        listing::{ListingDuty, MAX_TOLD_AGE},
+    },
+    core::{Instance, Millis},
+    protocol::fleet::{ListedUpstream, Listing},
+    util::log,
+};
 
 /// How often it is looked whether the list is to be read.
 const LOOK: Duration = Duration::from_millis(100);
 /// A reading that took longer is not told to others: the process was suspended or starved on the
 /// way, and what it read may be older than what the others know.
-const MAX_TOLD_AGE: Duration = Duration::from_millis(500);
+const MAX_READ_TIME: Millis = Millis(500);
 /// How long reading a page may take.
 const TIMEOUT: Duration = Duration::from_millis(800);
 /// Pages of one reading at most.
@@ -35,8 +43,8 @@
     let mut sender = None;
     let mut is_reachable = true;
     loop {
-        let is_reader = gateway.is_reader.get();
-        if !gateway.listing_plan.borrow().is_due(gateway.now(), is_reader) {
+        let duty = gateway.listing_duty.get();
+        if !gateway.listing_plan.borrow().is_due(gateway.now(), duty) {
             sleep(LOOK).await;
             continue;
         }
@@ -51,10 +59,13 @@
                     log::event("listing-back", &listing.len());
                 }
                 is_reachable = true;
-                if is_reader && age.is_below(MAX_TOLD_AGE) {
-                    gateway.fleet.tell(FleetInput::ShareListing(listing.clone()));
+                let known = Known { upstreams: listing, age };
+                if duty != ListingDuty::Hears
+                    && let Some(listing) = known.to_tell(MAX_READ_TIME)
+                {
+                    gateway.fleet.tell(FleetInput::ShareListing(listing));
                 }
-                gateway.set_listing(listing);
+                gateway.set_listing(known);
             }
             Err(err) => {
                 if is_reachable {
@@ -67,22 +78,61 @@
     }
 }
 
+impl<E: Edge> Gateway<E> {
+    pub(super) fn set_listing(&self, known: Known) {
+        self.traffic.borrow_mut().set_listing(self.now(), known.upstreams.clone());
+        *self.listing.borrow_mut() = Some(known);
+        self.poll_waiting();
+    }
+
+    /// Tells an entry that starts what is known here, if that is young enough.
+    pub(super) fn tell_listing(&self, to: Instance) {
+        let listing = self.listing.borrow();
+        let Some(listing) = listing.as_ref().and_then(|known| known.to_tell(MAX_TOLD_AGE)) else {
+            return;
+        };
+        self.fleet.tell(FleetInput::TellListing(to, listing));
+    }
+}
+
+/// The platform's list as an entry knows it.
+pub(super) struct Known {
+    upstreams: Vec<ListedUpstream>,
+    age: Age,
+}
+
+impl Known {
+    /// Takes in what another entry told.
+    pub(super) fn told(listing: Listing) -> Known {
+        let age = Age { before: listing.age, ..Age::start() };
+        Known { upstreams: listing.upstreams, age }
+    }
+
+    /// Returns it as it is told to others, if it is younger than `most`.
+    fn to_tell(&self, most: Millis) -> Option<Listing> {
+        let age = self.age.get()?;
+        (age < most).then(|| Listing { age, upstreams: self.upstreams.clone() })
+    }
+}
+
 /// How long ago something began, by both clocks: the steady one stands still while the machine is
 /// suspended, and the wall clock may jump.
 struct Age {
+    /// How long ago it was when it became known here.
+    before: Millis,
     steady: Instant,
     wall: SystemTime,
 }
 
 impl Age {
     fn start() -> Age {
-        Age { steady: Instant::now(), wall: SystemTime::now() }
+        Age { before: Millis::ZERO, steady: Instant::now(), wall: SystemTime::now() }
     }
 
-    fn is_below(&self, most: Duration) -> bool {
-        // A wall clock that went back says nothing.
-        let wall = self.wall.elapsed().unwrap_or(Duration::MAX);
-        self.steady.elapsed() < most && wall < most
+    /// Returns it; `None` if the wall clock went back, and so says nothing.
+    fn get(&self) -> Option<Millis> {
+        let age = self.wall.elapsed().ok()?.max(self.steady.elapsed());
+        Some(self.before + Millis(age.as_millis() as u64))
     }
 }
 
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -45,13 +45,13 @@
 use crate::{
     coordination::{
         fleet::{FleetInput, share_interval},
-        listing::{ListingPlan, is_reader},
+        listing::{ListingDuty, ListingPlan, duty},
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
         traffic::{RequestNo, Traffic, Verdict},
     },
     core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
-    protocol::fleet::{ListedUpstream, Resident},
+    protocol::fleet::Resident,
     util::log,
 };
 
@@ -88,8 +88,10 @@
     /// Whether a measurement for it is under way.
     is_probing: Cell<bool>,
     listing_plan: RefCell<ListingPlan>,
-    /// Whether this entry reads the platform's list for its failure domain.
-    is_reader: Cell<bool>,
+    /// What this entry has to do with reading the platform's list.
+    listing_duty: Cell<ListingDuty>,
+    /// The list as it is known here.
+    listing: RefCell<Option<listing::Known>>,
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
@@ -207,11 +209,6 @@
         }
     }
 
-    fn set_listing(&self, listing: Vec<ListedUpstream>) {
-        self.traffic.borrow_mut().set_listing(self.now(), listing);
-        self.poll_waiting();
-    }
-
     fn on_news(&self, news: FleetNews) {
         match news {
             FleetNews::View(view) => {
@@ -236,14 +233,18 @@
                 let own = &self.settings.failure_domain;
                 let here = entries.iter().filter(|Resident(_, domain)| domain == own);
                 let here: Vec<Instance> = here.map(|Resident(entry, _)| entry.clone()).collect();
-                self.is_reader.set(is_reader(&self.settings.instance(), &here));
+                self.listing_duty.set(duty(&self.settings.instance(), &here));
+                if !self.listing_plan.borrow().is_known() {
+                    self.fleet.tell(FleetInput::WantListing);
+                }
                 let entries = entries.into_iter().map(|Resident(entry, _)| entry);
                 self.traffic.borrow_mut().set_entries(entries.collect());
             }
             FleetNews::Listed(listing) => {
-                self.listing_plan.borrow_mut().on_heard(self.now());
-                self.set_listing(listing);
+                self.listing_plan.borrow_mut().on_heard(self.now(), listing.age);
+                self.set_listing(listing::Known::told(listing));
             }
+            FleetNews::ListingWanted(from) => self.tell_listing(from),
             FleetNews::Heard(from, report) => {
                 self.traffic.borrow_mut().on_report(self.now(), from, report);
             }
@@ -280,7 +281,8 @@
         overload: Cell::default(),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
-        is_reader: Cell::new(false),
+        listing_duty: Cell::default(),
+        listing: RefCell::default(),
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
         open_connections: Cell::new(0),
