Read the platform's list by one entry of the fleet, and tell only what has changed

Cause: with one reader in each failure domain the large site still asks for ten pages or more a second, and each reading goes to each entry whole, some 10 KB at 98 upstreams.

Change: the first entry of the fleet by rank reads and tells all others; in each failure domain the first two stand in, after 1.3 and 1.7 s of silence; others read after two to three seconds as before. News name their reader, its reading's number and the number they build on; an entry that doesn't know that one asks whoever told for the whole list. Numbers come from the reader's wall clock, so that one that starts again does not use its old ones.

--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -3,11 +3,11 @@
 use serde::Serialize;
 
 use crate::{
-    coordination::control::ControlMachine,
+    coordination::{control::ControlMachine, listing::ListingDuty},
     core::{Instance, Millis, code::CodedError},
     protocol::{
         Message,
-        fleet::{Listing, LoadReport, Resident},
+        fleet::{ListingNews, LoadReport, Resident},
         record::{Command, Reply},
     },
     state::log::Persist,
@@ -25,12 +25,12 @@
     Asked(Ticket, Command, Millis),
     /// This entry's load is to be told to the others.
     Share(LoadReport),
-    /// The platform's list was read here, for the entries of this failure domain.
-    ShareListing(Listing),
-    /// The platform's list is not known here.
-    WantListing,
+    /// The platform's list was read here for others.
+    ShareListing(ListingNews, ListingDuty),
+    /// The platform's list is not known here; asked is who told of a change in it, or who may know.
+    WantListing(Option<Instance>),
     /// An entry that wants the platform's list is told.
-    TellListing(Instance, Listing),
+    TellListing(Instance, ListingNews),
     /// The disk failed.
     StorageFailed(CodedError),
     /// The disk works again and holds this replica.
@@ -60,8 +60,8 @@
     Entries(Vec<Resident>),
     /// Another entry told of its load.
     Heard(Instance, LoadReport),
-    /// Another entry read the platform's list.
-    Listed(Listing),
+    /// Another entry tells what it knows of the platform's list.
+    Listed(Instance, ListingNews),
     /// Another entry wants the platform's list.
     ListingWanted(Instance),
     /// Whom this instance asks for the configuration, or whether it is confirmed, changed.
--- a/src/kingcupgrade/coordination/fleet/joining.rs
+++ b/src/kingcupgrade/coordination/fleet/joining.rs
@@ -73,17 +73,8 @@
         out.push(FleetOutput::Entries(self.roster.entries()));
     }
 
-    fn neighbours(&self) -> Vec<Instance> {
+    pub(super) fn neighbours(&self) -> Vec<Instance> {
         let entries = self.roster.entries().into_iter().map(|Resident(entry, _)| entry);
         entries.filter(|entry| *entry != self.instance).collect()
     }
-
-    /// Lists the other entries of this failure domain.
-    pub(super) fn domain_neighbours(&self) -> Vec<Instance> {
-        let own = &self.settings.failure_domain;
-        let entries = self.roster.entries().into_iter();
-        let here =
-            entries.filter(|Resident(entry, domain)| domain == own && *entry != self.instance);
-        here.map(|Resident(entry, _)| entry).collect()
-    }
 }
--- /dev/null
+++ b/src/kingcupgrade/coordination/fleet/listing.rs
@@ -0,0 +1,48 @@
+//! Telling other entries what the platform lists.
+
+use super::{FleetNode, FleetOutput};
+use crate::{
+    coordination::listing::{ListingDuty, Neighbours},
+    core::Instance,
+    protocol::{
+        Message,
+        fleet::{FleetMessage, ListingNews, Resident},
+    },
+};
+
+impl FleetNode {
+    /// Tells those for whom this entry reads.
+    pub(super) fn share_listing(
+        &mut self,
+        news: ListingNews,
+        duty: ListingDuty,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        let hearers = match duty {
+            ListingDuty::Reads => self.neighbours(),
+            ListingDuty::StandsIn | ListingDuty::StandsInSecond => self.domain_neighbours(),
+            ListingDuty::Hears => return,
+        };
+        out.push(FleetOutput::SendToAll(hearers, Message::Fleet(FleetMessage::Listing(news))));
+    }
+
+    /// Asks one entry for the whole list, or those that may know it.
+    pub(super) fn want_listing(&mut self, from: Option<Instance>, out: &mut Vec<FleetOutput>) {
+        let asked = from.map_or_else(|| self.listing_readers(), |from| vec![from]);
+        out.push(FleetOutput::SendToAll(asked, Message::Fleet(FleetMessage::ListingWanted)));
+    }
+
+    fn listing_readers(&self) -> Vec<Instance> {
+        let (fleet, domain) = (self.neighbours(), self.domain_neighbours());
+        Neighbours { fleet: &fleet, domain: &domain }.readers()
+    }
+
+    /// Lists the other entries of this failure domain.
+    fn domain_neighbours(&self) -> Vec<Instance> {
+        let own = &self.settings.failure_domain;
+        let entries = self.roster.entries().into_iter();
+        let here =
+            entries.filter(|Resident(entry, domain)| domain == own && *entry != self.instance);
+        here.map(|Resident(entry, _)| entry).collect()
+    }
+}
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod io;
 mod joining;
+mod listing;
 mod roster;
 mod telling;
 mod totals;
@@ -27,7 +28,6 @@
 use super::{
     client::RecordClient,
     control::{ControlMachine, ControlOutput},
-    listing,
     view::View,
 };
 use crate::{
@@ -129,17 +129,10 @@
                 self.awaited.insert(id, ticket);
             }
             FleetInput::Share(report) => self.share(now, report, out),
-            FleetInput::ShareListing(listing) => {
-                let message = Message::Fleet(FleetMessage::Listing(listing));
-                out.push(FleetOutput::SendToAll(self.domain_neighbours(), message));
-            }
-            FleetInput::WantListing => {
-                let readers = listing::readers(&self.domain_neighbours());
-                let message = Message::Fleet(FleetMessage::ListingWanted);
-                out.push(FleetOutput::SendToAll(readers, message));
-            }
-            FleetInput::TellListing(to, listing) => {
-                out.push(FleetOutput::Send(to, Message::Fleet(FleetMessage::Listing(listing))));
+            FleetInput::ShareListing(news, duty) => self.share_listing(news, duty, out),
+            FleetInput::WantListing(from) => self.want_listing(from, out),
+            FleetInput::TellListing(to, news) => {
+                out.push(FleetOutput::Send(to, Message::Fleet(FleetMessage::Listing(news))));
             }
             FleetInput::StorageFailed(err) => {
                 if let Some(control) = &mut self.control {
@@ -268,7 +261,7 @@
             FleetMessage::Total(total) => {
                 out.extend(self.totals.on_total(&self.instance, &total).map(FleetOutput::from));
             }
-            FleetMessage::Listing(listing) => out.push(FleetOutput::Listed(listing)),
+            FleetMessage::Listing(news) => out.push(FleetOutput::Listed(from.clone(), news)),
             FleetMessage::ListingWanted => out.push(FleetOutput::ListingWanted(from.clone())),
         }
     }
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -44,15 +44,27 @@
     pub born: u64,
 }
 
-/// The platform's list of upstreams as one entry knows it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Listing {
-    /// How long ago it was read.
+/// What has changed in the platform's list of upstreams since it was told before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListingNews {
+    /// Who read the list.
+    #[serde(rename = "r")]
+    pub reader: Instance,
+    /// How long ago.
     #[serde(rename = "g")]
     pub age: Millis,
-    /// The upstreams.
+    /// The number of the reading that this builds on; 0 if it is the whole list.
+    #[serde(rename = "b")]
+    pub base: u64,
+    /// Its number among those of its reader.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Upstreams that are new or listed otherwise.
     #[serde(rename = "u")]
-    pub upstreams: Vec<ListedUpstream>,
+    pub changed: Vec<ListedUpstream>,
+    /// Upstreams that are listed no more.
+    #[serde(rename = "x")]
+    pub gone: Vec<UpstreamName>,
 }
 
 /// What one entry has under way at one upstream.
@@ -153,10 +165,10 @@
     /// Tells the entries of a failure domain of the whole fleet's load.
     #[serde(rename = "t")]
     Total(Total),
-    /// Tells entries of a failure domain what the platform lists.
+    /// Tells entries what the platform lists.
     #[serde(rename = "u")]
-    Listing(Listing),
-    /// Asks for what the platform lists, at the start of an entry.
+    Listing(ListingNews),
+    /// Asks for the whole of what the platform lists.
     #[serde(rename = "w")]
     ListingWanted,
 }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -25,7 +25,7 @@
     core::{Instance, Millis, clock::Clock, fleet::FleetSettings, settings::Role},
     protocol::{
         Message,
-        fleet::{Listing, LoadReport, Resident},
+        fleet::{ListingNews, LoadReport, Resident},
         record::{Command, Reply},
     },
     state::{
@@ -60,8 +60,8 @@
     Entries(Vec<Resident>),
     /// Another entry told of its load.
     Heard(Instance, LoadReport),
-    /// Another entry read the platform's list.
-    Listed(Listing),
+    /// Another entry tells what it knows of the platform's list.
+    Listed(Instance, ListingNews),
     /// Another entry wants the platform's list.
     ListingWanted(Instance),
 }
@@ -312,7 +312,7 @@
                 (self.news)(FleetNews::Entries(entries));
             }
             FleetOutput::Heard(from, report) => (self.news)(FleetNews::Heard(from, report)),
-            FleetOutput::Listed(listing) => (self.news)(FleetNews::Listed(listing)),
+            FleetOutput::Listed(from, news) => (self.news)(FleetNews::Listed(from, news)),
             FleetOutput::ListingWanted(from) => (self.news)(FleetNews::ListingWanted(from)),
             FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
             FleetOutput::StandingChanged(standing) => log::event("record-standing", &standing),
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -19,10 +19,11 @@
 use crate::{
     coordination::{
         fleet::FleetInput,
-        listing::{ListingDuty, MAX_TOLD_AGE},
+        listing::{KnownListing, ListingDuty, MAX_TOLD_AGE},
     },
     core::{Instance, Millis},
-    protocol::fleet::{ListedUpstream, Listing},
+    protocol::fleet::{ListedUpstream, ListingNews},
+    transport::fleet::unix_ms,
     util::log,
 };
 
@@ -59,13 +60,7 @@
                     log::event("listing-back", &listing.len());
                 }
                 is_reachable = true;
-                let known = Known { upstreams: listing, age };
-                if duty != ListingDuty::Hears
-                    && let Some(listing) = known.to_tell(MAX_READ_TIME)
-                {
-                    gateway.fleet.tell(FleetInput::ShareListing(listing));
-                }
-                gateway.set_listing(known);
+                gateway.on_listing_read(listing, age, duty);
             }
             Err(err) => {
                 if is_reachable {
@@ -79,42 +74,56 @@
 }
 
 impl<E: Edge> Gateway<E> {
-    pub(super) fn set_listing(&self, known: Known) {
-        self.traffic.borrow_mut().set_listing(self.now(), known.upstreams.clone());
-        *self.listing.borrow_mut() = Some(known);
-        self.poll_waiting();
+    /// Takes in what was read here, and tells those for whom this entry reads.
+    fn on_listing_read(&self, upstreams: Vec<ListedUpstream>, age: Age, duty: ListingDuty) {
+        let read_time = age.get().filter(|age| *age < MAX_READ_TIME);
+        let mut known = self.listing.borrow_mut();
+        known.age = Some(age);
+        let news = known.listing.on_read(&self.settings.instance(), unix_ms(), upstreams);
+        drop(known);
+        if let Some(age) = read_time {
+            self.fleet.tell(FleetInput::ShareListing(ListingNews { age, ..news }, duty));
+        }
+        self.set_listing();
     }
 
-    /// Tells an entry that starts what is known here, if that is young enough.
-    pub(super) fn tell_listing(&self, to: Instance) {
-        let listing = self.listing.borrow();
-        let Some(listing) = listing.as_ref().and_then(|known| known.to_tell(MAX_TOLD_AGE)) else {
+    /// Takes in what another entry tells; asks it for the whole list if that is needed.
+    pub(super) fn on_listing_news(&self, from: Instance, news: ListingNews) {
+        let age = news.age;
+        let mut known = self.listing.borrow_mut();
+        if !known.listing.on_news(news) {
+            self.fleet.tell(FleetInput::WantListing(Some(from)));
             return;
-        };
-        self.fleet.tell(FleetInput::TellListing(to, listing));
+        }
+        known.age = Some(Age { before: age, ..Age::start() });
+        drop(known);
+        self.listing_plan.borrow_mut().on_heard(self.now(), age);
+        self.set_listing();
     }
-}
 
-/// The platform's list as an entry knows it.
-pub(super) struct Known {
-    upstreams: Vec<ListedUpstream>,
-    age: Age,
-}
-
-impl Known {
-    /// Takes in what another entry told.
-    pub(super) fn told(listing: Listing) -> Known {
-        let age = Age { before: listing.age, ..Age::start() };
-        Known { upstreams: listing.upstreams, age }
+    fn set_listing(&self) {
+        let upstreams = self.listing.borrow().listing.upstreams().cloned().collect();
+        self.traffic.borrow_mut().set_listing(self.now(), upstreams);
+        self.poll_waiting();
     }
 
-    /// Returns it as it is told to others, if it is younger than `most`.
-    fn to_tell(&self, most: Millis) -> Option<Listing> {
-        let age = self.age.get()?;
-        (age < most).then(|| Listing { age, upstreams: self.upstreams.clone() })
+    /// Tells an entry that asks what is known here, if that is young enough.
+    pub(super) fn tell_listing(&self, to: Instance) {
+        let known = self.listing.borrow();
+        let age = known.age.as_ref().and_then(Age::get).filter(|age| *age < MAX_TOLD_AGE);
+        if let (Some(age), Some(news)) = (age, known.listing.whole()) {
+            self.fleet.tell(FleetInput::TellListing(to, ListingNews { age, ..news }));
+        }
     }
 }
 
+/// The platform's list as this entry knows it.
+#[derive(Default)]
+pub(super) struct Known {
+    listing: KnownListing,
+    age: Option<Age>,
+}
+
 /// How long ago something began, by both clocks: the steady one stands still while the machine is
 /// suspended, and the wall clock may jump.
 struct Age {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -45,7 +45,7 @@
 use crate::{
     coordination::{
         fleet::{FleetInput, share_interval},
-        listing::{ListingDuty, ListingPlan, duty},
+        listing::{ListingDuty, ListingPlan, Neighbours},
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
         traffic::{RequestNo, Traffic, Verdict},
@@ -91,7 +91,7 @@
     /// What this entry has to do with reading the platform's list.
     listing_duty: Cell<ListingDuty>,
     /// The list as it is known here.
-    listing: RefCell<Option<listing::Known>>,
+    listing: RefCell<listing::Known>,
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
@@ -233,17 +233,16 @@
                 let own = &self.settings.failure_domain;
                 let here = entries.iter().filter(|Resident(_, domain)| domain == own);
                 let here: Vec<Instance> = here.map(|Resident(entry, _)| entry.clone()).collect();
-                self.listing_duty.set(duty(&self.settings.instance(), &here));
+                let all: Vec<Instance> =
+                    entries.into_iter().map(|Resident(entry, _)| entry).collect();
+                let neighbours = Neighbours { fleet: &all, domain: &here };
+                self.listing_duty.set(neighbours.duty(&self.settings.instance()));
+                self.traffic.borrow_mut().set_entries(all);
                 if !self.listing_plan.borrow().is_known() {
-                    self.fleet.tell(FleetInput::WantListing);
+                    self.fleet.tell(FleetInput::WantListing(None));
                 }
-                let entries = entries.into_iter().map(|Resident(entry, _)| entry);
-                self.traffic.borrow_mut().set_entries(entries.collect());
-            }
-            FleetNews::Listed(listing) => {
-                self.listing_plan.borrow_mut().on_heard(self.now(), listing.age);
-                self.set_listing(listing::Known::told(listing));
             }
+            FleetNews::Listed(from, news) => self.on_listing_news(from, news),
             FleetNews::ListingWanted(from) => self.tell_listing(from),
             FleetNews::Heard(from, report) => {
                 self.traffic.borrow_mut().on_report(self.now(), from, report);
