Refuse everything while an entry is far behind

Cause: how far a processor is behind is measured by one task that waits for its turn, begun anew when it has had it. At half a second behind it is looked at twice a second, and the refused part rises by a fifth each time, so that a rush is followed by seconds.

Ruled out: that the library does not see a caller's leaving (it reads on before it carries out a request); that requests wait here for room (waiting: 0 in the logs of those seconds).

Change: each new connection tells how long it waited for its turn. When two in turn waited over 200 ms, all are refused until one waits for less; the part that is learned slowly stays as it is.

--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -5,13 +5,19 @@
 //! new callers wait unread until they give up, and nobody is told. A caller that is refused comes
 //! back by another entry at once, so refusing a part early serves all of them better.
 //!
-//! How far behind the processor is shows in how long a task waits for its turn.
+//! How far behind the processor is shows in how long a task waits for its turn. The part that is
+//! refused is learned from that slowly, so that it comes near what is too much. The further behind,
+//! the more seldom a task gets its turn, and the later a rush would be noticed, while requests are
+//! sent on whose callers have long left. So far behind all are refused until it has caught up.
 
 use crate::core::Millis;
 
 /// A task may wait this long: a pause that callers of streams still take for none. Below it a short
 /// rush is carried a little late, which serves more of them than refusing a part.
 const LATE_LIMIT: Millis = Millis(100);
+/// If two tasks in turn wait longer than this, the processor is far behind: a request waits for two
+/// or three turns until it is sent on, and its caller leaves after half a second or little more.
+const FAR_LIMIT: Millis = Millis(200);
 /// What one task that waits twice as long adds to the refused part.
 const GAIN: f64 = 0.06;
 /// The most that one task adds: a process that stood still for seconds is not overloaded.
@@ -34,10 +40,16 @@
     part: f64,
     /// The parts of requests not refused so far.
     owed: f64,
+    /// How long the last task waited.
+    last: Millis,
+    /// Whether it and the one before waited for too long. One alone may have met a process that stood
+    /// still.
+    is_far_behind: bool,
 }
 
 impl Overload {
-    /// Notes how long a task waited for its turn.
+    /// Notes how long a task waited for its turn; such a task is begun each 10 ms if the one before
+    /// has had its turn.
     pub fn on_turn(&mut self, late: Millis) {
         let excess = late.0 as f64 / LATE_LIMIT.0 as f64 - 1.0;
         let step = if excess > 0.0 { (GAIN * excess).min(MAX_STEP) } else { -RECOVERY };
@@ -47,6 +59,13 @@
             self.is_full = false;
         }
         self.is_full |= self.part >= FULL_PART;
+        self.on_wait(late);
+    }
+
+    /// Notes how long a new connection waited for its turn; there are many of them when it matters.
+    pub fn on_wait(&mut self, late: Millis) {
+        self.is_far_behind = late.min(self.last) > FAR_LIMIT;
+        self.last = late;
     }
 
     /// Returns the part of requests that is refused.
@@ -61,6 +80,9 @@
 
     /// Tells whether the request that came now is refused; spread evenly over requests.
     pub fn refuses(&mut self) -> bool {
+        if self.is_far_behind {
+            return true;
+        }
         self.owed += self.part;
         let refuses = self.owed >= 1.0;
         if refuses {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -142,6 +142,13 @@
         self.overload.set(overload);
     }
 
+    /// Notes how long a new connection waited for its turn.
+    fn note_wait(&self, late: Millis) {
+        let mut overload = self.overload.get();
+        overload.on_wait(late);
+        self.overload.set(overload);
+    }
+
     /// Shows what this entry holds and believes as metrics.
     fn show_state(&self, now: Millis) {
         let traffic = self.traffic.borrow();
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -74,7 +74,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
+                let accepted = gateway.now();
+                let gateway = gateway.clone();
+                tokio::task::spawn_local(async move {
+                    gateway.note_wait(gateway.now().since(accepted));
+                    serve_connection(gateway, stream).await;
+                });
             }
             // An entry that stopped accepting would go on looking healthy and answer nobody.
             Err(err) => {
