--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -42,6 +42,8 @@
         /// Drives one entry among 410 without processes and counts what it sends; exits with 0 only
         /// if that is within the limit.
         cmd drive {}
+        /// Measures what a decision and a report take at one entry of 200; prints one JSON object.
+        cmd decisions {}
         /// Runs one instance; what this tool starts its fleets with.
         cmd instance {
             /// The settings file.
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool: starts a local fleet of real processes with stand-ins, drives it,
 //! and reports what the stand-ins' own records say of it.
 
+mod decisions;
 mod demo;
 mod drive;
 mod experiment;
@@ -35,6 +36,7 @@
         KingcupLoadCmd::Report(args) => report::exec(&args.results, &args.out),
         KingcupLoadCmd::Record(_) => record::exec(),
         KingcupLoadCmd::Drive(_) => drive::exec(),
+        KingcupLoadCmd::Decisions(_) => decisions::exec(),
         KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
         KingcupLoadCmd::Init(args) => ops::found(&args.settings, None).map(|()| true),
     };
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod plain;
 pub mod platform;
 pub mod proxy;
+pub mod settings;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+pub(crate) use kingcup_support::settings::fleet_settings;
 use kingcup_support::{
     caller::{Answer, Caller},
     engine::{Engine, EngineConfig, Prompt},
@@ -18,37 +19,10 @@
     platform::{Backend, Platform},
     wait_until,
 };
-use kingcupgrade::core::{Millis, fleet::FleetSettings, settings::Role};
 
 /// The patience of tests: far beyond what is expected, so that a busy machine fails none.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 
-/// Returns the settings of an entry of a fleet that finds itself, for machines without I/O.
-pub(crate) fn fleet_settings() -> FleetSettings {
-    FleetSettings {
-        ip: "127.0.0.1".parse().expect("an address"),
-        role: Role::Entry,
-        failure_domain: "north".into(),
-        entry_port: 1,
-        control_port: 2,
-        seeds: Vec::new(),
-        caller_address: None,
-        ready_address: None,
-        operator_address: None,
-        listing_address: None,
-        metrics_address: None,
-        listing_rate: 1.0,
-        data: None,
-        is_first_start: false,
-        tolerated_losses: 1,
-        grace: Millis(8_000),
-        retry_ratio: 0.2,
-        retry_slack: 10.0,
-        retry_window: Millis(10_000),
-        max_sockets: 100,
-    }
-}
-
 /// Returns how to start the daemon under test.
 pub(crate) fn daemon() -> Program {
     Program::daemon(env!("CARGO_BIN_EXE_kingcupd"))
