--- /dev/null
+++ b/src/kingcupgrade/transport/gateway/lateness.rs
@@ -0,0 +1,73 @@
+//! How far an entry's processor is behind, and what follows from it.
+
+use std::rc::Rc;
+
+use serde::Serialize;
+
+use super::{Gateway, edge::Edge};
+use crate::{core::Millis, util::log};
+
+/// The line that tells how far an entry's processor is behind.
+#[derive(Serialize)]
+struct Overloaded {
+    /// The part of requests that is refused.
+    part: f64,
+    /// Connections and requests that are open.
+    open: (usize, usize),
+    /// Requests that wait for room.
+    waiting: usize,
+}
+
+impl<E: Edge> Gateway<E> {
+    fn note_lateness(&self, late: Millis) {
+        let mut overload = self.overload.get();
+        overload.on_turn(late);
+        self.overload.set(overload);
+    }
+
+    /// Notes how long a new connection waited for its turn.
+    pub(super) fn note_wait(&self, late: Millis) {
+        let mut overload = self.overload.get();
+        overload.on_wait(late);
+        self.overload.set(overload);
+    }
+
+    /// Returns for how long events of an answer are gathered, if they are.
+    pub(super) fn gather_span(&self) -> Option<Millis> {
+        self.overload.get().gather_span(self.settings.event_patience)
+    }
+
+    /// Logs what this entry refuses for want of processor time, if anything.
+    pub(super) fn log_overload(&self) {
+        let part = self.overload.get().part();
+        if part > 0.0 {
+            let open = (self.open_connections.get(), self.open_requests.get());
+            let waiting = self.traffic.borrow().waiting();
+            log::event("overloaded", &Overloaded { part, open, waiting });
+        }
+    }
+
+    /// Tells whether the request that came now is too much for this entry's processor.
+    pub(super) fn is_too_much(&self) -> bool {
+        let mut overload = self.overload.get();
+        let refuses = overload.refuses();
+        self.overload.set(overload);
+        refuses
+    }
+}
+
+/// Measures how long a task waits for its turn behind those of callers and upstreams.
+///
+/// The timer itself fires on time however many tasks wait: the library looks at timers between
+/// tasks.
+pub(super) fn probe_lateness<E: Edge>(gateway: &Rc<Gateway<E>>) {
+    if gateway.is_probing.replace(true) {
+        return;
+    }
+    let began = gateway.now();
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        gateway.is_probing.set(false);
+        gateway.note_lateness(gateway.now().since(began));
+    });
+}
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod decisions;
 pub mod edge;
 pub mod events;
+mod lateness;
 mod listing;
 mod pool;
 mod relay;
@@ -25,7 +26,6 @@
 
 use ::metrics::gauge;
 use anyhow::Context;
-use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpSocket},
     sync::{mpsc, oneshot},
@@ -36,6 +36,7 @@
 use self::{
     decisions::{DecisionLog, GivenUp},
     edge::Edge,
+    lateness::probe_lateness,
     pool::Pool,
 };
 use super::{
@@ -63,17 +64,6 @@
 /// How often idle connections are looked at.
 const SWEEP: Millis = Millis(1_000);
 
-/// The line that tells how far an entry's processor is behind.
-#[derive(Serialize)]
-struct Overloaded {
-    /// The part of requests that is refused.
-    part: f64,
-    /// Connections and requests that are open.
-    open: (usize, usize),
-    /// Requests that wait for room.
-    waiting: usize,
-}
-
 /// Everything the tasks of one entry share.
 pub(crate) struct Gateway<E> {
     edge: Arc<E>,
@@ -136,19 +126,6 @@
             && traffic.has_upstreams()
     }
 
-    fn note_lateness(&self, late: Millis) {
-        let mut overload = self.overload.get();
-        overload.on_turn(late);
-        self.overload.set(overload);
-    }
-
-    /// Notes how long a new connection waited for its turn.
-    fn note_wait(&self, late: Millis) {
-        let mut overload = self.overload.get();
-        overload.on_wait(late);
-        self.overload.set(overload);
-    }
-
     /// Shows what this entry holds and believes as metrics.
     fn show_state(&self, now: Millis) {
         let traffic = self.traffic.borrow();
@@ -185,24 +162,6 @@
         self.decisions.refused(code, &line);
     }
 
-    /// Logs what this entry refuses for want of processor time, if anything.
-    fn log_overload(&self) {
-        let part = self.overload.get().part();
-        if part > 0.0 {
-            let open = (self.open_connections.get(), self.open_requests.get());
-            let waiting = self.traffic.borrow().waiting();
-            log::event("overloaded", &Overloaded { part, open, waiting });
-        }
-    }
-
-    /// Tells whether the request that came now is too much for this entry's processor.
-    fn is_too_much(&self) -> bool {
-        let mut overload = self.overload.get();
-        let refuses = overload.refuses();
-        self.overload.set(overload);
-        refuses
-    }
-
     /// Lets requests that wait go on as far as there is room.
     fn poll_waiting(&self) {
         let mut verdicts = Vec::new();
@@ -373,22 +332,6 @@
     }
 }
 
-/// Measures how long a task waits for its turn behind those of callers and upstreams.
-///
-/// The timer itself fires on time however many tasks wait: the library looks at timers between
-/// tasks.
-fn probe_lateness<E: Edge>(gateway: &Rc<Gateway<E>>) {
-    if gateway.is_probing.replace(true) {
-        return;
-    }
-    let began = gateway.now();
-    let gateway = gateway.clone();
-    tokio::task::spawn_local(async move {
-        gateway.is_probing.set(false);
-        gateway.note_lateness(gateway.now().since(began));
-    });
-}
-
 fn begin_shutdown<E: Edge>(gateway: &Gateway<E>) {
     let mut shutdown = gateway.shutdown.get();
     shutdown.begin(gateway.now(), gateway.settings.grace);
