Tell how far behind an entry is, and what it has to do with the list

The `overloaded` line says whether everything is refused and how long a task last waited for its turn, kingcup_turn_wait_ms shows it; `listing-duty` tells when an entry begins or ceases to read the platform's list. Without them an on-call engineer can't tell a refusal for being far behind from the learned part, nor who read the list that a request went by. No decision changes.

--- a/src/kingcupgrade/coordination/listing.rs
+++ b/src/kingcupgrade/coordination/listing.rs
@@ -8,6 +8,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
+
 use crate::{
     core::{Instance, Millis, UpstreamName},
     protocol::fleet::{ListedUpstream, ListingNews},
@@ -45,7 +47,8 @@
 const RANKING_KEY: &str = "listing";
 
 /// What an entry has to do with reading the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ListingDuty {
     /// It reads for the fleet.
     Reads,
--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -78,6 +78,16 @@
         self.part
     }
 
+    /// Returns how long the last task waited for its turn.
+    pub fn turn_wait(&self) -> Millis {
+        self.last
+    }
+
+    /// Tells whether everything is refused until the processor has caught up.
+    pub fn is_far_behind(&self) -> bool {
+        self.is_far_behind
+    }
+
     /// Tells whether new callers are better sent elsewhere.
     pub fn is_full(&self) -> bool {
         self.is_full
--- a/src/kingcupgrade/transport/gateway/lateness.rs
+++ b/src/kingcupgrade/transport/gateway/lateness.rs
@@ -12,6 +12,10 @@
 struct Overloaded {
     /// The part of requests that is refused.
     part: f64,
+    /// Whether all are, until the processor has caught up.
+    refuses_all: bool,
+    /// How long a task waited for its turn last.
+    turn_wait_ms: Millis,
     /// Connections and requests that are open.
     open: (usize, usize),
     /// Requests that wait for room.
@@ -39,12 +43,21 @@
 
     /// Logs what this entry refuses for want of processor time, if anything.
     pub(super) fn log_overload(&self) {
-        let part = self.overload.get().part();
-        if part > 0.0 {
-            let open = (self.open_connections.get(), self.open_requests.get());
-            let waiting = self.traffic.borrow().waiting();
-            log::event("overloaded", &Overloaded { part, open, waiting });
+        let overload = self.overload.get();
+        let part = overload.part();
+        if part == 0.0 && !overload.is_far_behind() {
+            return;
         }
+        log::event(
+            "overloaded",
+            &Overloaded {
+                part,
+                refuses_all: overload.is_far_behind(),
+                turn_wait_ms: overload.turn_wait(),
+                open: (self.open_connections.get(), self.open_requests.get()),
+                waiting: self.traffic.borrow().waiting(),
+            },
+        );
     }
 
     /// Tells whether the request that came now is too much for this entry's processor.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -133,6 +133,7 @@
         gauge!("kingcup_open_connections").set(self.open_connections.get() as f64);
         gauge!("kingcup_waiting_requests").set(traffic.waiting() as f64);
         gauge!("kingcup_refused_part").set(self.overload.get().part());
+        gauge!("kingcup_turn_wait_ms").set(self.overload.get().turn_wait().0 as f64);
         gauge!("kingcup_entries").set(traffic.entry_count() as f64);
         let listing_age = self.listing_plan.borrow().age(now);
         gauge!("kingcup_listing_age_ms").set(listing_age.0 as f64);
@@ -202,7 +203,10 @@
                 let all: Vec<Instance> =
                     entries.into_iter().map(|Resident(entry, _)| entry).collect();
                 let neighbours = Neighbours { fleet: &all, domain: &here };
-                self.listing_duty.set(neighbours.duty(&self.settings.instance()));
+                let duty = neighbours.duty(&self.settings.instance());
+                if self.listing_duty.replace(duty) != duty {
+                    log::event("listing-duty", &duty);
+                }
                 self.traffic.borrow_mut().set_entries(all);
                 if !self.listing_plan.borrow().is_known() {
                     self.fleet.tell(FleetInput::WantListing(None));
