Share the service that decisions are tested and timed with

The test suite and the timing of decisions had each a configuration with one route to engines, listed upstreams and a request; one copy stands in the test support now.

--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod settings;
+pub mod traffic;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- /dev/null
+++ b/crates/kingcup-support/src/traffic.rs
@@ -0,0 +1,92 @@
+//! A service of engines and a plain one, as decisions about traffic are tested and timed with.
+
+use kingcupgrade::{
+    coordination::traffic::{Demand, PromptPart, RequestNo},
+    core::{
+        Millis, Organisation, Service,
+        configuration::{Configuration, EngineLimits, Limits, Route, RouteKind, ServicePlan},
+    },
+    protocol::fleet::ListedUpstream,
+};
+
+/// Requests that an engine runs at once.
+pub const ENGINE_SLOTS: u32 = 64;
+/// Until when the first event of an answer should be there.
+pub const TARGET: Millis = Millis(500);
+
+/// Makes a configuration with a route to the engines.
+///
+/// # Panics
+///
+/// Never: its parts are written out.
+pub fn configuration(tokens_per_s: f64) -> Configuration {
+    let route = Route {
+        name: "review".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/review/".to_owned(),
+        kind: RouteKind::Stream { resumable: true },
+        timeout: Millis(10_000),
+        target: TARGET,
+        max_gap: Millis(250),
+        rank: 1,
+        targets: vec![("engine".into(), 1)],
+        max_attempts: 2,
+        is_public: false,
+    };
+    let engine = ServicePlan {
+        name: "engine".into(),
+        max_connections: 100,
+        cold_span: Millis(3_000),
+        cold_per_s: 20.0,
+        engine: Some(EngineLimits { slots: ENGINE_SLOTS, kv_capacity: 800_000, stride: 6 }),
+    };
+    let plain = ServicePlan { name: "plain".into(), engine: None, ..engine.clone() };
+    let limits = Limits {
+        max_head_len: 16_384,
+        max_body_len: 1 << 20,
+        head_timeout: Millis(3_000),
+        idle_timeout: Millis(15_000),
+        tokens_per_s,
+    };
+    Configuration::new(1, vec![route], vec![engine, plain], None, limits).expect("a configuration")
+}
+
+/// Makes an upstream of a service, `engine` or `plain`, as the platform lists it.
+///
+/// # Panics
+///
+/// Never: its address is written out.
+pub fn listed(service: &str, name: &str, cold: Millis) -> ListedUpstream {
+    ListedUpstream {
+        name: name.into(),
+        service: service.into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "north".into(),
+        slots: if service == "engine" { ENGINE_SLOTS } else { 6 },
+        is_ready: true,
+        cold,
+        born: 1,
+    }
+}
+
+/// Makes a request to the engines, with a part that all share, one of its session, and tokens of its
+/// own.
+pub fn demand(no: RequestNo, now: Millis, organisation: &str, session: u64, own: u32) -> Demand {
+    let parts = [
+        PromptPart { id: 1, tokens: 500 },
+        PromptPart { id: session, tokens: 4_800 },
+        PromptPart { id: 1_000_000 + no, tokens: own },
+    ];
+    Demand {
+        no,
+        service: Service::from("engine"),
+        route: "review".into(),
+        organisation: Organisation::from(organisation),
+        arrived: now,
+        target: now + TARGET,
+        deadline: now + Millis(10_000),
+        prompt: parts.into(),
+        output: 200,
+        avoid: Vec::new(),
+    }
+}
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -3,68 +3,20 @@
 use std::{net::IpAddr, sync::Arc};
 
 use crate::support::fleet_settings;
+pub(crate) use kingcup_support::traffic::demand;
+use kingcup_support::traffic::{configuration, listed};
 use kingcupgrade::{
     coordination::traffic::{
-        Allowance, Backlog, Demand, Health, PromptPart, RequestNo, RetryBudget, SendEnd, Traffic,
-        Verdict,
+        Allowance, Backlog, Demand, Health, RequestNo, RetryBudget, SendEnd, Traffic, Verdict,
     },
     core::{
         Code, Instance, Millis, Organisation, Outcome, Service, UpstreamName,
-        configuration::{Configuration, EngineLimits, Limits, Route, RouteKind, ServicePlan},
         fleet::{FleetSettings, name_of},
         settings::Role,
     },
-    protocol::fleet::{ListedUpstream, LoadReport},
+    protocol::fleet::LoadReport,
 };
 
-const ENGINE_SLOTS: u32 = 64;
-const TARGET: Millis = Millis(500);
-
-fn configuration(tokens_per_s: f64) -> Configuration {
-    let route = Route {
-        name: "review".to_owned(),
-        host: "host".to_owned(),
-        path_prefix: "/review/".to_owned(),
-        kind: RouteKind::Stream { resumable: true },
-        timeout: Millis(10_000),
-        target: TARGET,
-        max_gap: Millis(250),
-        rank: 1,
-        targets: vec![("engine".into(), 1)],
-        max_attempts: 2,
-        is_public: false,
-    };
-    let engine = ServicePlan {
-        name: "engine".into(),
-        max_connections: 100,
-        cold_span: Millis(3_000),
-        cold_per_s: 20.0,
-        engine: Some(EngineLimits { slots: ENGINE_SLOTS, kv_capacity: 800_000, stride: 6 }),
-    };
-    let plain = ServicePlan { name: "plain".into(), engine: None, ..engine.clone() };
-    let limits = Limits {
-        max_head_len: 16_384,
-        max_body_len: 1 << 20,
-        head_timeout: Millis(3_000),
-        idle_timeout: Millis(15_000),
-        tokens_per_s,
-    };
-    Configuration::new(1, vec![route], vec![engine, plain], None, limits).expect("a configuration")
-}
-
-fn listed(service: &str, name: &str, cold: Millis) -> ListedUpstream {
-    ListedUpstream {
-        name: name.into(),
-        service: service.into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: "north".into(),
-        slots: if service == "engine" { ENGINE_SLOTS } else { 6 },
-        is_ready: true,
-        cold,
-        born: 1,
-    }
-}
-
 pub(crate) fn traffic(tokens_per_s: f64, engines: usize) -> Traffic {
     traffic_of(0, tokens_per_s, engines)
 }
@@ -88,32 +40,6 @@
     (0..count).map(|entry| name_of(Role::Entry, ip(entry))).collect()
 }
 
-pub(crate) fn demand(
-    no: RequestNo,
-    now: Millis,
-    organisation: &str,
-    session: u64,
-    own: u32,
-) -> Demand {
-    let parts = [
-        PromptPart { id: 1, tokens: 500 },
-        PromptPart { id: session, tokens: 4_800 },
-        PromptPart { id: 1_000_000 + no, tokens: own },
-    ];
-    Demand {
-        no,
-        service: Service::from("engine"),
-        route: "review".into(),
-        organisation: Organisation::from(organisation),
-        arrived: now,
-        target: now + TARGET,
-        deadline: now + Millis(10_000),
-        prompt: parts.into(),
-        output: 200,
-        avoid: Vec::new(),
-    }
-}
-
 pub(crate) fn plain(no: RequestNo, now: Millis, organisation: &str) -> Demand {
     Demand {
         service: Service::from("plain"),
