Work out what is asked of the other entries where their sums are added

An organisation's own asking was worked out twice, and a field and a method that mean different things had one name: what was served here lately, and what was served elsewhere since the others told.

--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -72,7 +72,7 @@
     /// What all entries served while it was spare, beyond the level of then.
     spare: BTreeMap<Organisation, Fading>,
     /// What was served here in about the time that the others' sums are old.
-    served_untold: BTreeMap<Organisation, Fading>,
+    served_lately: BTreeMap<Organisation, Fading>,
     refused: BTreeMap<Organisation, Fading>,
     /// How many other entries there are.
     others: usize,
@@ -103,7 +103,7 @@
     /// Counts what a request is given; negative where it took less than was counted before.
     pub fn on_served(&mut self, now: Millis, organisation: &Organisation, work: f64) {
         count(&mut self.served, now, organisation, work, SHARE_SPAN);
-        count(&mut self.served_untold, now, organisation, work, self.age);
+        count(&mut self.served_lately, now, organisation, work, self.age);
     }
 
     /// Sets how many other entries there are, and how old their sums are.
@@ -126,16 +126,13 @@
         }
         for (organisation, told) in others {
             let counts = self.counts.entry(organisation.clone()).or_default();
+            let elsewhere = told.asked.max(0.0) / counts.asked.max(1.0);
+            // One request at an entry that is asked for little says little of the others.
+            counts.asked_elsewhere = elsewhere.min(self.others as f64);
             counts.asked += told.asked;
             counts.served_elsewhere += told.served;
             counts.refused += told.refused;
         }
-        for (organisation, counts) in &mut self.counts {
-            let own = self.asked.get(organisation).map_or(0.0, |asked| asked.get(now, SHARE_SPAN));
-            let elsewhere = (counts.asked - own).max(0.0) / own.max(1.0);
-            // One request at an entry that is asked for little says little of the others.
-            counts.asked_elsewhere = elsewhere.min(self.others as f64);
-        }
         for (organisation, refused) in &self.refused {
             let counts = self.counts.entry(organisation.clone()).or_default();
             counts.refused += refused.get(now, REFUSED_SPAN);
@@ -179,8 +176,8 @@
     /// Tells where an organisation stands with one more request.
     pub fn standing(&self, now: Millis, organisation: &Organisation, work: f64) -> Standing {
         let Some(counts) = self.counts.get(organisation) else { return Standing::Within };
-        let before =
-            self.charged(now, organisation, counts) + self.served_untold(now, organisation, counts);
+        let before = self.charged(now, organisation, counts)
+            + self.served_elsewhere_since(now, organisation, counts);
         // Half of the request, so that one larger than a share is not shut out for good.
         let served = before + work / 2.0;
         if counts.asked <= self.even_level || served <= self.even_level {
@@ -221,8 +218,13 @@
     ///
     /// All entries know the same old sums. Without it all of them would find room in a share at the
     /// same moment, and until they hear of each other give all that is asked of them.
-    fn served_untold(&self, now: Millis, organisation: &Organisation, counts: &Counts) -> f64 {
-        let own = self.served_untold.get(organisation);
+    fn served_elsewhere_since(
+        &self,
+        now: Millis,
+        organisation: &Organisation,
+        counts: &Counts,
+    ) -> f64 {
+        let own = self.served_lately.get(organisation);
         let own = own.map_or(0.0, |served| served.get(now, self.age).max(0.0));
         own * counts.asked_elsewhere
     }
