Name the reader of a told list where it is known

Telling a list made up an empty reader's name where none was known, which never was, and the whole list was put together in two places. The reader is passed on, and one function tells the whole.

--- a/src/kingcupgrade/coordination/listing.rs
+++ b/src/kingcupgrade/coordination/listing.rs
@@ -197,13 +197,13 @@
             self.number = unix_ms.max(base + 1);
         }
         if base == 0 {
-            return self.news(0, self.upstreams.values().cloned().collect(), Vec::new());
+            return self.whole_by(own);
         }
         let now = self.upstreams.iter();
         let changed = now.filter(|(name, listed)| before.get(*name) != Some(*listed));
         let gone = before.keys().filter(|name| !self.upstreams.contains_key(*name));
         let changed = changed.map(|(_, listed)| listed.clone()).collect();
-        self.news(base, changed, gone.cloned().collect())
+        self.news(own, base, changed, gone.cloned().collect())
     }
 
     /// Takes in what another entry tells; false if it builds on a list that is not known here.
@@ -226,17 +226,21 @@
     /// Returns the whole list as it is told to one that knows nothing; `None` if nothing is known
     /// here either.
     pub fn whole(&self) -> Option<ListingNews> {
-        self.reader.as_ref()?;
-        Some(self.news(0, self.upstreams.values().cloned().collect(), Vec::new()))
+        self.reader.as_ref().map(|reader| self.whole_by(reader))
+    }
+
+    fn whole_by(&self, reader: &Instance) -> ListingNews {
+        self.news(reader, 0, self.upstreams.values().cloned().collect(), Vec::new())
     }
 
     fn news(
         &self,
+        reader: &Instance,
         base: u64,
         changed: Vec<ListedUpstream>,
         gone: Vec<UpstreamName>,
     ) -> ListingNews {
-        let reader = self.reader.clone().unwrap_or_else(|| Instance::from(""));
+        let reader = reader.clone();
         ListingNews { reader, age: Millis::ZERO, base, number: self.number, changed, gone }
     }
 }
