Log one line for each way in which a process ends, and count the restarts that others see

Every process now ends by one function: "ended" with its cause is its last line, past the queue that drops lines when it is full; a panic of any thread writes "panicked" with its place first. A process whose control thread panicked went on by a configuration that nobody replaced, and one whose accepting task panicked looked healthy and answered nobody; threads and tasks that a process can't do without end it now. An instance tells the start of its process where it joins; a control instance logs "instance-restarted" with a count (kingcup_restarts_seen).

The test of ends runs its own child process; on the code before it can't be built, as there was nothing to call.

--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -68,6 +68,13 @@
     SourceChanged(ConfigurationSource),
     /// The part of this control instance in the record changed.
     StandingChanged(RecordStanding),
+    /// Another process runs in place of the one that was heard as this instance.
+    Restarted {
+        /// The instance.
+        instance: Instance,
+        /// How often that was seen here.
+        restarts: u32,
+    },
 }
 
 /// On whose word an instance goes by its configuration.
--- a/src/kingcupgrade/coordination/fleet/joining.rs
+++ b/src/kingcupgrade/coordination/fleet/joining.rs
@@ -1,6 +1,9 @@
 //! Finding the others: an instance says that it is there, and is told who else is.
 
-use super::{FleetNode, FleetOutput, roster::Told};
+use super::{
+    FleetNode, FleetOutput,
+    roster::{Joined, Told},
+};
 use crate::{
     core::{Instance, Millis},
     protocol::{
@@ -17,7 +20,8 @@
 
 impl FleetNode {
     /// Says to all control instances that this instance is there.
-    pub(super) fn join(&mut self, now: Millis, out: &mut Vec<FleetOutput>) {
+    pub(super) fn join(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<FleetOutput>) {
+        let started = *self.started.get_or_insert(unix_ms);
         let is_alone = self.roster.entries().is_empty();
         self.next_join = now + if is_alone { FIRST_JOIN_INTERVAL } else { JOIN_INTERVAL };
         for control in self.roster.controls() {
@@ -28,11 +32,26 @@
                 domain: self.settings.failure_domain.clone(),
                 leaving: self.draining,
                 known: self.roster.number_told_by(&control),
+                started,
             };
             out.push(FleetOutput::Send(control, Message::Fleet(join)));
         }
     }
 
+    /// Takes in that an instance is there; a control instance tells if it is another process.
+    pub(super) fn on_join(
+        &mut self,
+        now: Millis,
+        from: &Instance,
+        join: &Joined,
+        out: &mut Vec<FleetOutput>,
+    ) {
+        let restarts = self.roster.on_join(now, from, join);
+        if let Some(restarts) = restarts.filter(|_| self.control.is_some()) {
+            out.push(FleetOutput::Restarted { instance: from.clone(), restarts });
+        }
+    }
+
     /// Tells who is there, to an instance that knows the roster of a number.
     pub(super) fn answer_join(
         &mut self,
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -22,7 +22,7 @@
     totals::{report_age, report_ttl, share_interval},
 };
 use self::{
-    roster::{Roster, Told},
+    roster::{Joined, Roster, Told},
     totals::{Totals, TotalsOutput},
 };
 use super::{
@@ -67,6 +67,8 @@
     /// Messages from this instance to itself.
     own: VecDeque<Message>,
     next_join: Millis,
+    /// The wall clock when this process first said that it is there.
+    started: Option<u64>,
     told_digest: u64,
     told_source: Option<ConfigurationSource>,
     told_standing: Option<RecordStanding>,
@@ -87,6 +89,7 @@
             awaited: BTreeMap::new(),
             own: VecDeque::new(),
             next_join: Millis::ZERO,
+            started: None,
             told_digest: 0,
             told_source: None,
             told_standing: None,
@@ -143,7 +146,7 @@
             FleetInput::SeedsChanged(seeds) => self.roster.set_seeds(seeds),
             FleetInput::Drain => {
                 self.draining = true;
-                self.join(now, out);
+                self.join(now, unix_ms, out);
                 self.run_control(out, |control, outputs| control.hand_over(outputs));
             }
             FleetInput::Tick => self.tick(now, unix_ms, out),
@@ -198,7 +201,7 @@
         self.tell_source(now, out);
         self.tell_standing(now, out);
         if now >= self.next_join {
-            self.join(now, out);
+            self.join(now, unix_ms, out);
         }
     }
 
@@ -239,8 +242,8 @@
         out: &mut Vec<FleetOutput>,
     ) {
         match message {
-            FleetMessage::Join { domain, leaving, known } => {
-                self.roster.on_join(now, from, &domain, leaving);
+            FleetMessage::Join { domain, leaving, known, started } => {
+                self.on_join(now, from, &Joined { domain, leaving, started }, out);
                 if self.control.is_some() {
                     self.answer_join(unix_ms, from, known, out);
                 }
--- a/src/kingcupgrade/coordination/fleet/roster.rs
+++ b/src/kingcupgrade/coordination/fleet/roster.rs
@@ -18,6 +18,8 @@
 const ENTRY_TTL: Millis = Millis(4_000);
 /// A control instance stays listed longer, since it is told of by others too.
 const CONTROL_TTL: Millis = Millis(20_000);
+/// A process is remembered for so long after it was last heard, far longer than a restart takes.
+const PROCESS_TTL: Millis = Millis(600_000);
 
 /// Who is there by the word of one control instance.
 #[derive(Clone, Debug, Default)]
@@ -30,6 +32,25 @@
     pub controls: Vec<Instance>,
 }
 
+/// What an instance says of itself.
+#[derive(Clone, Debug)]
+pub struct Joined {
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// The wall clock at the start of its process, in milliseconds since 1970.
+    pub started: u64,
+}
+
+/// The process of an instance.
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    started: u64,
+    restarts: u32,
+    heard: Millis,
+}
+
 /// The instances known.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -42,6 +63,8 @@
     told: BTreeMap<Instance, Told>,
     /// What this control instance tells.
     own: Told,
+    /// The processes heard, also of instances that are listed no more.
+    processes: BTreeMap<Instance, Process>,
 }
 
 impl Roster {
@@ -55,26 +78,35 @@
         self.seeds = seeds.into_iter().collect();
     }
 
-    /// Notes a sign of life.
-    pub fn on_join(
-        &mut self,
-        now: Millis,
-        instance: &Instance,
-        domain: &FailureDomain,
-        leaving: bool,
-    ) {
+    /// Notes a sign of life. Returns how often the instance was seen to have restarted, if it has
+    /// now.
+    pub fn on_join(&mut self, now: Millis, instance: &Instance, join: &Joined) -> Option<u32> {
         match role_of(instance) {
             Some(Role::Control) => {
                 self.controls.insert(instance.clone(), now);
             }
-            Some(Role::Entry) if leaving => {
+            Some(Role::Entry) if join.leaving => {
                 self.entries.remove(instance);
             }
             Some(Role::Entry) => {
-                self.entries.insert(instance.clone(), (domain.clone(), now));
+                self.entries.insert(instance.clone(), (join.domain.clone(), now));
             }
-            None => {}
+            None => return None,
+        }
+        self.note_start(now, instance, join.started)
+    }
+
+    /// A message of an earlier process may be late, so only a later start is a restart.
+    fn note_start(&mut self, now: Millis, instance: &Instance, started: u64) -> Option<u32> {
+        let process = self.processes.entry(instance.clone());
+        let process = process.or_insert(Process { started, restarts: 0, heard: now });
+        process.heard = now;
+        if started <= process.started {
+            return None;
         }
+        process.started = started;
+        process.restarts += 1;
+        Some(process.restarts)
     }
 
     /// Notes an entry's own word to this one; its failure domain is known from the roster.
@@ -132,6 +164,7 @@
         if lists_itself || is_listed {
             self.entries.retain(|_, (_, heard)| now.since(*heard) <= ENTRY_TTL);
             self.controls.retain(|_, heard| now.since(*heard) <= CONTROL_TTL);
+            self.processes.retain(|_, process| now.since(process.heard) <= PROCESS_TTL);
             let (controls, seeds) = (&self.controls, &self.seeds);
             self.told.retain(|told, _| controls.contains_key(told) || seeds.contains(told));
         }
--- a/src/kingcupgrade/ops/fleet.rs
+++ b/src/kingcupgrade/ops/fleet.rs
@@ -3,22 +3,21 @@
 use crate::{
     core::settings::Role,
     transport::{controls, gateway, gateway::edge::Edge},
-    util::log,
+    util::process,
 };
 
 /// Runs one process of a fleet that finds itself, until it is told to stop.
 ///
 /// # Errors
 ///
-/// Returns an error if the process can't start.
+/// Returns an error if the process can't start, or ends otherwise than when told to.
 pub fn serve_fleet<E: Edge>(edge: E) -> anyhow::Result<()> {
-    log::init()?;
-    let edge = Arc::new(edge);
-    let settings = Arc::new(edge.read_settings()?);
-    let ended = match settings.role {
-        Role::Entry => gateway::run(edge, settings),
-        Role::Control => controls::run(edge, settings),
-    };
-    log::finish();
-    ended
+    process::run_logged(|| {
+        let edge = Arc::new(edge);
+        let settings = Arc::new(edge.read_settings()?);
+        match settings.role {
+            Role::Entry => gateway::run(edge, settings),
+            Role::Control => controls::run(edge, settings),
+        }
+    })
 }
--- a/src/kingcupgrade/ops/serve.rs
+++ b/src/kingcupgrade/ops/serve.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 
-use crate::{core::Settings, transport::daemon};
+use crate::{core::Settings, transport::daemon, util::process};
 
 /// Runs the instance that a settings file describes until it is told to stop.
 ///
@@ -12,5 +12,7 @@
 pub fn serve(path: &Path) -> anyhow::Result<()> {
     let settings = Settings::load(path)?;
     let instance = settings.instance.clone();
-    daemon::run(settings).with_context(|| format!("instance {instance} stopped"))
+    process::run_logged(|| {
+        daemon::run(settings).with_context(|| format!("instance {instance} stopped"))
+    })
 }
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -139,6 +139,9 @@
         /// The number of the roster that the receiver told it last; 0 if none.
         #[serde(rename = "k", default)]
         known: u64,
+        /// The wall clock at the start of the sender's process, in milliseconds since 1970.
+        #[serde(rename = "b", default)]
+        started: u64,
     },
     /// Tells who is there.
     #[serde(rename = "o")]
--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -20,6 +20,7 @@
     fleet::FleetHandle,
     gateway::edge::{Edge, OperatorCall},
     metrics, reload,
+    tasks::EssentialTasks,
 };
 use crate::{
     coordination::fleet::FleetInput,
@@ -60,16 +61,20 @@
 }
 
 async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
-    metrics::start(settings.metrics_address).await.context("metrics")?;
-    let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
     let address = settings.operator_address.context("the settings name no operators' address")?;
     let listener = TcpListener::bind(address).await?;
-    tokio::task::spawn_local(reload::follow(edge.clone(), fleet.clone(), settings.clone()));
+    metrics::start(settings.metrics_address).await.context("metrics")?;
+    let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn("settings", reload::follow(edge.clone(), fleet.clone(), settings.clone()));
     let controls = Rc::new(Controls { edge, fleet: fleet.clone() });
-    tokio::task::spawn_local(accept_all(controls, listener));
+    tasks.spawn("operators", accept_all(controls, listener));
     log::event("started", &settings.instance());
     let mut terminated = signal(SignalKind::terminate())?;
-    terminated.recv().await;
+    tokio::select! {
+        _ = terminated.recv() => {}
+        err = tasks.failure() => return Err(err),
+    }
     log::event("draining", &settings.instance());
     fleet.tell(FleetInput::Drain);
     sleep(HAND_OVER.as_duration()).await;
@@ -77,7 +82,10 @@
     Ok(())
 }
 
-async fn accept_all<E: Edge>(controls: Rc<Controls<E>>, listener: TcpListener) {
+async fn accept_all<E: Edge>(
+    controls: Rc<Controls<E>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -46,7 +46,6 @@
 /// Returns an error if the instance can't be started: an address in use, or a data folder that
 /// can't be read.
 pub fn run(settings: Settings) -> anyhow::Result<()> {
-    log::init()?;
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let settings = Arc::new(settings);
     let (tx, rx) = mpsc::channel();
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -7,7 +7,6 @@
     collections::BTreeMap,
     path::Path,
     sync::{Arc, mpsc},
-    thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -32,7 +31,7 @@
         disk::{self, Disk},
         log::Persist,
     },
-    util::{log, random},
+    util::{log, process, random},
 };
 
 /// How often the node sees time pass.
@@ -100,7 +99,7 @@
             operators: BTreeMap::new(),
             next_ticket: 1,
         };
-        thread::Builder::new().name("control".to_owned()).spawn(move || thread.run(&rx))?;
+        process::spawn_essential("control", move || thread.run(&rx))?;
         Ok(FleetHandle { tx })
     }
 
@@ -315,6 +314,10 @@
             FleetOutput::Listed(from, news) => (self.news)(FleetNews::Listed(from, news)),
             FleetOutput::ListingWanted(from) => (self.news)(FleetNews::ListingWanted(from)),
             FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
+            FleetOutput::Restarted { instance, restarts } => {
+                counter!("kingcup_restarts_seen").increment(1);
+                log::event("instance-restarted", &(instance, restarts));
+            }
             FleetOutput::StandingChanged(standing) => log::event("record-standing", &standing),
         }
     }
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -40,7 +40,7 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Reads the list whenever this entry has to.
-pub(super) async fn follow<E: Edge>(gateway: Rc<Gateway<E>>) {
+pub(super) async fn follow<E: Edge>(gateway: Rc<Gateway<E>>) -> anyhow::Result<()> {
     let mut sender = None;
     let mut is_reachable = true;
     loop {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -42,6 +42,7 @@
 use super::{
     fleet::{FleetHandle, FleetNews},
     metrics, reload,
+    tasks::EssentialTasks,
 };
 use crate::{
     coordination::{
@@ -262,21 +263,26 @@
     });
     let callers = listen(settings.caller_address, "callers")?;
     let ready = listen(settings.ready_address, "readiness")?;
-    tokio::task::spawn_local(serve::accept_callers(gateway.clone(), callers));
-    tokio::task::spawn_local(serve::accept_probes(gateway.clone(), ready));
-    tokio::task::spawn_local(listing::follow(gateway.clone()));
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn("callers", serve::accept_callers(gateway.clone(), callers));
+    tasks.spawn("readiness", serve::accept_probes(gateway.clone(), ready));
+    tasks.spawn("listing", listing::follow(gateway.clone()));
     let (edge, fleet) = (gateway.edge.clone(), gateway.fleet.clone());
-    tokio::task::spawn_local(reload::follow(edge, fleet, settings.clone()));
-    tokio::task::spawn_local({
+    tasks.spawn("settings", reload::follow(edge, fleet, settings.clone()));
+    tasks.spawn("news", {
         let gateway = gateway.clone();
         async move {
             while let Some(event) = news.recv().await {
                 gateway.on_news(event);
             }
+            Ok(())
         }
     });
     log::event("started", &settings.instance());
-    keep_time(&gateway).await?;
+    tokio::select! {
+        ended = keep_time(&gateway) => ended?,
+        err = tasks.failure() => return Err(err),
+    }
     log::event("stopped", &settings.instance());
     Ok(())
 }
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -64,12 +64,15 @@
 }
 
 /// Accepts callers' connections until the entry is to listen no more.
-pub(super) async fn accept_callers<E: Edge>(gateway: Rc<Gateway<E>>, listener: TcpListener) {
+pub(super) async fn accept_callers<E: Edge>(
+    gateway: Rc<Gateway<E>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
     let mut drain = gateway.drain.subscribe();
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = drain.wait_for(|stage| *stage >= DrainStage::Deaf) => return,
+            _ = drain.wait_for(|stage| *stage >= DrainStage::Deaf) => return Ok(()),
             accepted = listener.accept() => accepted,
         };
         match accepted {
@@ -191,7 +194,10 @@
 }
 
 /// Answers the balancer's questions for good.
-pub(super) async fn accept_probes<E: Edge>(gateway: Rc<Gateway<E>>, listener: TcpListener) {
+pub(super) async fn accept_probes<E: Edge>(
+    gateway: Rc<Gateway<E>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -12,7 +12,6 @@
 use std::{
     net::{SocketAddr, TcpListener},
     sync::Arc,
-    thread,
     time::Duration,
 };
 
@@ -23,7 +22,7 @@
     answer::{Answer, AnswerStream, HungUp},
     request::{PendingAnswer, Request},
 };
-use crate::util::log;
+use crate::util::{log, process};
 
 /// Threads that read and write the connections of one address.
 const CONNECTION_THREADS: usize = 2;
@@ -82,7 +81,7 @@
         runtime.block_on(stop.notified());
         runtime.shutdown_background();
     };
-    thread::Builder::new().name(name.to_owned()).spawn(run)?;
+    process::spawn_essential(name, run)?;
     Ok(server)
 }
 
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod platform;
 mod reload;
+mod tasks;
 pub mod upstream;
 
 use std::{
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -8,7 +8,6 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, mpsc},
-    thread,
     time::{Duration, Instant},
 };
 
@@ -33,7 +32,7 @@
         Message,
         frame::{Channel, FrameError, MAX_FRAME_LEN, NONCE_LEN, Payload},
     },
-    util::{log, random},
+    util::{log, process, random},
 };
 
 /// Messages that may wait for one peer's connection.
@@ -146,7 +145,7 @@
             TcpListener::from_std(listener)?
         };
         let handle = runtime.handle().clone();
-        thread::Builder::new().name("peers".to_owned()).spawn({
+        process::spawn_essential("peers", {
             let cfg = cfg.clone();
             move || runtime.block_on(accept_all(listener, cfg))
         })?;
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -20,7 +20,7 @@
         node::Input,
     },
     core::{FailureDomain, Service, UpstreamName},
-    util::log,
+    util::{log, process},
 };
 
 /// How often the list is asked for.
@@ -91,7 +91,7 @@
             thread::sleep(POLL_INTERVAL);
         }
     };
-    thread::Builder::new().name("platform".to_owned()).spawn(poll)?;
+    process::spawn_essential("platform", poll)?;
     Ok(())
 }
 
--- a/src/kingcupgrade/util/log.rs
+++ b/src/kingcupgrade/util/log.rs
@@ -8,10 +8,11 @@
 //! too many wait.
 
 use std::{
+    io::{self, Write},
     num::NonZeroUsize,
     sync::{Arc, mpsc},
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use metrics::counter;
@@ -41,12 +42,7 @@
         dest: &mut spdlog::StringBuf,
         _cx: &mut FormatterContext<'_>,
     ) -> spdlog::Result<()> {
-        let unix_ms = record.time().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let level = record.level().as_str();
-        let payload = record.payload();
-        dest.push_str(&format!("{{\"unix_ms\":{},\"level\":\"{level}\",", unix_ms.as_millis()));
-        dest.push_str(payload.strip_prefix('{').unwrap_or(payload));
-        dest.push('\n');
+        dest.push_str(&stamp(record.time(), record.level().as_str(), record.payload()));
         Ok(())
     }
 }
@@ -70,13 +66,19 @@
     Ok(())
 }
 
-/// Writes what still waits, before the process ends; gives up if nobody reads.
-pub fn finish() {
+/// Writes what still waits and then a last line, before the process ends; gives up if nobody reads.
+///
+/// The last line doesn't go by the queue, which drops lines when it is full.
+pub fn finish(name: &str, fields: &impl Serialize) {
     let Ok(empty) = Logger::builder().build() else { return };
+    let last = stamp(SystemTime::now(), Level::Info.as_str(), &line(name, fields));
     let (tx, rx) = mpsc::channel();
     thread::spawn(move || {
         // The last owner of the queue waits for it to be written.
         drop(spdlog::swap_default_logger(Arc::new(empty)));
+        let mut stdout = io::stdout().lock();
+        // A process whose output is closed has nobody to tell.
+        let _ = stdout.write_all(last.as_bytes()).and_then(|()| stdout.flush());
         // Nobody waits for it after the timeout.
         let _ = tx.send(());
     });
@@ -93,6 +95,13 @@
     warn!("{}", line(name, fields));
 }
 
+/// Makes a whole line of a payload, which is a JSON object.
+fn stamp(time: SystemTime, level: &str, payload: &str) -> String {
+    let unix_ms = time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let fields = payload.strip_prefix('{').unwrap_or(payload);
+    format!("{{\"unix_ms\":{unix_ms},\"level\":\"{level}\",{fields}\n")
+}
+
 fn line(name: &str, fields: &impl Serialize) -> String {
     json!({ "event": name, "fields": fields }).to_string()
 }
--- a/src/kingcupgrade/util/mod.rs
+++ b/src/kingcupgrade/util/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod hex;
 pub mod log;
+pub mod process;
 pub mod random;
 pub mod rendezvous;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod pages;
 mod peers;
 mod pools;
+mod process;
 mod pulls;
 mod record;
 mod roster;
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -59,6 +59,8 @@
     roster_bytes: usize,
     /// Answers about who is there that get lost from now on.
     lost: usize,
+    /// Restarts as the control instance told of them.
+    restarts: Vec<(Instance, u32)>,
 }
 
 impl World {
@@ -66,7 +68,14 @@
         let mut nodes: BTreeMap<Instance, FleetNode> =
             (0..entries).map(|n| (name_of(Role::Entry, entry_ip(n)), entry(n))).collect();
         nodes.insert(name_of(Role::Control, CONTROL), control());
-        World { now: 0, nodes, known: BTreeMap::new(), roster_bytes: 0, lost: 0 }
+        World {
+            now: 0,
+            nodes,
+            known: BTreeMap::new(),
+            roster_bytes: 0,
+            lost: 0,
+            restarts: Vec::new(),
+        }
     }
 
     fn play(&mut self, span: u64) {
@@ -92,6 +101,9 @@
                 FleetOutput::Entries(entries) => {
                     self.known.insert(name.clone(), entries);
                 }
+                FleetOutput::Restarted { instance, restarts } => {
+                    self.restarts.push((instance, restarts));
+                }
                 _ => {}
             }
         }
@@ -165,3 +177,19 @@
     world.play(12_000);
     assert!(world.all_know(20), "the restarted control instance's list was not taken");
 }
+
+/// Guards against a process that starts again and again without anybody noticing: its own logs
+/// tell only of the last one.
+#[test]
+fn a_control_instance_counts_the_restarts_of_the_others() {
+    let mut world = World::new(3);
+    world.play(2_000);
+    assert!(world.restarts.is_empty(), "{:?}", world.restarts);
+    let name = name_of(Role::Entry, entry_ip(1));
+    for restarts in 1..=2 {
+        world.nodes.insert(name.clone(), entry(1));
+        world.play(2_000);
+        assert_eq!(world.restarts.last(), Some(&(name.clone(), restarts)));
+    }
+    assert_eq!(world.restarts.len(), 2);
+}
