Listen on all addresses before anybody is dialled, and wait while one is in use

Callers of a machine whose process starts again met nobody a while longer, and its end counts as one by itself: an entry ended with an error where its address was in use. It dialled the control instances first and listened for callers after, so a connection's local end could have been given the very port; and a process before that is still ending holds it for a moment.

One function listens for entries and control instances now.

--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -19,6 +19,7 @@
 use super::{
     fleet::FleetHandle,
     gateway::edge::{Edge, OperatorCall},
+    listen::listen,
     metrics, reload,
     tasks::EssentialTasks,
 };
@@ -62,7 +63,7 @@
 
 async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
     let address = settings.operator_address.context("the settings name no operators' address")?;
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address).with_context(|| format!("operators at {address}"))?;
     metrics::start(settings.metrics_address).await.context("metrics")?;
     let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
     let mut tasks = EssentialTasks::default();
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -27,7 +27,7 @@
 use ::metrics::gauge;
 use anyhow::Context;
 use tokio::{
-    net::{TcpListener, TcpSocket},
+    net::TcpListener,
     sync::{mpsc, oneshot},
     task::LocalSet,
     time,
@@ -41,6 +41,7 @@
 };
 use super::{
     fleet::{FleetHandle, FleetNews},
+    listen::listen,
     metrics, reload,
     tasks::EssentialTasks,
 };
@@ -59,9 +60,6 @@
 
 /// How often requests that wait are looked at: a small part of any target.
 const POLL: Duration = Duration::from_millis(10);
-/// Connections that may wait to be accepted: a caller that finds no room there hears nothing for a
-/// second and gives up, where a refusal would send it to another entry at once.
-const BACKLOG: u32 = 4_096;
 /// How often idle connections are looked at.
 const SWEEP: Millis = Millis(1_000);
 
@@ -234,6 +232,8 @@
 }
 
 async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+    let callers = listen_on(settings.caller_address, "callers")?;
+    let ready = listen_on(settings.ready_address, "readiness")?;
     metrics::start(settings.metrics_address).await.context("metrics")?;
     let (news_tx, mut news) = mpsc::unbounded_channel();
     let sink = move |event| {
@@ -261,8 +261,6 @@
         fleet,
         settings: settings.clone(),
     });
-    let callers = listen(settings.caller_address, "callers")?;
-    let ready = listen(settings.ready_address, "readiness")?;
     let mut tasks = EssentialTasks::default();
     tasks.spawn("callers", serve::accept_callers(gateway.clone(), callers));
     tasks.spawn("readiness", serve::accept_probes(gateway.clone(), ready));
@@ -287,20 +285,9 @@
     Ok(())
 }
 
-fn listen(address: Option<SocketAddr>, what: &str) -> anyhow::Result<TcpListener> {
+fn listen_on(address: Option<SocketAddr>, what: &str) -> anyhow::Result<TcpListener> {
     let address = address.with_context(|| format!("the settings name no address for {what}"))?;
-    listen_at(address).with_context(|| format!("{what} at {address}"))
-}
-
-fn listen_at(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    // A process that starts again must get the address of the one before.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    listen(address).with_context(|| format!("{what} at {address}"))
 }
 
 /// Does what is due from time to time, until the process has stopped.
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -22,6 +22,7 @@
     answer::{Answer, AnswerStream, HungUp},
     request::{PendingAnswer, Request},
 };
+use super::listen::while_in_use;
 use crate::util::{log, process};
 
 /// Threads that read and write the connections of one address.
@@ -63,7 +64,7 @@
     address: SocketAddr,
     serve: impl Fn(Request) + Send + Sync + 'static,
 ) -> anyhow::Result<Server> {
-    let listener = TcpListener::bind(address)?;
+    let listener = while_in_use(address, || TcpListener::bind(address))?;
     listener.set_nonblocking(true)?;
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(CONNECTION_THREADS)
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod http;
+mod listen;
 pub(crate) mod metrics;
 pub mod operators;
 pub mod peers;
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -24,7 +24,7 @@
     tungstenite::{Message as Packet, protocol::WebSocketConfig},
 };
 
-use super::Event;
+use super::{Event, listen::while_in_use};
 use crate::{
     coordination::node::Input,
     core::{Instance, Settings},
@@ -135,9 +135,9 @@
     ///
     /// Returns an error if the address can't be listened on.
     pub fn start(cfg: PeerConfig) -> anyhow::Result<Peers> {
-        // Bound here, so that an address in use ends the start; by the standard library, since the
-        // caller may run on an async runtime itself.
-        let listener = std::net::TcpListener::bind(cfg.address)?;
+        // By the standard library, since the caller may run on an async runtime itself.
+        let bind = || std::net::TcpListener::bind(cfg.address);
+        let listener = while_in_use(cfg.address, bind)?;
         listener.set_nonblocking(true)?;
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
         let listener = {
