Take signals from the first moment of a process

A changed settings file is told of by a signal. Until somebody listens for it, it kills the process; entries and control instances listened only after their disk was opened and their threads ran. A machine with a slow disk that starts while its settings change ended by itself.

A signal to stop during the start is kept too and obeyed once the process serves.

--- a/src/kingcupgrade/ops/fleet.rs
+++ b/src/kingcupgrade/ops/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     core::settings::Role,
-    transport::{controls, gateway, gateway::edge::Edge},
+    transport::{controls, gateway, gateway::edge::Edge, signals::EarlySignals},
     util::process,
 };
 
@@ -13,11 +13,12 @@
 /// Returns an error if the process can't start, or ends otherwise than when told to.
 pub fn serve_fleet<E: Edge>(edge: E) -> anyhow::Result<()> {
     process::run_logged(|| {
+        let signals = EarlySignals::catch()?;
         let edge = Arc::new(edge);
         let settings = Arc::new(edge.read_settings()?);
         match settings.role {
-            Role::Entry => gateway::run(edge, settings),
-            Role::Control => controls::run(edge, settings),
+            Role::Entry => gateway::run(edge, settings, signals),
+            Role::Control => controls::run(edge, settings, signals),
         }
     })
 }
--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -21,6 +21,7 @@
     gateway::edge::{Edge, OperatorCall},
     listen::listen,
     metrics, reload,
+    signals::EarlySignals,
     tasks::EssentialTasks,
 };
 use crate::{
@@ -55,13 +56,21 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be listened on or the data folder can't be read.
-pub fn run<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+pub fn run<E: Edge>(
+    edge: Arc<E>,
+    settings: Arc<FleetSettings>,
+    signals: EarlySignals,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, run_tasks(edge, settings))
+    local.block_on(&runtime, run_tasks(edge, settings, signals))
 }
 
-async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+async fn run_tasks<E: Edge>(
+    edge: Arc<E>,
+    settings: Arc<FleetSettings>,
+    signals: EarlySignals,
+) -> anyhow::Result<()> {
     let address = settings.operator_address.context("the settings name no operators' address")?;
     let listener = listen(address).with_context(|| format!("operators at {address}"))?;
     metrics::start(settings.metrics_address).await.context("metrics")?;
@@ -72,9 +81,11 @@
     tasks.spawn("operators", accept_all(controls, listener));
     log::event("started", &settings.instance());
     let mut terminated = signal(SignalKind::terminate())?;
-    tokio::select! {
-        _ = terminated.recv() => {}
-        err = tasks.failure() => return Err(err),
+    if !signals.is_terminated() {
+        tokio::select! {
+            _ = terminated.recv() => {}
+            err = tasks.failure() => return Err(err),
+        }
     }
     log::event("draining", &settings.instance());
     fleet.tell(FleetInput::Drain);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -43,6 +43,7 @@
     fleet::{FleetHandle, FleetNews},
     listen::listen,
     metrics, reload,
+    signals::EarlySignals,
     tasks::EssentialTasks,
 };
 use crate::{
@@ -225,13 +226,21 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be listened on.
-pub fn run<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+pub fn run<E: Edge>(
+    edge: Arc<E>,
+    settings: Arc<FleetSettings>,
+    signals: EarlySignals,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, run_tasks(edge, settings))
+    local.block_on(&runtime, run_tasks(edge, settings, signals))
 }
 
-async fn run_tasks<E: Edge>(edge: Arc<E>, settings: Arc<FleetSettings>) -> anyhow::Result<()> {
+async fn run_tasks<E: Edge>(
+    edge: Arc<E>,
+    settings: Arc<FleetSettings>,
+    signals: EarlySignals,
+) -> anyhow::Result<()> {
     let callers = listen_on(settings.caller_address, "callers")?;
     let ready = listen_on(settings.ready_address, "readiness")?;
     metrics::start(settings.metrics_address).await.context("metrics")?;
@@ -278,7 +287,7 @@
     });
     log::event("started", &settings.instance());
     tokio::select! {
-        ended = keep_time(&gateway) => ended?,
+        ended = keep_time(&gateway, &signals) => ended?,
         err = tasks.failure() => return Err(err),
     }
     log::event("stopped", &settings.instance());
@@ -291,8 +300,14 @@
 }
 
 /// Does what is due from time to time, until the process has stopped.
-async fn keep_time<E: Edge>(gateway: &Rc<Gateway<E>>) -> anyhow::Result<()> {
+async fn keep_time<E: Edge>(
+    gateway: &Rc<Gateway<E>>,
+    signals: &EarlySignals,
+) -> anyhow::Result<()> {
     let mut terminated = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    if signals.is_terminated() {
+        begin_shutdown(gateway);
+    }
     let mut ticks = time::interval(POLL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut next_share = Millis::ZERO;
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -16,6 +16,7 @@
 pub mod peers;
 pub mod platform;
 mod reload;
+pub mod signals;
 mod tasks;
 pub mod upstream;
 
