Log which slots are kept back while requests wait

Known failure: after a dispatcher is frozen, its successor gives no slot for 18 s with two slots free at the engine, and no line says why. By reading, slots can be kept back for an entry that can't be heard, for requests that a dispatcher of before may have left, after trouble, or by order; the grants' own lines show none of it. The dispatcher tells it now, once a second while requests wait and slots are kept back for anything but grants in use.

--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -2,7 +2,9 @@
 
 use serde::Serialize;
 
-use crate::core::{Code, FailureDomain, Instance, Organisation, Service, UpstreamName};
+use crate::core::{
+    Code, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName,
+};
 
 /// A routing or placement decision and its reason.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -73,6 +75,19 @@
         /// The evidence.
         reason: &'static str,
     },
+    /// Requests wait, and a dispatcher keeps slots back that no grant is using.
+    Withheld {
+        /// The service.
+        service: Service,
+        /// The term of the lease.
+        term: u64,
+        /// Organisations with requests that wait.
+        backlogged: usize,
+        /// Whether the failure domain may get new work.
+        serving: bool,
+        /// The upstreams concerned.
+        upstreams: Vec<WithheldSlots>,
+    },
     /// This instance began to dispatch a pool.
     Lease {
         /// The service.
@@ -103,3 +118,32 @@
         active: bool,
     },
 }
+
+/// What is made of the slots of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct WithheldSlots {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// How many slots it has at present.
+    pub limit: u32,
+    /// Grants in use.
+    pub in_flight: u32,
+    /// Slots kept back for an entry that can't be heard.
+    pub reserved: u32,
+    /// Requests that may run without a grant known here; `None` before the first report.
+    pub unaccounted: Option<u32>,
+    /// How long it is still left alone after trouble.
+    pub paused_ms: Millis,
+    /// Whether it gets nothing new, by the platform's word, an operator's, or an order.
+    pub is_leaving: bool,
+}
+
+impl WithheldSlots {
+    /// Tells whether anything but grants in use takes slots.
+    pub fn is_any(&self) -> bool {
+        self.reserved > 0
+            || self.unaccounted != Some(0)
+            || self.paused_ms > Millis::ZERO
+            || self.is_leaving
+    }
+}
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 mod neighbours;
 mod recovery;
 pub mod slots;
+mod withheld;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -118,6 +119,8 @@
     neighbours: BTreeMap<FailureDomain, Neighbour>,
     next_grant: u64,
     next_exchange: Millis,
+    /// When slots kept back may be told of again.
+    next_withheld: Millis,
     exchanges: u64,
     average_charge: i64,
 }
@@ -159,6 +162,7 @@
             neighbours: BTreeMap::new(),
             next_grant: 1,
             next_exchange: now,
+            next_withheld: now,
             exchanges: 0,
             average_charge: 0,
         }
@@ -375,6 +379,7 @@
         self.drop_silent_entries(now);
         self.reserve_for_silent_residents(now);
         self.dispatch(now, out);
+        self.tell_withheld(now, out);
         self.acknowledge(now, out);
         if now >= self.next_exchange {
             self.next_exchange = now + EXCHANGE_INTERVAL;
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -131,18 +131,27 @@
     /// Returns how many slots are free while `in_flight` grants are in use; `reserved` slots are
     /// kept back for an instance that can't be heard and may be using them.
     pub fn free(&self, now: Millis, in_flight: u32, reserved: u32) -> u32 {
-        let Some(unaccounted) = &self.unaccounted else { return 0 };
-        let unaccounted = unaccounted.iter().filter(|request| now < request.until).count() as u32;
+        let Some(unaccounted) = self.unaccounted(now) else { return 0 };
         if self.leaving || now < self.paused_until {
             return 0;
         }
         self.limit.saturating_sub(in_flight + unaccounted + reserved)
     }
 
+    /// Returns how many requests may run beside the grants in use; `None` before the first report.
+    pub fn unaccounted(&self, now: Millis) -> Option<u32> {
+        let requests = self.unaccounted.as_ref()?;
+        Some(requests.iter().filter(|request| now < request.until).count() as u32)
+    }
+
+    /// Returns how long the upstream is still left alone.
+    pub fn pause_left(&self, now: Millis) -> Millis {
+        self.paused_until.since(now)
+    }
+
     /// Tells whether surely nothing runs there beside the grants in use.
     pub fn has_only_known(&self, now: Millis) -> bool {
-        let requests = self.unaccounted.as_ref();
-        requests.is_some_and(|requests| requests.iter().all(|request| now >= request.until))
+        self.unaccounted(now) == Some(0)
     }
 
     /// Takes the upstream for a cold one from now on.
