Begin the static share of an entry that held the lease before

Callers of an entry that had dispatched and was then cut off from its failure domain, or left as its last, got nothing for as long as that lasted; others begin their static share after six seconds.

Cause: an entry without a majority asks for the lease again and again and gives its attempt up each time. Giving up marks the holder heard exactly one lease ago, so that the next rank asks at once, and a holder heard one lease ago still counted as one. Where the holder of before was the entry itself, each attempt began the six seconds anew. Found by the model test of a last entry: of three entries only the one that ranks first for the lease never served.

--- a/src/kingcupgrade/coordination/lease/mod.rs
+++ b/src/kingcupgrade/coordination/lease/mod.rs
@@ -173,7 +173,7 @@
 
     /// Returns the holder of a service's pool, if one was heard within a lease.
     pub fn holder(&self, now: Millis, service: &Service) -> Option<&Holder> {
-        self.holders.get(service).filter(|holder| now.since(holder.heard) <= LEASE)
+        self.holders.get(service).filter(|holder| now.since(holder.heard) < LEASE)
     }
 
     /// Returns the term under which this instance holds the lease now.
