Part a cold upstream between its owner by static share and the dispatcher of the others

Callers saw: an entry that is frozen takes every cold engine it owns by static share out of service for its whole failure domain, for as long as it is frozen; orders to those engines wait.

Cause: the dispatcher kept back the whole cold limit for a silent owner that isn't known to be gone, and a frozen process accepts connections.

Change: half of the cold limit, rounded down, is the owner's while others may have a dispatcher, and the dispatcher keeps back no more for it. The owner uses all of it only while it knows that too few other voters run for a majority: their machines refused a connection less than a lease ago, and a voter that starts is silent for a lease. Orders beside a silent owner wait for three seconds of reports that show nothing running. Static shares take over changed documents, which they did not. A reserve of nothing oversells beside an owner that is cut off; the test of a single slot holds both.

--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -2,9 +2,7 @@
 
 use serde::Serialize;
 
-use crate::core::{
-    Code, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName,
-};
+use crate::core::{Code, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName};
 
 /// A routing or placement decision and its reason.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -200,12 +200,14 @@
         self.leaving.clone_from(leaving);
     }
 
-    /// Returns where a listed upstream is, and whether it surely runs nothing: no grant is in use,
-    /// and none may be that is not known or can't be heard of.
+    /// Returns where a listed upstream is, and whether it runs nothing: no grant is in use, and none
+    /// may be that is not known. Whether an entry that can't be heard uses its static share there
+    /// only the upstream's own reports can tell.
     pub fn upstream(&self, now: Millis, name: &UpstreamName) -> Option<(SocketAddr, bool)> {
         let slots = self.slots.get(name)?;
-        let is_reserved = self.reserved.get(name).is_some_and(|count| *count > 0);
-        let is_idle = self.in_flight(name) == 0 && slots.has_only_known(now) && !is_reserved;
+        let is_shared = self.reserved.get(name).is_some_and(|count| *count > 0);
+        let is_unused = !is_shared || slots.is_reported_idle(now);
+        let is_idle = self.in_flight(name) == 0 && slots.has_only_known(now) && is_unused;
         Some((slots.address, is_idle))
     }
 
--- a/src/kingcupgrade/coordination/dispatcher/recovery.rs
+++ b/src/kingcupgrade/coordination/dispatcher/recovery.rs
@@ -116,11 +116,12 @@
         }
     }
 
-    /// Keeps back the cold limit of each upstream that belongs to a resident by static share, from
-    /// the start and whenever that resident is not known to know of this dispatcher.
+    /// Keeps back a resident's part of each upstream that is its by static share, from the start and
+    /// whenever that resident is not known to know of this dispatcher.
     ///
-    /// A resident cut off from the majority serves its static share up to the cold limit. If this
-    /// dispatcher gave those slots too, a cold upstream would fall over under both.
+    /// A resident cut off from the majority may use that part at any time. If this dispatcher gave
+    /// those slots too, a cold upstream would fall over under both. One that is frozen looks the
+    /// same and uses none, so no more than its part may wait for it.
     pub(super) fn reserve_for_silent_residents(&mut self, now: Millis) {
         self.reserved.clear();
         let silent = |i: &Instance| {
@@ -131,7 +132,8 @@
             return;
         }
         let kept = self.shares.iter().filter(|(_, owner)| silent(owner));
-        self.reserved = kept.map(|(name, _)| (name.clone(), self.document.slots.cold)).collect();
+        let part = self.document.slots.static_part();
+        self.reserved = kept.map(|(name, _)| (name.clone(), part)).collect();
     }
 
     /// Notes that a resident knows of this dispatcher and so uses no static share.
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -20,6 +20,11 @@
 const END_SLACK: Millis = Millis(1_000);
 /// How long an upstream is left alone after it refused or failed a request.
 const PAUSE: Millis = Millis(400);
+/// Reports must show nothing running over this span before an upstream counts as idle by them: an
+/// entry with callers of its own pauses for less.
+const IDLE_SPAN: Millis = Millis(3_000);
+/// A report older than this says nothing of the present.
+const REPORT_TTL: Millis = Millis(1_500);
 /// The longest such pause when failures follow each other.
 const MAX_PAUSE: Millis = Millis(6_400);
 
@@ -87,6 +92,9 @@
     unaccounted_since: Millis,
     /// Reports not held against the grants yet.
     reports: VecDeque<(Millis, u32)>,
+    /// When the first and the last report were made of those that show nothing running, since one
+    /// that showed something.
+    idle: Option<(Millis, Millis)>,
 }
 
 /// A request that may still run although no grant in use stands for it.
@@ -115,6 +123,7 @@
             unaccounted: None,
             unaccounted_since: Millis::ZERO,
             reports: VecDeque::new(),
+            idle: None,
         }
     }
 
@@ -154,6 +163,14 @@
         self.unaccounted(now) == Some(0)
     }
 
+    /// Tells whether the upstream's reports have shown nothing running for long enough to take it
+    /// for unused, up to the age of the last one.
+    pub fn is_reported_idle(&self, now: Millis) -> bool {
+        self.idle.is_some_and(|(first, last)| {
+            last.since(first) >= IDLE_SPAN && now.since(last) <= REPORT_TTL
+        })
+    }
+
     /// Takes the upstream for a cold one from now on.
     pub fn turn_cold(&mut self, now: Millis) {
         self.learned_first_byte = None;
@@ -214,6 +231,11 @@
                 self.limit = report.running.clamp(self.limits.cold, self.limits.warm);
             }
         }
+        self.idle = match (report.running, self.idle) {
+            (0, Some((first, _))) => Some((first, made_at)),
+            (0, None) => Some((made_at, made_at)),
+            _ => None,
+        };
         self.trim_unaccounted(made_at, report.running);
         if self.has_unaccounted() {
             self.reports.push_back((made_at, report.running));
--- a/src/kingcupgrade/coordination/lease/mod.rs
+++ b/src/kingcupgrade/coordination/lease/mod.rs
@@ -107,6 +107,8 @@
     retired: bool,
     /// Services of which requests run here under a static share.
     sharing: Vec<Service>,
+    /// When an instance's machine last answered that no such process runs.
+    gone: BTreeMap<Instance, Millis>,
 }
 
 impl LeaseBook {
@@ -144,6 +146,7 @@
             next_announcement: now,
             retired: false,
             sharing: Vec::new(),
+            gone: BTreeMap::new(),
         }
     }
 
@@ -164,6 +167,28 @@
         self.sharing = services;
     }
 
+    /// Learns that an instance could not be dialled; `refused` if its machine answered that no such
+    /// process runs.
+    pub fn on_dial_failed(&mut self, now: Millis, instance: &Instance, refused: bool) {
+        if refused {
+            self.gone.insert(instance.clone(), now);
+        } else {
+            self.gone.remove(instance);
+        }
+    }
+
+    /// Tells whether the other voters may make a majority without this instance.
+    ///
+    /// A voter whose process was gone a moment ago can't vote before a lease has passed since: it
+    /// stays silent for as long when it starts.
+    pub fn may_be_outvoted(&self, now: Millis) -> bool {
+        let is_gone = |voter: &Instance| {
+            self.gone.get(voter).is_some_and(|at| now.since(*at) < LEASE.since(MARGIN))
+        };
+        let others = self.voters.iter().filter(|voter| **voter != self.instance);
+        others.filter(|voter| !is_gone(voter)).count() > self.voters.len() / 2
+    }
+
     /// Tells whether another instance may hold a service's lease, as far as can be known here.
     pub fn may_be_held(&self, now: Millis, service: &Service) -> bool {
         let vote = self.votes.get(service);
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -267,6 +267,9 @@
         match input {
             Input::Received(from, message) => self.on_message(now, unix_ms, &from, &message, out),
             Input::DialFailed { instance, refused } => {
+                if let Some(leases) = &mut self.leases {
+                    leases.on_dial_failed(now, &instance, refused);
+                }
                 for dispatcher in self.dispatchers.values_mut() {
                     dispatcher.on_dial_failed(now, &instance, refused);
                 }
--- a/src/kingcupgrade/coordination/node/pools.rs
+++ b/src/kingcupgrade/coordination/node/pools.rs
@@ -279,6 +279,7 @@
                 self.set_share(now, &service, wanted, out);
             }
         }
+        self.fit_shares(now);
         self.update_watch(out);
     }
 
@@ -288,18 +289,36 @@
             self.shares.remove(service);
             return;
         }
-        let Some(in_force) = self.view.documents().get(service) else { return };
-        let mut document = (*in_force.document).clone();
-        if !self.settings.static_shares {
-            // A dispatcher on the other side of a cut keeps back just the cold limit.
-            let cold = document.slots.cold;
-            document.slots = SlotLimits { cold, warm: cold };
-        }
+        let Some(document) = self.share_document(now, service) else { return };
         let term = STATIC_TERM | now.0;
         let share = self.new_dispatcher(now, service, term, document, Vec::new());
         self.shares.insert(service.clone(), share);
     }
 
+    /// Returns the document of a service with the slots that are this entry's by static share.
+    fn share_document(&self, now: Millis, service: &Service) -> Option<Document> {
+        let in_force = self.view.documents().get(service)?;
+        let mut document = (*in_force.document).clone();
+        if let Some(leases) = &self.leases {
+            // A dispatcher on the other side of a cut keeps back no more.
+            let slots = document.slots;
+            let own = if leases.may_be_outvoted(now) { slots.static_part() } else { slots.cold };
+            document.slots = SlotLimits { cold: own, warm: own };
+        }
+        Some(document)
+    }
+
+    /// Fits static shares to what is known of the others.
+    fn fit_shares(&mut self, now: Millis) {
+        let services: Vec<Service> = self.shares.keys().cloned().collect();
+        for service in services {
+            let document = self.share_document(now, &service);
+            if let (Some(document), Some(share)) = (document, self.shares.get_mut(&service)) {
+                share.set_document(&document);
+            }
+        }
+    }
+
     pub(super) fn tick_dispatchers(&mut self, now: Millis, out: &mut Vec<Output>) {
         let services: Vec<Service> = self.watched.iter().cloned().collect();
         for service in services {
--- a/src/kingcupgrade/core/document.rs
+++ b/src/kingcupgrade/core/document.rs
@@ -113,6 +113,17 @@
     pub warm: u32,
 }
 
+impl SlotLimits {
+    /// Returns the slots that are an entry's by static share while it can't know whether others
+    /// dispatch the same upstream; a dispatcher that can't hear the entry has all others.
+    ///
+    /// A single slot can't be parted. It is left to the dispatcher, which serves all callers of the
+    /// failure domain but those of one entry.
+    pub fn static_part(self) -> u32 {
+        self.cold / 2
+    }
+}
+
 /// The document of a service.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/testsuite/model_nodes/silent_owner.rs
+++ b/tests/testsuite/model_nodes/silent_owner.rs
@@ -30,6 +30,7 @@
     let mut world = World::with(7, cold, names);
     world.faulty = false;
     world.cut = true;
+    world.only_north = true;
     play(&mut world, WARM_UP);
     world
 }
@@ -47,7 +48,8 @@
     let before = world.begun.clone();
     play(world, span);
     let of = |host: usize| {
-        let count = |begun: &std::collections::BTreeMap<usize, u64>| *begun.get(&host).unwrap_or(&0);
+        let count =
+            |begun: &std::collections::BTreeMap<usize, u64>| *begun.get(&host).unwrap_or(&0);
         count(&world.begun) - count(&before)
     };
     let others = (0..PER_DOMAIN).filter(|host| *host != one).map(of).sum();
--- a/tests/testsuite/model_nodes/world.rs
+++ b/tests/testsuite/model_nodes/world.rs
@@ -70,6 +70,8 @@
     /// Whether single instances are isolated among other faults.
     pub(super) isolates: bool,
     pub(super) faulty: bool,
+    /// Whether requests arrive in the north only.
+    pub(super) only_north: bool,
     next_request: u64,
     incarnation: u64,
     idle_since: Option<u64>,
@@ -162,6 +164,7 @@
             cut: false,
             isolated: None,
             isolates: false,
+            only_north: false,
             faulty: true,
             next_request: 1,
             incarnation: 1,
@@ -396,7 +399,7 @@
 
     fn arrive(&mut self) {
         // Most demand in the north, so that it must be served in the south as well.
-        let host = self.below(4) as usize % self.hosts.len();
+        let host = self.below(if self.only_north { PER_DOMAIN as u64 } else { 4 }) as usize;
         if self.hosts[host].node.is_none() || self.hosts[host].frozen {
             return;
         }
@@ -465,7 +468,8 @@
     /// Checks that nothing has been waiting beside a free slot for long.
     pub(super) fn check_idle(&mut self) -> Result<(), TestCaseError> {
         let waiting = self.hosts.iter().any(|host| !host.waiting.is_empty());
-        let free = self.upstreams.iter().any(|upstream| upstream.running.len() < self.cold as usize);
+        let free =
+            self.upstreams.iter().any(|upstream| upstream.running.len() < self.cold as usize);
         if !(waiting && free) {
             self.idle_since = None;
             return Ok(());
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -13,10 +13,15 @@
     coordination::orders::{Ask, EngineAnswer, EngineState, OrderBook, OrderOutput},
     core::{Code, Millis, UpstreamName},
     ops,
-    protocol::order::{EngineSetup, ORDER_PATH, OrderRequest, Setup, SetupChange, UpstreamOrder},
+    protocol::{
+        order::{EngineSetup, ORDER_PATH, OrderRequest, Setup, SetupChange, UpstreamOrder},
+        record::Command,
+    },
 };
 
-use crate::support::{Crowd, PATIENCE, World, check_answers, prompt, start};
+use crate::support::{
+    Crowd, PATIENCE, World, check_answers, engine_owned_by, prompt, start, start_named,
+};
 
 fn load(model: &str) -> SetupChange {
     SetupChange::Load(model.to_owned())
@@ -120,11 +125,7 @@
     assert!(wait_until(PATIENCE, waits), "the order does not wait");
     world.fleet.signal(&dispatcher, "STOP");
     let change = ops::fresh_change_id().expect("a change id");
-    let command = kingcupgrade::protocol::record::Command::Order {
-        change,
-        upstream: "engine-north".into(),
-        setup: load("third"),
-    };
+    let command = Command::Order { change, upstream: "engine-north".into(), setup: load("third") };
     world.fleet.client().change(command).expect("an order");
     let is_third = || {
         let setup = world.engines[0].setup();
@@ -141,6 +142,30 @@
     assert_eq!(record.ordered_while_busy, 0);
 }
 
+// Guards against an order that waits for as long as an entry is frozen, since that entry might be
+// using the engine by static share, though the engine reports that it runs nothing.
+#[test]
+fn an_order_is_carried_out_beside_a_frozen_owner() {
+    let names: Vec<String> = (0..3).map(|n| format!("entry-north-{n}")).collect();
+    for owner in &names {
+        let engine = engine_owned_by(owner, &names);
+        let config = EngineConfig::default();
+        let world = start_named(&["north"], 3, &config, |_| engine.clone()).with_documents();
+        world.fleet.signal(owner, "STOP");
+        let change = ops::fresh_change_id().expect("a change id");
+        let upstream = engine.as_str().into();
+        let order = Command::Order { change, upstream, setup: load("second") };
+        world.fleet.client().change(order).expect("an order");
+        let is_second = || {
+            let setup = world.engines[0].setup();
+            setup.model == "second" && setup.ready
+        };
+        assert!(wait_until(PATIENCE, is_second), "{owner} is frozen and holds the order up");
+        world.fleet.signal(owner, "CONT");
+        assert_eq!(world.engines[0].record().ordered_while_busy, 0);
+    }
+}
+
 // The dispatcher dies while the only engine of its pool loads. Its successor knows nothing of the
 // order but what the record and the engine say, and must bring the engine back to work.
 #[test]
--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -11,13 +11,18 @@
 };
 use kingcupgrade::{ops::fresh_change_id, protocol::record::Command};
 
-use crate::support::{Crowd, PATIENCE, World, check_answers, prompt, start};
+use crate::support::{
+    Crowd, PATIENCE, World, check_answers, engine_owned_by, prompt, start, start_named,
+};
 
 /// An engine that never warms up, so that its cold limit holds all the time.
 fn cold_engine() -> EngineConfig {
     EngineConfig { warm_after: u32::MAX, ..EngineConfig::default() }
 }
 
+/// Longer than it takes to lose and to win a lease.
+const TAKE_OVER: Duration = Duration::from_secs(4);
+
 fn assert_spared(world: &World) {
     for engine in &world.engines {
         let record = engine.record();
@@ -75,6 +80,27 @@
     assert_spared(&world);
 }
 
+// Guards against an entry that is frozen, whether it dispatches or not, and takes the engine that is
+// its by static share out of service for its whole failure domain.
+#[test]
+fn a_frozen_entry_takes_no_engine_with_it() {
+    let names: Vec<String> = (0..3).map(|n| format!("entry-north-{n}")).collect();
+    for (n, owner) in names.iter().enumerate() {
+        let engine = engine_owned_by(owner, &names);
+        let world = start_named(&["north"], 3, &cold_engine(), |_| engine.clone()).with_documents();
+        let other = &names[(n + 1) % 3];
+        let crowd = Crowd::start("kept", world.fleet.entry(other), "alder", 5, 10);
+        assert!(crowd.wait_for(5));
+        world.fleet.signal(owner, "STOP");
+        thread::sleep(TAKE_OVER);
+        assert!(crowd.wait_for(10), "{owner} is frozen and nobody is served");
+        world.fleet.signal(owner, "CONT");
+        assert!(crowd.wait_for(10));
+        check_answers(&crowd.finish());
+        assert_spared(&world);
+    }
+}
+
 // The lines between two failure domains go silent. Bakers on both sides still see their orders:
 // each side serves what it can, and nothing breaks when the lines come back.
 #[test]
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -19,6 +19,10 @@
     platform::{Backend, Platform},
     wait_until,
 };
+use kingcupgrade::{
+    core::{Instance, UpstreamName},
+    util::rendezvous::static_shares,
+};
 
 /// The patience of tests: far beyond what is expected, so that a busy machine fails none.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
@@ -69,11 +73,30 @@
 
 /// Starts a world with `entries` entries and one control instance in each failure domain.
 pub(crate) fn start(domains: &[&str], entries: usize, engine: &EngineConfig) -> World {
+    start_named(domains, entries, engine, |domain| format!("engine-{domain}"))
+}
+
+/// Returns an engine's name that `owner`, one of `entries`, serves by static share.
+pub(crate) fn engine_owned_by(owner: &str, entries: &[String]) -> String {
+    let residents: Vec<Instance> = entries.iter().map(|i| i.as_str().into()).collect();
+    let owners = |name: &str| static_shares([UpstreamName::from(name)], &residents);
+    let mut names = (0..).map(|n| format!("engine-{n}"));
+    let name = names.find(|name| owners(name).values().all(|known| known.as_str() == owner));
+    name.expect("a name for each owner")
+}
+
+/// The same, with engines' names by failure domain.
+pub(crate) fn start_named(
+    domains: &[&str],
+    entries: usize,
+    engine: &EngineConfig,
+    engine_name: impl Fn(&str) -> String,
+) -> World {
     let platform = Platform::start(Duration::from_millis(200));
     let (mut engines, mut plains, mut plans) = (Vec::new(), Vec::new(), Vec::new());
     for domain in domains {
         let stand_in = Engine::start(engine.clone());
-        let name = format!("engine-{domain}");
+        let name = engine_name(domain);
         platform.add(&name, "tutor", domain, stand_in.address(), Backend::Engine(stand_in.clone()));
         engines.push(stand_in);
         let plain = Plain::start(Duration::from_millis(20));
