Don't take the time in which a control instance stood still for silence of the others

Operators' changes are refused during such an election.

Provoked: one of three instances cut off and the leader stopped for 1.8 s, with real processes and with the decisions alone; the term went from 1 to 2 in both, before the one cut off returned. So the return isn't needed for it, which was the other hypothesis. Cause: a leader whose processor stood still finds 1.5 s without an answer at its first look at the clock, before it has read the answers, and steps down; a follower asks for votes before it reads the heartbeats.

Change: after 300 ms without being asked a replica gives the others 300 ms to be heard; a leader once until a majority was heard, so that a hanging disk doesn't keep one in office.

--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -39,6 +39,12 @@
 /// A leader not confirmed by a majority for this long steps down.
 const QUORUM_LOSS: Millis = Millis(1_500);
 
+/// A replica not asked for so long stood still itself: what the others said meanwhile waits to be
+/// read, and their silence proves nothing.
+const STALL: Millis = Millis(300);
+/// How long the others may take to be heard after that: a heartbeat, and its answer.
+const STALL_GRACE: Millis = Millis(2 * HEARTBEAT.0);
+
 /// What the machine wants done, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConsensusOutput {
@@ -75,6 +81,10 @@
     /// Until when the record was last confirmed to be the newest, by this replica's clock.
     confirmed: Option<Millis>,
     next_heartbeat: Millis,
+    /// When it was last told that time passes.
+    ticked: Millis,
+    /// When it last stood still.
+    stalled: Option<Millis>,
     /// A snapshot being received.
     incoming: Option<(Position, Vec<u8>)>,
     /// Replicas that belong to no record, and when they said so.
@@ -101,6 +111,8 @@
             heard_leader: None,
             confirmed: None,
             next_heartbeat: now,
+            ticked: now,
+            stalled: None,
             incoming: None,
             blanks: BTreeMap::new(),
             once_members: BTreeSet::new(),
@@ -183,6 +195,7 @@
 
     /// Handles the passing of time.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
+        self.note_stall(now);
         match &self.role {
             Role::Leader { .. } => self.tick_leader(now, out),
             _ if self.is_voter() && now >= self.election_at => self.ask_for_votes(now, true, out),
@@ -192,6 +205,24 @@
         self.say_hello(now, out);
     }
 
+    /// Gives the others time to be heard after this replica stood still.
+    ///
+    /// One that stands still again and again, as with a disk that hangs, gets that time once until
+    /// a majority was heard: it must not lead without one for good.
+    fn note_stall(&mut self, now: Millis) {
+        let stood_still = now.since(self.ticked) > STALL;
+        self.ticked = now;
+        if !stood_still {
+            return;
+        }
+        if self.heard_leader.is_some() {
+            self.election_at = self.election_at.max(now + STALL_GRACE);
+        }
+        if self.stalled.is_none_or(|stalled| self.quorum_confirmed(now) > stalled) {
+            self.stalled = Some(now);
+        }
+    }
+
     /// Handles a message from another replica.
     pub fn on_message(
         &mut self,
--- a/src/kingcupgrade/coordination/consensus/replication.rs
+++ b/src/kingcupgrade/coordination/consensus/replication.rs
@@ -1,6 +1,6 @@
 //! Replication: the leader's log on the others' disks.
 
-use super::{Consensus, ConsensusOutput, HEARTBEAT, QUORUM_LOSS, Role};
+use super::{Consensus, ConsensusOutput, HEARTBEAT, QUORUM_LOSS, Role, STALL_GRACE};
 use crate::{
     core::Millis,
     protocol::consensus::{ConsensusBody, LogEntry, Position, ReplicaId, Snapshot},
@@ -29,7 +29,8 @@
 
 impl Consensus {
     pub(super) fn tick_leader(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
-        if now.since(self.quorum_confirmed(now)) > QUORUM_LOSS {
+        let may_be_unread = self.stalled.is_some_and(|at| now.since(at) < STALL_GRACE);
+        if now.since(self.quorum_confirmed(now)) > QUORUM_LOSS && !may_be_unread {
             self.step_down(now);
             return;
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod shares;
 mod shutdown;
 mod slots;
+mod stalls;
 mod support;
 mod totals;
 mod traffic;
--- a/tests/testsuite/record.rs
+++ b/tests/testsuite/record.rs
@@ -185,6 +185,25 @@
     assert_eq!(term(&leader), before, "its return deposed the leader");
 }
 
+// Guards against a leader that deposes itself because its machine stood still for a moment while one
+// of the others is cut off.
+#[test]
+fn a_leader_that_was_frozen_for_a_moment_goes_on_leading() {
+    let fleet = controls_only(3);
+    let leader = wait_for_leader(&fleet);
+    let cut = fleet.controls().into_iter().map(|(i, _)| i).find(|i| *i != leader).expect("another");
+    let term = || fleet.status(&leader).ok().and_then(|s| s.control).map(|c| c.term);
+    let before = term();
+    fleet.isolate(&cut, true);
+    thread::sleep(Duration::from_secs(1));
+    fleet.signal(&leader, "STOP");
+    thread::sleep(Duration::from_millis(1_800));
+    fleet.signal(&leader, "CONT");
+    accepted(&fleet, &small_change(1));
+    assert_eq!(term(), before, "it deposed itself");
+    fleet.isolate(&cut, false);
+}
+
 // Messages reach a control instance no more, while its own still leave. It goes on asking for
 // votes, and whoever gave in to that would depose a leader that works.
 #[test]
