Pass events on as they come, also at a late entry

Its code, its setting and its test are gone: events_are_gathered_only_by_an_entry_that_is_late_and_for_a_part_of_their_patience tested nothing else.

--- a/crates/kingcup-support/src/settings.rs
+++ b/crates/kingcup-support/src/settings.rs
@@ -28,7 +28,6 @@
         retry_ratio: 0.2,
         retry_slack: 10.0,
         retry_window: Millis(10_000),
-        event_patience: Millis(120),
         max_sockets: 100,
     }
 }
--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -15,11 +15,6 @@
 /// A task may wait this long: a pause that callers of streams still take for none. Below it a short
 /// rush is carried a little late, which serves more of them than refusing a part.
 const LATE_LIMIT: Millis = Millis(100);
-/// A task that waits longer than this shows a processor that is near its limit.
-const LATE_TURN: Millis = Millis(15);
-/// The part of the time that an event may take through an entry for which events are gathered; the
-/// rest is left for their turns at a processor that is late.
-const GATHER_PART: f64 = 0.35;
 /// If two tasks in turn wait longer than this, the processor is far behind: a request waits for two
 /// or three turns until it is sent on, and its caller leaves after half a second or little more.
 const FAR_LIMIT: Millis = Millis(200);
@@ -93,15 +88,6 @@
         self.is_full
     }
 
-    /// Returns for how long the events of an answer are gathered after some were passed on, of the
-    /// time that an event may take; `None` while the processor keeps up.
-    ///
-    /// Passing on an event takes as much processor time as passing on ten at once.
-    pub fn gather_span(&self, patience: Millis) -> Option<Millis> {
-        let is_late = self.part > 0.0 || self.last > LATE_TURN;
-        is_late.then_some(Millis((patience.0 as f64 * GATHER_PART) as u64))
-    }
-
     /// Tells whether the request that came now is refused; spread evenly over requests.
     pub fn refuses(&mut self) -> bool {
         if self.is_far_behind {
--- a/src/kingcupgrade/core/fleet.rs
+++ b/src/kingcupgrade/core/fleet.rs
@@ -51,8 +51,6 @@
     pub retry_slack: f64,
     /// The window of the retry budget.
     pub retry_window: Millis,
-    /// How late the events of a streamed answer may be passed on.
-    pub event_patience: Millis,
     /// File descriptors for sockets.
     pub max_sockets: usize,
 }
--- a/src/kingcupgrade/transport/gateway/lateness.rs
+++ b/src/kingcupgrade/transport/gateway/lateness.rs
@@ -36,11 +36,6 @@
         self.overload.set(overload);
     }
 
-    /// Returns for how long events of an answer are gathered, if they are.
-    pub(super) fn gather_span(&self) -> Option<Millis> {
-        self.overload.get().gather_span(self.settings.event_patience)
-    }
-
     /// Logs what this entry refuses for want of processor time, if anything.
     pub(super) fn log_overload(&self) {
         let overload = self.overload.get();
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep, sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::{
     answer::BrokenOff,
@@ -64,10 +64,6 @@
     /// Until when the upstream may stay silent.
     silent_until: Instant,
     alarm: Pin<Box<Sleep>>,
-    /// Whether events were passed on since the upstream was last waited for.
-    has_passed_on: bool,
-    /// Until when events are gathered before they are passed on together.
-    gathering: Option<Pin<Box<Sleep>>>,
 }
 
 impl<E: Edge> Relay<E> {
@@ -87,8 +83,6 @@
             cut_at: caller.deadline + CUT_SLACK,
             alarm: Box::pin(sleep_until(silent_until)),
             silent_until,
-            has_passed_on: false,
-            gathering: None,
             caller,
         }
     }
@@ -104,9 +98,6 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        if self.is_gathering(cx) {
-            return Poll::Pending;
-        }
         loop {
             let polled = match &mut self.state {
                 State::Ended => return Poll::Ready(None),
@@ -143,7 +134,6 @@
                         return Poll::Ready(ended);
                     }
                     if !matches!(self.state, State::Resuming(_)) {
-                        self.begin_gathering(cx);
                         return Poll::Pending;
                     }
                 }
@@ -151,28 +141,6 @@
         }
     }
 
-    /// Begins to gather events, once all that were there are passed on and if that spares time.
-    fn begin_gathering(&mut self, cx: &mut Context<'_>) {
-        if !std::mem::take(&mut self.has_passed_on) {
-            return;
-        }
-        if let Some(span) = self.caller.gateway.gather_span() {
-            self.gathering = Some(Box::pin(sleep(span.as_duration())));
-            // It wakes the task; nothing is to be passed on before.
-            let _ = self.is_gathering(cx);
-        }
-    }
-
-    /// Tells whether events are still gathered.
-    fn is_gathering(&mut self, cx: &mut Context<'_>) -> bool {
-        let is_gathering =
-            self.gathering.as_mut().is_some_and(|until| until.as_mut().poll(cx).is_pending());
-        if !is_gathering {
-            self.gathering = None;
-        }
-        is_gathering
-    }
-
     /// Takes in bytes of the upstream; returns whole events.
     fn take(&mut self, data: &Bytes) -> Option<Bytes> {
         let events = self.cutter.push(data)?;
@@ -188,7 +156,6 @@
         let gap = self.caller.route.max_gap.0 * SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE));
         self.silent_until = self.cut_at.min(now + silence);
-        self.has_passed_on = true;
         Some(events.bytes)
     }
 
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -115,17 +115,3 @@
     }
     assert!(far < 500, "{far} ms of ten seconds over half a second behind");
 }
-
-/// Guards against an entry near its limit that spends its processor on passing on events one by one,
-/// and against events that are held back where there is no need, or for longer than they may be.
-#[test]
-fn events_are_gathered_only_by_an_entry_that_is_late_and_for_a_part_of_their_patience() {
-    let mut overload = Overload::default();
-    overload.on_turn(Millis(2));
-    assert_eq!(overload.gather_span(Millis(120)), None);
-    overload.on_turn(Millis(60));
-    let span = overload.gather_span(Millis(120)).expect("it is late");
-    assert!(span >= Millis(30) && span <= Millis(60), "{span:?}");
-    overload.on_turn(Millis(2));
-    assert_eq!(overload.gather_span(Millis(120)), None);
-}
