Let old word of gone processes count for nothing, and fit static shares only when that changes

Read anew: an entry that stood still may read a refused connection seconds after it was refused, and take its process for gone while it runs again and others have a dispatcher; with that it used the whole cold limit beside them. Test: a_refused_connection_read_after_a_stall_proves_nothing, failed with the condition taken out, passes.

Static shares cloned their document with each tick; now when what is theirs changes.

--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -24,7 +24,9 @@
 };
 use super::decision::Decision;
 use crate::{
-    core::{Document, FailureDomain, Instance, Millis, Organisation, UpstreamName},
+    core::{
+        Document, FailureDomain, Instance, Millis, Organisation, UpstreamName, document::SlotLimits,
+    },
     protocol::{
         Pool,
         dispatch::{DispatchBody, DispatchMessage, Ending, Finished, GrantId, Waiting},
@@ -183,6 +185,11 @@
         self.slots.iter().map(|(name, slots)| (name, self.in_flight(name), slots.limit()))
     }
 
+    /// Returns how many requests each upstream may run by its document.
+    pub fn slot_limits(&self) -> SlotLimits {
+        self.document.slots
+    }
+
     /// Takes over a newer document.
     pub fn set_document(&mut self, document: &Document) {
         for (organisation, member) in &document.organisations {
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -20,13 +20,13 @@
 const END_SLACK: Millis = Millis(1_000);
 /// How long an upstream is left alone after it refused or failed a request.
 const PAUSE: Millis = Millis(400);
+/// The longest such pause when failures follow each other.
+const MAX_PAUSE: Millis = Millis(6_400);
 /// Reports must show nothing running over this span before an upstream counts as idle by them: an
 /// entry with callers of its own pauses for less.
 const IDLE_SPAN: Millis = Millis(3_000);
 /// A report older than this says nothing of the present.
 const REPORT_TTL: Millis = Millis(1_500);
-/// The longest such pause when failures follow each other.
-const MAX_PAUSE: Millis = Millis(6_400);
 
 /// What the platform says of one upstream.
 #[derive(Clone, Debug)]
--- a/src/kingcupgrade/coordination/lease/mod.rs
+++ b/src/kingcupgrade/coordination/lease/mod.rs
@@ -109,6 +109,8 @@
     sharing: Vec<Service>,
     /// When an instance's machine last answered that no such process runs.
     gone: BTreeMap<Instance, Millis>,
+    /// When it was last told that time passes.
+    ticked: Millis,
 }
 
 impl LeaseBook {
@@ -147,6 +149,7 @@
             retired: false,
             sharing: Vec::new(),
             gone: BTreeMap::new(),
+            ticked: now,
         }
     }
 
@@ -169,8 +172,10 @@
 
     /// Learns that an instance could not be dialled; `refused` if its machine answered that no such
     /// process runs.
+    ///
+    /// Of a process that stood still the word may be as old as that lasted, so it counts for nothing.
     pub fn on_dial_failed(&mut self, now: Millis, instance: &Instance, refused: bool) {
-        if refused {
+        if refused && now.since(self.ticked) <= MARGIN {
             self.gone.insert(instance.clone(), now);
         } else {
             self.gone.remove(instance);
@@ -228,6 +233,7 @@
 
     /// Handles the passing of time.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<LeaseOutput>) {
+        self.ticked = now;
         self.expire(now, out);
         if self.retired {
             return;
--- a/src/kingcupgrade/coordination/node/pools.rs
+++ b/src/kingcupgrade/coordination/node/pools.rs
@@ -295,21 +295,24 @@
         self.shares.insert(service.clone(), share);
     }
 
+    /// Returns which of an upstream's slots are this entry's by static share.
+    fn share_slots(&self, now: Millis, whole: SlotLimits) -> SlotLimits {
+        let Some(leases) = &self.leases else { return whole };
+        // A dispatcher on the other side of a cut keeps back no more.
+        let own = if leases.may_be_outvoted(now) { whole.static_part() } else { whole.cold };
+        SlotLimits { cold: own, warm: own }
+    }
+
     /// Returns the document of a service with the slots that are this entry's by static share.
     fn share_document(&self, now: Millis, service: &Service) -> Option<Document> {
         let in_force = self.view.documents().get(service)?;
         let mut document = (*in_force.document).clone();
-        if let Some(leases) = &self.leases {
-            // A dispatcher on the other side of a cut keeps back no more.
-            let slots = document.slots;
-            let own = if leases.may_be_outvoted(now) { slots.static_part() } else { slots.cold };
-            document.slots = SlotLimits { cold: own, warm: own };
-        }
+        document.slots = self.share_slots(now, document.slots);
         Some(document)
     }
 
-    /// Fits static shares to what is known of the others.
-    fn fit_shares(&mut self, now: Millis) {
+    /// Takes over changed documents into static shares.
+    pub(super) fn renew_shares(&mut self, now: Millis) {
         let services: Vec<Service> = self.shares.keys().cloned().collect();
         for service in services {
             let document = self.share_document(now, &service);
@@ -319,6 +322,18 @@
         }
     }
 
+    /// Fits static shares to what is known of the others.
+    fn fit_shares(&mut self, now: Millis) {
+        let documents = self.view.documents();
+        let is_fit = |(service, share): (&Service, &Dispatcher)| {
+            let in_force = documents.get(service);
+            in_force.is_none_or(|d| self.share_slots(now, d.document.slots) == share.slot_limits())
+        };
+        if !self.shares.iter().all(is_fit) {
+            self.renew_shares(now);
+        }
+    }
+
     pub(super) fn tick_dispatchers(&mut self, now: Millis, out: &mut Vec<Output>) {
         let services: Vec<Service> = self.watched.iter().cloned().collect();
         for service in services {
--- a/src/kingcupgrade/coordination/node/record.rs
+++ b/src/kingcupgrade/coordination/node/record.rs
@@ -85,11 +85,12 @@
 
     fn on_view_changed(&mut self, now: Millis, out: &mut Vec<Output>) {
         let services: Vec<Service> = self.view.documents().keys().cloned().collect();
-        for (service, dispatcher) in self.dispatchers.iter_mut().chain(self.shares.iter_mut()) {
+        for (service, dispatcher) in &mut self.dispatchers {
             if let Some(in_force) = self.view.documents().get(service) {
                 dispatcher.set_document(&in_force.document);
             }
         }
+        self.renew_shares(now);
         for service in &services {
             self.set_standing(service);
         }
--- a/tests/testsuite/model_nodes/silent_owner.rs
+++ b/tests/testsuite/model_nodes/silent_owner.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// Guards against a static share that is widened to the whole limit by a changed document.
+#[test]
+fn a_changed_document_widens_no_static_share() {
+    for owner in 0..PER_DOMAIN {
+        let mut world = world_of(owner, 4);
+        (0..PER_DOMAIN).filter(|host| *host != owner).for_each(|host| world.freeze(host));
+        play(&mut world, SILENCE);
+        let before = world.begun[&owner];
+        world.revision += 1;
+        for _ in 0..SILENCE / 100 {
+            play(&mut world, 100);
+            assert!(world.running() <= 2, "owner {owner}: {} run", world.running());
+        }
+        assert!(world.begun[&owner] > before, "owner {owner} begins nothing");
+    }
+}
+
 /// Guards against an upstream that bears one request being given to both sides or to neither: the
 /// side that may have a dispatcher has it.
 #[test]
--- a/tests/testsuite/model_nodes/world.rs
+++ b/tests/testsuite/model_nodes/world.rs
@@ -58,6 +58,8 @@
     random: u64,
     /// Slots of each upstream; none warms up, so one request more is one too many.
     cold: u32,
+    /// The revision of the document in force.
+    pub(super) revision: u64,
     /// The upstream of each failure domain.
     names: [UpstreamName; 2],
     hosts: Vec<Host>,
@@ -120,12 +122,12 @@
     }
 }
 
-fn state(asked: Millis, cold: u32) -> Message {
+fn state(asked: Millis, cold: u32, revision: u64) -> Message {
     let rest = format!("slots: {{cold: {cold}, warm: {cold}}}\nlimits: {{deadline_ms: 7000}}\n");
     let text = document("tutor", "model-engine", &[("alder", 1), ("birch", 3)], &rest);
-    let stored = StoredDocument { service: "tutor".into(), revision: 1, index: 1, text };
+    let stored = StoredDocument { service: "tutor".into(), revision, index: revision, text };
     Message::Record(RecordMessage::State {
-        index: 1,
+        index: revision,
         since: 0,
         asked: Some(asked),
         age: Some(Millis::ZERO),
@@ -156,6 +158,7 @@
             now: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             cold,
+            revision: 1,
             names,
             hosts: hosts.collect(),
             network: BTreeMap::new(),
@@ -255,7 +258,7 @@
     fn answer_pull(&mut self, host: usize, to: Instance, asked: Millis) {
         let is_apart = self.cut && domain_of(host) == 1 || self.isolated == Some(host);
         if to.as_str() == "control" && !is_apart {
-            self.post(to, name(host), state(asked, self.cold));
+            self.post(to, name(host), state(asked, self.cold, self.revision));
         }
     }
 
@@ -465,6 +468,11 @@
         Ok(())
     }
 
+    /// Returns how many requests run at the upstream of the north.
+    pub(super) fn running(&self) -> usize {
+        self.upstreams[0].running.len()
+    }
+
     /// Checks that nothing has been waiting beside a free slot for long.
     pub(super) fn check_idle(&mut self) -> Result<(), TestCaseError> {
         let waiting = self.hosts.iter().any(|host| !host.waiting.is_empty());
--- a/tests/testsuite/stalls.rs
+++ b/tests/testsuite/stalls.rs
@@ -1,10 +1,13 @@
-//! Control instances whose processor stands still for a moment.
+//! Instances whose processor stands still for a moment.
 
 use std::collections::VecDeque;
 
 use kingcupgrade::{
-    coordination::consensus::{Consensus, ConsensusOutput, ELECTION_MIN},
-    core::Millis,
+    coordination::{
+        consensus::{Consensus, ConsensusOutput, ELECTION_MIN},
+        lease::LeaseBook,
+    },
+    core::{Instance, Millis},
     protocol::consensus::{ConsensusMessage, Member, ReplicaId},
     state::log::Stored,
 };
@@ -112,6 +115,23 @@
     world.inboxes[follower] = heartbeats;
 }
 
+/// Guards against an entry that stood still and takes old word of processes that are gone for new: they
+/// may run again and have a dispatcher by then.
+#[test]
+fn a_refused_connection_read_after_a_stall_proves_nothing() {
+    let residents: Vec<Instance> = ["a", "b", "c"].map(Instance::from).to_vec();
+    let domain = "north".into();
+    let mut book = LeaseBook::new(Millis(0), 1, "a".into(), &domain, residents.clone());
+    let refuse_all = |book: &mut LeaseBook, now| {
+        residents[1..].iter().for_each(|gone| book.on_dial_failed(Millis(now), gone, true));
+    };
+    book.tick(Millis(5_000), &mut Vec::new());
+    refuse_all(&mut book, 5_010);
+    assert!(!book.may_be_outvoted(Millis(5_020)), "both are gone");
+    refuse_all(&mut book, 15_000);
+    assert!(book.may_be_outvoted(Millis(15_000)), "the word may be ten seconds old");
+}
+
 /// Guards against a leader that goes on for good without a majority since it stands still again and
 /// again, as with a disk that hangs.
 #[test]
