Start the runtime of a process's tasks in one place

A comment still counted two or three turns until a request is sent on; since connections are moved on by the task that uses them it is two.

--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload.rs
@@ -16,7 +16,7 @@
 /// rush is carried a little late, which serves more of them than refusing a part.
 const LATE_LIMIT: Millis = Millis(100);
 /// If two tasks in turn wait longer than this, the processor is far behind: a request waits for two
-/// or three turns until it is sent on, and its caller leaves after half a second or little more.
+/// turns until it is sent on, and its caller leaves after half a second or little more.
 const FAR_LIMIT: Millis = Millis(200);
 /// What one task that waits twice as long adds to the refused part.
 const GAIN: f64 = 0.06;
--- a/src/kingcupgrade/transport/controls.rs
+++ b/src/kingcupgrade/transport/controls.rs
@@ -12,7 +12,6 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     signal::unix::{SignalKind, signal},
-    task::LocalSet,
     time::{sleep, timeout},
 };
 
@@ -22,7 +21,7 @@
     listen::listen,
     metrics, reload,
     signals::EarlySignals,
-    tasks::EssentialTasks,
+    tasks::{EssentialTasks, run_on_this_thread},
 };
 use crate::{
     coordination::fleet::FleetInput,
@@ -61,9 +60,7 @@
     settings: Arc<FleetSettings>,
     signals: EarlySignals,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, run_tasks(edge, settings, signals))
+    run_on_this_thread(run_tasks(edge, settings, signals))
 }
 
 async fn run_tasks<E: Edge>(
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -29,7 +29,6 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
-    task::LocalSet,
     time,
 };
 
@@ -44,7 +43,7 @@
     listen::listen,
     metrics, reload,
     signals::EarlySignals,
-    tasks::EssentialTasks,
+    tasks::{EssentialTasks, run_on_this_thread},
 };
 use crate::{
     coordination::{
@@ -231,9 +230,7 @@
     settings: Arc<FleetSettings>,
     signals: EarlySignals,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, run_tasks(edge, settings, signals))
+    run_on_this_thread(run_tasks(edge, settings, signals))
 }
 
 async fn run_tasks<E: Edge>(
--- a/src/kingcupgrade/transport/tasks.rs
+++ b/src/kingcupgrade/transport/tasks.rs
@@ -6,7 +6,15 @@
 use std::future::Future;
 
 use anyhow::Context;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, LocalSet};
+
+/// Runs a process's tasks on the thread that calls, until the given one ends.
+pub(super) fn run_on_this_thread(
+    task: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, task)
+}
 
 /// The tasks of one process.
 #[derive(Default)]
