Let the test of a terminated entry wait for the drain before it asks

The test asked a late request right after SIGTERM. No answer was cut and the product did nothing wrong.

The engines now pause the kept answer, so the entry can't end; the test waits until the entry's status says that it drains, and then asks once: that single request must be refused as not run with K3004.

--- a/crates/kingcup-support/src/engine.rs
+++ b/crates/kingcup-support/src/engine.rs
@@ -41,6 +41,8 @@
 const MAX_PROMPT_LEN: usize = 4 << 20;
 /// How often the load is sampled for load reports.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+/// How often a paused response checks whether it may continue.
+const PAUSE_CHECK: Duration = Duration::from_millis(5);
 
 /// The body of a request to an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -140,6 +142,8 @@
     stopped: AtomicBool,
     /// The number of events after which responses stall; zero disables it.
     stall_after: AtomicU64,
+    /// Whether running responses wait before their next event.
+    paused: AtomicBool,
     down_until: Mutex<Option<Instant>>,
     /// The end of [`COOLING_PERIOD`].
     cooling_until: Mutex<Option<Instant>>,
@@ -171,6 +175,7 @@
             incarnation: AtomicU64::new(1),
             stopped: AtomicBool::new(false),
             stall_after: AtomicU64::new(0),
+            paused: AtomicBool::new(false),
             down_until: Mutex::default(),
             cooling_until: Mutex::default(),
             setup: Mutex::new(EngineSetup {
@@ -244,6 +249,16 @@
         self.state.stall_after.store(events, Ordering::SeqCst);
     }
 
+    /// Makes running responses wait before their next event until [`Engine::resume`].
+    pub fn pause(&self) {
+        self.state.paused.store(true, Ordering::SeqCst);
+    }
+
+    /// Lets paused responses continue.
+    pub fn resume(&self) {
+        self.state.paused.store(false, Ordering::SeqCst);
+    }
+
     /// Stops it: accepts no more connections and aborts the running requests.
     pub fn stop(&self) {
         self.state.stopped.store(true, Ordering::SeqCst);
@@ -437,6 +452,9 @@
         thread::sleep(self.config.prefill_time * slowdown);
         for n in offset..prompt.tokens {
             thread::sleep(self.config.token_time);
+            while self.paused.load(Ordering::SeqCst) && !self.is_down() {
+                thread::sleep(PAUSE_CHECK);
+            }
             if self.is_down() {
                 return false;
             }
--- a/tests/testsuite/answers.rs
+++ b/tests/testsuite/answers.rs
@@ -8,7 +8,12 @@
     time::{Duration, Instant},
 };
 
-use kingcup_support::{caller::Caller, engine::EngineConfig, fleet::token, wait_until};
+use kingcup_support::{
+    caller::Caller,
+    engine::{Engine, EngineConfig},
+    fleet::token,
+    wait_until,
+};
 
 use crate::support::{TIMEOUT, prompt, start, tutor_document};
 
@@ -133,13 +138,14 @@
         (asked, answer)
     });
     rx.recv_timeout(TIMEOUT).expect("a first event");
+    harness.engines.iter().for_each(Engine::pause);
     harness.fleet.signal("entry-north-0", "TERM");
-    let late = prompt("late", "alder", 1);
-    let refused = wait_until(TIMEOUT, || {
-        let answer = Caller::new(&token("alder")).prompt(entry, "tutor", &late);
-        answer.code == 3004 && answer.outcome == "not-run"
-    });
-    assert!(refused, "a late request is not refused");
+    let is_draining = || harness.fleet.status("entry-north-0").is_ok_and(|status| status.draining);
+    assert!(wait_until(TIMEOUT, is_draining), "the entry does not drain");
+    let late = Caller::new(&token("alder")).prompt(entry, "tutor", &prompt("late", "alder", 1));
+    let refused = late.code == 3004 && late.outcome == "not-run";
+    assert!(refused, "a late request is not refused: {late:?}");
+    harness.engines.iter().for_each(Engine::resume);
     let (asked, answer) = caller.join().expect("a caller");
     assert!(answer.is_complete_for(&asked), "{answer:?}");
     assert!(harness.fleet.wait_for_exit("entry-north-0", TIMEOUT), "the entry does not exit");
