--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -224,6 +224,7 @@
                     upstreams: Vec::new(),
                     orders: Vec::new(),
                     configuration: None,
+                    rollouts: Vec::new(),
                 };
                 self.deliver(to, Message::Record(state));
             }
@@ -434,6 +435,7 @@
                 leaving: false,
                 incarnation: 1,
                 report: Some(LoadReport { running: 0, warm: true, age_ms: 0 }),
+                version: None,
             });
             self.input(Input::Listed(service(pool), listed.collect()));
         }
--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -45,6 +45,16 @@
         /// Measures the time of a decision and a load report at one of 200 entries; prints one JSON
         /// object.
         cmd decisions {}
+        /// Plays drawn rollouts without processes and prints what became of them.
+        cmd rollouts {
+            /// The number of rollouts (default: 10000).
+            optional --count count: u64
+            /// A mechanism to turn off: routes or steps.
+            optional --without mechanism: String
+            /// Prints each good version that was rolled back for its answers, and each bad one that
+            /// was promoted.
+            optional --verbose
+        }
         /// Runs one instance; used by this tool to start its fleets.
         cmd instance {
             /// The settings file.
--- a/crates/kingcup-load/src/main.rs
+++ b/crates/kingcup-load/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod report;
 mod result;
+mod rollouts;
 mod scenario;
 mod slopes;
 mod synthetic;
@@ -37,6 +38,7 @@
         KingcupLoadCmd::Record(_) => record::exec(),
         KingcupLoadCmd::Drive(_) => drive::exec(),
         KingcupLoadCmd::Decisions(_) => decisions::exec(),
+        KingcupLoadCmd::Rollouts(args) => rollouts::exec(&args),
         KingcupLoadCmd::Instance(args) => ops::serve(&args.settings).map(|()| true),
         KingcupLoadCmd::Init(args) => ops::init(&args.settings, None).map(|()| true),
     };
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -118,6 +118,7 @@
         leaving: false,
         incarnation: 1,
         report: Some(LoadReport { running: 0, warm: true, age_ms: 0 }),
+        version: None,
     });
     listed.collect()
 }
@@ -371,6 +372,7 @@
         upstreams: Vec::new(),
         orders: Vec::new(),
         configuration: None,
+        rollouts: Vec::new(),
     };
     let mut out = Vec::new();
     let start = Instant::now();
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plain_service;
 pub mod platform;
 pub mod proxy;
+pub mod rollouts;
 pub mod settings;
 pub mod traffic;
 
--- a/crates/kingcup-support/src/platform.rs
+++ b/crates/kingcup-support/src/platform.rs
@@ -6,9 +6,12 @@
     time::{Duration, Instant},
 };
 
-use kingcupgrade::transport::{
-    http::{self, Request, ServerResponse},
-    platform::{ListedLoad, ListedUpstream},
+use kingcupgrade::{
+    core::Version,
+    transport::{
+        http::{self, Request, ServerResponse},
+        platform::{ListedLoad, ListedUpstream},
+    },
 };
 
 use crate::{ANY_PORT, engine::Engine, plain_service::PlainService};
@@ -47,6 +50,7 @@
     upstream: FakeUpstream,
     /// When it began to leave.
     leaving: Option<Instant>,
+    version: Option<String>,
 }
 
 /// A running fake platform.
@@ -99,10 +103,32 @@
             address,
             upstream,
             leaving: None,
+            version: None,
         };
         self.items.lock().expect("platform list").push(item);
     }
 
+    /// Sets the version of an upstream's software.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of its threads panicked.
+    pub fn set_version(&self, name: &str, version: &str) {
+        let mut items = self.items.lock().expect("platform list");
+        for item in items.iter_mut().filter(|item| item.name == name) {
+            item.version = Some(version.to_owned());
+        }
+    }
+
+    /// Removes an upstream from the list.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of its threads panicked.
+    pub fn remove(&self, name: &str) {
+        self.items.lock().expect("platform list").retain(|item| item.name != name);
+    }
+
     /// Marks an upstream as leaving.
     ///
     /// # Panics
@@ -136,6 +162,7 @@
             leaving: item.leaving.is_some_and(|since| since.elapsed() >= lag),
             incarnation: item.upstream.incarnation(),
             load: item.upstream.load(),
+            version: item.version.as_deref().map(Version::from),
         })
         .collect();
     serde_json::to_string(&listed).expect("a list can be serialized")
--- a/crates/kingcup-support/src/settings.rs
+++ b/crates/kingcup-support/src/settings.rs
@@ -28,6 +28,8 @@
         retry_ratio: 0.2,
         retry_slack: 10.0,
         retry_window: Millis(10_000),
+        exposed_fraction: 0.1,
+        exposed_slack: 50.0,
         max_sockets: 100,
     }
 }
--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -72,6 +72,7 @@
         is_ready: true,
         cold,
         started_unix_ms: 1,
+        version: None,
     }
 }
 
@@ -96,5 +97,6 @@
         prompt: parts.into(),
         expected_output: 200,
         avoid: Vec::new(),
+        is_repeat: false,
     }
 }
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -39,6 +39,7 @@
         leaving: false,
         incarnation: 1,
         report: Some(LoadReport { running: 0, warm: true, age_ms: 0 }),
+        version: None,
     };
     dispatcher.on_listing(now, &[listed], &mut out);
 
--- a/src/bin/kingcup/commands/mod.rs
+++ b/src/bin/kingcup/commands/mod.rs
@@ -9,6 +9,7 @@
 mod history;
 mod member;
 mod order;
+mod rollout;
 mod status;
 mod upstream;
 mod verify;
@@ -59,6 +60,7 @@
         KingcupCmd::Domain(args) => domain::exec(&cx, args),
         KingcupCmd::Upstream(args) => upstream::exec(&cx, args),
         KingcupCmd::Order(args) => order::exec(&cx, args),
+        KingcupCmd::Rollout(args) => rollout::exec(&cx, args),
         KingcupCmd::Status(args) => status::exec(&cx, &args),
         KingcupCmd::Member(args) => member::exec(&cx, &args),
         KingcupCmd::Check(_) | KingcupCmd::Verify(_) | KingcupCmd::Explain(_) => Ok(()),
--- a/src/bin/kingcup/flags.rs
+++ b/src/bin/kingcup/flags.rs
@@ -72,6 +72,21 @@
             /// Waits until the change is in force at all reachable instances.
             optional --wait
         }
+        /// Moves the traffic of a service to upstreams of another version, or shows how far that is.
+        cmd rollout {
+            /// The action: start or status.
+            required action: String
+            /// The service.
+            optional service: String
+            /// The version to move to.
+            optional version: String
+            /// The time that the rollout may take, in seconds.
+            optional --seconds seconds: u64
+            /// The id of the change; a repeated change with the same id gets the first reply.
+            optional --change-id id: String
+            /// Waits until the change is in force at all reachable instances.
+            optional --wait
+        }
         /// Shows the status of each instance.
         cmd status {
             /// Prints JSON.
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::consensus::{Consensus, ConsensusOutput};
+use super::{
+    consensus::{Consensus, ConsensusOutput},
+    rollout::{RolloutWatch, watch::StageDecision},
+};
 use crate::{
     core::{Document, Instance, Millis, code::CodedError},
     protocol::{
@@ -34,6 +37,8 @@
     Send(Instance, Message),
     /// Send a message to all control instances that the settings name.
     SendToControls(ConsensusMessage),
+    /// Log the change of a rollout's stage that was proposed.
+    RolloutDecided(StageDecision),
 }
 
 /// A proposal whose entry is not committed yet.
@@ -55,6 +60,7 @@
     subscribers: BTreeMap<Instance, (Millis, u64)>,
     /// The index of the last change sent to the subscribers.
     notified_index: u64,
+    rollouts: RolloutWatch,
     failed: Option<CodedError>,
     /// The number of voters that automatic repair aims for; `None` if operators change the members.
     voter_target: Option<usize>,
@@ -83,6 +89,7 @@
             pending: BTreeMap::new(),
             subscribers: BTreeMap::new(),
             notified_index,
+            rollouts: RolloutWatch::default(),
             failed: None,
             voter_target: None,
             applied_len: 0,
@@ -103,6 +110,28 @@
         self.handle_outputs(outputs, out);
     }
 
+    /// Follows the running rollouts, and proposes the changes of their stages that are due if this
+    /// instance leads.
+    pub fn tick_rollouts(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<ControlOutput>) {
+        self.rollouts.follow(now, unix_ms, self.record.running_rollouts());
+        if !self.consensus.is_leader() || self.failed.is_some() {
+            return;
+        }
+        let decisions = self.rollouts.decide(now, self.record.running_rollouts());
+        let mut outputs = Vec::new();
+        for decision in decisions {
+            let command = Command::AdvanceRollout {
+                id: decision.id,
+                service: decision.service.clone(),
+                from: decision.from,
+                to: decision.stage,
+            };
+            self.consensus.append(now, unix_ms, Payload::Command(command), &mut outputs);
+            out.push(ControlOutput::RolloutDecided(decision));
+        }
+        self.handle_outputs(outputs, out);
+    }
+
     /// Transfers leadership before the process stops.
     pub fn transfer_leadership(&mut self, out: &mut Vec<ControlOutput>) {
         let mut outputs = Vec::new();
@@ -191,6 +220,9 @@
             RecordMessage::Propose { id, command } => {
                 self.on_propose(now, unix_ms, from, *id, command, out);
             }
+            RecordMessage::RolloutReport(report) => {
+                self.rollouts.on_report(now, from, report.clone());
+            }
             RecordMessage::State { .. }
             | RecordMessage::Answer { .. }
             | RecordMessage::Redirect { .. } => {}
@@ -338,6 +370,7 @@
     match command {
         Command::ApplyDocument { text, .. } => Document::parse(text).map(|_| ()),
         Command::Order { setup, .. } => setup.check(),
+        Command::StartRollout { order, .. } => order.check(),
         _ => Ok(()),
     }
 }
--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::rollout::watch::StageDecision;
 use crate::core::{Code, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName};
 
 /// A routing or placement decision and the reason for it.
@@ -108,6 +109,8 @@
         /// The last failure, if any.
         failure: Option<String>,
     },
+    /// The stage of a rollout changes.
+    Rollout(StageDecision),
     /// This instance started or stopped using its static share of a pool.
     Fallback {
         /// The service.
--- a/src/kingcupgrade/coordination/dispatcher/exchange.rs
+++ b/src/kingcupgrade/coordination/dispatcher/exchange.rs
@@ -5,6 +5,7 @@
     RemoteDispatcher,
 };
 use crate::{
+    coordination::rollout::Use,
     core::{FailureDomain, Instance, Millis},
     protocol::dispatch::{DispatchBody, Offer, ServiceReceived},
 };
@@ -39,7 +40,8 @@
         if !self.can_grant(now) || self.counters.backlogged() > 0 {
             return 0;
         }
-        self.slots.iter().map(|(name, slots)| self.free_slots(now, name, slots)).sum()
+        let serving = self.slots.iter().filter(|(name, _)| self.use_of(name) == Use::Serving);
+        serving.map(|(name, slots)| self.free_slots(now, name, slots)).sum()
     }
 
     pub(super) fn exchange(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
--- a/src/kingcupgrade/coordination/dispatcher/grants.rs
+++ b/src/kingcupgrade/coordination/dispatcher/grants.rs
@@ -11,7 +11,7 @@
     slots::Slots,
 };
 use crate::{
-    coordination::decision::Decision,
+    coordination::{decision::Decision, rollout::Use},
     core::{Instance, Millis, Organisation, UpstreamName},
     protocol::dispatch::{DispatchBody, Grant, GrantId},
 };
@@ -38,9 +38,21 @@
         self.serving && now >= self.started_at + RECOVERY_PERIOD
     }
 
-    /// Returns the upstream with the largest free part of its limit.
+    /// Returns the upstream with the largest free part of its limit. One of a version on trial comes
+    /// first if its exposure allows a grant.
     pub(super) fn least_loaded_upstream(&self, now: Millis) -> Option<&UpstreamName> {
+        let canary = match self.allows_canary(now) {
+            true => self.least_loaded_of(now, Use::Canary),
+            false => None,
+        };
+        canary.or_else(|| self.least_loaded_of(now, Use::Serving))
+    }
+
+    fn least_loaded_of(&self, now: Millis, version_use: Use) -> Option<&UpstreamName> {
         let with_free_slots = self.slots.iter().filter_map(|(name, slots)| {
+            if self.use_of(name) != version_use {
+                return None;
+            }
             let free = self.free_slots(now, name, slots);
             (free > 0).then(|| (name, u64::from(free) * 1_000 / u64::from(slots.limit().max(1))))
         });
@@ -80,6 +92,7 @@
         self.average_charge += (charge - self.average_charge) / 8;
         self.demand.on_granted(entry, &organisation);
         self.refresh_waiting(now, &organisation);
+        self.on_rollout_grant(&upstream);
         *self.in_flight.entry(upstream.clone()).or_default() += 1;
         let id = GrantId(self.term, self.next_grant);
         self.next_grant += 1;
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod grants;
 mod recovery;
+mod rollout;
 pub mod slots;
 mod withheld;
 
@@ -23,7 +24,7 @@
     demand::Demand,
     slots::{LimitReset, Listed, Slots},
 };
-use super::decision::Decision;
+use super::{decision::Decision, rollout::Participant};
 use crate::{
     core::{
         Document, FailureDomain, Instance, Millis, Organisation, UpstreamName, document::SlotLimits,
@@ -122,6 +123,7 @@
     /// Slots reserved for unreachable entries that may be using their static share.
     reserved: BTreeMap<UpstreamName, u32>,
     remote_dispatchers: BTreeMap<FailureDomain, RemoteDispatcher>,
+    rollout: Participant,
     next_grant: u64,
     next_exchange: Millis,
     /// Earliest time at which withheld slots are logged again.
@@ -165,6 +167,7 @@
             terminated: BTreeSet::new(),
             reserved: BTreeMap::new(),
             remote_dispatchers: BTreeMap::new(),
+            rollout: Participant::default(),
             next_grant: 1,
             next_exchange: now,
             next_withheld_report: now,
@@ -247,6 +250,7 @@
         for item in listing {
             self.on_listed(now, item, out);
         }
+        self.on_listed_versions(now, listing);
         self.reserve_static_shares(now);
         self.dispatch(now, out);
     }
@@ -356,6 +360,7 @@
     fn on_finished(&mut self, now: Millis, done: &FinishedGrant, out: &mut Vec<DispatcherOutput>) {
         self.on_progress(done.id, done.cost);
         let Some(grant) = self.remove_outstanding(done.id) else { return };
+        self.on_rollout_finished(&grant.upstream, done);
         let Some(slots) = self.slots.get_mut(&grant.upstream) else { return };
         let reset = match done.outcome {
             GrantOutcome::Completed => {
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr};
 
-use crate::core::{Instance, Millis, UpstreamName, document::SlotLimits};
+use crate::core::{Instance, Millis, UpstreamName, Version, document::SlotLimits};
 
 /// A first byte that takes more than this multiple of the average time indicates a cold upstream.
 const SLOW_FACTOR: f32 = 6.0;
@@ -42,6 +42,8 @@
     pub incarnation: u64,
     /// Its latest load report.
     pub report: Option<LoadReport>,
+    /// The version of its software, if known.
+    pub version: Option<Version>,
 }
 
 /// The load of an upstream at some time in the past, as the upstream reported it.
@@ -77,6 +79,8 @@
     pub address: SocketAddr,
     /// Whether it is being shut down and gets no new requests.
     pub leaving: bool,
+    /// The version of its software, if known.
+    pub version: Option<Version>,
     limits: SlotLimits,
     limit: u32,
     incarnation: u64,
@@ -113,6 +117,7 @@
         Slots {
             address: listed.address,
             leaving: listed.leaving,
+            version: listed.version.clone(),
             limits,
             limit: limits.cold,
             incarnation: listed.incarnation,
@@ -204,6 +209,7 @@
     ) -> Option<LimitReset> {
         self.address = listed.address;
         self.leaving = listed.leaving;
+        self.version.clone_from(&listed.version);
         let restarted = listed.incarnation != self.incarnation;
         if restarted {
             self.incarnation = listed.incarnation;
--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -3,12 +3,13 @@
 use serde::Serialize;
 
 use crate::{
-    coordination::{control::ControlMachine, listing::ListingDuty},
+    coordination::{control::ControlMachine, listing::ListingDuty, rollout::watch::StageDecision},
     core::{Instance, Millis, code::CodedError},
     protocol::{
         Message,
         fleet::{FleetEntry, ListingUpdate, LoadReport},
         record::{Command, Reply},
+        rollout::RolloutReport,
     },
     state::log::Persist,
 };
@@ -26,6 +27,8 @@
     Command(Ticket, Command, Millis),
     /// This entry's load report is to be sent to the other entries.
     ShareLoad(LoadReport),
+    /// What this entry has seen of the running rollouts is to be sent to the control instances.
+    ReportRollouts(Vec<RolloutReport>),
     /// This entry read the platform's list of upstreams; the change is to be sent to the entries
     /// that its duty covers.
     ShareListing(ListingUpdate, ListingDuty),
@@ -59,6 +62,10 @@
     Answer(Ticket, Reply),
     /// The configuration or the state of a failure domain changed.
     ViewChanged,
+    /// The configuration was confirmed to be the newest as of this long ago.
+    ViewConfirmed(Millis),
+    /// This control instance proposed to change the stage of a rollout.
+    RolloutDecided(StageDecision),
     /// The entries or control instances of the fleet changed; these are the entries.
     Entries(Vec<FleetEntry>),
     /// Another entry's load report arrived.
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -135,6 +135,13 @@
                 self.awaited.insert(id, ticket);
             }
             FleetInput::ShareLoad(report) => self.share(now, report, out),
+            FleetInput::ReportRollouts(reports) => {
+                let controls = self.roster.controls();
+                for report in reports {
+                    let message = Message::Record(RecordMessage::RolloutReport(report));
+                    out.push(FleetOutput::SendToAll(controls.clone(), message));
+                }
+            }
             FleetInput::ShareListing(update, duty) => self.share_listing(update, duty, out),
             FleetInput::RequestListing(from) => self.request_listing(from, out),
             FleetInput::SendListing(to, update) => {
@@ -191,6 +198,7 @@
         self.run_control(out, |control, outputs| {
             control.tick(now, outputs);
             control.repair_members(now, unix_ms, outputs);
+            control.tick_rollouts(now, unix_ms, outputs);
         });
         let mut messages = Vec::new();
         let is_confirmed = self.view.is_fresh(now);
@@ -292,7 +300,9 @@
                 let state = Message::Record(self.view.state_since(have));
                 self.send(from.clone(), state, out);
             }
-            RecordMessage::Pull { .. } | RecordMessage::Propose { .. } => {
+            RecordMessage::Pull { .. }
+            | RecordMessage::Propose { .. }
+            | RecordMessage::RolloutReport(_) => {
                 self.run_control(out, |control, outputs| {
                     control.on_record(now, unix_ms, from, &message, outputs);
                 });
@@ -301,9 +311,13 @@
                 if asked.is_some() && instance_role(from) == Some(Role::Control) {
                     self.client.on_state(now, from, message.confirmed());
                 }
+                let confirmed = message.confirmed();
                 if self.view.merge(&message) {
                     out.push(FleetOutput::ViewChanged);
                 }
+                if let Some(age) = confirmed.and_then(|_| self.view.confirmed_age(now)) {
+                    out.push(FleetOutput::ViewConfirmed(age));
+                }
             }
             RecordMessage::Answer { id, reply } => {
                 if let Some(reply) = self.client.on_answer(now, id, reply) {
@@ -334,6 +348,9 @@
             match output {
                 ControlOutput::Persist(persist) => out.push(FleetOutput::Persist(persist)),
                 ControlOutput::Send(to, message) => self.send(to, message, out),
+                ControlOutput::RolloutDecided(decision) => {
+                    out.push(FleetOutput::RolloutDecided(decision));
+                }
                 ControlOutput::SendToControls(message) => {
                     for control in self.roster.controls() {
                         if control != self.instance {
--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod orders;
 pub mod overload;
+pub mod rollout;
 pub mod shutdown;
 pub mod traffic;
 pub mod view;
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -8,6 +8,7 @@
 mod pools;
 mod record;
 mod requests;
+mod rollouts;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -187,6 +188,8 @@
     watched: BTreeSet<Service>,
     /// Messages from this instance to itself.
     loopback: VecDeque<Message>,
+    /// When what was seen of running rollouts is reported next.
+    next_rollout_report: Millis,
     draining: bool,
 }
 
@@ -230,6 +233,7 @@
             next_claim: 1,
             watched: BTreeSet::new(),
             loopback: VecDeque::new(),
+            next_rollout_report: Millis::ZERO,
             draining: false,
             settings,
         }
@@ -297,7 +301,7 @@
                 }
             }
             Input::Drain => self.drain(now, out),
-            Input::Tick => self.tick(now, out),
+            Input::Tick => self.tick(now, unix_ms, out),
         }
         self.deliver_loopback(now, unix_ms, out);
     }
@@ -364,8 +368,11 @@
         self.handle_lease_outputs(now, outputs, out);
     }
 
-    fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
-        self.run_control(out, |control, outputs| control.tick(now, outputs));
+    fn tick(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<Output>) {
+        self.run_control(out, |control, outputs| {
+            control.tick(now, outputs);
+            control.tick_rollouts(now, unix_ms, outputs);
+        });
         self.tick_client(now, out);
         if let Some(leases) = &mut self.leases {
             let mut outputs = Vec::new();
@@ -374,6 +381,7 @@
         }
         self.update_shares(now, out);
         self.tick_dispatchers(now, out);
+        self.report_rollouts(now, out);
         self.tick_orders(now, out);
         let active = self.entry.iter().flat_map(|entry| entry.active_services().cloned());
         for service in active.collect::<Vec<_>>() {
--- a/src/kingcupgrade/coordination/node/operators.rs
+++ b/src/kingcupgrade/coordination/node/operators.rs
@@ -88,6 +88,7 @@
             domains: self.view.domains().cloned().collect(),
             open_requests: self.open_requests(),
             orders: self.view.orders().cloned().collect(),
+            rollouts: self.view.rollouts().values().flat_map(BTreeMap::values).cloned().collect(),
             pools: self.pool_statuses(),
             control,
         }
--- a/src/kingcupgrade/coordination/node/pools.rs
+++ b/src/kingcupgrade/coordination/node/pools.rs
@@ -354,6 +354,7 @@
             if let Some(dispatcher) = self.dispatchers.get_mut(&service) {
                 dispatcher.tick(now, &mut outputs);
             }
+            self.update_rollouts(now, &service);
             if let Some(share) = self.shares.get_mut(&service) {
                 share.tick(now, &mut outputs);
             }
--- a/src/kingcupgrade/coordination/node/record.rs
+++ b/src/kingcupgrade/coordination/node/record.rs
@@ -2,7 +2,10 @@
 
 use super::{Awaited, Node, Output};
 use crate::{
-    coordination::control::{ControlMachine, ControlOutput},
+    coordination::{
+        control::{ControlMachine, ControlOutput},
+        decision::Decision,
+    },
     core::{Instance, Millis, Service, settings::Role},
     protocol::{
         Message,
@@ -24,6 +27,9 @@
             match output {
                 ControlOutput::Persist(persist) => out.push(Output::Persist(persist)),
                 ControlOutput::Send(to, message) => self.send(to, message, out),
+                ControlOutput::RolloutDecided(decision) => {
+                    out.push(Output::Decided(Decision::Rollout(decision)));
+                }
                 ControlOutput::SendToControls(message) => {
                     let own = &self.settings.instance;
                     let controls = self.settings.with_role(Role::Control);
@@ -49,7 +55,9 @@
                 let state = Message::Record(self.view.state_since(*have));
                 self.send(from.clone(), state, out);
             }
-            RecordMessage::Pull { .. } | RecordMessage::Propose { .. } => {
+            RecordMessage::Pull { .. }
+            | RecordMessage::Propose { .. }
+            | RecordMessage::RolloutReport(_) => {
                 self.run_control(out, |control, outputs| {
                     control.on_record(now, unix_ms, from, message, outputs);
                 });
--- /dev/null
+++ b/src/kingcupgrade/coordination/rollout/judge.rs
@@ -0,0 +1,285 @@
+//! Judges a new version by its answers beside those of the old one.
+//!
+//! The versions are compared on each route by itself, since one may be bad on a single route, and
+//! on all routes together, which also covers those with few requests.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::sequential::{CumulativeSums, Sample, accepts};
+use crate::protocol::rollout::{Answers, Histogram, RollbackReason, RouteEvidence};
+
+/// The probability with which a good version may be rejected, over all tests of a rollout.
+const REJECT_ERROR: f64 = 0.002;
+/// The probability with which a bad version may be accepted by all its answers.
+const ACCEPT_ERROR: f64 = 0.001;
+/// The probability with which a version that turned bad before the last step may be accepted by the
+/// answers of that step.
+const RECENT_ACCEPT_ERROR: f64 = 0.05;
+/// A route is judged by itself if the old version has answered this many requests on it.
+const MIN_ROUTE_ANSWERS: u32 = 50;
+/// A route is judged by itself if at least this fraction of the old version's answers is on it.
+const MIN_ROUTE_FRACTION: f64 = 0.02;
+/// The number of the old version's times from which the limit of a late answer is derived.
+const MIN_TIMES: u32 = 20;
+/// The quantile of the old version's times from which that limit is derived.
+const TIME_QUANTILE: f64 = 0.75;
+/// An answer is late from this many buckets above that quantile's on: at least twice its time.
+const LATE_BUCKETS: usize = 3;
+/// The label of all routes together.
+const ALL_ROUTES: &str = "all routes";
+
+/// What is compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Criterion {
+    /// The fraction of failures.
+    Failures,
+    /// The fraction of first bytes that come late.
+    FirstByte,
+    /// The fraction of streams whose events come late.
+    Pace,
+}
+
+impl Criterion {
+    const ALL: [Criterion; 3] = [Criterion::Failures, Criterion::FirstByte, Criterion::Pace];
+
+    fn reason(self) -> RollbackReason {
+        match self {
+            Criterion::Failures => RollbackReason::Failures,
+            Criterion::FirstByte | Criterion::Pace => RollbackReason::Latency,
+        }
+    }
+}
+
+/// The counts of a comparison, for the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Comparison {
+    /// The route; all routes together if it is none of them.
+    pub route: String,
+    /// What is compared.
+    pub criterion: Criterion,
+    /// The bad answers of the new version, and all of its answers.
+    pub canary: (u32, u32),
+    /// The same of the old version.
+    pub baseline: (u32, u32),
+}
+
+/// The judgement of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Assessment {
+    /// It is worse than the old one.
+    Degraded(RollbackReason, Comparison),
+    /// It is as good as the old one, as far as all comparisons together can tell.
+    Sound,
+    /// Its answers don't suffice to tell; this comparison is the first that is open.
+    Undecided(Comparison),
+}
+
+/// The answers to one comparison.
+#[derive(Clone, Copy, Debug, Default)]
+struct Samples {
+    canary: Sample,
+    /// Those of the new version in the current step.
+    in_step: Sample,
+    /// Those of the new version since the last update.
+    new: Sample,
+    baseline: Sample,
+}
+
+impl Samples {
+    fn add(&mut self, other: &Samples) {
+        self.canary.add(other.canary);
+        self.in_step.add(other.in_step);
+        self.new.add(other.new);
+        self.baseline.add(other.baseline);
+    }
+}
+
+/// One comparison and its progress.
+#[derive(Clone, Debug, Default)]
+struct Track {
+    samples: Samples,
+    sums: CumulativeSums,
+}
+
+/// The new version's answers on one route at earlier times.
+#[derive(Clone, Debug, Default)]
+struct Earlier {
+    at_step: Answers,
+    at_update: Answers,
+}
+
+/// The comparisons of a rollout.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    tracks: BTreeMap<(String, Criterion), Track>,
+    earlier: BTreeMap<String, Earlier>,
+    /// The new version's answers when the current step began.
+    at_step: u32,
+    ended: u32,
+}
+
+impl Judge {
+    /// Begins a step: what is accepted must also be accepted by the answers from now on.
+    pub fn begin_step(&mut self) {
+        self.at_step = self.ended;
+        for earlier in self.earlier.values_mut() {
+            earlier.at_step = earlier.at_update.clone();
+        }
+    }
+
+    /// Returns the number of the new version's answers in the current step.
+    pub fn answers_in_step(&self) -> u32 {
+        self.ended - self.at_step
+    }
+
+    /// Applies the evidence so far, by route, and how long requests to the new version have waited
+    /// for their first byte.
+    ///
+    /// Late answers come in later than the others, so a version that has just begun to answer looks
+    /// faster than it is. Those that are late already therefore count against its acceptance.
+    pub fn update(
+        &mut self,
+        routes: &BTreeMap<String, RouteEvidence>,
+        open: &BTreeMap<String, Histogram>,
+    ) {
+        self.ended = routes.values().map(|evidence| evidence.canary.ended()).sum();
+        for criterion in Criterion::ALL {
+            let mut all = Samples::default();
+            for (route, evidence) in routes {
+                let earlier = self.earlier.entry(route.clone()).or_default();
+                let open = open.get(route).filter(|_| criterion == Criterion::FirstByte);
+                let samples = samples(evidence, earlier, criterion, open);
+                let Some(samples) = samples else { continue };
+                all.add(&samples);
+                self.advance(route, criterion, samples);
+            }
+            self.advance(ALL_ROUTES, criterion, all);
+        }
+        for (route, evidence) in routes {
+            let earlier = self.earlier.entry(route.clone()).or_default();
+            earlier.at_update = evidence.canary.clone();
+        }
+    }
+
+    fn advance(&mut self, route: &str, criterion: Criterion, samples: Samples) {
+        let track = self.tracks.entry((route.to_owned(), criterion)).or_default();
+        if samples.new.all > 0 && samples.baseline.all >= MIN_TIMES {
+            track.sums.add(samples.new, samples.baseline);
+        }
+        track.samples = samples;
+    }
+
+    /// Judges the new version by all evidence so far.
+    pub fn assess(&self) -> Assessment {
+        let error = REJECT_ERROR / self.tracks.len().max(1) as f64;
+        for ((route, criterion), track) in &self.tracks {
+            if track.sums.exceed(error) {
+                let comparison = track.comparison(route, *criterion);
+                return Assessment::Degraded(criterion.reason(), comparison);
+            }
+        }
+        let open = self.tracks.iter().find(|((route, criterion), track)| {
+            self.is_judged_alone(route, *criterion, track) && !track.is_accepted()
+        });
+        match open {
+            Some(((route, criterion), track)) => {
+                Assessment::Undecided(track.comparison(route, *criterion))
+            }
+            None if self.ended == 0 => Assessment::Undecided(Comparison {
+                route: ALL_ROUTES.to_owned(),
+                criterion: Criterion::Failures,
+                canary: (0, 0),
+                baseline: (0, 0),
+            }),
+            None => Assessment::Sound,
+        }
+    }
+
+    /// Returns whether a route has enough requests to be judged alone. All routes together always
+    /// are, but by times only if there are any.
+    fn is_judged_alone(&self, route: &str, criterion: Criterion, track: &Track) -> bool {
+        if route == ALL_ROUTES {
+            return criterion == Criterion::Failures || track.samples.baseline.all > 0;
+        }
+        let all = self.tracks.get(&(ALL_ROUTES.to_owned(), criterion));
+        let total = all.map_or(0, |all| all.samples.baseline.all);
+        let answers = track.samples.baseline.all;
+        answers >= MIN_ROUTE_ANSWERS && f64::from(answers) >= MIN_ROUTE_FRACTION * f64::from(total)
+    }
+}
+
+impl Track {
+    fn is_accepted(&self) -> bool {
+        let Samples { canary, in_step, baseline, .. } = self.samples;
+        accepts(canary, baseline, ACCEPT_ERROR) && accepts(in_step, baseline, RECENT_ACCEPT_ERROR)
+    }
+
+    fn comparison(&self, route: &str, criterion: Criterion) -> Comparison {
+        let Samples { canary, baseline, .. } = self.samples;
+        Comparison {
+            route: route.to_owned(),
+            criterion,
+            canary: (canary.bad, canary.all),
+            baseline: (baseline.bad, baseline.all),
+        }
+    }
+}
+
+/// Returns the bad answers by a criterion; `None` if what is late can't be told yet, or no answer
+/// has such times.
+///
+/// All counts use the same limit. With the limits of earlier times, answers would seem to turn bad
+/// whenever the old version's times become known better.
+fn samples(
+    evidence: &RouteEvidence,
+    earlier: &Earlier,
+    criterion: Criterion,
+    open: Option<&Histogram>,
+) -> Option<Samples> {
+    let RouteEvidence { canary, baseline } = evidence;
+    let limit = match criterion {
+        Criterion::Failures => 0,
+        Criterion::FirstByte => late_from(&baseline.first)?,
+        Criterion::Pace => late_from(&baseline.pace)?,
+    };
+    let count = |answers: &Answers| bad_answers(answers, criterion, limit);
+    let total = count(canary);
+    let late = open.map_or(0, |open| open.count_from(limit));
+    let mut samples = Samples {
+        canary: total,
+        in_step: total.since(count(&earlier.at_step)),
+        new: total.since(count(&earlier.at_update)),
+        baseline: count(baseline),
+    };
+    samples.canary.add(Sample { bad: late, all: late });
+    samples.in_step.add(Sample { bad: late, all: late });
+    Some(samples)
+}
+
+fn bad_answers(answers: &Answers, criterion: Criterion, limit: usize) -> Sample {
+    match criterion {
+        Criterion::Failures => Sample { bad: answers.failed, all: answers.ended() },
+        Criterion::FirstByte => {
+            // An abandoned answer that was not late yet says nothing.
+            let abandoned = answers.abandoned.count_from(limit);
+            Sample {
+                bad: answers.first.count_from(limit) + abandoned,
+                all: answers.first.count() + abandoned,
+            }
+        }
+        Criterion::Pace => {
+            Sample { bad: answers.pace.count_from(limit), all: answers.pace.count() }
+        }
+    }
+}
+
+/// Returns the first bucket of late answers, by the old version's times.
+fn late_from(times: &Histogram) -> Option<usize> {
+    if times.count() < MIN_TIMES {
+        return None;
+    }
+    Some(times.quantile_bucket(TIME_QUANTILE)? + LATE_BUCKETS)
+}
--- /dev/null
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -0,0 +1,188 @@
+//! The part of an instance that sends the requests of a service in its rollouts: which versions it
+//! uses, how many requests it sends to one on trial, and what both versions answer.
+
+use std::collections::BTreeMap;
+
+use super::{Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Use};
+use crate::{
+    coordination::view::FRESHNESS_LIMIT,
+    core::{Instance, Millis, Service, Version},
+    protocol::rollout::{Answers, Rollout, RolloutReport, RolloutStage, RouteEvidence},
+};
+
+/// The instances that send requests of a service, and the exposure limit for all of them together.
+#[derive(Clone, Copy, Debug)]
+pub struct Senders<'a> {
+    /// The sender concerned.
+    pub own: &'a Instance,
+    /// All senders.
+    pub all: &'a [Instance],
+    /// The limit.
+    pub limit: ExposureLimit,
+}
+
+/// A listed upstream, as far as rollouts depend on it.
+#[derive(Clone, Copy, Debug)]
+pub struct VersionedUpstream<'a> {
+    /// The version of its software, if known.
+    pub version: Option<&'a Version>,
+    /// The wall clock at its start, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// The requests that it can run at once; 0 if it gets no new ones.
+    pub slots: u32,
+}
+
+/// A rollout that has not ended.
+#[derive(Clone, Debug)]
+struct Trial {
+    id: u64,
+    index: u64,
+    to: Version,
+    stage: RolloutStage,
+    exposure: Exposure,
+    routes: BTreeMap<String, RouteEvidence>,
+}
+
+/// The state of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Participant {
+    versions: ServiceVersions,
+    trial: Option<Trial>,
+    /// When the rollouts were last confirmed to be all that were ordered.
+    confirmed: Option<Millis>,
+    /// The slots of upstreams, by version.
+    slots: BTreeMap<Option<Version>, u32>,
+}
+
+impl Participant {
+    /// Applies the rollouts of the service, by id.
+    pub fn set_rollouts(
+        &mut self,
+        service: &Service,
+        rollouts: &BTreeMap<u64, Rollout>,
+        senders: Senders<'_>,
+    ) {
+        self.versions.set_rollouts(rollouts);
+        let Some(rollout) = self.versions.running() else {
+            self.trial = None;
+            return;
+        };
+        if self.trial.as_ref().is_none_or(|trial| trial.id != rollout.id) {
+            // A sender that has never had a confirmation has just started.
+            let all = if self.confirmed.is_some() { senders.all } else { &[] };
+            let exposure = Exposure::new(senders.limit, service.as_str(), senders.own, all);
+            self.trial = Some(Trial {
+                id: rollout.id,
+                index: rollout.index,
+                to: rollout.order.to.clone(),
+                stage: rollout.stage,
+                exposure,
+                routes: BTreeMap::new(),
+            });
+        }
+        if let Some(trial) = &mut self.trial {
+            trial.stage = rollout.stage;
+            trial.index = rollout.index;
+        }
+    }
+
+    /// Records that all rollouts ordered until `at` are known.
+    pub fn on_confirmed(&mut self, at: Millis) {
+        self.confirmed = Some(self.confirmed.map_or(at, |known| known.max(at)));
+        self.versions.on_confirmed(at);
+    }
+
+    /// Applies a list of the service's upstreams.
+    pub fn on_listed<'a>(
+        &mut self,
+        now: Millis,
+        listed: impl Iterator<Item = VersionedUpstream<'a>>,
+    ) {
+        let mut starts: BTreeMap<&Version, u64> = BTreeMap::new();
+        self.slots.clear();
+        for upstream in listed {
+            *self.slots.entry(upstream.version.cloned()).or_default() += upstream.slots;
+            if let Some(version) = upstream.version {
+                let start = starts.entry(version).or_insert(u64::MAX);
+                *start = (*start).min(upstream.started_unix_ms);
+            }
+        }
+        self.versions.on_listed(now, &starts);
+    }
+
+    /// Returns how upstreams of a version are used.
+    pub fn use_of(&self, version: Option<&Version>) -> Use {
+        self.versions.use_of(version)
+    }
+
+    /// Returns the version that a running rollout moves to.
+    pub fn new_version(&self) -> Option<&Version> {
+        self.trial.as_ref().map(|trial| &trial.to)
+    }
+
+    /// Returns whether the next request on a route may go to the version on trial.
+    ///
+    /// Without confirmation, the version may have been rolled back.
+    pub fn allows_canary(&self, now: Millis, route: &str) -> bool {
+        let is_fresh = self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS_LIMIT);
+        let Some(trial) = &self.trial else { return false };
+        let is_canary = matches!(trial.stage, RolloutStage::Canary(_));
+        is_fresh && is_canary && trial.exposure.allows(route)
+    }
+
+    /// Returns whether the version on trial is in its last exposure step.
+    pub fn is_last_step(&self) -> bool {
+        let stage = self.trial.as_ref().map(|trial| trial.stage);
+        stage == Some(RolloutStage::Canary(LAST_STEP))
+    }
+
+    /// Records that a request is sent to an upstream of a version with this use.
+    pub fn on_sent(&mut self, route: &str, version_use: Use) {
+        let new_slots = self.slots().1;
+        let Some(trial) = &mut self.trial else { return };
+        let step = match trial.stage {
+            RolloutStage::Canary(step) if new_slots > 0 => Some(step),
+            _ => None,
+        };
+        trial.exposure.on_request(route, step);
+        if version_use == Use::Canary {
+            trial.exposure.on_exposed(route);
+        }
+    }
+
+    /// Returns the counts of a version's answers on a route while a rollout is running. Those of
+    /// requests that were sent before it are included.
+    pub fn answers(&mut self, route: &str, version: Option<&Version>) -> Option<&mut Answers> {
+        let trial = self.trial.as_mut()?;
+        if !trial.routes.contains_key(route) {
+            trial.routes.insert(route.to_owned(), RouteEvidence::default());
+        }
+        let route = trial.routes.get_mut(route)?;
+        Some(if version == Some(&trial.to) { &mut route.canary } else { &mut route.baseline })
+    }
+
+    /// Returns the slots of ready upstreams of the old and of the new version.
+    fn slots(&self) -> (u32, u32) {
+        let new = self.new_version().and_then(|to| self.slots.get(&Some(to.clone())));
+        let new = new.copied().unwrap_or(0);
+        (self.slots.values().sum::<u32>() - new, new)
+    }
+
+    /// Returns what was seen of the running rollout, without the requests under way.
+    pub fn report(&self) -> Option<RolloutReport> {
+        let trial = self.trial.as_ref()?;
+        let (requests, exposed) = trial.exposure.counts();
+        let (old_slots, new_slots) = self.slots();
+        Some(RolloutReport {
+            id: trial.id,
+            index: trial.index,
+            requests,
+            exposed,
+            is_known_version: self.versions.is_known_version(),
+            old_slots,
+            new_slots,
+            routes: trial.routes.iter().map(|(name, e)| (name.clone(), e.clone())).collect(),
+            ..RolloutReport::default()
+        })
+    }
+}
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -40,6 +40,8 @@
     pub expected_output: u32,
     /// Upstreams that the request must not be sent to again.
     pub avoid: Vec<UpstreamName>,
+    /// Whether the request was sent to an upstream before.
+    pub is_repeat: bool,
 }
 
 impl Demand {
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod peer_reports;
 mod placement;
 mod queue;
+mod rollouts;
 mod shares;
 mod upstream;
 mod verdict;
@@ -38,15 +39,21 @@
     upstream::Upstream,
     verdict::{Basis, Grant, SendEnd, Verdict},
 };
-use self::{cold::cold_rate_share, peer_reports::PeerReports};
+use self::{cold::cold_rate_share, peer_reports::PeerReports, rollouts::Rollouts};
 use crate::{
-    coordination::fleet::report_age,
+    coordination::{
+        fleet::report_age,
+        rollout::{ExposureLimit, Senders, Use},
+    },
     core::{
-        FailureDomain, Instance, Millis, Organisation, Service, UpstreamName,
+        FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, Version,
         configuration::{Configuration, ServiceConfig},
         fleet::FleetSettings,
     },
-    protocol::fleet::{CachedParts, ListedUpstream, LoadReport},
+    protocol::{
+        fleet::{CachedParts, ListedUpstream, LoadReport},
+        rollout::{Rollout, RolloutReport},
+    },
 };
 
 /// The fraction of this entry's share of a connection limit that is used: connections that are
@@ -72,6 +79,14 @@
     work: f64,
     has_begun: bool,
     generated: u32,
+    /// The version of the upstream, and how it was used when the request was sent.
+    version: Option<Version>,
+    version_use: Use,
+    /// Whether the upstream's times say nothing of its version, as it was cold.
+    was_cold: bool,
+    /// The expected time to the first event; zero for a plain upstream.
+    expected: Millis,
+    first_event_at: Option<Millis>,
 }
 
 /// The admission control and load balancing state of one entry.
@@ -92,6 +107,7 @@
     /// When the waiting requests were last polled.
     last_poll: Millis,
     shares: Shares,
+    rollouts: Rollouts,
     /// Prompt parts that upstreams cache and that have not been reported to the other entries.
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
@@ -115,6 +131,7 @@
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
             shares: Shares::default(),
+            rollouts: Rollouts::default(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
         }
@@ -142,6 +159,35 @@
         self.shares.set_peers(count - 1, report_age(count));
     }
 
+    /// Sets the rollouts of all services, by their ids.
+    pub fn set_rollouts(
+        &mut self,
+        now: Millis,
+        rollouts: &BTreeMap<Service, BTreeMap<u64, Rollout>>,
+    ) {
+        let senders = Senders {
+            own: &self.settings.instance(),
+            all: &self.entries,
+            limit: ExposureLimit {
+                fraction: self.settings.exposed_fraction,
+                slack: self.settings.exposed_slack,
+            },
+        };
+        self.rollouts.set(rollouts, senders);
+        self.rollouts.on_listing(now, &self.upstreams, &self.by_service);
+    }
+
+    /// Records that all rollouts ordered until `at` are known.
+    pub fn on_rollouts_confirmed(&mut self, at: Millis) {
+        self.rollouts.on_confirmed(at);
+    }
+
+    /// Returns what this entry has seen of the running rollouts, for the control instances;
+    /// `process` is a number that identifies this process.
+    pub fn rollout_reports(&self, now: Millis, process: u64) -> Vec<RolloutReport> {
+        self.rollouts.reports(now, process, self.sent.values())
+    }
+
     /// Returns whether any upstream is known.
     pub fn has_upstreams(&self) -> bool {
         !self.upstreams.is_empty()
@@ -198,6 +244,7 @@
             self.by_service.entry(service).or_default().push(name.clone());
         }
         self.peer_reports.recompute(&mut self.upstreams);
+        self.rollouts.on_listing(now, &self.upstreams, &self.by_service);
     }
 
     /// Applies another entry's load report.
@@ -309,13 +356,20 @@
             work: demand.work(),
             has_begun: false,
             generated: 0,
+            version: upstream.listed.version.clone(),
+            version_use: self.rollouts.use_of(&upstream.listed),
+            was_cold: upstream.is_cold(now),
+            expected: Millis(basis.expected_ms),
+            first_event_at: None,
         };
         self.shares.on_served(now, &demand.organisation, demand.work());
+        self.rollouts.on_sent(demand, sent.version_use);
         self.sent.insert(demand.no, sent);
         let share = f64::from(plan.max_connections) * CONNECTION_FRACTION / entries;
         Some(Grant {
             upstream: name.clone(),
             address: upstream.listed.address,
+            version: upstream.listed.version.clone(),
             max_connections: (share as usize).max(1),
             basis,
         })
@@ -328,12 +382,16 @@
             return;
         }
         sent.has_begun = true;
+        sent.first_event_at = Some(now);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
             upstream.backlog.on_first_event(no);
             upstream.own.unread = upstream.backlog.tokens();
         }
-        let speed = self.speeds.entry(sent.service.clone()).or_default();
-        speed.on_first_event(sent.tokens_ahead, now.since(sent.sent_at));
+        // A version that is on trial must not change what is expected of the others.
+        if sent.version_use == Use::Serving {
+            let speed = self.speeds.entry(sent.service.clone()).or_default();
+            speed.on_first_event(sent.tokens_ahead, now.since(sent.sent_at));
+        }
     }
 
     /// Records generated tokens.
@@ -353,6 +411,8 @@
     /// Records the end of a request that was sent.
     pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) {
         let Some(sent) = self.sent.remove(&no) else { return };
+        let tokens_per_event = self.tokens_per_event(&sent.service);
+        self.rollouts.on_end(now, &sent, end, tokens_per_event);
         let service_rate = self.median_failure_rate(&sent.service);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
             upstream.own.running = upstream.own.running.saturating_sub(1);
@@ -381,6 +441,11 @@
         self.update_output_average(now, &sent, end);
     }
 
+    fn tokens_per_event(&self, service: &Service) -> u32 {
+        let plan = self.configuration.as_ref().and_then(|c| c.services.get(service));
+        plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event)
+    }
+
     fn median_failure_rate(&self, service: &Service) -> f64 {
         let names = self.by_service.get(service).into_iter().flatten();
         let mut rates: Vec<f64> =
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -6,7 +6,10 @@
 //! upstream without exchanging messages. In addition each entry knows where it sent a part itself.
 
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
-use crate::core::{FailureDomain, Millis, UpstreamName};
+use crate::{
+    coordination::rollout::Use,
+    core::{FailureDomain, Millis, UpstreamName},
+};
 
 /// The fraction of an engine's memory that is filled; the rest is left for generations that run
 /// over their estimates.
@@ -75,15 +78,30 @@
 }
 
 impl Traffic {
-    /// Selects the upstream for a request.
+    /// Selects the upstream for a request. A version on trial gets it if its exposure allows.
     pub(super) fn place(
         &mut self,
         now: Millis,
         demand: &Demand,
         terms: PlacementTerms,
+    ) -> Result<UpstreamName, PlacementError> {
+        if self.rollouts.allows_canary(now, demand)
+            && let Ok(name) = self.place_among(now, demand, terms, Use::Canary)
+        {
+            return Ok(name);
+        }
+        self.place_among(now, demand, terms, Use::Serving)
+    }
+
+    fn place_among(
+        &mut self,
+        now: Millis,
+        demand: &Demand,
+        terms: PlacementTerms,
+        version_use: Use,
     ) -> Result<UpstreamName, PlacementError> {
         let Some(plan) = self.plan(&demand.service) else { return Err(PlacementError::NoUpstream) };
-        let mut names = self.usable(now, demand);
+        let mut names = self.usable(now, demand, version_use);
         if names.is_empty() {
             return Err(PlacementError::NoUpstream);
         }
@@ -92,6 +110,12 @@
         }
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let ms_to_target = (demand.target.since(now).0 as f64 - RETURN_MARGIN_MS).max(0.0);
+        let load_target = match version_use {
+            Use::Canary if self.rollouts.is_last_step(&demand.service) => {
+                Some(self.mean_running(now, demand))
+            }
+            _ => None,
+        };
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -116,6 +140,11 @@
             // A cold upstream takes no position in the ranking: it can't take all requests for the
             // parts that prefer it.
             position += usize::from(!upstream.is_cold(now));
+            let running = f64::from(upstream.running(now));
+            let cost = match load_target {
+                Some(target) if running < target => cost.map(|_| -running),
+                _ => cost,
+            };
             if let Some(cost) = cost
                 && best.as_ref().is_none_or(|(least, _)| cost < *least)
             {
@@ -128,7 +157,7 @@
     /// Returns the time until the least loaded usable upstream has read all prompts sent to it.
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let names = self.usable(now, demand);
+        let names = self.usable(now, demand, Use::Serving);
         let unread = names.iter().filter_map(|name| {
             let upstream = self.upstreams.get_mut(name)?;
             upstream.advance_reading(now, speed.read_rate());
@@ -138,13 +167,22 @@
         Millis((least as f64 / speed.read_rate()) as u64)
     }
 
-    /// Returns the upstreams that may get a request: those that are ready, in service and not
-    /// ejected. If more than two thirds are ejected, they are included too.
-    fn usable(&self, now: Millis, demand: &Demand) -> Vec<UpstreamName> {
+    /// Returns the mean number of requests under way at upstreams that serve: the load that one of a
+    /// version on trial should see before that version is judged.
+    fn mean_running(&self, now: Millis, demand: &Demand) -> f64 {
+        let names = self.usable(now, demand, Use::Serving);
+        let running: u32 = names.iter().map(|name| self.upstreams[name].running(now)).sum();
+        f64::from(running) / names.len().max(1) as f64
+    }
+
+    /// Returns the upstreams that may get a request: those that are ready, in service, of a version
+    /// with this use and not ejected. If more than two thirds are ejected, they are included too.
+    fn usable(&self, now: Millis, demand: &Demand, version_use: Use) -> Vec<UpstreamName> {
         let all = self.by_service.get(&demand.service).into_iter().flatten();
         let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
         let ready = known.filter(|(name, upstream)| {
             upstream.listed.is_ready
+                && self.rollouts.use_of(&upstream.listed) == version_use
                 && !self.domains_out.contains(&upstream.listed.domain)
                 && !demand.avoid.contains(name)
         });
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::core::{Code, Millis, UpstreamName};
+use crate::core::{Code, Millis, UpstreamName, Version};
 
 /// Permission to send a request to an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +13,8 @@
     pub upstream: UpstreamName,
     /// The address that the upstream listens on.
     pub address: SocketAddr,
+    /// The version of its software, if known.
+    pub version: Option<Version>,
     /// The number of connections that this entry may have open to the upstream.
     pub max_connections: usize,
     /// The state of the upstream on which the decision was based, for the log.
--- a/src/kingcupgrade/coordination/view.rs
+++ b/src/kingcupgrade/coordination/view.rs
@@ -13,6 +13,7 @@
     protocol::{
         order::UpstreamOrder,
         record::{Availability, RecordMessage, StoredConfiguration, StoredDocument},
+        rollout::Rollout,
     },
 };
 
@@ -40,6 +41,8 @@
     upstreams: BTreeMap<UpstreamName, Availability<UpstreamName>>,
     orders: BTreeMap<UpstreamName, UpstreamOrder>,
     configuration: Option<StoredConfiguration>,
+    /// The rollouts of each service, by id.
+    rollouts: BTreeMap<Service, BTreeMap<u64, Rollout>>,
     confirmed: Option<Millis>,
 }
 
@@ -84,6 +87,11 @@
         self.orders.values()
     }
 
+    /// Returns the rollouts of each service, the latest last.
+    pub fn rollouts(&self) -> &BTreeMap<Service, BTreeMap<u64, Rollout>> {
+        &self.rollouts
+    }
+
     /// Returns the time since the configuration was last confirmed to be the newest, if it ever
     /// was.
     pub fn confirmed_age(&self, now: Millis) -> Option<Millis> {
@@ -109,6 +117,7 @@
             upstreams,
             orders,
             configuration,
+            rollouts,
             ..
         } = message
         else {
@@ -135,6 +144,10 @@
             self.configuration = Some(configuration.clone());
             changed = true;
         }
+        for rollout in rollouts {
+            let known = self.rollouts.entry(rollout.order.service.clone()).or_default();
+            changed |= merge_newer(known, &rollout.id, rollout, |r| r.index);
+        }
         // A state that answers an earlier process of this instance leaves out what that process
         // already had. If it were taken as complete, this process would ask for later changes only,
         // and would use an older configuration until the next change.
@@ -181,10 +194,18 @@
                 .as_ref()
                 .filter(|stored| stored.index > have)
                 .cloned(),
+            rollouts: self.rollouts_since(have),
         }
     }
 }
 
+impl View {
+    fn rollouts_since(&self, have: u64) -> Vec<Rollout> {
+        let all = self.rollouts.values().flat_map(BTreeMap::values);
+        all.filter(|rollout| rollout.index > have).cloned().collect()
+    }
+}
+
 /// Replaces a part if the new one has a later index in the record.
 fn merge_newer<N: Ord + Clone, P: Clone>(
     known: &mut BTreeMap<N, P>,
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -106,6 +106,8 @@
     MemberRefused = 5007, NotRun, 409, "The change of members is refused.";
     OrderInvalid = 5008, NotRun, 400, "The order to the upstream is not valid.";
     ConfigurationTooLarge = 5009, NotRun, 413, "The configuration is larger than an instance holds.";
+    RolloutInvalid = 5010, NotRun, 400, "The rollout order is not valid.";
+    RolloutRefused = 5011, NotRun, 409, "The rollout is refused.";
 
     SettingsInvalid = 6001, NotRun, 400, "The settings file is not valid.";
     DataCorrupt = 6002, NotRun, 500, "The data folder holds a record that does not match its checksum.";
--- a/src/kingcupgrade/core/fleet.rs
+++ b/src/kingcupgrade/core/fleet.rs
@@ -52,6 +52,10 @@
     pub retry_slack: f64,
     /// The window of the retry budget.
     pub retry_window: Millis,
+    /// The fraction of a service's requests that a new version may get until it is judged good.
+    pub exposed_fraction: f64,
+    /// Requests that it may get in addition, from the whole fleet.
+    pub exposed_slack: f64,
     /// The number of file descriptors available for sockets.
     pub max_sockets: usize,
 }
--- a/src/kingcupgrade/core/mod.rs
+++ b/src/kingcupgrade/core/mod.rs
@@ -14,5 +14,7 @@
 pub use clock::Millis;
 pub use code::{Code, Outcome};
 pub use document::{Document, ServiceKind};
-pub use names::{FailureDomain, Instance, Organisation, OrganisationTag, Service, UpstreamName};
+pub use names::{
+    FailureDomain, Instance, Organisation, OrganisationTag, Service, UpstreamName, Version,
+};
 pub use settings::Settings;
--- a/src/kingcupgrade/core/names.rs
+++ b/src/kingcupgrade/core/names.rs
@@ -69,6 +69,11 @@
     UpstreamName
 );
 
+name_type!(
+    /// The version of the software that an upstream runs.
+    Version
+);
+
 /// A short identifier of an organisation: the CRC-32 checksum of its name, so that all instances
 /// compute the same tag. A document with two organisations of the same tag is rejected, so a tag
 /// identifies an organisation within a service.
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName};
+use crate::core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, Version};
 
 /// An entry and its failure domain, as listed in a roster.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -43,6 +43,9 @@
     /// The wall clock at its start, in milliseconds since the Unix epoch; 0 if unknown.
     #[serde(rename = "b")]
     pub started_unix_ms: u64,
+    /// The version of its software; `None` if unknown.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
 }
 
 /// The changes in the platform's listing since an earlier reading, or the complete listing.
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub mod operator;
 pub mod order;
 pub mod record;
+pub mod rollout;
 
 use serde::{Deserialize, Serialize};
 
--- a/src/kingcupgrade/protocol/operator.rs
+++ b/src/kingcupgrade/protocol/operator.rs
@@ -8,6 +8,7 @@
     consensus::Member,
     order::UpstreamOrder,
     record::{Availability, Command, Reply, StoredDocument},
+    rollout::Rollout,
 };
 use crate::core::{FailureDomain, Instance, Service, UpstreamName, code::CodedError};
 
@@ -102,6 +103,9 @@
     pub domains: Vec<Availability<FailureDomain>>,
     /// The orders to upstreams that are in force.
     pub orders: Vec<UpstreamOrder>,
+    /// The rollouts of all services, the latest of each last.
+    #[serde(default)]
+    pub rollouts: Vec<Rollout>,
     /// The number of open requests of callers.
     pub open_requests: usize,
     /// The pools for which it is the dispatcher.
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::order::{SetupChange, UpstreamOrder};
+use super::{
+    order::{SetupChange, UpstreamOrder},
+    rollout::{Rollout, RolloutOrder, RolloutReport, RolloutStage},
+};
 use crate::core::{
     FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, code::CodedError,
 };
@@ -157,6 +160,36 @@
     /// that was acknowledged before the read was sent, without relying on clocks.
     #[serde(rename = "g")]
     Read,
+    /// Begins a rollout.
+    #[serde(rename = "v")]
+    StartRollout {
+        /// The id of the change; `None` if the operator's orders have none. An order is then
+        /// recognised as a resend by its content.
+        #[serde(rename = "i")]
+        change: Option<String>,
+        /// The order.
+        #[serde(rename = "o")]
+        order: RolloutOrder,
+    },
+    /// Changes the stage of a rollout, if it is still the given one.
+    #[serde(rename = "n")]
+    AdvanceRollout {
+        /// The rollout.
+        #[serde(rename = "n")]
+        id: u64,
+        /// The service.
+        #[serde(rename = "s")]
+        service: Service,
+        /// The stage until now.
+        #[serde(rename = "f")]
+        from: RolloutStage,
+        /// The new stage.
+        #[serde(rename = "t")]
+        to: RolloutStage,
+    },
+    /// Reads the last rollout of a service. It is committed as [`Command::Read`] is.
+    #[serde(rename = "y")]
+    ReadRollout(Service),
     /// Settles a claim with the outcome of its request.
     #[serde(rename = "e")]
     Settle {
@@ -199,6 +232,9 @@
     /// The complete configuration in force, if there is one.
     #[serde(rename = "w")]
     Configuration(Option<StoredConfiguration>),
+    /// The last rollout of a service, if there was one.
+    #[serde(rename = "v")]
+    Rollout(Option<Rollout>),
     /// The claim was settled.
     #[serde(rename = "s")]
     Settled,
@@ -219,6 +255,9 @@
     /// The index of the change in the record; 0 until the change is applied.
     #[serde(rename = "i")]
     pub index: u64,
+    /// The services that it configures.
+    #[serde(rename = "s", default)]
+    pub services: Vec<Service>,
 }
 
 /// A document in force.
@@ -297,7 +336,13 @@
         /// The complete configuration, if it changed.
         #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
         configuration: Option<StoredConfiguration>,
+        /// The changed rollouts.
+        #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+        rollouts: Vec<Rollout>,
     },
+    /// Reports what an entry has seen of a rollout.
+    #[serde(rename = "v")]
+    RolloutReport(RolloutReport),
     /// Proposes a command.
     #[serde(rename = "p")]
     Propose {
--- a/src/kingcupgrade/state/mod.rs
+++ b/src/kingcupgrade/state/mod.rs
@@ -5,3 +5,4 @@
 pub mod keys;
 pub mod log;
 pub mod record;
+pub mod rollouts;
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::keys::Keys;
+use super::{keys::Keys, rollouts::Rollouts};
 use crate::{
     core::{Code, Document, FailureDomain, Millis, Service, UpstreamName, code::CodedError},
     protocol::{
@@ -17,6 +17,7 @@
         record::{
             Availability, Command, RecordMessage, Reply, StoredConfiguration, StoredDocument,
         },
+        rollout::{Rollout, RolloutOrder},
     },
 };
 
@@ -44,6 +45,8 @@
     orders: BTreeMap<UpstreamName, UpstreamOrder>,
     #[serde(rename = "h", default)]
     configuration: Option<StoredConfiguration>,
+    #[serde(rename = "r", default)]
+    rollouts: Rollouts,
     #[serde(rename = "c")]
     changes: VecDeque<(String, Reply)>,
     #[serde(rename = "k")]
@@ -90,6 +93,7 @@
         if let Some(stored) = &mut self.configuration {
             stored.index = index;
         }
+        self.rollouts.restamp(index);
     }
 
     /// Returns the log index of the last change that instances need to know.
@@ -140,6 +144,18 @@
             }
             Command::Replace(proposed) => self.replace(index, proposed),
             Command::Read => Reply::Configuration(self.configuration.clone()),
+            Command::StartRollout { change: Some(change), order } => {
+                self.run_once(change, |record| record.start_rollout(index, order, false))
+            }
+            Command::StartRollout { change: None, order } => self.start_rollout(index, order, true),
+            Command::AdvanceRollout { id, service, from, to } => {
+                match self.rollouts.advance(index, service, *id, *from, *to) {
+                    true => self.accept(index, 0),
+                    // Another leader has changed the stage first.
+                    false => Reply::Accepted { revision: 0, index: self.index },
+                }
+            }
+            Command::ReadRollout(service) => Reply::Rollout(self.rollouts.last(service).cloned()),
             // Membership changes have log entries of their own; this command never reaches the log.
             Command::ChangeMembers { .. } => {
                 Reply::Refused(CodedError::new(Code::MemberRefused, "not a change of the record"))
@@ -182,6 +198,38 @@
         Reply::Accepted { revision: current, index: self.index }
     }
 
+    /// Begins a rollout. If `may_resend`, an order with the same content as an earlier one is a
+    /// resend of it, and has no effect.
+    fn start_rollout(&mut self, index: u64, order: &RolloutOrder, may_resend: bool) -> Reply {
+        if let Err(err) = order.check() {
+            return Reply::Refused(err);
+        }
+        if may_resend && self.rollouts.contains(order) {
+            return Reply::Accepted { revision: 0, index: self.index };
+        }
+        if !self.knows_service(&order.service) {
+            let detail = format!("no service {}", order.service);
+            return Reply::Refused(CodedError::new(Code::NotFound, detail));
+        }
+        match self.rollouts.start(index, self.time, order) {
+            Ok(()) => self.accept(index, 0),
+            Err(err) => Reply::Refused(err),
+        }
+    }
+
+    /// Returns whether a service has a document or is configured. A configuration that was stored
+    /// without its list of services may contain any.
+    fn knows_service(&self, service: &Service) -> bool {
+        let configured = self.configuration.as_ref().map(|stored| &stored.services);
+        self.documents.contains_key(service)
+            || configured.is_some_and(|known| known.is_empty() || known.contains(service))
+    }
+
+    /// Returns the rollouts that have not ended.
+    pub fn running_rollouts(&self) -> impl Iterator<Item = &Rollout> {
+        self.rollouts.running()
+    }
+
     /// Returns the whole configuration in force.
     pub fn configuration(&self) -> Option<&StoredConfiguration> {
         self.configuration.as_ref()
@@ -249,6 +297,7 @@
                 .as_ref()
                 .filter(|stored| stored.index > have)
                 .cloned(),
+            rollouts: self.rollouts.since(have),
         }
     }
 }
--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -25,7 +25,7 @@
 };
 use crate::{
     coordination::fleet::FleetInput,
-    core::{Code, Millis, code::CodedError, fleet::FleetSettings},
+    core::{Code, Millis, Service, code::CodedError, fleet::FleetSettings},
     protocol::record::{Command, Reply, StoredConfiguration},
     util::{log, random},
 };
@@ -143,6 +143,8 @@
         match call {
             Some(OperatorCall::Replace) => self.replace(&body).await,
             Some(OperatorCall::Read) => self.read().await,
+            Some(OperatorCall::StartRollout) => self.start_rollout(&body).await,
+            Some(OperatorCall::ReadRollout(service)) => self.read_rollout(service).await,
             Some(OperatorCall::SetDomain { domain, out }) => {
                 let Ok(change) = random::number() else {
                     return refusal(Code::NotLeader, "could not generate a random change id");
@@ -163,7 +165,29 @@
         // The conversion loses nothing: a body that could be decoded is valid UTF-8.
         let text: Arc<str> = String::from_utf8_lossy(body).into();
         let version = configuration.version;
-        self.change(Command::Replace(StoredConfiguration { version, text, index: 0 })).await
+        let services = configuration.services.into_keys().collect();
+        self.change(Command::Replace(StoredConfiguration { version, text, index: 0, services }))
+            .await
+    }
+
+    async fn start_rollout(&self, body: &[u8]) -> OperatorResponse {
+        match self.adapter.decode_rollout(body) {
+            Ok(order) => self.change(Command::StartRollout { change: None, order }).await,
+            Err(err) => refusal_of(&err),
+        }
+    }
+
+    async fn read_rollout(&self, service: Service) -> OperatorResponse {
+        match self.fleet.submit(Command::ReadRollout(service), RECORD_TIMEOUT).await {
+            Some(Reply::Rollout(Some(rollout))) => {
+                json_response(StatusCode::OK, self.adapter.encode_rollout(&rollout).into())
+            }
+            Some(Reply::Rollout(None)) => {
+                refusal(Code::NotFound, "no rollout of this service was ordered")
+            }
+            Some(Reply::Refused(err)) => refusal_of(&err),
+            _ => refusal(Code::NotLeader, "the record did not respond"),
+        }
     }
 
     /// Submits a change of the record, and responds with its revision.
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -55,6 +55,8 @@
 pub enum FleetUpdate {
     /// The configuration or the state of a failure domain has changed.
     View(Arc<View>),
+    /// The configuration was confirmed to be the newest as of this long ago.
+    Confirmed(Millis),
     /// The set of entries in the fleet has changed.
     Entries(Vec<FleetEntry>),
     /// Another entry has reported its load.
@@ -126,7 +128,7 @@
     let sink = move |event| {
         if let PeerEvent::Received(from, message) = event {
             // Sending fails only while the process exits, after the control thread has ended.
-            let _ = tx.send(Event::Input(FleetInput::Received(from, message)));
+            let _ = tx.send(Event::Input(FleetInput::Received(from, *message)));
         }
     };
     PeerConfig {
@@ -221,6 +223,10 @@
         gauge!("kingcup_record_index").set(view.index() as f64);
         let age = view.confirmed_age(now).unwrap_or(now);
         gauge!("kingcup_configuration_confirmed_age_ms").set(age.0 as f64);
+        if let Some(control) = self.node.control() {
+            let leads = control.consensus().is_leader();
+            gauge!("kingcup_record_leads").set(f64::from(u8::from(leads)));
+        }
     }
 
     fn on_event(&mut self, event: Event, out: &mut Vec<FleetOutput>) {
@@ -308,6 +314,8 @@
             FleetOutput::ViewChanged => {
                 (self.sink)(FleetUpdate::View(Arc::new(self.node.view().clone())));
             }
+            FleetOutput::ViewConfirmed(age) => (self.sink)(FleetUpdate::Confirmed(age)),
+            FleetOutput::RolloutDecided(decision) => log::event("rollout-decided", &decision),
             FleetOutput::Entries(entries) => {
                 log::event("entries", &entries.len());
                 (self.sink)(FleetUpdate::Entries(entries));
--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -9,10 +9,13 @@
 use crate::{
     coordination::traffic::PromptPart,
     core::{
-        FailureDomain, Millis, Organisation, UpstreamName, code::CodedError,
+        FailureDomain, Millis, Organisation, Service, UpstreamName, code::CodedError,
         configuration::Configuration, fleet::FleetSettings,
     },
-    protocol::fleet::ListedUpstream,
+    protocol::{
+        fleet::ListedUpstream,
+        rollout::{Rollout, RolloutOrder},
+    },
 };
 
 /// The decoded head of a caller's request.
@@ -78,6 +81,10 @@
     Replace,
     /// Read the complete configuration.
     Read,
+    /// Begin a rollout.
+    StartRollout,
+    /// Read the last rollout of a service.
+    ReadRollout(Service),
     /// Take a failure domain out of service, or put it back.
     SetDomain {
         /// The failure domain.
@@ -103,6 +110,16 @@
     /// Returns a coded error that states which part is invalid and why.
     fn decode_configuration(&self, text: &[u8]) -> Result<Configuration, CodedError>;
 
+    /// Decodes the order of a rollout.
+    ///
+    /// # Errors
+    ///
+    /// Returns a coded error that states which part is invalid and why.
+    fn decode_rollout(&self, text: &[u8]) -> Result<RolloutOrder, CodedError>;
+
+    /// Encodes a rollout for operators.
+    fn encode_rollout(&self, rollout: &Rollout) -> String;
+
     /// Returns the path of a page of the list of upstreams.
     fn listing_path(&self, page: Option<&str>) -> String;
 
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -14,7 +14,7 @@
 use super::latency::{self, Judgement, LateResponseLine, Times};
 use crate::{
     coordination::traffic::Basis,
-    core::{Code, Millis, Organisation, UpstreamName},
+    core::{Code, Millis, Organisation, UpstreamName, Version},
     util::log,
 };
 
@@ -49,6 +49,8 @@
     pub(super) route: &'a str,
     pub(super) organisation: Option<&'a Organisation>,
     pub(super) upstream: &'a UpstreamName,
+    /// The version of its software.
+    pub(super) upstream_version: Option<&'a Version>,
     /// Number of upstreams that received the request before.
     pub(super) attempts: u32,
     /// Time since the request arrived.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod request;
 mod response;
+mod rollouts;
 mod scheduling_delay;
 mod serve;
 
@@ -56,7 +57,7 @@
     },
     core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
     protocol::fleet::FleetEntry,
-    util::log,
+    util::{log, random},
 };
 
 /// How often queued requests are polled: a small fraction of any latency target.
@@ -69,6 +70,8 @@
     adapter: Arc<E>,
     settings: Arc<FleetSettings>,
     clock: Clock,
+    /// A random number that identifies this process.
+    process: u64,
     traffic: RefCell<Traffic>,
     /// Queued requests, each with the channel that receives its verdict.
     waiting: RefCell<HashMap<RequestNo, oneshot::Sender<Verdict>>>,
@@ -183,6 +186,7 @@
                 let out: BTreeSet<_> = out.collect();
                 let mut traffic = self.traffic.borrow_mut();
                 traffic.set_domains_out(out);
+                traffic.set_rollouts(self.now(), view.rollouts());
                 let Some(newest) = view.configuration() else { return };
                 let known = traffic.configuration().map_or(0, |known| known.version);
                 if newest.version <= known {
@@ -196,6 +200,10 @@
                     Err(err) => log::warning("configuration-unreadable", &err),
                 }
             }
+            FleetUpdate::Confirmed(age) => {
+                let at = self.now().since(age);
+                self.traffic.borrow_mut().on_rollouts_confirmed(at);
+            }
             FleetUpdate::Entries(entries) => {
                 let own = &self.settings.failure_domain;
                 let local = entries.iter().filter(|FleetEntry(_, domain)| domain == own);
@@ -253,6 +261,7 @@
         traffic: RefCell::new(Traffic::new(settings.clone())),
         adapter,
         clock: Clock::start(),
+        process: random::number()?,
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
@@ -312,6 +321,7 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut next_share = Millis::ZERO;
     let mut next_sweep = Millis::ZERO;
+    let mut next_rollout_report = Millis::ZERO;
     loop {
         tokio::select! {
             _ = ticks.tick() => probe_scheduling_delay(gateway),
@@ -328,6 +338,10 @@
             };
             gateway.fleet.send(FleetInput::ShareLoad(report));
         }
+        if now >= next_rollout_report {
+            next_rollout_report = now + rollouts::REPORT_INTERVAL;
+            gateway.report_rollouts(now);
+        }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
             let traffic = gateway.traffic.borrow();
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -346,6 +346,7 @@
             prompt: self.prompt.clone(),
             expected_output: self.output,
             avoid: self.progress.borrow().avoid.clone(),
+            is_repeat: self.progress.borrow().attempts > 0,
         }
     }
 
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -93,6 +93,7 @@
             route: &self.route.name,
             organisation: self.organisation.as_ref(),
             upstream: &grant.upstream,
+            upstream_version: grant.version.as_ref(),
             attempts: self.progress.borrow().attempts,
             after_ms: now.since(self.arrived),
             basis: &grant.basis,
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -65,7 +65,7 @@
 #[derive(Debug)]
 pub enum PeerEvent {
     /// A message arrived from an authenticated instance.
-    Received(Instance, Message),
+    Received(Instance, Box<Message>),
     /// An instance could not be dialled.
     DialFailed {
         /// The instance.
@@ -103,7 +103,7 @@
         let listed = settings.clone();
         let sink = move |event| {
             let input = match event {
-                PeerEvent::Received(from, message) => Input::Received(from, message),
+                PeerEvent::Received(from, message) => Input::Received(from, *message),
                 PeerEvent::DialFailed { instance, refused } => {
                     Input::DialFailed { instance, refused }
                 }
@@ -239,7 +239,7 @@
         return Ok(());
     };
     let message = channel.open(frame)?;
-    sink(PeerEvent::Received(from.clone(), message));
+    sink(PeerEvent::Received(from.clone(), Box::new(message)));
     Ok(())
 }
 
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -20,7 +20,7 @@
         dispatcher::slots::{Listed, LoadReport},
         node::Input,
     },
-    core::{FailureDomain, Service, UpstreamName},
+    core::{FailureDomain, Service, UpstreamName, Version},
     util::{log, process},
 };
 
@@ -45,6 +45,9 @@
     /// The upstream's latest load report.
     #[serde(default)]
     pub load: Option<ListedLoad>,
+    /// The version of the upstream's software.
+    #[serde(default)]
+    pub version: Option<Version>,
 }
 
 /// An upstream's load report, as forwarded by the platform.
@@ -120,5 +123,6 @@
         leaving: listed.leaving,
         incarnation: listed.incarnation,
         report,
+        version: listed.version,
     }
 }
--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -152,7 +152,8 @@
         }
         self.version += 1;
         let (version, text) = (self.version, format!("configuration {}", self.version).into());
-        let command = Command::Replace(StoredConfiguration { version, text, index: 0 });
+        let command =
+            Command::Replace(StoredConfiguration { version, text, index: 0, services: Vec::new() });
         self.handle(host, FleetInput::Command(version, command, CHANGE_TIMEOUT));
     }
 
--- a/tests/testsuite/listing.rs
+++ b/tests/testsuite/listing.rs
@@ -187,6 +187,7 @@
         is_ready,
         cold: Millis::ZERO,
         started_unix_ms: 1,
+        version: None,
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod pools;
 mod process;
 mod record;
+mod rollouts;
 mod roster;
 mod shares;
 mod shutdown;
--- a/tests/testsuite/model_fleet.rs
+++ b/tests/testsuite/model_fleet.rs
@@ -294,7 +294,12 @@
                 let version = self.version.max(1);
                 self.pending.insert(ticket, PendingCommand::Change(version));
                 let text = format!("configuration {version}").into();
-                Command::Replace(StoredConfiguration { version, text, index: 0 })
+                Command::Replace(StoredConfiguration {
+                    version,
+                    text,
+                    index: 0,
+                    services: Vec::new(),
+                })
             }
         };
         self.handle(host, FleetInput::Command(ticket, command, COMMAND_TIMEOUT));
--- a/tests/testsuite/model_nodes/simulation.rs
+++ b/tests/testsuite/model_nodes/simulation.rs
@@ -138,6 +138,7 @@
         upstreams: Vec::new(),
         orders: Vec::new(),
         configuration: None,
+        rollouts: Vec::new(),
     })
 }
 
@@ -402,6 +403,7 @@
                 leaving: false,
                 incarnation: 1,
                 report: Some(LoadReport { running, warm: false, age_ms: REPORT_LAG_MS }),
+                version: None,
             };
             for host in (0..self.hosts.len()).filter(|host| domain_of(*host) == domain) {
                 if !self.hosts[host].frozen {
--- /dev/null
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -0,0 +1,213 @@
+//! The decisions of rollouts, without network.
+
+use std::collections::BTreeMap;
+
+use kingcup_support::{
+    fleet::document,
+    rollouts::{Ablation, Plan, Summary, run},
+};
+use kingcupgrade::{
+    coordination::rollout::{Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Use},
+    core::{Instance, Millis, Version},
+    protocol::{
+        consensus::{LogEntry, Payload},
+        record::{Command, RecordMessage, Reply},
+        rollout::{RollbackReason, Rollout, RolloutOrder, RolloutStage},
+    },
+    state::record::Record,
+};
+
+/// The number of drawn rollouts; `kingcup-load rollouts` plays more.
+const DRAWN: u64 = 150;
+/// A bad version may get requests for this long after its 50th bad answer.
+const ROLLBACK: Millis = Millis(5_000);
+
+fn order(to: &str) -> RolloutOrder {
+    RolloutOrder { service: "orders".into(), to: to.into(), duration: Millis(12_000) }
+}
+
+fn rollout(id: u64, to: &str, stage: RolloutStage) -> (u64, Rollout) {
+    (id, Rollout { order: order(to), id, started_unix_ms: 0, stage, index: id })
+}
+
+/// Applies a command at the next index of a record.
+fn apply(record: &mut Record, command: Command) -> Reply {
+    let index = record.index() + 1;
+    let payload = Payload::Command(command);
+    let entry = LogEntry { term: 1, index, unix_ms: index * 1_000, payload };
+    record.apply(&entry).expect("a reply")
+}
+
+fn start(record: &mut Record, to: &str) -> Reply {
+    apply(record, Command::StartRollout { change: None, order: order(to) })
+}
+
+fn code(reply: &Reply) -> u16 {
+    match reply {
+        Reply::Refused(err) => err.code.number(),
+        _ => 0,
+    }
+}
+
+/// Guards against bad versions that are promoted, good ones that are rolled back, and bad versions
+/// that reach too many callers, over versions that are bad in many ways and at many loads.
+#[test]
+fn drawn_rollouts_end_right_and_within_their_exposure() {
+    let mut summary = Summary::default();
+    for seed in 0..DRAWN {
+        summary.add(&run(&Plan::draw(seed), Ablation::None));
+    }
+    let [good, _, rejected, _] = summary.good;
+    let [bad, promoted, hidden] = summary.bad;
+    assert!(good > 0 && bad > 0);
+    assert_eq!((rejected, promoted, hidden), (0, 0, 0), "{summary}");
+    assert!(summary.greatest_exposure <= 1.0, "{summary}");
+    assert!(summary.longest_after_50 <= ROLLBACK, "{summary}");
+}
+
+/// Guards against a new version that takes more requests than allowed because each entry rounds its
+/// part up, or because a route with few requests gets a part of its own.
+#[test]
+fn all_entries_together_keep_to_the_exposure_limit() {
+    let limit = ExposureLimit { fraction: 0.1, slack: 50.0 };
+    let entries: Vec<Instance> =
+        (0..68).map(|n| Instance::from(format!("entry-{n}").as_str())).collect();
+    let mut exposures: Vec<Exposure> =
+        entries.iter().map(|entry| Exposure::new(limit, "orders", entry, &entries)).collect();
+    for request in 0..68 * 40 {
+        let route = if request % 97 == 0 { "rare" } else { "common" };
+        let exposure = &mut exposures[request % 68];
+        if exposure.allows(route) {
+            exposure.on_exposed(route);
+        }
+        exposure.on_request(route, Some(LAST_STEP));
+        let counts = exposures.iter().map(Exposure::counts);
+        let (sent, exposed) = counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1));
+        assert!(exposed as f64 <= 0.1 * sent as f64 + 50.0, "{exposed} of {sent}");
+    }
+}
+
+/// Guards against an entry that restarts during a rollout and takes, knowing few other entries, the
+/// requests that the whole fleet may send beyond the fraction.
+#[test]
+fn an_entry_that_starts_during_a_rollout_has_no_part_in_the_slack() {
+    let limit = ExposureLimit { fraction: 0.1, slack: 50.0 };
+    let mut exposure = Exposure::new(limit, "orders", &"entry-0".into(), &[]);
+    let mut exposed = 0;
+    for _ in 0..100 {
+        exposure.on_request("r", Some(LAST_STEP));
+        if exposure.allows("r") {
+            exposure.on_exposed("r");
+            exposed += 1;
+        }
+    }
+    assert!(exposed <= 10, "{exposed}");
+}
+
+/// Guards against a new version that gets all requests because an entry sees its upstreams before
+/// it hears of the rollout.
+#[test]
+fn a_version_seen_before_its_order_gets_nothing() {
+    let (old, new) = (Version::from("v1"), Version::from("v2"));
+    let mut versions = ServiceVersions::default();
+    versions.on_listed(Millis(1_000), &BTreeMap::from([(&old, 5)]));
+    versions.on_listed(Millis(10_000), &BTreeMap::from([(&old, 5), (&new, 9)]));
+    versions.on_confirmed(Millis(11_000));
+    assert_eq!(
+        (versions.use_of(Some(&old)), versions.use_of(Some(&new))),
+        (Use::Serving, Use::Unused)
+    );
+    versions.set_rollouts(&BTreeMap::from([rollout(7, "v2", RolloutStage::Canary(0))]));
+    assert_eq!(versions.use_of(Some(&new)), Use::Canary);
+    // Without any order, it belongs to a release.
+    let mut versions = ServiceVersions::default();
+    versions.on_listed(Millis(1_000), &BTreeMap::from([(&old, 5)]));
+    versions.on_listed(Millis(10_000), &BTreeMap::from([(&old, 5), (&new, 9)]));
+    versions.on_confirmed(Millis(30_000));
+    assert_eq!(versions.use_of(Some(&new)), Use::Serving);
+}
+
+/// Guards against an entry that starts during a rollout, finds both versions listed, and takes the
+/// new one for the one in use.
+#[test]
+fn an_entry_that_starts_with_both_versions_listed_uses_the_older() {
+    let (old, new) = (Version::from("v1"), Version::from("v2"));
+    let mut versions = ServiceVersions::default();
+    versions.on_listed(Millis(1_000), &BTreeMap::from([(&old, 5), (&new, 9)]));
+    assert_eq!(
+        (versions.use_of(Some(&old)), versions.use_of(Some(&new))),
+        (Use::Serving, Use::Unused)
+    );
+}
+
+/// Guards against a service without any upstream: the old version out of use because a promotion had
+/// begun, and the new one because it was rolled back.
+#[test]
+fn a_promotion_that_is_rolled_back_returns_to_the_old_version() {
+    let (old, new) = (Version::from("v1"), Version::from("v2"));
+    let mut versions = ServiceVersions::default();
+    versions.on_listed(Millis(1_000), &BTreeMap::from([(&old, 5)]));
+    let mut uses = |stage| {
+        versions.set_rollouts(&BTreeMap::from([rollout(7, "v2", stage)]));
+        (versions.use_of(Some(&old)), versions.use_of(Some(&new)))
+    };
+    assert_eq!(uses(RolloutStage::Promoting), (Use::Unused, Use::Serving));
+    let rolled_back = RolloutStage::RolledBack(RollbackReason::Failures);
+    assert_eq!(uses(rolled_back), (Use::Serving, Use::Unused));
+    assert_eq!(uses(RolloutStage::Complete), (Use::Unused, Use::Serving));
+}
+
+/// Guards against a repeated order that begins a rollout anew after the version was rolled back, and
+/// against a second rollout beside a running one.
+#[test]
+fn the_record_takes_a_repeated_order_once() {
+    let mut record = Record::default();
+    assert_eq!(code(&start(&mut record, "v2")), 5005, "the service is unknown");
+    let text = document("orders", "plain-service", &[("alder", 1)], "slots: {cold: 1, warm: 2}\n");
+    let document =
+        Command::ApplyDocument { change: "1".to_owned(), service: "orders".into(), base: 0, text };
+    let applied = apply(&mut record, document);
+    assert!(matches!(applied, Reply::Accepted { .. }), "{applied:?}");
+    assert_eq!(code(&start(&mut record, "v2")), 0);
+    let running = record.running_rollouts().next().expect("a rollout").clone();
+    assert_eq!(code(&start(&mut record, "v2")), 0);
+    assert_eq!(code(&start(&mut record, "v3")), 5011);
+    let advance = |to| Command::AdvanceRollout {
+        id: running.id,
+        service: "orders".into(),
+        from: running.stage,
+        to,
+    };
+    apply(&mut record, advance(RolloutStage::RolledBack(RollbackReason::Latency)));
+    // A second leader decided otherwise at the same time.
+    apply(&mut record, advance(RolloutStage::Complete));
+    assert_eq!(code(&start(&mut record, "v2")), 0);
+    assert_eq!(record.running_rollouts().count(), 0, "the repeated order began a rollout");
+    let Reply::Rollout(Some(last)) = apply(&mut record, Command::ReadRollout("orders".into()))
+    else {
+        panic!("no rollout")
+    };
+    assert_eq!(last.stage, RolloutStage::RolledBack(RollbackReason::Latency));
+    assert_eq!(code(&start(&mut record, "v3")), 0);
+}
+
+/// Guards against rollouts that are missing in a snapshot, from which a lost disk is restored.
+#[test]
+fn a_snapshot_holds_the_rollouts() {
+    let mut record = Record::default();
+    let services = vec!["orders".into()];
+    let configuration = kingcupgrade::protocol::record::StoredConfiguration {
+        version: 1,
+        text: "{}".into(),
+        index: 0,
+        services,
+    };
+    apply(&mut record, Command::Replace(configuration));
+    assert_eq!(code(&start(&mut record, "v2")), 0);
+    let restored = Record::decode(&record.encode()).expect("a record");
+    assert_eq!(restored.running_rollouts().count(), 1);
+    let RecordMessage::State { rollouts, .. } = restored.state_since(0, None, None) else {
+        panic!("no state")
+    };
+    assert_eq!(rollouts.len(), 1);
+}
--- a/tests/testsuite/slots.rs
+++ b/tests/testsuite/slots.rs
@@ -12,6 +12,7 @@
         leaving: false,
         incarnation: 1,
         report: Some(LoadReport { running: 0, warm, age_ms }),
+        version: None,
     }
 }
 
--- a/tests/testsuite/view.rs
+++ b/tests/testsuite/view.rs
@@ -11,6 +11,7 @@
         version,
         text: "{}".into(),
         index,
+        services: Vec::new(),
     });
     RecordMessage::State {
         index,
@@ -22,6 +23,7 @@
         upstreams: Vec::new(),
         orders: Vec::new(),
         configuration,
+        rollouts: Vec::new(),
     }
 }
 
