Ask for no new callers while an entry's own link is full

Cause: nothing knew that a link can be full. Traced: from accept to head 0 to 1 ms and from head to body 0 to 14 ms at full entries as at others, since the queue is before the link, first in first out; round trips of the pings to other instances take 177 to 461 ms while it is full. Each connection reports its round trips now; the least delay over all peers beyond each one's least time, less what tasks wait for the processor, is that of the own link. Above 60 ms, and for two seconds after, the entry is not ready and closes connections after their answers.

The bytes of a refused body have come in, so refusing only brings them again.

FleetUpdate's Heard, Listed and ListingWanted are LoadReceived, ListingReceived and ListingRequested.

--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod lease;
+pub mod link;
 pub mod listing;
 pub mod node;
 pub mod orders;
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -47,7 +47,8 @@
 /// An event for the control thread.
 enum Event {
     Input(FleetInput),
-    Asked(Command, Millis, oneshot::Sender<Reply>),
+    Requested(Command, Millis, oneshot::Sender<Reply>),
+    RoundTrip(Instance, Millis),
 }
 
 /// An update from the control thread.
@@ -57,14 +58,16 @@
     View(Arc<View>),
     /// The configuration was confirmed to be the newest as of this long ago.
     Confirmed(Millis),
+    /// A round trip to another instance took this long.
+    RoundTrip(Instance, Millis),
     /// The set of entries in the fleet has changed.
     Entries(Vec<FleetEntry>),
     /// Another entry has reported its load.
-    Heard(Instance, LoadReport),
+    LoadReceived(Instance, LoadReport),
     /// Another entry has sent the platform's list of upstreams, or a change of it.
-    Listed(Instance, ListingUpdate),
+    ListingReceived(Instance, ListingUpdate),
     /// Another entry has requested the platform's list of upstreams.
-    ListingWanted(Instance),
+    ListingRequested(Instance),
 }
 
 /// The receiver of updates; called on the control thread, so it must not block.
@@ -113,7 +116,7 @@
     /// Submits a command to the record and returns the reply, if there is one within `timeout`.
     pub async fn submit(&self, command: Command, timeout: Millis) -> Option<Reply> {
         let (tx, rx) = oneshot::channel();
-        self.tx.send(Event::Asked(command, timeout, tx)).ok()?;
+        self.tx.send(Event::Requested(command, timeout, tx)).ok()?;
         rx.await.ok()
     }
 }
@@ -126,10 +129,17 @@
         Role::Control => settings.control_port,
     };
     let sink = move |event| {
-        if let PeerEvent::Received(from, message) = event {
-            // Sending fails only while the process exits, after the control thread has ended.
-            let _ = tx.send(Event::Input(FleetInput::Received(from, *message)));
-        }
+        let event = match event {
+            PeerEvent::Received(from, message) => {
+                Event::Input(FleetInput::Received(from, *message))
+            }
+            PeerEvent::RoundTrip(peer, time) => {
+                Event::RoundTrip(peer, Millis(time.as_millis() as u64))
+            }
+            PeerEvent::DialFailed { .. } => return,
+        };
+        // Sending fails only while the process exits, after the control thread has ended.
+        let _ = tx.send(event);
     };
     PeerConfig {
         instance,
@@ -232,12 +242,16 @@
     fn on_event(&mut self, event: Event, out: &mut Vec<FleetOutput>) {
         let input = match event {
             Event::Input(input) => input,
-            Event::Asked(command, timeout, tx) => {
+            Event::Requested(command, timeout, tx) => {
                 let ticket = self.next_ticket;
                 self.next_ticket += 1;
                 self.operators.insert(ticket, tx);
                 FleetInput::Command(ticket, command, timeout)
             }
+            Event::RoundTrip(peer, time) => {
+                (self.sink)(FleetUpdate::RoundTrip(peer, time));
+                return;
+            }
         };
         self.node.handle(self.clock.now(), unix_ms(), input, out);
     }
@@ -321,12 +335,12 @@
                 (self.sink)(FleetUpdate::Entries(entries));
             }
             FleetOutput::LoadReceived(from, report) => {
-                (self.sink)(FleetUpdate::Heard(from, report))
+                (self.sink)(FleetUpdate::LoadReceived(from, report))
             }
             FleetOutput::ListingReceived(from, update) => {
-                (self.sink)(FleetUpdate::Listed(from, update))
+                (self.sink)(FleetUpdate::ListingReceived(from, update))
             }
-            FleetOutput::ListingRequested(from) => (self.sink)(FleetUpdate::ListingWanted(from)),
+            FleetOutput::ListingRequested(from) => (self.sink)(FleetUpdate::ListingRequested(from)),
             FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
             FleetOutput::Restarted { instance, restarts } => {
                 counter!("kingcup_restarts_seen").increment(1);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -50,6 +50,7 @@
 use crate::{
     coordination::{
         fleet::{FleetInput, share_interval},
+        link::LinkLoad,
         listing::{ListingDuty, ListingPlan, Neighbours},
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
@@ -78,6 +79,7 @@
     pool: Rc<Pool>,
     decisions: DecisionLog,
     overload: Cell<Overload>,
+    link: RefCell<LinkLoad>,
     /// Whether a measurement of the scheduling delay is in progress.
     is_probing: Cell<bool>,
     listing_plan: RefCell<ListingPlan>,
@@ -124,7 +126,7 @@
     fn is_ready(&self) -> bool {
         let traffic = self.traffic.borrow();
         self.stage() == DrainStage::Serving
-            && !self.overload.get().is_full()
+            && !self.is_full()
             && traffic.configuration().is_some()
             && traffic.has_upstreams()
     }
@@ -137,6 +139,8 @@
         gauge!("kingcup_waiting_requests").set(traffic.waiting() as f64);
         gauge!("kingcup_refused_part").set(self.overload.get().refused_fraction());
         gauge!("kingcup_turn_wait_ms").set(self.overload.get().scheduling_delay().0 as f64);
+        let link_delay = self.link.borrow().delay();
+        gauge!("kingcup_link_delay_ms").set(link_delay.0 as f64);
         gauge!("kingcup_entries").set(traffic.entry_count() as f64);
         let listing_age = self.listing_plan.borrow().age(now);
         gauge!("kingcup_listing_age_ms").set(listing_age.0 as f64);
@@ -200,6 +204,9 @@
                     Err(err) => log::warning("configuration-unreadable", &err),
                 }
             }
+            FleetUpdate::RoundTrip(peer, time) => {
+                self.link.borrow_mut().on_round_trip(self.now(), &peer, time);
+            }
             FleetUpdate::Confirmed(age) => {
                 let at = self.now().since(age);
                 self.traffic.borrow_mut().on_rollouts_confirmed(at);
@@ -221,9 +228,9 @@
                     self.fleet.send(FleetInput::RequestListing(None));
                 }
             }
-            FleetUpdate::Listed(from, update) => self.on_listing_update(from, update),
-            FleetUpdate::ListingWanted(from) => self.send_listing(from),
-            FleetUpdate::Heard(from, report) => {
+            FleetUpdate::ListingReceived(from, update) => self.on_listing_update(from, update),
+            FleetUpdate::ListingRequested(from) => self.send_listing(from),
+            FleetUpdate::LoadReceived(from, report) => {
                 self.traffic.borrow_mut().on_report(self.now(), from, report);
             }
         }
@@ -266,6 +273,7 @@
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
         overload: Cell::default(),
+        link: RefCell::default(),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
         listing_duty: Cell::default(),
@@ -329,6 +337,7 @@
         }
         let now = gateway.now();
         gateway.poll_waiting();
+        gateway.link.borrow_mut().update(now, gateway.overload.get().scheduling_delay());
         if now >= next_share {
             let report = {
                 let mut traffic = gateway.traffic.borrow_mut();
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -16,6 +16,8 @@
     refuses_all: bool,
     /// The last measured scheduling delay.
     turn_wait_ms: Millis,
+    /// Whether the link is full, and its delay.
+    link: (bool, Millis),
     /// The numbers of open connections and open requests.
     open: (usize, usize),
     /// The number of queued requests.
@@ -36,11 +38,14 @@
         self.overload.set(overload);
     }
 
-    /// Logs the state of the overload protection if it refuses any requests.
+    /// Logs the state of the overload protection if it refuses any requests or
+    /// its link is full.
     pub(super) fn log_overload(&self) {
         let overload = self.overload.get();
         let part = overload.refused_fraction();
-        if part == 0.0 && !overload.is_saturated() {
+        let link = self.link.borrow();
+        let is_link_full = link.is_full(self.now());
+        if part == 0.0 && !is_link_full && !overload.is_saturated() {
             return;
         }
         log::event(
@@ -49,6 +54,7 @@
                 part,
                 refuses_all: overload.is_saturated(),
                 turn_wait_ms: overload.scheduling_delay(),
+                link: (is_link_full, link.delay()),
                 open: (self.open_connections.get(), self.open_requests.get()),
                 waiting: self.traffic.borrow().waiting(),
             },
@@ -62,6 +68,11 @@
         self.overload.set(overload);
         refuses
     }
+
+    /// Returns whether new callers should be sent to other entries.
+    pub(super) fn is_full(&self) -> bool {
+        self.overload.get().is_full() || self.link.borrow().is_full(self.now())
+    }
 }
 
 /// Measures how long a new task waits until it runs, behind the tasks of callers and upstreams.
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -152,7 +152,7 @@
 fn may_keep_connection<E: PlatformAdapter>(gateway: &Gateway<E>) -> bool {
     let max_kept = gateway.settings.max_sockets as f64 * KEEP_ALIVE_FRACTION;
     gateway.stage() == DrainStage::Serving
-        && !gateway.overload.get().is_full()
+        && !gateway.is_full()
         && gateway.open_connections.get() as f64 <= max_kept
 }
 
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -74,6 +74,8 @@
         /// the attempt failed without such a response.
         refused: bool,
     },
+    /// A ping to an instance was answered after this long.
+    RoundTrip(Instance, Duration),
 }
 
 /// The receiver of events; called on the thread that drives the connections, so it must not block.
@@ -107,6 +109,7 @@
                 PeerEvent::DialFailed { instance, refused } => {
                     Input::DialFailed { instance, refused }
                 }
+                PeerEvent::RoundTrip(..) => return,
             };
             // Sending fails only while the process exits, after the control thread has ended.
             let _ = tx.send(Event::Input(input));
@@ -330,6 +333,10 @@
                 packet = socket.next() => match packet {
                     Some(Ok(_)) => {
                         let now = Instant::now();
+                        if let Some(pinged) = pinged {
+                            let event = PeerEvent::RoundTrip(self.peer.clone(), now - pinged);
+                            (self.cfg.sink)(event);
+                        }
                         // A pong doesn't confirm messages that were written after its ping.
                         let is_all = pinged.is_none_or(|pinged| written <= pinged);
                         unconfirmed = (!is_all).then_some(now);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod input;
 mod isolation;
 mod latency;
+mod link;
 mod listing;
 mod load;
 mod load_exchange;
