Leave a rollout's exposure step by time too

A step now ends after a fifth of the time before the promotion, if there was an answer at all.

A version on trial is called canary.

--- a/src/kingcupgrade/coordination/node/rollouts.rs
+++ b/src/kingcupgrade/coordination/node/rollouts.rs
@@ -11,7 +11,7 @@
 
 impl Node {
     /// Applies the rollouts of a service to its dispatcher and its static share. Nothing confirms
-    /// the rollouts to the static share, so a version on trial gets nothing from it.
+    /// the rollouts to the static share, so a canary gets nothing from it.
     pub(super) fn update_rollouts(&mut self, now: Millis, service: &Service) {
         let none = Default::default();
         let rollouts = self.view.rollouts().get(service).unwrap_or(&none);
--- a/src/kingcupgrade/coordination/rollout/participant.rs
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -1,5 +1,5 @@
 //! The part of an instance that sends the requests of a service in its rollouts: which versions it
-//! uses, how many requests it sends to one on trial, and what both versions answer.
+//! uses, how many requests it sends to a canary, and what both versions answer.
 
 use std::collections::BTreeMap;
 
@@ -34,7 +34,7 @@
 
 /// A rollout that has not ended.
 #[derive(Clone, Debug)]
-struct Trial {
+struct RunningRollout {
     id: u64,
     index: u64,
     to: Version,
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Participant {
     versions: ServiceVersions,
-    trial: Option<Trial>,
+    running: Option<RunningRollout>,
     /// When the rollouts were last confirmed to be all that were ordered.
     confirmed: Option<Millis>,
     /// The slots of upstreams, by version.
@@ -64,14 +64,14 @@
     ) {
         self.versions.set_rollouts(rollouts);
         let Some(rollout) = self.versions.running() else {
-            self.trial = None;
+            self.running = None;
             return;
         };
-        if self.trial.as_ref().is_none_or(|trial| trial.id != rollout.id) {
+        if self.running.as_ref().is_none_or(|running| running.id != rollout.id) {
             // A sender that has never had a confirmation has just started.
             let all = if self.confirmed.is_some() { senders.all } else { &[] };
             let exposure = Exposure::new(senders.limit, service.as_str(), senders.own, all);
-            self.trial = Some(Trial {
+            self.running = Some(RunningRollout {
                 id: rollout.id,
                 index: rollout.index,
                 to: rollout.order.to.clone(),
@@ -80,9 +80,9 @@
                 routes: BTreeMap::new(),
             });
         }
-        if let Some(trial) = &mut self.trial {
-            trial.stage = rollout.stage;
-            trial.index = rollout.index;
+        if let Some(running) = &mut self.running {
+            running.stage = rollout.stage;
+            running.index = rollout.index;
         }
     }
 
@@ -117,48 +117,48 @@
 
     /// Returns the version that a running rollout moves to.
     pub fn new_version(&self) -> Option<&Version> {
-        self.trial.as_ref().map(|trial| &trial.to)
+        self.running.as_ref().map(|running| &running.to)
     }
 
-    /// Returns whether the next request on a route may go to the version on trial.
+    /// Returns whether the next request on a route may go to the canary.
     ///
     /// Without confirmation, the version may have been rolled back.
     pub fn allows_canary(&self, now: Millis, route: &str) -> bool {
         let is_fresh = self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS_LIMIT);
-        let Some(trial) = &self.trial else { return false };
-        let is_canary = matches!(trial.stage, RolloutStage::Canary(_));
-        is_fresh && is_canary && trial.exposure.allows(route)
+        let Some(running) = &self.running else { return false };
+        let is_canary = matches!(running.stage, RolloutStage::Canary(_));
+        is_fresh && is_canary && running.exposure.allows(route)
     }
 
-    /// Returns whether the version on trial is in its last exposure step.
+    /// Returns whether the canary is in its last exposure step.
     pub fn is_last_step(&self) -> bool {
-        let stage = self.trial.as_ref().map(|trial| trial.stage);
+        let stage = self.running.as_ref().map(|running| running.stage);
         stage == Some(RolloutStage::Canary(LAST_STEP))
     }
 
     /// Records that a request is sent to an upstream of a version with this use.
     pub fn on_sent(&mut self, route: &str, version_use: Use) {
         let new_slots = self.slots().1;
-        let Some(trial) = &mut self.trial else { return };
-        let step = match trial.stage {
+        let Some(running) = &mut self.running else { return };
+        let step = match running.stage {
             RolloutStage::Canary(step) if new_slots > 0 => Some(step),
             _ => None,
         };
-        trial.exposure.on_request(route, step);
+        running.exposure.on_request(route, step);
         if version_use == Use::Canary {
-            trial.exposure.on_exposed(route);
+            running.exposure.on_exposed(route);
         }
     }
 
     /// Returns the counts of a version's answers on a route while a rollout is running. Those of
     /// requests that were sent before it are included.
     pub fn answers(&mut self, route: &str, version: Option<&Version>) -> Option<&mut Answers> {
-        let trial = self.trial.as_mut()?;
-        if !trial.routes.contains_key(route) {
-            trial.routes.insert(route.to_owned(), RouteEvidence::default());
+        let running = self.running.as_mut()?;
+        if !running.routes.contains_key(route) {
+            running.routes.insert(route.to_owned(), RouteEvidence::default());
         }
-        let route = trial.routes.get_mut(route)?;
-        Some(if version == Some(&trial.to) { &mut route.canary } else { &mut route.baseline })
+        let route = running.routes.get_mut(route)?;
+        Some(if version == Some(&running.to) { &mut route.canary } else { &mut route.baseline })
     }
 
     /// Returns the slots of ready upstreams of the old and of the new version.
@@ -170,18 +170,18 @@
 
     /// Returns what was seen of the running rollout, without the requests under way.
     pub fn report(&self) -> Option<RolloutReport> {
-        let trial = self.trial.as_ref()?;
-        let (requests, exposed) = trial.exposure.counts();
+        let running = self.running.as_ref()?;
+        let (requests, exposed) = running.exposure.counts();
         let (old_slots, new_slots) = self.slots();
         Some(RolloutReport {
-            id: trial.id,
-            index: trial.index,
+            id: running.id,
+            index: running.index,
             requests,
             exposed,
             is_known_version: self.versions.is_known_version(),
             old_slots,
             new_slots,
-            routes: trial.routes.iter().map(|(name, e)| (name.clone(), e.clone())).collect(),
+            routes: running.routes.iter().map(|(name, e)| (name.clone(), e.clone())).collect(),
             ..RolloutReport::default()
         })
     }
--- a/src/kingcupgrade/coordination/rollout/schedule.rs
+++ b/src/kingcupgrade/coordination/rollout/schedule.rs
@@ -17,8 +17,11 @@
 /// A rollout ends this long before its deadline: the record has to commit it, and operators to read
 /// it.
 const END_MARGIN: Millis = Millis(800);
-/// The answers of the new version after which a step may be left.
+/// The answers of the new version after which a step is left.
 const ANSWERS_PER_STEP: u32 = 20;
+/// The fraction of the time before the promotion after which each step is left with fewer answers:
+/// where requests are few, the last step is needed to have enough of them.
+const STEP_FRACTION: f64 = 0.2;
 /// The fraction of the old version's slots that the new one needs before it gets all requests.
 const MIN_CAPACITY: f64 = 0.8;
 
@@ -85,6 +88,14 @@
     }
 }
 
+fn is_step_done(situation: &Situation, step: u8) -> bool {
+    let before_promotion = situation.duration.since(promotion_time(situation.duration));
+    let end = before_promotion.0 as f64 * STEP_FRACTION * f64::from(step + 1);
+    let is_late = situation.elapsed.0 as f64 >= end;
+    let answers = situation.answers_in_step;
+    answers >= ANSWERS_PER_STEP || (is_late && answers > 0)
+}
+
 fn next_of_canary(situation: &Situation, step: u8) -> Option<RolloutStage> {
     let left = situation.time_left();
     if left < LATEST_PROMOTION.min(promotion_time(situation.duration)) {
@@ -95,8 +106,7 @@
         return Some(RolloutStage::RolledBack(reason));
     }
     if step < LAST_STEP {
-        let is_due = situation.answers_in_step >= ANSWERS_PER_STEP;
-        return is_due.then_some(RolloutStage::Canary(step + 1));
+        return is_step_done(situation, step).then_some(RolloutStage::Canary(step + 1));
     }
     let is_sound = situation.assessment == Assessment::Sound && situation.has_capacity();
     let is_time = left <= promotion_time(situation.duration);
