--- a/src/kingcupgrade/coordination/dispatcher/grants.rs
+++ b/src/kingcupgrade/coordination/dispatcher/grants.rs
@@ -38,7 +38,7 @@
         self.serving && now >= self.started_at + RECOVERY_PERIOD
     }
 
-    /// Returns the upstream with the largest free part of its limit. One of a version on trial comes
+    /// Returns the upstream with the largest free part of its limit. A canary comes
     /// first if its exposure allows a grant.
     pub(super) fn least_loaded_upstream(&self, now: Millis) -> Option<&UpstreamName> {
         let canary = match self.allows_canary(now) {
--- a/src/kingcupgrade/coordination/dispatcher/rollout.rs
+++ b/src/kingcupgrade/coordination/dispatcher/rollout.rs
@@ -50,7 +50,7 @@
         self.rollout.use_of(self.version_of(upstream))
     }
 
-    /// Returns whether the next grant may be one of an upstream on trial.
+    /// Returns whether the next grant may be one of a canary upstream.
     pub(super) fn allows_canary(&self, now: Millis) -> bool {
         self.rollout.allows_canary(now, ALL_ROUTES)
     }
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -78,7 +78,7 @@
 }
 
 impl Traffic {
-    /// Selects the upstream for a request. A version on trial gets it if its exposure allows.
+    /// Selects the upstream for a request. A canary gets it if its exposure allows.
     pub(super) fn place(
         &mut self,
         now: Millis,
@@ -167,8 +167,8 @@
         Millis((least as f64 / speed.read_rate()) as u64)
     }
 
-    /// Returns the mean number of requests under way at upstreams that serve: the load that one of a
-    /// version on trial should see before that version is judged.
+    /// Returns the mean number of requests under way at upstreams that serve: the load that a
+    /// canary should see before its version is judged.
     fn mean_running(&self, now: Millis, demand: &Demand) -> f64 {
         let names = self.usable(now, demand, Use::Serving);
         let running: u32 = names.iter().map(|name| self.upstreams[name].running(now)).sum();
--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -72,14 +72,14 @@
         participant.map_or(Use::Serving, |p| p.use_of(listed.version.as_ref()))
     }
 
-    /// Returns whether a request may go to a version on trial. Repeats go to the old version: a
+    /// Returns whether a request may go to a canary. Repeats go to the old version: a
     /// caller meets the new one once at most.
     pub(super) fn allows_canary(&self, now: Millis, demand: &Demand) -> bool {
         let participant = self.services.get(&demand.service);
         !demand.is_repeat && participant.is_some_and(|p| p.allows_canary(now, &demand.route))
     }
 
-    /// Returns whether the version on trial of a service is in its last exposure step.
+    /// Returns whether the canary of a service is in its last exposure step.
     pub(super) fn is_last_step(&self, service: &Service) -> bool {
         self.services.get(service).is_some_and(Participant::is_last_step)
     }
--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -0,0 +1,203 @@
+//! Requests that were sent to an upstream, from the grant to their end.
+
+use std::sync::Arc;
+
+use super::{Basis, Demand, Grant, RequestNo, SendEnd, Traffic};
+use crate::{
+    coordination::rollout::Use,
+    core::{Millis, Organisation, Service, UpstreamName, Version},
+};
+
+/// The fraction of this entry's share of a connection limit that is used: connections that are
+/// being closed still count at the upstream.
+const CONNECTION_FRACTION: f64 = 0.85;
+/// The weight of one answer in a route's moving average of generated tokens.
+const OUTPUT_SAMPLE_WEIGHT: f64 = 0.05;
+
+/// A request that was sent to an upstream and has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct SentRequest {
+    pub(super) upstream: UpstreamName,
+    pub(super) service: Service,
+    pub(super) organisation: Organisation,
+    pub(super) route: Arc<str>,
+    pub(super) sent_at: Millis,
+    /// Prompt tokens to be read at the upstream before its first event, its own included.
+    pub(super) tokens_ahead: u64,
+    pub(super) memory: u64,
+    pub(super) prompt: u64,
+    pub(super) expected_output: u32,
+    /// The work charged to its organisation's share, in tokens.
+    pub(super) work: f64,
+    pub(super) has_begun: bool,
+    pub(super) generated: u32,
+    /// The version of the upstream, and how it was used when the request was sent.
+    pub(super) version: Option<Version>,
+    pub(super) version_use: Use,
+    /// Whether the upstream's times say nothing of its version, as it was cold.
+    pub(super) was_cold: bool,
+    /// The expected time to the first event; zero for a plain upstream.
+    pub(super) expected: Millis,
+    pub(super) first_event_at: Option<Millis>,
+}
+
+impl Traffic {
+    pub(super) fn grant(
+        &mut self,
+        now: Millis,
+        demand: &Demand,
+        name: &UpstreamName,
+    ) -> Option<Grant> {
+        let plan = self.plan(&demand.service)?;
+        let entries = self.entry_count() as f64;
+        let cold_rate = self.cold_rate(&plan, name);
+        let upstream = self.upstreams.get_mut(name)?;
+        if upstream.is_cold(now) {
+            upstream.take_cold_token(now, cold_rate);
+        }
+        let unread = upstream.uncached_tokens(now, demand);
+        let tokens_ahead = upstream.unread() + unread;
+        let prompt = demand.prompt_tokens();
+        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let is_engine = plan.engine.is_some();
+        let basis = Basis {
+            running: (upstream.own.running, upstream.peers.running),
+            unread: upstream.unread(),
+            to_read: unread,
+            memory: upstream.memory(),
+            failures: upstream.health.failure_rate(),
+            is_cold: upstream.is_cold(now),
+            expected_ms: if is_engine { speed.first_event_ms(tokens_ahead) as u64 } else { 0 },
+        };
+        // Prompt parts that the upstream has cached take no more memory for another request.
+        let memory = unread + u64::from(demand.expected_output);
+        upstream.own.running += 1;
+        upstream.backlog.push(demand.no, unread);
+        upstream.own.unread = upstream.backlog.tokens();
+        upstream.own.memory += memory;
+        let announcements = upstream.record_prompt(now, demand);
+        if !announcements.is_empty() {
+            self.unannounced_parts.entry(name.clone()).or_default().extend(announcements);
+        }
+        let sent = SentRequest {
+            upstream: name.clone(),
+            service: demand.service.clone(),
+            organisation: demand.organisation.clone(),
+            route: demand.route.clone(),
+            sent_at: now,
+            tokens_ahead,
+            memory,
+            prompt,
+            expected_output: demand.expected_output,
+            work: demand.work(),
+            has_begun: false,
+            generated: 0,
+            version: upstream.listed.version.clone(),
+            version_use: self.rollouts.use_of(&upstream.listed),
+            was_cold: upstream.is_cold(now),
+            expected: Millis(basis.expected_ms),
+            first_event_at: None,
+        };
+        self.shares.on_served(now, &demand.organisation, demand.work());
+        self.rollouts.on_sent(demand, sent.version_use);
+        self.sent.insert(demand.no, sent);
+        let share = f64::from(plan.max_connections) * CONNECTION_FRACTION / entries;
+        Some(Grant {
+            upstream: name.clone(),
+            address: upstream.listed.address,
+            version: upstream.listed.version.clone(),
+            max_connections: (share as usize).max(1),
+            basis,
+        })
+    }
+
+    /// Records the first event of an answer.
+    pub fn on_first_event(&mut self, now: Millis, no: RequestNo) {
+        let Some(sent) = self.sent.get_mut(&no) else { return };
+        if sent.has_begun {
+            return;
+        }
+        sent.has_begun = true;
+        sent.first_event_at = Some(now);
+        if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
+            upstream.backlog.on_first_event(no);
+            upstream.own.unread = upstream.backlog.tokens();
+        }
+        // A canary must not change what is expected of the others.
+        if sent.version_use == Use::Serving {
+            let speed = self.speeds.entry(sent.service.clone()).or_default();
+            speed.on_first_event(sent.tokens_ahead, now.since(sent.sent_at));
+        }
+    }
+
+    /// Records generated tokens.
+    pub fn on_tokens(&mut self, no: RequestNo, tokens: u32) {
+        if let Some(sent) = self.sent.get_mut(&no) {
+            sent.generated += tokens;
+        }
+    }
+
+    /// Records the load that an upstream reported on an answer.
+    pub fn on_load(&mut self, now: Millis, name: &UpstreamName, running: u32, waiting: u32) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.on_report(now, running, waiting);
+        }
+    }
+
+    /// Records the end of a request that was sent.
+    pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) {
+        let Some(sent) = self.sent.remove(&no) else { return };
+        let tokens_per_event = self.tokens_per_event(&sent.service);
+        self.rollouts.on_end(now, &sent, end, tokens_per_event);
+        let service_rate = self.median_failure_rate(&sent.service);
+        if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
+            upstream.own.running = upstream.own.running.saturating_sub(1);
+            upstream.own.memory = upstream.own.memory.saturating_sub(sent.memory);
+            if !sent.has_begun {
+                upstream.backlog.remove(no);
+                upstream.own.unread = upstream.backlog.tokens();
+            }
+            match end {
+                SendEnd::Answered => upstream.health.on_answer(),
+                SendEnd::Failed | SendEnd::Broken => upstream.health.on_failure(now, service_rate),
+                SendEnd::Unreachable => upstream.health.on_unreachable(now),
+                SendEnd::Replaced => upstream.listed.is_ready = false,
+                SendEnd::Rejected => {
+                    let slots = upstream.listed.slots;
+                    upstream.on_report(now, slots, 1);
+                }
+                SendEnd::Cancelled => {}
+            }
+        }
+        if !sent.has_begun && end != SendEnd::Answered {
+            // The request never ran, so its charge is refunded. Without that, an organisation whose
+            // upstreams crash would get less than the others while they do.
+            self.shares.on_served(now, &sent.organisation, -sent.work);
+        }
+        self.update_output_average(now, &sent, end);
+    }
+
+    fn tokens_per_event(&self, service: &Service) -> u32 {
+        let plan = self.configuration.as_ref().and_then(|c| c.services.get(service));
+        plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    fn median_failure_rate(&self, service: &Service) -> f64 {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let mut rates: Vec<f64> =
+            names.map(|name| self.upstreams[name].health.failure_rate()).collect();
+        rates.sort_by(f64::total_cmp);
+        rates.get(rates.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    fn update_output_average(&mut self, now: Millis, sent: &SentRequest, end: SendEnd) {
+        if sent.prompt == 0 || end != SendEnd::Answered {
+            return;
+        }
+        let average =
+            self.output_averages.entry(sent.route.clone()).or_insert(f64::from(sent.generated));
+        *average += OUTPUT_SAMPLE_WEIGHT * (f64::from(sent.generated) - *average);
+        let surplus = f64::from(sent.generated) - f64::from(sent.expected_output);
+        self.shares.on_served(now, &sent.organisation, 2.0 * surplus);
+    }
+}
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -167,7 +167,7 @@
                 self.callers.insert(arrival.id, tx);
                 self.handle(Input::Arrived(arrival, keyed), out);
             }
-            Event::Asked(request, tx) => {
+            Event::Requested(request, tx) => {
                 let ticket = self.next_ticket;
                 self.next_ticket += 1;
                 self.operators.insert(ticket, tx);
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod exchange;
 mod reporting;
+mod routing;
 
 use std::{rc::Rc, sync::Arc};
 
@@ -16,7 +17,10 @@
 };
 
 pub(super) use self::attempt::{AttemptGuard, UpstreamResponse};
-use self::exchange::SendResult;
+use self::{
+    exchange::SendResult,
+    routing::{choose_service, host_of},
+};
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead},
@@ -384,26 +388,6 @@
     }
 }
 
-fn host_of(head: &request::Parts) -> Option<&str> {
-    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = named.or(head.uri.host())?;
-    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
-}
-
-/// Selects one of a route's services at random by weight, always the same one for the same request
-/// id.
-fn choose_service<'a>(route: &'a Route, request_id: &str) -> &'a Service {
-    let sum: u32 = route.services.iter().map(|(_, weight)| *weight).sum();
-    let mut point = crc32fast::hash(request_id.as_bytes()) % sum.max(1);
-    for (service, weight) in &route.services {
-        if point < *weight {
-            return service;
-        }
-        point -= weight;
-    }
-    &route.services[0].0
-}
-
 fn complete_response<E: PlatformAdapter>(
     mut head: http::response::Parts,
     body: Bytes,
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -45,7 +45,7 @@
     /// A request from a caller, and the channel for verdicts on it.
     Arrived(Arrival, Option<KeyedRequest>, mpsc::Sender<Verdict>),
     /// A request from an operator, and the channel for the reply.
-    Asked(OperatorRequest, mpsc::Sender<OperatorReply>),
+    Requested(OperatorRequest, mpsc::Sender<OperatorReply>),
 }
 
 /// What a thread is to do with a caller's request.
--- a/src/kingcupgrade/transport/operators.rs
+++ b/src/kingcupgrade/transport/operators.rs
@@ -86,7 +86,7 @@
         Err(err) => return failed(Code::BadRequest, err.to_string()),
     };
     let (tx, rx) = mpsc::channel();
-    if events.send(Event::Asked(decoded, tx)).is_err() {
+    if events.send(Event::Requested(decoded, tx)).is_err() {
         return failed(Code::Draining, String::new());
     }
     let timed_out =
