Keep at each upstream how its version is used

The use of a version was looked up for each upstream at each placement: a hash and two searches of names for each of up to some hundred upstreams, in a loop that bounds its comparisons to spare a small processor. It changes only with the list, the rollouts and their confirmation, and is kept since. Decisions are the same; not measured by itself. Tests of traffic, rollouts::decisions, fleet_load passed.

--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -145,11 +145,13 @@
         };
         self.rollouts.set(rollouts, senders);
         self.rollouts.on_listing(now, &self.upstreams, &self.by_service);
+        self.update_version_uses();
     }
 
     /// Records that all rollouts ordered until `at` are known.
     pub fn on_rollouts_confirmed(&mut self, at: Millis) {
         self.rollouts.on_confirmed(at);
+        self.update_version_uses();
     }
 
     /// Returns what this entry has seen of the running rollouts, for the control instances;
@@ -215,6 +217,13 @@
         }
         self.peer_reports.recompute(&mut self.upstreams);
         self.rollouts.on_listing(now, &self.upstreams, &self.by_service);
+        self.update_version_uses();
+    }
+
+    fn update_version_uses(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.version_use = self.rollouts.use_of(&upstream.listed);
+        }
     }
 
     /// Applies another entry's load report.
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -182,7 +182,7 @@
         let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
         let ready = known.filter(|(name, upstream)| {
             upstream.listed.is_ready
-                && self.rollouts.use_of(&upstream.listed) == version_use
+                && upstream.version_use == version_use
                 && !self.domains_out.contains(&upstream.listed.domain)
                 && !demand.avoid.contains(name)
         });
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -93,7 +93,7 @@
             has_begun: false,
             generated: 0,
             version: upstream.listed.version.clone(),
-            version_use: self.rollouts.use_of(&upstream.listed),
+            version_use: upstream.version_use,
             was_cold: upstream.is_cold(now),
             expected: Millis(basis.expected_ms),
             first_event_at: None,
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -4,6 +4,7 @@
 
 use super::{backlog::Backlog, demand::Demand, health::Health};
 use crate::{
+    coordination::rollout::Use,
     core::Millis,
     protocol::fleet::{ListedUpstream, Load},
 };
@@ -48,6 +49,8 @@
 pub struct Upstream {
     /// The upstream as the platform lists it.
     pub listed: ListedUpstream,
+    /// How its version is used; kept here since it is read for each upstream at each placement.
+    pub version_use: Use,
     /// Whether the platform has listed it as not ready since it started.
     is_leaving: bool,
     /// The time until which the upstream is cold.
@@ -71,6 +74,7 @@
     pub fn new(now: Millis, listed: ListedUpstream) -> Upstream {
         Upstream {
             cold_until: now + listed.cold,
+            version_use: Use::Unused,
             is_leaving: !listed.is_ready,
             cold_bucket: ColdBucket { tokens: 0.0, at: now },
             listed,
