Roll a rollout back whose new upstreams are lost while it is promoted

While promoting, the old version gets nothing new, and on completion its upstreams stop. If the new version's upstreams were lost meanwhile (none ready, connections refused, so no bad answers to judge by), the rollout went on to complete and the service was left without any. Found by reading. Below half of the old version's slots it is rolled back now, and the old version serves.

Test: a_promotion_whose_upstreams_are_lost_is_rolled_back; before the change it failed (nothing was decided, then complete). rollouts::decisions passed with it.

--- a/src/kingcupgrade/coordination/rollout/schedule.rs
+++ b/src/kingcupgrade/coordination/rollout/schedule.rs
@@ -24,6 +24,8 @@
 const STEP_FRACTION: f64 = 0.2;
 /// The fraction of the old version's slots that the new one needs before it gets all requests.
 const MIN_CAPACITY: f64 = 0.8;
+/// With less than this fraction while it is promoted, it is rolled back.
+const LOST_CAPACITY: f64 = 0.5;
 
 /// What is known of a rollout when its stage is decided.
 #[derive(Clone, Debug)]
@@ -53,6 +55,10 @@
         self.duration.since(self.elapsed)
     }
 
+    fn has_lost_capacity(&self) -> bool {
+        f64::from(self.new_slots) < LOST_CAPACITY * f64::from(self.old_slots)
+    }
+
     fn has_capacity(&self) -> bool {
         self.new_slots > 0 && f64::from(self.new_slots) >= MIN_CAPACITY * f64::from(self.old_slots)
     }
@@ -80,6 +86,10 @@
     }
     match situation.stage {
         RolloutStage::Canary(step) => next_of_canary(situation, step),
+        // Once the rollout is complete, the old version can't take the traffic back.
+        RolloutStage::Promoting if situation.has_lost_capacity() => {
+            Some(RolloutStage::RolledBack(RollbackReason::NoCapacity))
+        }
         RolloutStage::Promoting => {
             let is_due = situation.is_old_idle || situation.time_left() <= END_MARGIN;
             is_due.then_some(RolloutStage::Complete)
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -7,7 +7,9 @@
     rollouts::{Ablation, Plan, Summary, run},
 };
 use kingcupgrade::{
-    coordination::rollout::{Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Use},
+    coordination::rollout::{
+        Assessment, Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Situation, Use, next_stage,
+    },
     core::{Instance, Millis, Version},
     protocol::{
         consensus::{LogEntry, Payload},
@@ -157,6 +159,28 @@
     assert_eq!(uses(RolloutStage::Complete), (Use::Unused, Use::Serving));
 }
 
+/// Guards against a service without upstreams: those of the new version are lost while it gets the
+/// traffic, and those of the old one would stop on completion.
+#[test]
+fn a_promotion_whose_upstreams_are_lost_is_rolled_back() {
+    let promoting = |new_slots, elapsed| Situation {
+        stage: RolloutStage::Promoting,
+        elapsed: Millis(elapsed),
+        duration: Millis(12_000),
+        assessment: Assessment::Sound,
+        answers_in_step: 100,
+        old_slots: 100,
+        new_slots,
+        is_known_version: false,
+        is_old_idle: false,
+    };
+    let lost = RolloutStage::RolledBack(RollbackReason::NoCapacity);
+    assert_eq!(next_stage(&promoting(100, 9_000)), None);
+    assert_eq!(next_stage(&promoting(40, 9_000)), Some(lost));
+    assert_eq!(next_stage(&promoting(0, 11_900)), Some(lost));
+    assert_eq!(next_stage(&promoting(100, 11_900)), Some(RolloutStage::Complete));
+}
+
 /// Guards against a repeated order that begins a rollout anew after the version was rolled back, and
 /// against a second rollout beside a running one.
 #[test]
