Do no work for rollouts at each request while none runs

Each send added up the slots of all versions, and each end looked the configuration up for the tokens of an event, only to drop both without a rollout. The slots are added up while one runs; the tokens of an event are kept with the request, where the configuration is at hand anyway.

--- a/src/kingcupgrade/coordination/rollout/participant.rs
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -138,6 +138,9 @@
 
     /// Records that a request is sent to an upstream of a version with this use.
     pub fn on_sent(&mut self, route: &str, version_use: Use) {
+        if self.running.is_none() {
+            return;
+        }
         let new_slots = self.slots().1;
         let Some(running) = &mut self.running else { return };
         let step = match running.stage {
--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -92,13 +92,7 @@
     }
 
     /// Records the end of a request that was sent.
-    pub(super) fn on_end(
-        &mut self,
-        now: Millis,
-        sent: &SentRequest,
-        end: SendEnd,
-        tokens_per_event: u32,
-    ) {
+    pub(super) fn on_end(&mut self, now: Millis, sent: &SentRequest, end: SendEnd) {
         let Some(participant) = self.services.get_mut(&sent.service) else { return };
         let Some(answers) = participant.answers(&sent.route, sent.version.as_ref()) else { return };
         match end {
@@ -109,7 +103,7 @@
             SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced => return,
         }
         if !sent.was_cold {
-            record_times(answers, now, sent, end, tokens_per_event);
+            record_times(answers, now, sent, end);
         }
     }
 
@@ -164,17 +158,11 @@
     }
 }
 
-fn record_times(
-    answers: &mut Answers,
-    now: Millis,
-    sent: &SentRequest,
-    end: SendEnd,
-    tokens_per_event: u32,
-) {
+fn record_times(answers: &mut Answers, now: Millis, sent: &SentRequest, end: SendEnd) {
     match sent.first_event_at {
         Some(first) => {
             answers.first.record(relative_time(sent, first.since(sent.sent_at)));
-            let events = sent.generated / tokens_per_event;
+            let events = sent.generated / sent.tokens_per_event;
             if events >= MIN_PACE_EVENTS {
                 let pace = now.since(first).0 as f64 / f64::from(events - 1);
                 answers.pace.record(pace);
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -39,6 +39,8 @@
     /// The expected time to the first event; zero for a plain upstream.
     pub(super) expected: Millis,
     pub(super) first_event_at: Option<Millis>,
+    /// The tokens in one event of the answer; 1 for a plain upstream.
+    pub(super) tokens_per_event: u32,
 }
 
 impl Traffic {
@@ -97,6 +99,7 @@
             was_cold: upstream.is_cold(now),
             expected: Millis(basis.expected_ms),
             first_event_at: None,
+            tokens_per_event: plan.engine.as_ref().map_or(1, |engine| engine.tokens_per_event),
         };
         self.shares.on_served(now, &demand.organisation, demand.work());
         self.rollouts.on_sent(demand, sent.version_use);
@@ -147,8 +150,7 @@
     /// Records the end of a request that was sent.
     pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) {
         let Some(sent) = self.sent.remove(&no) else { return };
-        let tokens_per_event = self.tokens_per_event(&sent.service);
-        self.rollouts.on_end(now, &sent, end, tokens_per_event);
+        self.rollouts.on_end(now, &sent, end);
         let service_rate = self.median_failure_rate(&sent.service);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
             upstream.own.running = upstream.own.running.saturating_sub(1);
@@ -177,11 +179,6 @@
         self.update_output_average(now, &sent, end);
     }
 
-    fn tokens_per_event(&self, service: &Service) -> u32 {
-        let plan = self.configuration.as_ref().and_then(|c| c.services.get(service));
-        plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event)
-    }
-
     fn median_failure_rate(&self, service: &Service) -> f64 {
         let names = self.by_service.get(service).into_iter().flatten();
         let mut rates: Vec<f64> =
