Use a version that a release brings after a completed rollout

A dispatcher applies the rollouts at each tick, an entry only when they change. Applying a completed one took every other version in use out of use, so a dispatcher did so again with each version that a plain release brought later: its upstreams got nothing, for good, while entries used them. Found when the change was read once more.

--- a/src/kingcupgrade/coordination/rollout/versions.rs
+++ b/src/kingcupgrade/coordination/rollout/versions.rs
@@ -46,8 +46,11 @@
 }
 
 impl ServiceVersions {
-    /// Applies the rollouts of the service.
+    /// Applies the rollouts of the service. The same ones again have no effect.
     pub fn set_rollouts(&mut self, rollouts: &BTreeMap<u64, Rollout>) {
+        if self.rollouts == *rollouts {
+            return;
+        }
         self.rollouts.clone_from(rollouts);
         let is_complete = |rollout: &&Rollout| rollout.stage == RolloutStage::Complete;
         let Some(complete) = self.rollouts.values().rev().find(is_complete) else { return };
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -181,6 +181,22 @@
     assert_eq!(next_stage(&promoting(100, 11_900)), Some(RolloutStage::Complete));
 }
 
+/// Guards against a version that a plain release brings after a completed rollout and that gets
+/// nothing: applying the same rollouts again, as a dispatcher does, took it out of use each time.
+#[test]
+fn a_version_released_after_a_completed_rollout_is_used() {
+    let (new, released) = (Version::from("v2"), Version::from("v3"));
+    let rollouts = BTreeMap::from([rollout(7, "v2", RolloutStage::Complete)]);
+    let mut versions = ServiceVersions::default();
+    versions.on_listed(Millis(1_000), &BTreeMap::from([(&new, 5)]));
+    versions.set_rollouts(&rollouts);
+    versions.on_listed(Millis(10_000), &BTreeMap::from([(&new, 5), (&released, 9)]));
+    versions.on_confirmed(Millis(30_000));
+    versions.set_rollouts(&rollouts);
+    let uses = (versions.use_of(Some(&new)), versions.use_of(Some(&released)));
+    assert_eq!(uses, (Use::Serving, Use::Serving));
+}
+
 /// Guards against a repeated order that begins a rollout anew after the version was rolled back, and
 /// against a second rollout beside a running one.
 #[test]
