Log what an upstream asks for when it doesn't run a request

Each rejection gets a line with the status, the delay asked for and whether the upstream is leaving, within the limit of such lines; a delay that is no number, negative or longer than an hour is logged with K4004.

No decision reads them yet.

--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -96,6 +96,7 @@
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
+    DelayInvalid = 4004, NotRun, 503, "The delay that an upstream asked for is not valid.";
 
     DocumentInvalid = 5001, NotRun, 400, "The document is not valid.";
     RevisionConflict = 5002, NotRun, 409, "The document has moved on since the revision the change was made from.";
--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -59,6 +59,8 @@
     pub is_not_run: bool,
     /// Whether an upstream other than the intended one has answered.
     pub is_misdirected: bool,
+    /// Whether the upstream states that it is shutting down and wants no new requests.
+    pub is_leaving: bool,
     /// The numbers of running and of waiting requests at the upstream.
     pub load: Option<(u32, u32)>,
 }
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -63,6 +63,18 @@
     pub(super) listing_age_ms: Millis,
 }
 
+/// The fields of the log line for an upstream that did not run a request.
+#[derive(Serialize)]
+pub(super) struct RejectionLine<'a> {
+    pub(super) request: Option<&'a str>,
+    pub(super) upstream: &'a UpstreamName,
+    pub(super) status: u16,
+    /// How long the upstream wants no requests from this entry, if it says so.
+    pub(super) backoff_ms: Option<Millis>,
+    /// Whether the upstream states that it is shutting down.
+    pub(super) is_leaving: bool,
+}
+
 /// Writes the lines and counts those of the current second.
 #[derive(Debug, Default)]
 pub(super) struct DecisionLog {
@@ -96,6 +108,15 @@
         }
     }
 
+    /// Logs that an upstream did not run a request, up to the limit of such lines.
+    pub(super) fn rejected(&self, line: &RejectionLine<'_>) {
+        let mut lines = self.lines.borrow_mut();
+        if *lines < MAX_LINES {
+            *lines += 1;
+            log::event("rejected", line);
+        }
+    }
+
     /// Logs the refusal of a request, or counts it if the limit is reached.
     pub(super) fn refused(&self, code: Code, line: &FailureLine<'_>) {
         self.log_failure("refused", code, line);
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -12,10 +12,14 @@
 use crate::{
     coordination::traffic::{Grant, SendEnd},
     core::Millis,
-    transport::gateway::{
-        adapter::{ForwardContext, PlatformAdapter},
-        pool::{CheckoutError, Connection},
-        response::strip_hop_headers,
+    transport::{
+        gateway::{
+            adapter::{ForwardContext, PlatformAdapter},
+            decisions::RejectionLine,
+            pool::{CheckoutError, Connection},
+            response::strip_hop_headers,
+        },
+        notice,
     },
     util::log,
 };
@@ -164,6 +168,14 @@
             return SendResult::Unknown;
         }
         if decoded.is_not_run || decoded.is_misdirected {
+            let backoff_ms = notice::backoff_of(&grant.upstream, head.status, &head.headers);
+            self.gateway.decisions.rejected(&RejectionLine {
+                request: self.request_id.as_deref(),
+                upstream: &grant.upstream,
+                status: head.status.as_u16(),
+                backoff_ms,
+                is_leaving: decoded.is_leaving,
+            });
             let end = if decoded.is_misdirected { SendEnd::Replaced } else { SendEnd::Rejected };
             attempt.end(end);
             self.drain_rejection(body, connection).await;
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -12,6 +12,7 @@
 pub mod http;
 mod listen;
 pub(crate) mod metrics;
+pub mod notice;
 pub mod operators;
 pub mod peers;
 pub mod platform;
