Go by what upstreams ask for on their answers, at the platform's entries

What callers saw: one of ten was refused while eight engines of twelve had room. Four engines turned everything away and asked for 3 s without requests; entries took a rejection for a full upstream for 50 ms, whatever it asked, and went back at once. As everything sent there ended at once, these four looked the idlest of all and got more than their part (25 to 40 requests a second each, 16 to 28 before).

Cause: what an answer says of its upstream, beyond the one request, had no place in an entry's state. Only its load had, for 50 ms. Class: a statement by an upstream about itself that is read for one request only.

Change: coordination/notices keeps what each incarnation of an upstream has asked for: no requests for some time (503 with Retry-After), or no new ones (it says that it leaves, or is listed so). Placement, the only way to an upstream, goes by it: first sends, requests that waited, second sends, resumed streams, canaries, and the fallback to ejected upstreams. It is looked at once more right before the bytes are sent, since a grant may wait for a connection or the processor. It outlives lists without the upstream and ends with the incarnation. If all upstreams that could serve have asked for no requests, the caller is refused at once with the time left (K3009). After a backoff the fleet's entries together open the slots over 2 s, each by its part, so that they don't overload again what looks idle to all of them.

Without the slow start one entry runs 61 requests at the end of a backoff at once, with it 1. A list that lost a leaving upstream for a moment made it ready again; that is mended by the same state.

--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod listing;
 pub mod node;
+pub mod notices;
 pub mod orders;
 pub mod overload;
 pub mod rollout;
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -46,6 +46,7 @@
 use crate::{
     coordination::{
         fleet::report_age,
+        notices::{NoticeState, Notices, UpstreamNotice},
         rollout::{ExposureLimit, Senders},
     },
     core::{
@@ -69,6 +70,7 @@
     domains_out: BTreeSet<FailureDomain>,
     /// All entries of the fleet, including this one.
     entries: Vec<Instance>,
+    notices: Notices,
     peer_reports: PeerReports,
     speeds: HashMap<Service, EngineSpeed>,
     budgets: HashMap<Service, RetryBudget>,
@@ -94,6 +96,7 @@
             by_service: HashMap::new(),
             domains_out: BTreeSet::new(),
             entries: Vec::new(),
+            notices: Notices::default(),
             peer_reports: PeerReports::default(),
             speeds: HashMap::new(),
             budgets: HashMap::new(),
@@ -199,6 +202,7 @@
 
     /// Replaces the known upstreams by the platform's complete list.
     pub fn set_listing(&mut self, now: Millis, listing: Vec<ListedUpstream>) {
+        self.update_notices(now, &listing);
         let names: BTreeSet<UpstreamName> = listing.iter().map(|l| l.name.clone()).collect();
         self.upstreams.retain(|name, _| names.contains(name));
         for listed in listing {
@@ -211,7 +215,8 @@
             }
         }
         self.by_service.clear();
-        for (name, upstream) in &self.upstreams {
+        for (name, upstream) in &mut self.upstreams {
+            upstream.notices = self.notices.state(name, upstream.listed.started_unix_ms);
             let service = upstream.listed.service.clone();
             self.by_service.entry(service).or_default().push(name.clone());
         }
@@ -220,6 +225,48 @@
         self.update_version_uses();
     }
 
+    fn update_notices(&mut self, now: Millis, listing: &[ListedUpstream]) {
+        for listed in listing.iter().filter(|listed| !listed.is_ready) {
+            // An upstream that leaves doesn't become ready again without a restart. A list that
+            // shows it as ready was delayed, and requests sent because of it would be cut off.
+            let leaving = UpstreamNotice { is_leaving: true, backoff: None };
+            self.notices.on_notice(now, &listed.name, listed.started_unix_ms, leaving);
+        }
+        let listed = listing.iter().map(|listed| (&listed.name, listed.started_unix_ms));
+        self.notices.on_listing(now, listed);
+    }
+
+    /// Records what an incarnation of an upstream asks for on an answer.
+    pub fn on_notice(
+        &mut self,
+        now: Millis,
+        name: &UpstreamName,
+        incarnation: u64,
+        notice: UpstreamNotice,
+    ) {
+        let state = self.notices.on_notice(now, name, incarnation, notice);
+        if let Some(upstream) = self.upstreams.get_mut(name)
+            && upstream.listed.started_unix_ms == incarnation
+        {
+            upstream.notices = state;
+        }
+    }
+
+    /// Returns what the upstream of a grant has asked for.
+    pub fn notices_of(&self, grant: &Grant) -> NoticeState {
+        self.notices.state(&grant.upstream, grant.incarnation)
+    }
+
+    /// Returns whether a request that was granted an upstream may still be sent to it. The grant may
+    /// have waited for a connection or for the processor, and the upstream may have asked for no
+    /// requests meanwhile.
+    pub fn may_send(&self, now: Millis, no: RequestNo) -> bool {
+        let Some(sent) = self.sent.get(&no) else { return false };
+        let domain = self.upstreams.get(&sent.upstream).map(|upstream| &upstream.listed.domain);
+        let is_out = domain.is_some_and(|domain| self.domains_out.contains(domain));
+        !is_out && self.notices.state(&sent.upstream, sent.incarnation).takes_requests(now)
+    }
+
     fn update_version_uses(&mut self) {
         for upstream in self.upstreams.values_mut() {
             upstream.version_use = self.rollouts.use_of(&upstream.listed);
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -7,8 +7,8 @@
 
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
 use crate::{
-    coordination::rollout::Use,
-    core::{FailureDomain, Millis, UpstreamName},
+    coordination::{notices::slot_share, rollout::Use},
+    core::{FailureDomain, Millis, Service, UpstreamName},
 };
 
 /// The fraction of an engine's memory that is filled; the rest is left for generations that run
@@ -53,6 +53,8 @@
 pub enum PlacementError {
     /// The service has no upstream, or all are out of service, leaving or avoided by the request.
     NoUpstream,
+    /// All upstreams have asked for no requests; the time until the first takes them again.
+    BackingOff(Millis),
     /// All upstreams are full or would answer too late.
     Full,
 }
@@ -103,7 +105,8 @@
         let Some(plan) = self.plan(&demand.service) else { return Err(PlacementError::NoUpstream) };
         let mut names = self.usable(now, demand, version_use);
         if names.is_empty() {
-            return Err(PlacementError::NoUpstream);
+            let left = self.backoff_left(now, &demand.service, version_use);
+            return Err(left.map_or(PlacementError::NoUpstream, PlacementError::BackingOff));
         }
         if let Some(part) = demand.affinity() {
             names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
@@ -116,6 +119,7 @@
             }
             _ => None,
         };
+        let own_instance = self.settings.instance();
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -129,6 +133,12 @@
             if cold_rate.is_some_and(|rate| !upstream.allows_cold_request(now, rate)) {
                 continue;
             }
+            let opened = upstream.notices.slow_start_slots(now, upstream.listed.slots);
+            let max_running =
+                opened.map(|slots| slot_share(slots, &name, &own_instance, &self.entries));
+            if max_running.is_some_and(|max| upstream.own.running >= max) {
+                continue;
+            }
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
@@ -175,16 +185,42 @@
         f64::from(running) / names.len().max(1) as f64
     }
 
-    /// Returns the upstreams that may get a request: those that are ready, in service, of a version
-    /// with this use and not ejected. If more than two thirds are ejected, they are included too.
-    fn usable(&self, now: Millis, demand: &Demand, version_use: Use) -> Vec<UpstreamName> {
-        let all = self.by_service.get(&demand.service).into_iter().flatten();
+    /// Returns the upstreams of a service that may get new requests as far as the platform, the
+    /// operators and rollouts are concerned.
+    fn in_service(
+        &self,
+        service: &Service,
+        version_use: Use,
+    ) -> impl Iterator<Item = (&UpstreamName, &Upstream)> {
+        let all = self.by_service.get(service).into_iter().flatten();
         let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
-        let ready = known.filter(|(name, upstream)| {
-            upstream.listed.is_ready
+        known.filter(move |(_, upstream)| {
+            upstream.is_ready()
                 && upstream.version_use == version_use
                 && !self.domains_out.contains(&upstream.listed.domain)
-                && !demand.avoid.contains(name)
+        })
+    }
+
+    /// Returns the time until an upstream of a service takes requests again, if all of them have
+    /// asked for none.
+    fn backoff_left(&self, now: Millis, service: &Service, version_use: Use) -> Option<Millis> {
+        let upstreams = self.in_service(service, version_use);
+        let left = upstreams.map(|(_, upstream)| upstream.notices.backoff_left(now)).min();
+        left.filter(|left| *left > Millis::ZERO)
+    }
+
+    /// Returns the time after which a request that upstreams have turned away may be sent, if every
+    /// upstream of its service has asked for no requests.
+    pub fn time_to_end_of_backoff(&self, now: Millis, service: &Service) -> Option<Millis> {
+        self.backoff_left(now, service, Use::Serving)
+    }
+
+    /// Returns the upstreams that may get a request: those in service that have not asked for no
+    /// requests and are not ejected. If more than two thirds are ejected, they are included too.
+    fn usable(&self, now: Millis, demand: &Demand, version_use: Use) -> Vec<UpstreamName> {
+        let in_service = self.in_service(&demand.service, version_use);
+        let ready = in_service.filter(|(name, upstream)| {
+            upstream.notices.takes_requests(now) && !demand.avoid.contains(name)
         });
         let (ejected, healthy): (Vec<_>, Vec<_>) =
             ready.partition(|(_, upstream)| upstream.health.is_ejected(now));
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -68,6 +68,7 @@
             Err(PlacementError::NoUpstream) => {
                 Some(refuse(Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM))
             }
+            Err(PlacementError::BackingOff(left)) => Some(refuse(Code::UpstreamsBackingOff, left)),
             Err(PlacementError::Full) if status == ShareStatus::Over => {
                 Some(self.refuse_until_capacity(now, Code::OverShare, &demand))
             }
@@ -168,6 +169,9 @@
                 Err(PlacementError::NoUpstream) => {
                     out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM)));
                 }
+                Err(PlacementError::BackingOff(left)) => {
+                    out.push((no, refuse(Code::UpstreamsBackingOff, left)));
+                }
                 Err(PlacementError::Full) if now >= waiting.wait_until => {
                     out.push((
                         no,
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct SentRequest {
     pub(super) upstream: UpstreamName,
+    /// The incarnation of the upstream.
+    pub(super) incarnation: u64,
     pub(super) service: Service,
     pub(super) organisation: Organisation,
     pub(super) route: Arc<str>,
@@ -83,6 +85,7 @@
         }
         let sent = SentRequest {
             upstream: name.clone(),
+            incarnation: upstream.listed.started_unix_ms,
             service: demand.service.clone(),
             organisation: demand.organisation.clone(),
             route: demand.route.clone(),
@@ -108,6 +111,7 @@
         Some(Grant {
             upstream: name.clone(),
             address: upstream.listed.address,
+            incarnation: upstream.listed.started_unix_ms,
             version: upstream.listed.version.clone(),
             max_connections: (share as usize).max(1),
             basis,
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -4,7 +4,7 @@
 
 use super::{backlog::Backlog, demand::Demand, health::Health};
 use crate::{
-    coordination::rollout::Use,
+    coordination::{notices::NoticeState, rollout::Use},
     core::Millis,
     protocol::fleet::{ListedUpstream, Load},
 };
@@ -51,8 +51,8 @@
     pub listed: ListedUpstream,
     /// How its version is used; kept here since it is read for each upstream at each placement.
     pub version_use: Use,
-    /// Whether the platform has listed it as not ready since it started.
-    is_leaving: bool,
+    /// What it has asked for on its answers.
+    pub notices: NoticeState,
     /// The time until which the upstream is cold.
     pub cold_until: Millis,
     /// The load of this entry's requests.
@@ -75,7 +75,7 @@
         Upstream {
             cold_until: now + listed.cold,
             version_use: Use::Unused,
-            is_leaving: !listed.is_ready,
+            notices: NoticeState::default(),
             cold_bucket: ColdBucket { tokens: 0.0, at: now },
             listed,
             own: Load::default(),
@@ -103,12 +103,13 @@
             }
             self.cold_until = now + listed.cold;
         }
-        // An upstream that leaves doesn't become ready again without a restart. A list that shows
-        // it as ready was delayed, and requests sent because of it would be cut off.
-        let has_left = !has_restarted && self.is_leaving;
-        self.is_leaving = has_left || !listed.is_ready;
         self.listed = listed;
-        self.listed.is_ready &= !has_left;
+    }
+
+    /// Returns whether the upstream may get new requests: it is listed as ready and has not said
+    /// that it is leaving.
+    pub fn is_ready(&self) -> bool {
+        self.listed.is_ready && !self.notices.is_leaving
     }
 
     /// Returns whether the upstream is cold.
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -13,6 +13,8 @@
     pub upstream: UpstreamName,
     /// The address that the upstream listens on.
     pub address: SocketAddr,
+    /// The incarnation of the upstream: the Unix millisecond at which it started.
+    pub incarnation: u64,
     /// The version of its software, if known.
     pub version: Option<Version>,
     /// The number of connections that this entry may have open to the upstream.
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -93,6 +93,8 @@
 
     OverShare = 3008, NotRun, 429, "The organisation asks for more than its share while capacity is short.";
 
+    UpstreamsBackingOff = 3009, NotRun, 503, "Every upstream of the service has asked for no requests for some time.";
+
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -13,7 +13,7 @@
 
 use super::latency::{self, Judgement, LateResponseLine, Times};
 use crate::{
-    coordination::traffic::Basis,
+    coordination::{notices::UpstreamNotice, traffic::Basis},
     core::{Code, Millis, Organisation, UpstreamName, Version},
     util::log,
 };
@@ -69,10 +69,17 @@
     pub(super) request: Option<&'a str>,
     pub(super) upstream: &'a UpstreamName,
     pub(super) status: u16,
-    /// How long the upstream wants no requests from this entry, if it says so.
-    pub(super) backoff_ms: Option<Millis>,
-    /// Whether the upstream states that it is shutting down.
-    pub(super) is_leaving: bool,
+    /// What the upstream asks for.
+    pub(super) notice: UpstreamNotice,
+}
+
+/// The fields of the log line for an upstream that begins to ask for no requests.
+#[derive(Serialize)]
+pub(super) struct NoticeLine<'a> {
+    pub(super) upstream: &'a UpstreamName,
+    /// The Unix millisecond at which the upstream started.
+    pub(super) incarnation: u64,
+    pub(super) notice: UpstreamNotice,
 }
 
 /// Writes the lines and counts those of the current second.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -36,7 +36,7 @@
 
 use self::{
     adapter::PlatformAdapter,
-    decisions::{DecisionLog, FailureLine},
+    decisions::{DecisionLog, FailureLine, NoticeLine},
     pool::Pool,
     scheduling_delay::probe_scheduling_delay,
 };
@@ -52,9 +52,10 @@
         fleet::{FleetInput, share_interval},
         link::LinkLoad,
         listing::{ListingDuty, ListingPlan, Neighbours},
+        notices::UpstreamNotice,
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
-        traffic::{RequestNo, Traffic, Verdict},
+        traffic::{Grant, RequestNo, Traffic, Verdict},
     },
     core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
     protocol::fleet::FleetEntry,
@@ -183,6 +184,22 @@
         }
     }
 
+    /// Records what an upstream asks for on an answer, and logs it.
+    fn on_notice(&self, grant: &Grant, notice: UpstreamNotice) {
+        if notice.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let before = traffic.notices_of(grant);
+        traffic.on_notice(now, &grant.upstream, grant.incarnation, notice);
+        // The answers to other requests that were on their way ask for the same.
+        if before.takes_requests(now) {
+            let (upstream, incarnation) = (&grant.upstream, grant.incarnation);
+            log::event("upstream-notice", &NoticeLine { upstream, incarnation, notice });
+        }
+    }
+
     fn on_fleet_update(&self, update: FleetUpdate) {
         match update {
             FleetUpdate::View(view) => {
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -10,7 +10,10 @@
 
 use super::{AttemptGuard, ProxiedRequest, UpstreamResponse};
 use crate::{
-    coordination::traffic::{Grant, SendEnd},
+    coordination::{
+        notices::UpstreamNotice,
+        traffic::{Grant, SendEnd},
+    },
     core::Millis,
     transport::{
         gateway::{
@@ -38,6 +41,8 @@
     Response(Box<UpstreamResponse<E>>),
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, since the upstream has asked for no requests meanwhile.
+    Withheld,
     /// The upstream stated that it did not run the request.
     Rejected,
     /// The request was sent, and it is unknown whether it ran.
@@ -81,6 +86,11 @@
                     return SendResult::NotSent;
                 }
             };
+            if !self.gateway.traffic.borrow().may_send(self.gateway.now(), attempt.no) {
+                pool.checkin(connection);
+                attempt.end(SendEnd::Cancelled);
+                return SendResult::Withheld;
+            }
             match self.send_on(connection, grant, last_event).await {
                 ExchangeResult::Stale => {}
                 ExchangeResult::Response(response) => {
@@ -160,6 +170,14 @@
             let mut traffic = self.gateway.traffic.borrow_mut();
             traffic.on_load(now, &grant.upstream, running, waiting);
         }
+        let notice = UpstreamNotice {
+            backoff: notice::backoff_of(&grant.upstream, head.status, &head.headers),
+            is_leaving: decoded.is_leaving,
+        };
+        // Another upstream at the address speaks for itself only.
+        if !decoded.is_misdirected {
+            self.gateway.on_notice(grant, notice);
+        }
         self.progress.borrow_mut().attempts += 1;
         if decoded.request_id != self.request_id {
             let (asked, answered) = (&self.request_id, &decoded.request_id);
@@ -168,13 +186,11 @@
             return SendResult::Unknown;
         }
         if decoded.is_not_run || decoded.is_misdirected {
-            let backoff_ms = notice::backoff_of(&grant.upstream, head.status, &head.headers);
             self.gateway.decisions.rejected(&RejectionLine {
                 request: self.request_id.as_deref(),
                 upstream: &grant.upstream,
                 status: head.status.as_u16(),
-                backoff_ms,
-                is_leaving: decoded.is_leaving,
+                notice,
             });
             let end = if decoded.is_misdirected { SendEnd::Replaced } else { SendEnd::Rejected };
             attempt.end(end);
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -305,8 +305,20 @@
                         return Err(error(Code::NoUpstream, RETRY_AFTER_REJECTED));
                     }
                 }
+                SendResult::Withheld => {
+                    let mut progress = self.progress.borrow_mut();
+                    progress.unsent += 1;
+                    if progress.unsent >= MAX_UNSENT {
+                        return Err(error(Code::NoUpstream, RETRY_AFTER_REJECTED));
+                    }
+                }
                 SendResult::Rejected => {
                     self.progress.borrow_mut().avoid.push(grant.upstream);
+                    let (traffic, now) = (&self.gateway.traffic, self.gateway.now());
+                    let left = traffic.borrow().time_to_end_of_backoff(now, &self.service);
+                    if let Some(left) = left {
+                        return Err(error(Code::UpstreamsBackingOff, left));
+                    }
                     if !self.may_send_after_rejection() {
                         return Err(error(Code::UpstreamRefused, RETRY_AFTER_REJECTED));
                     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod model_fleet;
 mod model_nodes;
 mod model_record;
+mod notices;
 mod orders;
 mod overload;
 mod peers;
