Add failing tests of what upstreams ask for on their answers, at kingcupd's entries

The same fault looked for in the other data plane, whose upstreams say that they leave with a header of their own. On this code: 4 requests within the 5 s that an upstream asked for; callers held for 8 s, until their deadline, where every upstream asks for 5 s; 588 requests after an upstream said that it leaves; a delay that is not valid isn't logged.

--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -21,6 +21,8 @@
 const BUFFER_LEN: usize = 16 << 10;
 /// The header in which an upstream states the outcome of a request.
 pub const OUTCOME_HEADER: &str = "kingcup-outcome";
+/// The header that an upstream that is shutting down sets to `1` on all its answers.
+pub const LEAVING_HEADER: &str = "kingcup-leaving";
 /// The header that asks an upstream to resume a response after this many events.
 pub const RESUME_HEADER: &str = "resume-from";
 /// The header in which an upstream confirms after how many events it has resumed.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,4 +38,5 @@
 mod stalls;
 mod support;
 mod traffic;
+mod upstream_notices;
 mod view;
