Go by what upstreams ask for on their answers, at kingcupd's entries too

What callers saw: with an upstream that asks for 5 s without requests, 4 more within them; with every upstream asking for 5 s, callers held until their deadline; an upstream that says that it leaves went on getting new requests until the list showed it (588 in 6 s of the test).

An attempt's end was all that an entry kept of an answer, and all that a dispatcher was told; it paused by its own measure.

Change: an entry records what an upstream asks for as soon as the head of its answer is there, and tells the dispatcher at once, which grants no slot of it until the time is over, or of that incarnation any more. The entry goes by what it was asked itself, too: grants on their way, a new dispatcher, and its static share while it is cut off are covered by that, and a claim that took a moment is looked at again before the deposit is sent. A dispatcher whose upstreams all back off tells the others of its service, offers what those can take, and else tells its entries the time left, with which they refuse what waits (K3009). Orders to engines and questions about their set-up wait as well. Grants, reports, acknowledgements and exchanges carry the new fields only where they say something; old and new instances understand each other.

With it: a request that is refused while it waits releases its claim or drops it; before, one whose claim was granted and that waited again kept it until the claim's own end. The connect timeout goes from 1 s to 0.4 s, as at the platform's entries, so that nothing is sent long after it was decided on. An upstream listed as leaving doesn't come back by a late list.

--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -284,6 +284,7 @@
                         organisation: organisation.clone(),
                         upstream: "engine-0123".into(),
                         address: address(),
+                        incarnation: 1,
                     });
                 }
             }
@@ -294,7 +295,8 @@
                 let body = DispatchBody::Grants { session, last_report, grants };
                 self.deliver_dispatch(&sender, pool, body);
             } else if self.now.is_multiple_of(1_000) {
-                let body = DispatchBody::Ack { session, granted, offers: Vec::new() };
+                let (offers, backoff_left) = (Vec::new(), None);
+                let body = DispatchBody::Ack { session, granted, offers, backoff_left };
                 self.deliver_dispatch(&sender, pool, body);
             }
         }
@@ -352,6 +354,7 @@
                     .collect(),
                 finished: std::mem::take(&mut peer_entry.finished),
                 progress: std::mem::take(&mut peer_entry.progress),
+                notices: Vec::new(),
             };
             self.deliver_dispatch(&key.1, dispatched_pool(key.0), body);
         }
@@ -421,6 +424,7 @@
                     free: 0,
                     least: Some(total),
                     served: served.collect(),
+                    backoff_left: None,
                 };
                 self.deliver_dispatch(&entry(other), dispatched_pool(pool), body);
             }
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -60,6 +60,7 @@
             waiting: Vec::new(),
             finished: vec![done],
             progress: Vec::new(),
+            notices: Vec::new(),
         };
         dispatcher.on_message(now, &entry, 1, &report, &mut out);
     }
--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -74,6 +74,19 @@
         /// The reason.
         reason: &'static str,
     },
+    /// An upstream has asked for no requests for some time, or for no new ones.
+    Notice {
+        /// The service.
+        service: Service,
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Its incarnation.
+        incarnation: u64,
+        /// How long it wants no requests.
+        backoff_ms: Millis,
+        /// Whether it is shutting down.
+        is_leaving: bool,
+    },
     /// Requests are waiting while a dispatcher withholds slots that no grant is using.
     Withheld {
         /// The service.
@@ -134,7 +147,7 @@
     /// Requests that may be running without a grant known to this dispatcher; `None` before the
     /// first load report.
     pub unaccounted: Option<u32>,
-    /// The remaining time during which it gets no requests after a failure.
+    /// The remaining time during which it gets no requests, after a failure or as it has asked for.
     pub paused_ms: Millis,
     /// Whether it gets no new requests because the platform, an operator or an order withdrew it.
     pub is_leaving: bool,
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -41,6 +41,10 @@
 /// Interval of acknowledgements to any other session.
 const IDLE_ACK_INTERVAL: Millis = Millis(1_000);
 
+/// Interval of acknowledgements that tell an entry with waiting requests that every upstream has
+/// asked for none, until it has refused them.
+const BACKOFF_ACK_INTERVAL: Millis = Millis(50);
+
 /// The demand of all entries for one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -208,10 +212,20 @@
     }
 
     /// Lists the sessions due for an acknowledgement, with the number of grants sent in each.
-    pub fn due_acks(&mut self, now: Millis) -> Vec<(Instance, SessionTag, u64)> {
+    ///
+    /// Entries with waiting requests get one sooner if every upstream `is_backing_off`.
+    pub fn due_acks(
+        &mut self,
+        now: Millis,
+        is_backing_off: bool,
+    ) -> Vec<(Instance, SessionTag, u64)> {
         let mut due = Vec::new();
         for (entry, state) in &mut self.sessions {
-            let interval = if state.reported.is_empty() { IDLE_ACK_INTERVAL } else { ACK_INTERVAL };
+            let interval = match (state.reported.is_empty(), is_backing_off) {
+                (true, _) => IDLE_ACK_INTERVAL,
+                (false, true) => BACKOFF_ACK_INTERVAL,
+                (false, false) => ACK_INTERVAL,
+            };
             if now.since(state.acked_at) >= interval {
                 state.acked_at = now;
                 due.push((entry.clone(), state.session.tag(), state.granted));
--- a/src/kingcupgrade/coordination/dispatcher/exchange.rs
+++ b/src/kingcupgrade/coordination/dispatcher/exchange.rs
@@ -22,14 +22,16 @@
     ///
     /// These are the ones with idle slots, and the ones whose backlogged organisations have all had
     /// much more service than the least served organisation of this pool. If this pool can't serve
-    /// at all, they are all listed.
+    /// at all, they are all listed, but for those whose upstreams have all asked for no requests.
     pub(super) fn offers(&self, now: Millis) -> Vec<Offer> {
         let Some(own_min) = self.counters.min_counter() else { return Vec::new() };
-        let cannot_serve = !self.serving || self.slots.is_empty();
+        let cannot_serve =
+            !self.serving || self.slots.is_empty() || self.pool_backoff_left(now).is_some();
         let margin = OFFER_MARGIN * self.average_charge;
         let takes = |remote: &RemoteDispatcher| {
             let better_off = remote.min_counter.is_some_and(|min| min > own_min + margin);
-            cannot_serve || remote.free > 0 || better_off
+            let can_take = cannot_serve || remote.free > 0 || better_off;
+            can_take && remote.backoff_left(now).is_none()
         };
         let fresh = self.fresh_remotes(now).filter(|(_, remote)| takes(remote));
         fresh.map(|(domain, remote)| Offer(domain.clone(), remote.holder.clone())).collect()
@@ -53,7 +55,8 @@
         let served = self.counters.take_changed(EXCHANGE_BATCH, is_full);
         // A pool that can't serve reports no counter: demand sent to it would not be served sooner.
         let least = if self.serving { self.counters.min_counter() } else { None };
-        let body = DispatchBody::Exchange { free: self.idle_slots(now), least, served };
+        let (free, backoff_left) = (self.idle_slots(now), self.pool_backoff_left(now));
+        let body = DispatchBody::Exchange { free, least, served, backoff_left };
         out.push(DispatcherOutput::SendToRemoteDispatchers(self.message(body)));
     }
 
@@ -63,32 +66,27 @@
         remote.is_fresh(now).then_some(&remote.holder)
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
     pub(super) fn on_exchange(
         &mut self,
         now: Millis,
-        from: &Instance,
-        term: u64,
-        free: u32,
-        min_counter: Option<i64>,
+        remote: RemoteDispatcher,
         served: &[ServiceReceived],
         out: &mut Vec<DispatcherOutput>,
     ) {
-        let Some(domain) = self.demand.domain_of(from) else { return };
+        let Some(domain) = self.demand.domain_of(&remote.holder) else { return };
+        let (from, term) = (remote.holder.clone(), remote.term);
         let outranks = |known: &RemoteDispatcher| known.term > term && known.is_fresh(now);
         if self.remote_dispatchers.get(&domain).is_some_and(outranks) {
             return;
         }
         let is_new = self.remote_dispatchers.get(&domain).is_none_or(|known| known.term != term);
-        let remote =
-            RemoteDispatcher { holder: from.clone(), term, free, min_counter, last_heard: now };
         self.remote_dispatchers.insert(domain.clone(), remote);
         let is_behind = self.counters.merge_remote(&domain, served);
         // A new holder's counters start at zero. Unless it learns what its failure domain has
         // already served, its organisations would receive the same service twice.
         if is_new || is_behind {
             let served = self.counters.remote(&domain);
-            self.send(from, DispatchBody::Recall { served }, out);
+            self.send(&from, DispatchBody::Recall { served }, out);
         }
     }
 }
--- a/src/kingcupgrade/coordination/dispatcher/grants.rs
+++ b/src/kingcupgrade/coordination/dispatcher/grants.rs
@@ -27,7 +27,7 @@
     }
 
     pub(super) fn free_slots(&self, now: Millis, name: &UpstreamName, slots: &Slots) -> u32 {
-        if self.leaving.contains(name) {
+        if self.leaving.contains(name) || !self.notices_of(name).takes_requests(now) {
             return 0;
         }
         let reserved = self.reserved.get(name).copied().unwrap_or(0);
@@ -118,6 +118,7 @@
             in_flight: self.in_flight(&upstream),
             limit: slots.limit(),
         }));
-        Grant { id, organisation, upstream, address: slots.address }
+        let (address, incarnation) = (slots.address, slots.incarnation());
+        Grant { id, organisation, upstream, address, incarnation }
     }
 }
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 //! (see [`super::lease`]). A new holder rebuilds its state from what the entries report, so no
 //! dispatcher state is persisted.
 
+mod backoff;
 pub mod counters;
 mod demand;
 mod exchange;
@@ -22,7 +23,7 @@
     demand::Demand,
     slots::{LimitReset, Slots},
 };
-use super::{decision::Decision, rollout::Participant};
+use super::{decision::Decision, notices::Notices, rollout::Participant};
 use crate::{
     core::{
         Document, FailureDomain, Instance, Millis, Organisation, UpstreamName, document::SlotLimits,
@@ -85,6 +86,8 @@
     term: u64,
     free: u32,
     min_counter: Option<i64>,
+    /// When an upstream of its pool takes requests again, if all have asked for none.
+    backoff_until: Option<Millis>,
     last_heard: Millis,
 }
 
@@ -92,6 +95,12 @@
     fn is_fresh(&self, now: Millis) -> bool {
         now.since(self.last_heard) <= EXCHANGE_TTL
     }
+
+    /// Returns the time until its pool takes requests again, if all of its upstreams have asked for
+    /// none.
+    fn backoff_left(&self, now: Millis) -> Option<Millis> {
+        self.backoff_until.map(|until| until.since(now)).filter(|left| *left > Millis::ZERO)
+    }
 }
 
 /// The state of one pool's dispatcher.
@@ -111,6 +120,8 @@
     outstanding: BTreeMap<GrantId, OutstandingGrant>,
     in_flight: BTreeMap<UpstreamName, u32>,
     slots: BTreeMap<UpstreamName, Slots>,
+    /// What upstreams have asked for on their answers to entries.
+    notices: Notices,
     /// Entries of the failure domain, which may use a static share while they are unreachable.
     local_entries: Vec<Instance>,
     /// The entry that owns the static share of each listed upstream.
@@ -159,6 +170,7 @@
             outstanding: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             slots: BTreeMap::new(),
+            notices: Notices::default(),
             local_entries,
             static_owners: BTreeMap::new(),
             terminated: BTreeSet::new(),
@@ -224,12 +236,23 @@
                 let knows_term = term == self.term;
                 self.on_open(now, from, *session, knows_term, waiting, held);
             }
-            DispatchBody::Report { session, seq, received, waiting, finished, progress } => {
+            DispatchBody::Report {
+                session,
+                seq,
+                received,
+                waiting,
+                finished,
+                progress,
+                notices,
+            } => {
                 let in_sequence = self.demand.on_report(now, from, *session, *seq, *received);
                 if !in_sequence {
                     self.send(from, DispatchBody::Resync, out);
                     return;
                 }
+                for notice in notices {
+                    self.on_notice(now, notice, out);
+                }
                 for done in finished {
                     self.on_finished(now, done, out);
                 }
@@ -239,8 +262,16 @@
                 self.set_waiting(now, from, waiting);
             }
             DispatchBody::Close { session } => self.on_close(now, from, *session),
-            DispatchBody::Exchange { free, least, served } => {
-                self.on_exchange(now, from, term, *free, *least, served, out);
+            DispatchBody::Exchange { free, least, served, backoff_left } => {
+                let remote = RemoteDispatcher {
+                    holder: from.clone(),
+                    term,
+                    free: *free,
+                    min_counter: *least,
+                    backoff_until: backoff_left.map(|left| now + left),
+                    last_heard: now,
+                };
+                self.on_exchange(now, remote, served, out);
             }
             DispatchBody::Recall { served } => self.counters.merge_own(served),
             DispatchBody::Grants { .. } | DispatchBody::Ack { .. } | DispatchBody::Resync => {}
@@ -334,8 +365,10 @@
 
     fn acknowledge(&mut self, now: Millis, out: &mut Vec<DispatcherOutput>) {
         let offers = self.offers(now);
-        for (entry, session, granted) in self.demand.due_acks(now) {
-            let body = DispatchBody::Ack { session, granted, offers: offers.clone() };
+        let backoff_left = self.service_backoff_left(now);
+        for (entry, session, granted) in self.demand.due_acks(now, backoff_left.is_some()) {
+            let offers = offers.clone();
+            let body = DispatchBody::Ack { session, granted, offers, backoff_left };
             self.send(&entry, body, out);
         }
     }
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -77,8 +77,6 @@
 pub struct Slots {
     /// The address the upstream listens on.
     pub address: SocketAddr,
-    /// Whether it is being shut down and gets no new requests.
-    pub leaving: bool,
     /// The version of its software, if known.
     pub version: Option<Version>,
     limits: SlotLimits,
@@ -116,7 +114,6 @@
     pub fn new(now: Millis, listed: &Listed, limits: SlotLimits) -> Slots {
         Slots {
             address: listed.address,
-            leaving: listed.leaving,
             version: listed.version.clone(),
             limits,
             limit: limits.cold,
@@ -133,6 +130,11 @@
         }
     }
 
+    /// Returns the incarnation of the upstream, as listed.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Returns the current limit.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -147,7 +149,7 @@
     /// withheld for an unreachable entry that may be using them.
     pub fn free(&self, now: Millis, in_flight: u32, reserved: u32) -> u32 {
         let Some(unaccounted) = self.unaccounted(now) else { return 0 };
-        if self.leaving || now < self.paused_until {
+        if now < self.paused_until {
             return 0;
         }
         self.limit.saturating_sub(in_flight + unaccounted + reserved)
@@ -208,7 +210,6 @@
         granted_before: impl Fn(Millis) -> u32,
     ) -> Option<LimitReset> {
         self.address = listed.address;
-        self.leaving = listed.leaving;
         self.version.clone_from(&listed.version);
         let restarted = listed.incarnation != self.incarnation;
         if restarted {
--- a/src/kingcupgrade/coordination/dispatcher/withheld.rs
+++ b/src/kingcupgrade/coordination/dispatcher/withheld.rs
@@ -25,8 +25,8 @@
             in_flight: self.in_flight(name),
             reserved: self.reserved.get(name).copied().unwrap_or(0),
             unaccounted: slots.unaccounted(now),
-            paused_ms: slots.pause_left(now),
-            is_leaving: slots.leaving || self.leaving.contains(name),
+            paused_ms: slots.pause_left(now).max(self.notices_of(name).backoff_left(now)),
+            is_leaving: self.leaving.contains(name) || self.notices_of(name).is_leaving,
         });
         let withheld: Vec<WithheldSlots> = slots.filter(WithheldSlots::has_withheld).collect();
         if withheld.is_empty() {
--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -23,7 +23,8 @@
         out: &mut Vec<EntryOutput>,
     ) {
         let is_excluded = view.is_out(&pool.1) || view.is_leaving(&grant.upstream);
-        let next = if is_excluded || self.is_unconfirmed(now, view, pool) {
+        let takes_requests = self.may_use(now, pool, &grant.upstream, grant.incarnation);
+        let next = if is_excluded || !takes_requests || self.is_unconfirmed(now, view, pool) {
             None
         } else {
             self.next_request(now, pool, grant)
@@ -32,6 +33,7 @@
         let held = HeldGrant {
             organisation: grant.organisation.clone(),
             upstream: grant.upstream.clone(),
+            incarnation: grant.incarnation,
             cost: 0,
         };
         self.held.insert((pool.clone(), grant.id), held);
@@ -107,7 +109,12 @@
             }
             Ok(()) => {
                 request.claimed = true;
-                self.start(now, id, &pool, &grant, out);
+                if self.may_use(now, &pool, &grant.upstream, grant.incarnation) {
+                    self.start(now, id, &pool, &grant, out);
+                } else {
+                    self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                    self.requeue(now, id, None, out);
+                }
             }
             Err(code) => {
                 self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -5,6 +5,7 @@
 //! deadlines, whether a failed request may be retried, and the outcome reported to the caller.
 
 mod attempts;
+mod backoff;
 mod budget;
 mod pool_session;
 mod queue;
@@ -16,7 +17,7 @@
 };
 
 use self::{budget::RetryBudget, pool_session::PoolSession, queue::Queues};
-use super::{decision::Decision, view::View};
+use super::{decision::Decision, notices::Notices, view::View};
 use crate::{
     core::{Code, Document, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName},
     protocol::{
@@ -135,6 +136,7 @@
 struct HeldGrant {
     organisation: Organisation,
     upstream: UpstreamName,
+    incarnation: u64,
     cost: u32,
 }
 
@@ -143,6 +145,8 @@
     budget: RetryBudget,
     /// Moving average of the time between arrival and sending.
     average_wait: Millis,
+    /// Until when every upstream has asked for no requests, as the dispatcher has told.
+    backoff_until: Millis,
     /// Since when the pool of this failure domain has had no dispatcher, if it has none.
     no_dispatcher_since: Option<Millis>,
 }
@@ -159,6 +163,8 @@
     queues: Queues,
     sessions: BTreeMap<Pool, PoolSession>,
     held: BTreeMap<(Pool, GrantId), HeldGrant>,
+    /// What upstreams have asked this entry for on their answers.
+    notices: Notices,
     services: BTreeMap<Service, ServiceState>,
     /// Number of open requests per service, cached because every tick needs it.
     open_by_service: BTreeMap<Service, usize>,
@@ -177,6 +183,7 @@
             queues: Queues::default(),
             sessions: BTreeMap::new(),
             held: BTreeMap::new(),
+            notices: Notices::default(),
             services: BTreeMap::new(),
             open_by_service: BTreeMap::new(),
             draining: false,
@@ -250,6 +257,11 @@
             self.refuse(id, &request, code, out);
             return;
         }
+        let backoff_left = self.backoff_left(now, &service);
+        if backoff_left > Millis::ZERO {
+            self.refuse_until(id, &request, Code::UpstreamsBackingOff, backoff_left, out);
+            return;
+        }
         self.services.entry(service.clone()).or_default().budget.earn();
         self.deadlines.insert((request.deadline, id));
         self.requests.insert(id, request);
@@ -267,6 +279,17 @@
 
     fn refuse(&self, id: RequestId, request: &Request, code: Code, out: &mut Vec<EntryOutput>) {
         let retry_after = self.retry_after(&request.service);
+        self.refuse_until(id, request, code, retry_after, out);
+    }
+
+    fn refuse_until(
+        &self,
+        id: RequestId,
+        request: &Request,
+        code: Code,
+        retry_after: Millis,
+        out: &mut Vec<EntryOutput>,
+    ) {
         out.push(EntryOutput::Decided(Decision::Refuse {
             request: id,
             service: request.service.clone(),
@@ -301,17 +324,20 @@
                     return;
                 }
                 state.holder.clone_from(from);
+                self.set_backoff(now, &message.pool.0, None, out);
+                let Some(state) = self.sessions.get_mut(&message.pool) else { return };
                 let new = grants.iter().filter(|grant| state.note_received(now, grant));
                 for grant in new.collect::<Vec<_>>() {
                     self.on_grant(now, view, &message.pool, grant, out);
                 }
             }
-            DispatchBody::Ack { session, granted, offers } => {
+            DispatchBody::Ack { session, granted, offers, backoff_left } => {
                 let Some(state) = self.current_session(&message.pool, *session) else { return };
                 if !state.on_ack(now, *granted) {
                     self.reopen_session(now, &message.pool, out);
                 }
                 self.on_offers(now, view, &message.pool, offers, out);
+                self.set_backoff(now, &message.pool.0, *backoff_left, out);
             }
             DispatchBody::Resync => {
                 let known = self.sessions.get(&message.pool);
--- a/src/kingcupgrade/coordination/entry/pool_session.rs
+++ b/src/kingcupgrade/coordination/entry/pool_session.rs
@@ -4,11 +4,12 @@
 
 use crate::{
     coordination::dispatcher::SESSION_TIMEOUT,
-    core::{Instance, Millis, Organisation},
+    core::{Instance, Millis, Organisation, UpstreamName},
     protocol::{
         Pool,
         dispatch::{
-            DispatchBody, FinishedGrant, Grant, GrantId, GrantInUse, QueuedRequests, Session,
+            DispatchBody, FinishedGrant, Grant, GrantId, GrantInUse, QueuedRequests,
+            ReportedNotice, Session,
         },
     },
 };
@@ -63,6 +64,8 @@
     is_urgent: bool,
     finished: Vec<FinishedGrant>,
     progress: BTreeMap<GrantId, u32>,
+    /// What upstreams have asked for and the dispatcher was not told, by upstream and incarnation.
+    notices: BTreeMap<(UpstreamName, u64), ReportedNotice>,
 }
 
 impl PoolSession {
@@ -94,6 +97,7 @@
             is_urgent: false,
             finished: Vec::new(),
             progress: BTreeMap::new(),
+            notices: BTreeMap::new(),
         }
     }
 
@@ -122,6 +126,13 @@
         self.finished.push(finished);
     }
 
+    /// Records what an upstream has asked for, which the dispatcher is told at once: until then it
+    /// may grant more of its slots.
+    pub fn note_notice(&mut self, notice: ReportedNotice) {
+        self.is_urgent = true;
+        self.notices.insert((notice.upstream.clone(), notice.incarnation), notice);
+    }
+
     /// Records the cost of a grant so far.
     pub fn note_progress(&mut self, id: GrantId, cost: u32) {
         self.progress.insert(id, cost);
@@ -205,6 +216,7 @@
             waiting: self.changed_counts(waiting),
             finished: std::mem::take(&mut self.finished),
             progress: std::mem::take(&mut self.progress).into_iter().collect(),
+            notices: std::mem::take(&mut self.notices).into_values().collect(),
         })
     }
 
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -19,6 +19,7 @@
     dispatcher::{Dispatcher, slots::Listed},
     entry::{Arrival, AttemptEnd, EntryMachine, RequestId},
     lease::LeaseManager,
+    notices::UpstreamNotice,
     orders::{EngineRequest, EngineRequestId, EngineResponse, OrderReconciler},
     view::View,
 };
@@ -86,6 +87,8 @@
         /// The answer to store for the request key.
         answer: Option<StoredAnswer>,
     },
+    /// An upstream asks for something on its answer to a request.
+    Noticed(RequestId, UpstreamNotice),
     /// The cost of a running request so far.
     Progressed(RequestId, u32),
     /// A caller disconnected before its request was sent.
@@ -94,6 +97,8 @@
     Listed(Service, Vec<Listed>),
     /// An engine answered a request, or failed to.
     EngineResponded(EngineRequestId, EngineResponse),
+    /// An engine asks for something on its answer to a request.
+    EngineNoticed(EngineRequestId, UpstreamNotice),
     /// A request from an operator arrived.
     OperatorRequest(Ticket, OperatorRequest),
     /// The disk failed; the control replica must stop.
@@ -286,6 +291,11 @@
             Input::AttemptEnded { id, end, cost, first_byte_ms, answer } => {
                 self.on_attempt_end(now, id, end, cost, first_byte_ms, answer, out);
             }
+            Input::Noticed(id, notice) => {
+                self.run_entry(now, out, |entry, _, outputs| {
+                    entry.on_notice(now, id, notice, outputs);
+                });
+            }
             Input::Progressed(id, cost) => {
                 if let Some(entry) = &mut self.entry {
                     entry.on_progress(id, cost);
@@ -293,6 +303,7 @@
             }
             Input::HungUp(id) => self.on_hang_up(now, id),
             Input::Listed(service, listing) => self.on_listed(now, &service, &listing, out),
+            Input::EngineNoticed(id, notice) => self.on_engine_notice(now, &id, notice, out),
             Input::EngineResponded(id, reply) => self.on_engine_response(now, &id, reply, out),
             Input::OperatorRequest(ticket, request) => self.on_operator(now, ticket, request, out),
             Input::StorageFailed(err) => {
@@ -387,7 +398,9 @@
         for service in active.collect::<Vec<_>>() {
             self.ensure_sessions(now, &service, out);
         }
+        let first = out.len();
         self.run_entry(now, out, |entry, view, outputs| entry.tick(now, view, outputs));
+        self.release_unsent(now, &out[first..]);
     }
 }
 
--- a/src/kingcupgrade/coordination/node/orders.rs
+++ b/src/kingcupgrade/coordination/node/orders.rs
@@ -2,8 +2,9 @@
 
 use super::{Node, Output};
 use crate::{
-    coordination::orders::{
-        EngineRequestId, EngineResponse, EngineState, OrderOutput, OrderReconciler,
+    coordination::{
+        notices::UpstreamNotice,
+        orders::{EngineRequestId, EngineResponse, EngineState, OrderOutput, OrderReconciler},
     },
     core::{Millis, Service},
 };
@@ -26,7 +27,8 @@
         let standing = self.view.orders().filter(|order| !order.setup.is_empty());
         let engines = standing.filter_map(|order| {
             let (address, is_idle) = dispatcher.upstream_state(now, &order.upstream)?;
-            Some(EngineState { order, address, is_idle })
+            let backs_off = dispatcher.backs_off(now, &order.upstream);
+            Some(EngineState { order, address, is_idle, backs_off })
         });
         let mut outputs = Vec::new();
         reconciler.tick(now, until, engines, &mut outputs);
@@ -46,6 +48,20 @@
         self.handle_order_outputs(now, &id.service, outputs, out);
     }
 
+    /// Records what an engine asks for on its answer to an order or a question about its set-up.
+    pub(super) fn on_engine_notice(
+        &mut self,
+        now: Millis,
+        id: &EngineRequestId,
+        notice: UpstreamNotice,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(dispatcher) = self.dispatchers.get_mut(&id.service) else { return };
+        let mut outputs = Vec::new();
+        dispatcher.on_own_notice(now, &id.upstream, notice, &mut outputs);
+        self.handle_dispatcher_outputs(now, &id.service, outputs, out);
+    }
+
     fn handle_order_outputs(
         &mut self,
         now: Millis,
--- a/src/kingcupgrade/coordination/node/pools.rs
+++ b/src/kingcupgrade/coordination/node/pools.rs
@@ -120,9 +120,11 @@
     ) {
         match &message.body {
             DispatchBody::Grants { .. } | DispatchBody::Ack { .. } | DispatchBody::Resync => {
+                let first = out.len();
                 self.run_entry(now, out, |entry, view, outputs| {
                     entry.on_message(now, view, from, message, outputs);
                 });
+                self.release_unsent(now, &out[first..]);
             }
             _ => self.on_demand(now, from, message, out),
         }
--- a/src/kingcupgrade/coordination/node/requests.rs
+++ b/src/kingcupgrade/coordination/node/requests.rs
@@ -193,6 +193,19 @@
         self.awaited.insert(proposal, Awaited::Settle);
     }
 
+    /// Releases the claims of requests that were refused while they waited. None of them has run: a
+    /// request with a claim waits again only if its upstream did not run it.
+    pub(super) fn release_unsent(&mut self, now: Millis, outputs: &[Output]) {
+        for output in outputs {
+            let Output::GiveUp { id, .. } = output else { continue };
+            match self.claims.get(id).map(|claim| claim.claimed) {
+                Some(true) => self.settle(now, *id, Settlement::Released),
+                Some(false) => drop(self.claims.remove(id)),
+                None => {}
+            }
+        }
+    }
+
     #[expect(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(super) fn on_attempt_end(
         &mut self,
--- a/src/kingcupgrade/coordination/orders.rs
+++ b/src/kingcupgrade/coordination/orders.rs
@@ -147,6 +147,8 @@
     pub address: SocketAddr,
     /// Whether it is certain to run no requests.
     pub is_idle: bool,
+    /// Whether it has asked for no requests for some time.
+    pub backs_off: bool,
 }
 
 /// Reconciles the engines of one pool with their orders while the pool's lease is held.
@@ -257,7 +259,7 @@
         if progress.outstanding.is_some_and(|(_, at)| now.since(at) > ABANDON_AFTER) {
             progress.outstanding = None;
         }
-        if progress.outstanding.is_some() || now < progress.next_request_at {
+        if progress.outstanding.is_some() || now < progress.next_request_at || engine.backs_off {
             return;
         }
         match progress.stage {
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Pool;
-use crate::core::{FailureDomain, Instance, Organisation, OrganisationTag, UpstreamName};
+use crate::core::{FailureDomain, Instance, Millis, Organisation, OrganisationTag, UpstreamName};
 
 /// Identifies a session by the process of the entry and a number that increases within it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -66,6 +66,9 @@
     /// The address of the upstream.
     #[serde(rename = "a")]
     pub address: SocketAddr,
+    /// The incarnation of the upstream.
+    #[serde(rename = "n", default)]
+    pub incarnation: u64,
 }
 
 /// A grant that an entry is still using when it opens a session.
@@ -119,6 +122,23 @@
     pub first_byte_ms: Option<u32>,
 }
 
+/// What an incarnation of an upstream has asked for on an answer to the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedNotice {
+    /// The upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamName,
+    /// Its incarnation.
+    #[serde(rename = "n")]
+    pub incarnation: u64,
+    /// The time for which it still wants no requests; zero if it takes them.
+    #[serde(rename = "b", default)]
+    pub backoff_left: Millis,
+    /// Whether it is shutting down.
+    #[serde(rename = "l", default)]
+    pub is_leaving: bool,
+}
+
 /// The number of requests of one organisation that are queued at the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuedRequests(
@@ -205,6 +225,9 @@
         /// The grants whose cost so far exceeds the expected cost, with that cost.
         #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
         progress: Vec<(GrantId, u32)>,
+        /// What upstreams have asked for on their answers.
+        #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+        notices: Vec<ReportedNotice>,
     },
     /// Closes a session that has nothing left to report.
     #[serde(rename = "x")]
@@ -240,6 +263,10 @@
         /// The other dispatchers with free slots.
         #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
         offers: Vec<Offer>,
+        /// The time until an upstream takes requests again, if every upstream of the pool, and of
+        /// the service's other pools as far as known, has asked for none.
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        backoff_left: Option<Millis>,
     },
     /// Asks an entry to open a new session.
     #[serde(rename = "y")]
@@ -256,6 +283,9 @@
         /// The service of the organisations for which it changed.
         #[serde(rename = "s")]
         served: Vec<ServiceReceived>,
+        /// The time until an upstream of the pool takes requests again, if all have asked for none.
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        backoff_left: Option<Millis>,
     },
     /// Returns to a new dispatcher the known service of its failure domain.
     #[serde(rename = "k")]
--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -2,11 +2,13 @@
 
 use std::{
     io::Read,
+    net::SocketAddr,
     sync::mpsc,
     time::{Duration, Instant},
 };
 
 use metrics::{counter, histogram};
+use ureq::{Body, http::Response};
 
 use super::{
     BUSY_RETRY_AFTER, Shared,
@@ -18,7 +20,7 @@
         entry::{AttemptEnd, RequestId},
         node::Input,
     },
-    core::{Code, ServiceKind},
+    core::{Code, ServiceKind, UpstreamName},
     protocol::record::StoredAnswer,
     transport::{Event, Verdict, http::Responder, upstream},
 };
@@ -51,8 +53,8 @@
             let timeout = self.remaining() + VERDICT_SLACK;
             let verdict =
                 verdicts.recv_timeout(timeout).unwrap_or_else(|_| self.on_verdict_timeout());
-            let address = match verdict {
-                Verdict::Start(_, address) => address,
+            let (upstream, address) = match verdict {
+                Verdict::Start(upstream, address) => (upstream, address),
                 Verdict::Disconnected => {
                     self.report_disconnect();
                     return;
@@ -67,8 +69,10 @@
                 }
             };
             let is_stream = self.admitted.document.kind == ServiceKind::ModelEngine;
-            let next =
-                if is_stream { self.stream(state, address) } else { self.buffer(state, address) };
+            let next = match is_stream {
+                true => self.stream(state, &upstream, address),
+                false => self.buffer(state, &upstream, address),
+            };
             match next {
                 Some(unfinished) => state = unfinished,
                 None => return,
@@ -112,18 +116,38 @@
         counter!("kingcup_attempts", "end" => format!("{end:?}")).increment(1);
     }
 
+    /// Sends the request to an upstream, and reports to the node what that asks for on its answer.
+    fn send(
+        &self,
+        upstream: &UpstreamName,
+        address: SocketAddr,
+        resume_from: u64,
+    ) -> Result<Response<Body>, AttemptEnd> {
+        let request = &self.admitted.upstream;
+        let sent = upstream::send(request, upstream, address, resume_from, self.remaining());
+        if !sent.notice.is_empty() {
+            // Sending fails only while the process exits, as in `end`.
+            let _ = self.shared.events.send(Event::Input(Input::Noticed(self.id, sent.notice)));
+        }
+        sent.response
+    }
+
     /// Makes an attempt whose response is forwarded once it is complete. Returns the response state
     /// unless the request has ended.
-    fn buffer(&self, state: ResponseState, address: std::net::SocketAddr) -> Option<ResponseState> {
+    fn buffer(
+        &self,
+        state: ResponseState,
+        upstream: &UpstreamName,
+        address: SocketAddr,
+    ) -> Option<ResponseState> {
         let sent = Instant::now();
-        let mut response =
-            match upstream::send(&self.admitted.upstream, address, 0, self.remaining()) {
-                Ok(response) => response,
-                Err(end) => {
-                    self.end(end, 0, None, None);
-                    return Some(state);
-                }
-            };
+        let mut response = match self.send(upstream, address, 0) {
+            Ok(response) => response,
+            Err(end) => {
+                self.end(end, 0, None, None);
+                return Some(state);
+            }
+        };
         let first_byte = sent.elapsed();
         let content_type = content_type(&response);
         let status = response.status().as_u16();
@@ -146,20 +170,24 @@
 
     /// Makes an attempt whose response is forwarded event by event. Returns the response state
     /// unless the request has ended.
-    fn stream(&self, state: ResponseState, address: std::net::SocketAddr) -> Option<ResponseState> {
+    fn stream(
+        &self,
+        state: ResponseState,
+        upstream: &UpstreamName,
+        address: SocketAddr,
+    ) -> Option<ResponseState> {
         let offset = match &state {
             ResponseState::Pending(_) => 0,
             ResponseState::Streaming { events, .. } => *events,
         };
         let sent = Instant::now();
-        let response =
-            match upstream::send(&self.admitted.upstream, address, offset, self.remaining()) {
-                Ok(response) => response,
-                Err(end) => {
-                    self.end(end, cost_of(offset), None, None);
-                    return Some(state);
-                }
-            };
+        let response = match self.send(upstream, address, offset) {
+            Ok(response) => response,
+            Err(end) => {
+                self.end(end, cost_of(offset), None, None);
+                return Some(state);
+            }
+        };
         if offset > 0 && resumed_from(&response) != Some(offset) {
             // The upstream started over, and its first events may differ from those already sent.
             self.end(AttemptEnd::BrokenForGood, cost_of(offset), None, None);
@@ -171,7 +199,7 @@
     fn relay_events(
         &self,
         state: ResponseState,
-        mut response: ureq::http::Response<ureq::Body>,
+        mut response: Response<Body>,
         sent: Instant,
     ) -> Option<ResponseState> {
         let (mut stream, mut events) = match state {
@@ -255,11 +283,11 @@
     })
 }
 
-pub(super) fn content_type(response: &ureq::http::Response<ureq::Body>) -> String {
+pub(super) fn content_type(response: &Response<Body>) -> String {
     let value = response.headers().get("content-type").and_then(|value| value.to_str().ok());
     value.unwrap_or("application/octet-stream").to_owned()
 }
 
-fn resumed_from(response: &ureq::http::Response<ureq::Body>) -> Option<u64> {
+fn resumed_from(response: &Response<Body>) -> Option<u64> {
     response.headers().get(upstream::RESUMED_HEADER)?.to_str().ok()?.parse().ok()
 }
--- a/src/kingcupgrade/transport/engines.rs
+++ b/src/kingcupgrade/transport/engines.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::mpsc, thread};
 
-use super::Event;
+use super::{Event, upstream::notice_of};
 use crate::{
     coordination::{
         node::Input,
+        notices::UpstreamNotice,
         orders::{EngineRequest, EngineResponse, RESPONSE_TIMEOUT},
     },
     core::clock::Clock,
@@ -21,15 +22,18 @@
 /// Sends an order to an engine or reads its set-up, and reports the result to the node.
 pub fn ask(clock: Clock, ask: EngineRequest, events: mpsc::Sender<Event>) {
     let run = move || {
-        let answer = match &ask.order {
+        let (answer, notice) = match &ask.order {
             // If the thread started late, another instance may hold the lease by now.
             Some(_) if clock.now() >= ask.until => {
-                EngineResponse::Failed("the order expired before it could be sent".to_owned())
+                failed("the order expired before it could be sent")
             }
             Some(order) => send_order(&ask, order),
             None => read_setup(&ask),
         };
         // The node outlives this thread; sending fails only while the process exits.
+        if !notice.is_empty() {
+            let _ = events.send(Event::Input(Input::EngineNoticed(ask.id.clone(), notice)));
+        }
         let _ = events.send(Event::Input(Input::EngineResponded(ask.id, answer)));
     };
     // If the thread can't be started, no result is reported, and the node tries again later.
@@ -45,7 +49,11 @@
     ureq::Agent::new_with_config(config)
 }
 
-fn send_order(ask: &EngineRequest, order: &UpstreamOrder) -> EngineResponse {
+fn failed(reason: impl Into<String>) -> (EngineResponse, UpstreamNotice) {
+    (EngineResponse::Failed(reason.into()), UpstreamNotice::default())
+}
+
+fn send_order(ask: &EngineRequest, order: &UpstreamOrder) -> (EngineResponse, UpstreamNotice) {
     let request = OrderRequest {
         number: order.index,
         model: order.setup.model.clone(),
@@ -54,29 +62,33 @@
     };
     let body = serde_json::to_string(&request).expect("an order has only serializable fields");
     let url = format!("http://{}{ORDER_PATH}", ask.address);
-    match agent().post(url).send(body) {
-        Ok(response) => match response.status().as_u16() {
-            200..=299 => EngineResponse::Accepted,
-            OUTDATED => EngineResponse::Outdated,
-            404 | 405 => EngineResponse::Unsupported,
-            status => {
-                EngineResponse::Failed(format!("the engine rejected the order: HTTP {status}"))
-            }
-        },
-        Err(err) => EngineResponse::Failed(err.to_string()),
-    }
+    let response = match agent().post(url).send(body) {
+        Ok(response) => response,
+        Err(err) => return failed(err.to_string()),
+    };
+    let answer = match response.status().as_u16() {
+        200..=299 => EngineResponse::Accepted,
+        OUTDATED => EngineResponse::Outdated,
+        404 | 405 => EngineResponse::Unsupported,
+        status => EngineResponse::Failed(format!("the engine rejected the order: HTTP {status}")),
+    };
+    (answer, notice_of(&ask.id.upstream, &response))
 }
 
-fn read_setup(ask: &EngineRequest) -> EngineResponse {
+fn read_setup(ask: &EngineRequest) -> (EngineResponse, UpstreamNotice) {
     let url = format!("http://{}{SETUP_PATH}", ask.address);
     let mut response = match agent().get(url).call() {
-        Ok(response) if response.status() == 404 => return EngineResponse::Unsupported,
         Ok(response) => response,
-        Err(err) => return EngineResponse::Failed(err.to_string()),
+        Err(err) => return failed(err.to_string()),
     };
+    let notice = notice_of(&ask.id.upstream, &response);
+    if response.status() == 404 {
+        return (EngineResponse::Unsupported, notice);
+    }
     let text = response.body_mut().read_to_string().unwrap_or_default();
-    match serde_json::from_str(&text) {
+    let answer = match serde_json::from_str(&text) {
         Ok(setup) => EngineResponse::Setup(setup),
         Err(err) => EngineResponse::Failed(format!("could not decode the engine's set-up: {err}")),
-    }
+    };
+    (answer, notice)
 }
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -11,10 +11,14 @@
     http::{Request, Response},
 };
 
-use crate::coordination::entry::AttemptEnd;
+use super::notice;
+use crate::{
+    coordination::{entry::AttemptEnd, notices::UpstreamNotice},
+    core::UpstreamName,
+};
 
-/// The timeout for connecting.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The timeout for connecting: short, since the upstream may ask for no requests meanwhile.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The size of an attempt's input and output buffers, in bytes. ureq's defaults are sixteen times
 /// as large; with a thousand open requests they would take more memory than everything else
 /// together.
@@ -50,17 +54,29 @@
     FORWARDED_HEADERS.iter().any(|forwarded| name.eq_ignore_ascii_case(forwarded))
 }
 
-/// Sends a request and returns the response, of which only the head has been read.
-///
-/// # Errors
-///
-/// Returns how the attempt ended if there is no response to forward.
+/// The result of sending a request.
+pub struct SendResult {
+    /// What the upstream asks for on its answer, if there is one.
+    pub notice: UpstreamNotice,
+    /// The response, of which only the head has been read, or how the attempt ended if there is
+    /// none to forward.
+    pub response: Result<Response<Body>, AttemptEnd>,
+}
+
+impl SendResult {
+    fn without_answer(end: AttemptEnd) -> SendResult {
+        SendResult { notice: UpstreamNotice::default(), response: Err(end) }
+    }
+}
+
+/// Sends a request to an upstream.
 pub fn send(
     request: &UpstreamRequest,
+    upstream: &UpstreamName,
     address: SocketAddr,
     resume_from: u64,
     remaining: Duration,
-) -> Result<Response<Body>, AttemptEnd> {
+) -> SendResult {
     let config = ureq::Agent::config_builder()
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(Some(request.read_timeout))
@@ -88,9 +104,27 @@
     };
     let length = request.body.len();
     let with_length = if length > 0 { builder.header("content-length", length) } else { builder };
-    let Ok(prepared) = with_length.body(body) else { return Err(AttemptEnd::NotSent) };
-    let response = agent.run(prepared).map_err(|err| classify(&err))?;
-    if was_refused(&response) { Err(AttemptEnd::Refused) } else { Ok(response) }
+    let Ok(prepared) = with_length.body(body) else {
+        return SendResult::without_answer(AttemptEnd::NotSent);
+    };
+    match agent.run(prepared) {
+        Ok(response) => {
+            let notice = notice_of(upstream, &response);
+            let was_refused = was_refused(&response);
+            let response = if was_refused { Err(AttemptEnd::Refused) } else { Ok(response) };
+            SendResult { notice, response }
+        }
+        Err(err) => SendResult::without_answer(classify(&err)),
+    }
+}
+
+/// Returns what an upstream asks for on an answer.
+pub fn notice_of(upstream: &UpstreamName, response: &Response<Body>) -> UpstreamNotice {
+    let leaving = response.headers().get(LEAVING_HEADER);
+    UpstreamNotice {
+        backoff: notice::backoff_of(upstream, response.status(), response.headers()),
+        is_leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
+    }
 }
 
 /// Returns whether the upstream states that it did not run the request.
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -240,6 +240,7 @@
     reconciler: OrderReconciler,
     orders: Vec<UpstreamOrder>,
     is_idle: bool,
+    backs_off: bool,
 }
 
 impl ReconcilerDriver {
@@ -253,6 +254,7 @@
             reconciler: OrderReconciler::new(Millis(0), "tutor".into(), 1),
             orders: vec![order("a", 5), order("b", 6)],
             is_idle: true,
+            backs_off: false,
         }
     }
 
@@ -262,8 +264,9 @@
 
     fn tick_all(&mut self, now: u64, lease_left: u64) -> Vec<OrderOutput> {
         let address = "127.0.0.1:1".parse().expect("an address");
-        let engines =
-            self.orders.iter().map(|order| EngineState { order, address, is_idle: self.is_idle });
+        let (is_idle, backs_off) = (self.is_idle, self.backs_off);
+        let orders = self.orders.iter();
+        let engines = orders.map(|order| EngineState { order, address, is_idle, backs_off });
         let mut out = Vec::new();
         self.reconciler.tick(Millis(now), Millis(now + lease_left), engines, &mut out);
         out
@@ -291,6 +294,19 @@
     EngineResponse::Setup(EngineSetup { model, role, drained: false, ready })
 }
 
+// Guards against orders and questions about its set-up that are sent to an engine which has asked
+// for no requests for some time.
+#[test]
+fn an_engine_that_backs_off_gets_no_orders() {
+    let mut driver = ReconcilerDriver::new();
+    driver.backs_off = true;
+    for step in 0..200 {
+        assert!(driver.tick(step * 25, 1_800).is_empty(), "sent after {} ms", step * 25);
+    }
+    driver.backs_off = false;
+    assert_eq!(driver.tick(5_000, 1_800).len(), 2, "the engines are forgotten");
+}
+
 // Guards against changing two engines of a pool at the same time when both have orders: a model
 // that can't be loaded would take the whole pool out of service.
 #[test]
