--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -9,6 +9,7 @@
 use crate::{
     coordination::{notices::slot_share, rollout::Use},
     core::{FailureDomain, Millis, Service, UpstreamName},
+    protocol::fleet::ListedUpstream,
 };
 
 /// The fraction of an engine's memory that is filled; the rest is left for generations that run
@@ -119,7 +120,6 @@
             }
             _ => None,
         };
-        let own_instance = self.settings.instance();
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -128,14 +128,12 @@
             }
             let Some(upstream) = self.upstreams.get(&name) else { continue };
             let cold_rate = upstream.is_cold(now).then(|| self.cold_rate(&plan, &name));
+            let max_running = self.slow_start_limit(now, upstream);
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
             upstream.advance_reading(now, speed.read_rate());
             if cold_rate.is_some_and(|rate| !upstream.allows_cold_request(now, rate)) {
                 continue;
             }
-            let opened = upstream.notices.slow_start_slots(now, upstream.listed.slots);
-            let max_running =
-                opened.map(|slots| slot_share(slots, &name, &own_instance, &self.entries));
             if max_running.is_some_and(|max| upstream.own.running >= max) {
                 continue;
             }
@@ -164,6 +162,14 @@
         best.map(|(_, name)| name).ok_or(PlacementError::Full)
     }
 
+    /// Returns how many requests this entry may have under way at an upstream that has backed off
+    /// shortly before; `None` if there is no limit.
+    fn slow_start_limit(&self, now: Millis, upstream: &Upstream) -> Option<u32> {
+        let ListedUpstream { name, slots, .. } = &upstream.listed;
+        let slots = upstream.notices.slow_start_slots(now, *slots)?;
+        Some(slot_share(slots, name, &self.settings.instance(), &self.entries))
+    }
+
     /// Returns the time until the least loaded usable upstream has read all prompts sent to it.
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
