--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod reporting;
 mod routing;
+mod sending;
 
 use std::{rc::Rc, sync::Arc};
 
@@ -11,16 +12,10 @@
 use http::{HeaderMap, Method, Response, Uri, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use metrics::{counter, histogram};
-use tokio::{
-    sync::oneshot,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
 pub(super) use self::attempt::{AttemptGuard, UpstreamResponse};
-use self::{
-    exchange::SendResult,
-    routing::{choose_service, host_of},
-};
+use self::routing::{choose_service, host_of};
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead},
@@ -28,7 +23,7 @@
     response::{ResponseBody, strip_hop_headers},
 };
 use crate::{
-    coordination::traffic::{Demand, PromptPart, RequestNo, SendEnd, Verdict},
+    coordination::traffic::{PromptPart, SendEnd},
     core::{
         Code, Millis, Organisation, Service, UpstreamName,
         configuration::{Configuration, Route, RouteKind},
@@ -37,20 +32,9 @@
 
 /// The timeout of a request whose caller states none.
 const DEFAULT_TIMEOUT: Millis = Millis(30_000);
-/// The number of upstreams to which sending may fail before any byte is written; then the request
-/// is refused.
-const MAX_UNSENT: u32 = 4;
 /// The maximum length in bytes of a response that is not streamed; a longer one is treated as
 /// broken rather than held in memory.
 const MAX_RESPONSE_LEN: usize = 16 << 20;
-/// An idempotent request is sent to another upstream if there is no response within this many times
-/// its target: by then the upstream is more likely to hang than to be working.
-const HANG_TARGETS: u64 = 2;
-/// The minimum of that time: ordinary requests in the tail of the latency distribution take as
-/// long.
-const MIN_HANG: Millis = Millis(150);
-/// The retry delay sent after upstreams rejected a request or could not be reached.
-const RETRY_AFTER_REJECTED: Millis = Millis(500);
 
 /// A caller's request and the state of its processing.
 pub(super) struct ProxiedRequest<E: PlatformAdapter> {
@@ -253,151 +237,6 @@
             }
         }
     }
-
-    /// Retries the request if that is permitted.
-    async fn retry(self: &Rc<ProxiedRequest<E>>) -> Option<UpstreamResponse<E>> {
-        if !self.may_repeat() {
-            return None;
-        }
-        self.fetch_response(None).await.ok()
-    }
-
-    /// Returns whether a request that may have run may be sent again; if so, takes the repeat from
-    /// the retry budget.
-    pub(super) fn may_repeat(&self) -> bool {
-        let attempts = self.progress.borrow().attempts;
-        self.route.kind.is_idempotent()
-            && attempts < self.route.max_attempts
-            && Instant::now() < self.deadline
-            && self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
-    }
-
-    /// Queues and sends the request, retrying as far as permitted, until the head of a response
-    /// arrives.
-    ///
-    /// # Errors
-    ///
-    /// Returns the code with which to refuse the request, and the retry delay.
-    pub(super) async fn fetch_response(
-        self: &Rc<ProxiedRequest<E>>,
-        last_event: Option<u64>,
-    ) -> Result<UpstreamResponse<E>, (Code, Millis)> {
-        // Whether an earlier attempt may have run.
-        let mut may_have_run = self.progress.borrow().attempts > 0;
-        loop {
-            let attempt = AttemptGuard::new(self.gateway.clone());
-            let error = |code: Code, retry_after| {
-                // `code` states that the request did not run; that may not be true any more.
-                if may_have_run { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
-            };
-            let grant = match self.await_verdict(&attempt).await {
-                Verdict::Start(grant) => grant,
-                Verdict::Refuse { code, retry_after } => return Err(error(code, retry_after)),
-            };
-            self.report_placed(&grant);
-            match self.send_once(&grant, attempt, last_event).await {
-                SendResult::Response(response) => return Ok(*response),
-                SendResult::NotSent => {
-                    let mut progress = self.progress.borrow_mut();
-                    progress.avoid.push(grant.upstream);
-                    progress.unsent += 1;
-                    if progress.unsent >= MAX_UNSENT {
-                        return Err(error(Code::NoUpstream, RETRY_AFTER_REJECTED));
-                    }
-                }
-                SendResult::Withheld => {
-                    let mut progress = self.progress.borrow_mut();
-                    progress.unsent += 1;
-                    if progress.unsent >= MAX_UNSENT {
-                        return Err(error(Code::NoUpstream, RETRY_AFTER_REJECTED));
-                    }
-                }
-                SendResult::Rejected => {
-                    self.progress.borrow_mut().avoid.push(grant.upstream);
-                    let (traffic, now) = (&self.gateway.traffic, self.gateway.now());
-                    let left = traffic.borrow().time_to_end_of_backoff(now, &self.service);
-                    if let Some(left) = left {
-                        return Err(error(Code::UpstreamsBackingOff, left));
-                    }
-                    if !self.may_send_after_rejection() {
-                        return Err(error(Code::UpstreamRefused, RETRY_AFTER_REJECTED));
-                    }
-                }
-                SendResult::Unknown => {
-                    self.progress.borrow_mut().avoid.push(grant.upstream);
-                    if !self.may_repeat() {
-                        return Err((Code::AnswerBroken, Millis::ZERO));
-                    }
-                    may_have_run = true;
-                }
-                SendResult::TimedOut => {
-                    self.progress.borrow_mut().avoid.push(grant.upstream);
-                    if Instant::now() >= self.deadline || !self.may_repeat() {
-                        return Err((Code::AnswerTimeout, Millis::ZERO));
-                    }
-                    may_have_run = true;
-                }
-            }
-        }
-    }
-
-    /// Returns whether a request that is known not to have run may be sent to another upstream; the
-    /// attempt is taken from the retry budget nevertheless.
-    fn may_send_after_rejection(&self) -> bool {
-        let attempts = self.progress.borrow().attempts;
-        attempts < self.route.max_attempts.max(2)
-            && Instant::now() < self.deadline
-            && self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
-    }
-
-    fn demand(&self, no: RequestNo) -> Demand {
-        Demand {
-            no,
-            service: self.service.clone(),
-            route: self.route_name.clone(),
-            organisation: self.organisation.clone().unwrap_or_else(|| Organisation::from("-")),
-            arrived: self.arrived,
-            target: self.target,
-            deadline: self.deadline_at,
-            prompt: self.prompt.clone(),
-            expected_output: self.output,
-            avoid: self.progress.borrow().avoid.clone(),
-            is_repeat: self.progress.borrow().attempts > 0,
-        }
-    }
-
-    /// Returns the scheduler's verdict, for which the request may have to queue until its deadline.
-    async fn await_verdict(&self, attempt: &AttemptGuard<E>) -> Verdict {
-        let demand = self.demand(attempt.no);
-        let now = self.gateway.now();
-        if let Some(verdict) = self.gateway.traffic.borrow_mut().admit(now, demand) {
-            return verdict;
-        }
-        let (tx, rx) = oneshot::channel();
-        self.gateway.waiting.borrow_mut().insert(attempt.no, tx);
-        let timed_out = Verdict::Refuse { code: Code::DeadlineQueued, retry_after: Millis::ZERO };
-        let verdict = timeout_at(self.deadline, rx).await;
-        let waited = self.gateway.now().since(now);
-        histogram!("kingcup_queue_ms").record(waited.0 as f64);
-        let mut progress = self.progress.borrow_mut();
-        progress.queued = progress.queued + waited;
-        drop(progress);
-        match verdict {
-            Ok(Ok(verdict)) => verdict,
-            _ => timed_out,
-        }
-    }
-
-    /// Returns the time at which an upstream that sends nothing is taken for hung.
-    pub(super) fn hang_deadline(&self) -> Instant {
-        let can_repeat = self.route.kind.is_idempotent()
-            && self.progress.borrow().attempts + 1 < self.route.max_attempts;
-        if !can_repeat {
-            return self.deadline;
-        }
-        let span = Millis(self.route.target_latency.0 * HANG_TARGETS).max(MIN_HANG);
-        self.deadline.min(Instant::now() + span.as_duration())
-    }
 }
 
 fn complete_response<E: PlatformAdapter>(
