--- a/src/kingcupgrade/coordination/dispatcher/backoff.rs
+++ b/src/kingcupgrade/coordination/dispatcher/backoff.rs
@@ -23,6 +23,12 @@
         let before = self.notices.state(upstream, *incarnation);
         let notice = UpstreamNotice { backoff: Some(*backoff_left), is_leaving: *is_leaving };
         self.notices.on_notice(now, upstream, *incarnation, notice);
+        let slots = self.slots.get_mut(upstream).filter(|s| s.incarnation() == *incarnation);
+        if let Some(slots) = slots
+            && *backoff_left > Millis::ZERO
+        {
+            slots.on_backoff(now);
+        }
         if before.takes_requests(now) {
             out.push(DispatcherOutput::Decided(Decision::Notice {
                 service: self.pool.0.clone(),
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -186,6 +186,12 @@
         self.reset_to_cold(now);
     }
 
+    /// Resets the limit after the upstream asked for no requests for some time, so that it isn't
+    /// given its full load at once after that.
+    pub fn on_backoff(&mut self, now: Millis) {
+        self.reset_to_cold(now);
+    }
+
     /// Applies the limits of a newer document.
     pub fn set_limits(&mut self, limits: SlotLimits) {
         if limits == self.limits {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -26,7 +26,7 @@
     time::Duration,
 };
 
-use ::metrics::gauge;
+use ::metrics::{counter, gauge};
 use anyhow::Context;
 use tokio::{
     net::TcpListener,
@@ -195,6 +195,8 @@
         traffic.on_notice(now, &grant.upstream, grant.incarnation, notice);
         // The answers to other requests that were on their way ask for the same.
         if before.takes_requests(now) {
+            let kind = if notice.is_leaving { "leaving" } else { "backoff" };
+            counter!("kingcup_upstream_notices", "kind" => kind).increment(1);
             let (upstream, incarnation) = (&grant.upstream, grant.incarnation);
             log::event("upstream-notice", &NoticeLine { upstream, incarnation, notice });
         }
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -6,15 +6,27 @@
 use kingcup_support::traffic::{ENGINE_SLOTS, listed};
 use kingcupgrade::{
     coordination::{
+        dispatcher::{
+            Dispatcher, DispatcherOutput,
+            slots::{self, Listed},
+        },
         notices::{SLOW_START, UpstreamNotice, slot_share},
         traffic::{SendEnd, Traffic, Verdict},
     },
-    core::{Code, Millis, UpstreamName},
-    protocol::fleet::ListedUpstream,
+    core::{Code, Document, Instance, Millis, UpstreamName},
+    protocol::{
+        Pool,
+        dispatch::{
+            DispatchBody, DispatchMessage, FinishedGrant, GrantId, GrantOutcome, QueuedRequests,
+            ReportedNotice, Session,
+        },
+        fleet::ListedUpstream,
+    },
 };
 
-use crate::traffic::{
-    assigned_upstream, demand, entry_names, finish, plain, traffic, traffic_for_entry,
+use crate::{
+    support::tutor_document,
+    traffic::{assigned_upstream, demand, entry_names, finish, plain, traffic, traffic_for_entry},
 };
 
 const DELAY: Millis = Millis(3_000);
@@ -192,6 +204,107 @@
     running
 }
 
+/// A dispatcher with one warm engine, and an entry where requests wait.
+struct PoolDriver {
+    dispatcher: Dispatcher,
+    entry: Instance,
+    session: Session,
+    seq: u64,
+    /// Grants in use.
+    granted: Vec<GrantId>,
+    received: u64,
+}
+
+impl PoolDriver {
+    fn start() -> PoolDriver {
+        let entry = Instance::from("entry-1");
+        let pool = Pool("tutor".into(), "north".into());
+        let document = Document::parse(&tutor_document()).expect("a valid document");
+        let holder = Instance::from("entry-0");
+        let mut dispatcher = Dispatcher::new(Millis(0), pool, holder, 1, document, Vec::new());
+        let session = Session(1, 1);
+        let waiting = vec![QueuedRequests("alder".into(), 1_000)];
+        let open = DispatchBody::Open { session, waiting, held: Vec::new() };
+        let mut out = Vec::new();
+        dispatcher.on_message(Millis(1_000), &entry, 1, &open, &mut out);
+        let listed = Listed {
+            upstream: "engine".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            leaving: false,
+            incarnation: INCARNATION,
+            report: Some(slots::LoadReport { running: 0, warm: true, age_ms: 0 }),
+            version: None,
+        };
+        dispatcher.on_listing(Millis(1_000), &[listed], &mut out);
+        let mut driver =
+            PoolDriver { dispatcher, entry, session, seq: 0, granted: Vec::new(), received: 0 };
+        driver.collect(&out);
+        driver
+    }
+
+    fn collect(&mut self, out: &[DispatcherOutput]) {
+        for output in out {
+            if let DispatcherOutput::Send(_, DispatchMessage { body, .. }) = output
+                && let DispatchBody::Grants { grants, .. } = body
+            {
+                self.received += grants.len() as u64;
+                self.granted.extend(grants.iter().map(|grant| grant.id));
+            }
+        }
+    }
+
+    /// Completes the grants in use and reports a notice; returns how many are in use after that.
+    fn report(&mut self, now: Millis, notices: Vec<ReportedNotice>) -> usize {
+        self.seq += 1;
+        let done = |id| FinishedGrant {
+            id,
+            outcome: GrantOutcome::Completed,
+            cost: 10,
+            first_byte_ms: Some(5),
+        };
+        let report = DispatchBody::Report {
+            session: self.session.tag(),
+            seq: self.seq,
+            received: self.received,
+            waiting: Vec::new(),
+            finished: std::mem::take(&mut self.granted).into_iter().map(done).collect(),
+            progress: Vec::new(),
+            notices,
+        };
+        let mut out = Vec::new();
+        self.dispatcher.on_message(now, &self.entry, 1, &report, &mut out);
+        self.collect(&out);
+        self.granted.len()
+    }
+
+    /// Lets time pass; returns how many grants are in use after that.
+    fn tick(&mut self, now: Millis) -> usize {
+        let mut out = Vec::new();
+        self.dispatcher.tick(now, &mut out);
+        self.collect(&out);
+        self.granted.len()
+    }
+}
+
+/// Guards against a dispatcher that grants slots of an upstream within a backoff that an entry has
+/// reported, and against one that gives it its full load at once when that ends: it starts from the
+/// cold limit again, also if the answer that asked was no rejection.
+#[test]
+fn a_dispatcher_keeps_a_backoff_and_starts_from_the_cold_limit() {
+    let mut driver = PoolDriver::start();
+    let full = (0..10).map(|step| driver.report(Millis(1_100 + step * 10), Vec::new())).last();
+    assert_eq!(full, Some(4), "the engine is not given its warm limit");
+    let asked = ReportedNotice {
+        upstream: "engine".into(),
+        incarnation: INCARNATION,
+        backoff_left: Millis(1_000),
+        is_leaving: false,
+    };
+    assert_eq!(driver.report(Millis(1_300), vec![asked]), 0);
+    assert_eq!(driver.tick(Millis(2_290)), 0, "a slot was granted within the backoff");
+    assert_eq!(driver.tick(Millis(2_310)), 2, "the engine is not given its cold limit");
+}
+
 /// Guards against parts of an upstream's slots that add up to more, or fewer, than it has.
 #[test]
 fn the_parts_of_all_entries_add_up_to_the_slots() {
