Have the order of disk writes and what depends on them once, and split the fleet's plans off

Both programs wrote the same eighteen lines that decide which messages may be sent after a failed write; they are in transport/durable.rs now. The plans of a test fleet move to a file of their own.

--- a/crates/kingcup-support/src/fleet/mod.rs
+++ b/crates/kingcup-support/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes on this host, with a proxy on every connection between instances.
 
 mod operator;
+mod plan;
 mod usage;
 
 use std::{
@@ -20,7 +21,10 @@
     settings::{Peer, Role},
 };
 
-pub use self::usage::Usage;
+pub use self::{
+    plan::{InstancePlan, Program},
+    usage::Usage,
+};
 use crate::{caller::Caller, free_address, platform::Platform, proxy::Proxy, wait_until};
 
 /// The fleet key of all fleets started here.
@@ -28,55 +32,6 @@
 /// The timeout for a fleet to start or for a change to reach all of its instances.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The command line of an instance: the executable and the arguments before `--settings FILE`.
-#[derive(Clone, Debug)]
-pub struct Program {
-    /// The executable.
-    pub path: PathBuf,
-    /// The arguments that run an instance.
-    pub run: Vec<String>,
-    /// The arguments that initialise a control instance's data folder.
-    pub init: Vec<String>,
-}
-
-impl Program {
-    /// Creates a program that runs the daemon at `path`.
-    pub fn daemon(path: impl Into<PathBuf>) -> Program {
-        Program { path: path.into(), run: Vec::new(), init: vec!["init".to_owned()] }
-    }
-}
-
-/// The name, failure domain and roles of an instance to start.
-#[derive(Clone, Debug)]
-pub struct InstancePlan {
-    /// The instance's name.
-    pub instance: String,
-    /// The instance's failure domain.
-    pub domain: String,
-    /// The instance's roles.
-    pub roles: Vec<Role>,
-}
-
-impl InstancePlan {
-    /// Creates the plan of an entry.
-    pub fn entry(instance: &str, domain: &str) -> InstancePlan {
-        InstancePlan {
-            instance: instance.to_owned(),
-            domain: domain.to_owned(),
-            roles: vec![Role::Entry],
-        }
-    }
-
-    /// Creates the plan of a control instance.
-    pub fn control(instance: &str, domain: &str) -> InstancePlan {
-        InstancePlan {
-            instance: instance.to_owned(),
-            domain: domain.to_owned(),
-            roles: vec![Role::Control],
-        }
-    }
-}
-
 /// One instance of a fleet.
 struct Member {
     plan: InstancePlan,
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -15,7 +15,9 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use super::{
-    Event, SharedView, Verdict, callers, engines,
+    Event, SharedView, Verdict, callers,
+    durable::write_first,
+    engines,
     fleet::unix_ms,
     operators,
     peers::{PeerConfig, Peers},
@@ -176,24 +178,17 @@
         }
     }
 
-    /// Handles a batch of outputs: first all writes to the disk, with one sync, then the rest.
-    ///
-    /// A message may acknowledge any write of the batch. If it were sent before the sync, a crash
-    /// could lose data that another instance already relies on.
+    /// Handles a batch of outputs: first all writes to the disk, then the rest.
     fn handle_outputs(&mut self, outputs: Vec<Output>) {
-        let mut writes = Vec::new();
-        let mut rest = Vec::new();
-        for output in outputs {
-            match output {
-                Output::Persist(persist) => writes.push(persist),
-                output => rest.push(output),
+        let take_write = |output, writes: &mut Vec<Persist>| match output {
+            Output::Persist(persist) => {
+                writes.push(persist);
+                None
             }
-        }
-        if !writes.is_empty() && !self.write(writes) {
-            // Nothing that depends on the failed write may be sent: no vote, no acknowledgement.
-            rest.retain(|output| !depends_on_disk(output));
-        }
-        for output in rest {
+            output => Some(output),
+        };
+        let write = |writes| self.write(writes);
+        for output in write_first(outputs, take_write, depends_on_disk, write) {
             self.handle_output(output);
         }
     }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -14,7 +14,10 @@
 use metrics::{counter, gauge};
 use tokio::sync::oneshot;
 
-use super::peers::{PeerConfig, PeerEvent, Peers};
+use super::{
+    durable::write_first,
+    peers::{PeerConfig, PeerEvent, Peers},
+};
 use crate::{
     coordination::{
         control::ControlMachine,
@@ -277,24 +280,17 @@
         }
     }
 
-    /// Handles a batch of outputs: first all writes to the disk, with one sync, then the rest.
-    ///
-    /// A message may acknowledge any write of the batch. If it were sent before the sync, a crash
-    /// could lose data that another instance already relies on.
+    /// Handles a batch of outputs: first all writes to the disk, then the rest.
     fn handle_outputs(&mut self, outputs: Vec<FleetOutput>) {
-        let mut writes = Vec::new();
-        let mut rest = Vec::new();
-        for output in outputs {
-            match output {
-                FleetOutput::Persist(persist) => writes.push(persist),
-                output => rest.push(output),
+        let take_write = |output, writes: &mut Vec<Persist>| match output {
+            FleetOutput::Persist(persist) => {
+                writes.push(persist);
+                None
             }
-        }
-        if !writes.is_empty() && !self.write(writes) {
-            // Nothing that depends on the failed write may be sent: no vote, no acknowledgement.
-            rest.retain(|output| !depends_on_disk(output));
-        }
-        for output in rest {
+            output => Some(output),
+        };
+        let write = |writes| self.write(writes);
+        for output in write_first(outputs, take_write, depends_on_disk, write) {
             self.handle_output(output);
         }
     }
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod callers;
 pub mod control_server;
 pub mod daemon;
+mod durable;
 pub mod engines;
 pub mod fleet;
 pub mod gateway;
