Drop the notices of upstreams unseen for long at kingcupd's entries too

Found by reading: an entry has no list of upstreams, and only a list dropped them, so they piled up with each restart of an upstream. They go by time there. The added test needs the new call.

--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -338,6 +338,7 @@
     /// Runs the periodic work.
     pub fn tick(&mut self, now: Millis, view: &View, out: &mut Vec<EntryOutput>) {
         self.expire_queued(now, out);
+        self.notices.expire(now);
         self.maintain_sessions(now, view, out);
         self.report(now, out);
     }
--- a/src/kingcupgrade/coordination/notices.rs
+++ b/src/kingcupgrade/coordination/notices.rs
@@ -17,8 +17,8 @@
 /// How long after a backoff an upstream gets fewer requests than it has slots. Since it got nothing
 /// it looks idle to every entry, and together they would overload it again at once.
 pub const SLOW_START: Millis = Millis(2_000);
-/// How long the notices of an incarnation are kept that is not listed any more.
-const UNLISTED_TTL: Millis = Millis(600_000);
+/// How long the notices of an incarnation are kept that is neither listed nor asks for anything.
+const UNSEEN_TTL: Millis = Millis(600_000);
 
 /// What an upstream asks for on one answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -91,8 +91,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Noted {
     state: NoticeState,
-    /// When the incarnation was last listed, or was noted first.
-    last_listed: Millis,
+    /// When the incarnation was last listed, or last asked for something.
+    last_seen: Millis,
 }
 
 /// The notices of all upstreams to one process, by upstream and incarnation.
@@ -113,8 +113,9 @@
         if notice.is_empty() {
             return self.state(upstream, incarnation);
         }
-        let new = Noted { state: NoticeState::default(), last_listed: now };
+        let new = Noted { state: NoticeState::default(), last_seen: now };
         let noted = self.noted.entry((upstream.clone(), incarnation)).or_insert(new);
+        noted.last_seen = now;
         noted.state.apply(now, notice);
         noted.state
     }
@@ -128,8 +129,7 @@
         noted.map_or(NoticeState::default(), |noted| noted.state)
     }
 
-    /// Records which incarnations are listed, and drops the notices of those that have not been
-    /// listed for long.
+    /// Records which incarnations are listed, and drops the notices of those unseen for long.
     pub fn on_listing<'a>(
         &mut self,
         now: Millis,
@@ -140,12 +140,17 @@
         }
         for (upstream, incarnation) in listed {
             if let Some(noted) = self.noted.get_mut(&(upstream.clone(), incarnation)) {
-                noted.last_listed = now;
+                noted.last_seen = now;
             }
         }
+        self.expire(now);
+    }
+
+    /// Drops the notices of incarnations unseen for long, for which no backoff is in force.
+    pub fn expire(&mut self, now: Millis) {
         self.noted.retain(|_, noted| {
-            let is_due = noted.state.backoff_left(now) > Millis::ZERO;
-            is_due || now.since(noted.last_listed) <= UNLISTED_TTL
+            let backs_off = noted.state.backoff_left(now) > Millis::ZERO;
+            backs_off || now.since(noted.last_seen) <= UNSEEN_TTL
         });
     }
 }
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -10,7 +10,7 @@
             Dispatcher, DispatcherOutput,
             slots::{self, Listed},
         },
-        notices::{SLOW_START, UpstreamNotice, slot_share},
+        notices::{Notices, SLOW_START, UpstreamNotice, slot_share},
         traffic::{SendEnd, Traffic, Verdict},
     },
     core::{Code, Document, Instance, Millis, UpstreamName},
@@ -204,6 +204,21 @@
     running
 }
 
+/// Guards against notices that pile up over the restarts of months, and against a backoff that is
+/// dropped before it ends: only what is unseen for long and asks for nothing any more is dropped.
+#[test]
+fn notices_of_incarnations_unseen_for_long_are_dropped() {
+    let (hour, name) = (Millis(3_600_000), UpstreamName::from("a"));
+    let mut notices = Notices::default();
+    notices.on_notice(Millis(0), &name, 1, LEAVING);
+    notices.on_notice(Millis(0), &name, 2, LEAVING);
+    notices.on_notice(Millis(0), &name, 3, backoff(hour));
+    notices.on_listing(Millis(500_000), [(&name, 2)].into_iter());
+    notices.expire(Millis(700_000));
+    let takes = |incarnation| notices.state(&name, incarnation).takes_requests(Millis(700_000));
+    assert_eq!([1, 2, 3].map(takes), [true, false, false]);
+}
+
 /// A dispatcher with one warm engine, and an entry where requests wait.
 struct PoolDriver {
     dispatcher: Dispatcher,
