Forget the key of a request that is refused on arrival

Found by reading: the claim that is prepared for a request before it is queued stayed behind in the node if the queue was full, the entry was draining, or every upstream backed off. Nothing shows it outside but memory, so there is no test.

--- a/src/kingcupgrade/coordination/node/requests.rs
+++ b/src/kingcupgrade/coordination/node/requests.rs
@@ -39,9 +39,11 @@
             self.claims.insert(id, ClaimState { id: claim, keyed, claimed: false });
         }
         let service = arrival.service.clone();
+        let first = out.len();
         self.run_entry(now, out, |entry, _, outputs| {
             entry.admit(now, arrival, &document, outputs);
         });
+        self.release_unsent(now, &out[first..]);
         self.ensure_sessions(now, &service, out);
     }
 
@@ -193,14 +195,16 @@
         self.awaited.insert(proposal, Awaited::Settle);
     }
 
-    /// Releases the claims of requests that were refused while they waited. None of them has run: a
+    /// Releases the claims of requests that were refused on arrival or while they waited. None of them has run: a
     /// request with a claim waits again only if its upstream did not run it.
     pub(super) fn release_unsent(&mut self, now: Millis, outputs: &[Output]) {
         for output in outputs {
             let Output::GiveUp { id, .. } = output else { continue };
             match self.claims.get(id).map(|claim| claim.claimed) {
                 Some(true) => self.settle(now, *id, Settlement::Released),
-                Some(false) => drop(self.claims.remove(id)),
+                Some(false) => {
+                    self.claims.remove(id);
+                }
                 None => {}
             }
         }
