Log a request that is not sent after all, and have the limit of lines once

A request that was placed on an upstream which asked for no requests meanwhile is placed anew; that decision had no line. Three places counted the lines of a second, one does now.

--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -18,7 +18,7 @@
     util::log,
 };
 
-/// Lines per second for refusals, repeats and late responses. At some 30 µs each they take less
+/// Lines per second for refusals, rejections, repeats and late responses. At some 30 µs each they take less
 /// than a fiftieth of a quarter of a core.
 const MAX_LINES: usize = 100;
 
@@ -73,6 +73,13 @@
     pub(super) notice: UpstreamNotice,
 }
 
+/// The fields of the log line for a request that is not sent to its upstream after all.
+#[derive(Serialize)]
+struct WithheldLine<'a> {
+    request: Option<&'a str>,
+    upstream: &'a UpstreamName,
+}
+
 /// The fields of the log line for an upstream that begins to ask for no requests.
 #[derive(Serialize)]
 pub(super) struct NoticeLine<'a> {
@@ -108,20 +115,31 @@
     /// Records a response in the metrics, and logs it if it was not on time.
     pub(super) fn answered(&self, times: &Times, line: &LateResponseLine<'_>) {
         latency::record_metrics(times, line.judgement, line.route);
-        let mut lines = self.lines.borrow_mut();
-        if line.judgement != Judgement::OnTime && *lines < MAX_LINES {
-            *lines += 1;
-            log::event("answered-late", line);
+        if line.judgement != Judgement::OnTime {
+            self.log_limited("answered-late", line);
         }
     }
 
     /// Logs that an upstream did not run a request, up to the limit of such lines.
     pub(super) fn rejected(&self, line: &RejectionLine<'_>) {
+        self.log_limited("rejected", line);
+    }
+
+    /// Logs that a request is not sent to the upstream that it was placed on, since that has asked
+    /// for no requests meanwhile; up to the limit of such lines.
+    pub(super) fn withheld(&self, request: Option<&str>, upstream: &UpstreamName) {
+        self.log_limited("withheld", &WithheldLine { request, upstream });
+    }
+
+    /// Logs a line unless the limit of this second is reached; returns whether it did.
+    fn log_limited(&self, event: &str, line: &impl Serialize) -> bool {
         let mut lines = self.lines.borrow_mut();
-        if *lines < MAX_LINES {
+        let is_within = *lines < MAX_LINES;
+        if is_within {
             *lines += 1;
-            log::event("rejected", line);
+            log::event(event, line);
         }
+        is_within
     }
 
     /// Logs the refusal of a request, or counts it if the limit is reached.
@@ -136,11 +154,7 @@
 
     fn log_failure(&self, event: &str, code: Code, line: &FailureLine<'_>) {
         counter!("kingcup_requests", "code" => code.number().to_string()).increment(1);
-        let mut lines = self.lines.borrow_mut();
-        if *lines < MAX_LINES {
-            *lines += 1;
-            log::event(event, line);
-        } else {
+        if !self.log_limited(event, line) {
             counter!("kingcup_log_lines_untold").increment(1);
             *self.suppressed.borrow_mut().entry(code.number()).or_default() += 1;
         }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -89,6 +89,7 @@
             if !self.gateway.traffic.borrow().may_send(self.gateway.now(), attempt.no) {
                 pool.checkin(connection);
                 attempt.end(SendEnd::Cancelled);
+                self.gateway.decisions.withheld(self.request_id.as_deref(), &grant.upstream);
                 return SendResult::Withheld;
             }
             match self.send_on(connection, grant, last_event).await {
