--- a/src/kingcupgrade/coordination/entry/io.rs
+++ b/src/kingcupgrade/coordination/entry/io.rs
@@ -52,7 +52,8 @@
 pub enum EntryOutput {
     /// Send a message to an instance.
     Send(Instance, DispatchMessage),
-    /// Claim the request's key and pass the result to [`EntryMachine::on_claimed`].
+    /// Claim the request's key and pass the result to
+    /// [`EntryMachine::on_claimed`](super::EntryMachine::on_claimed).
     Claim(RequestId),
     /// Send the request to an upstream.
     Start {
