Record once, in the notices, that the list shows an upstream as leaving

The entries of the platform and the dispatchers of kingcupd each went through the list for it. Notices::on_listing takes it now; both call it. No change of behaviour: modules notices, traffic, listing, domains, orders and slots (52 tests), and the processes of signals and resets (9) pass; the test of notices that are dropped passes the new argument, its check is as it was.

--- a/src/kingcupgrade/coordination/dispatcher/backoff.rs
+++ b/src/kingcupgrade/coordination/dispatcher/backoff.rs
@@ -1,6 +1,6 @@
 //! Upstreams of the pool that have asked for no requests for some time, or for no new ones.
 
-use super::{Dispatcher, DispatcherOutput, slots::Listed};
+use super::{Dispatcher, DispatcherOutput};
 use crate::{
     coordination::{
         decision::Decision,
@@ -63,17 +63,6 @@
         self.notices_of(upstream).backoff_left(now) > Millis::ZERO
     }
 
-    /// Records which upstreams the platform lists as leaving: one that leaves doesn't come back
-    /// without a restart, whatever a late list shows.
-    pub(super) fn update_notices(&mut self, now: Millis, listing: &[Listed]) {
-        for listed in listing.iter().filter(|listed| listed.leaving) {
-            let leaving = UpstreamNotice { is_leaving: true, backoff: None };
-            self.notices.on_notice(now, &listed.upstream, listed.incarnation, leaving);
-        }
-        let listed = listing.iter().map(|listed| (&listed.upstream, listed.incarnation));
-        self.notices.on_listing(now, listed);
-    }
-
     /// Returns what the listed incarnation of an upstream has asked for.
     pub(super) fn notices_of(&self, name: &UpstreamName) -> NoticeState {
         let incarnation = self.slots.get(name).map(|slots| slots.incarnation());
--- a/src/kingcupgrade/coordination/dispatcher/upstreams.rs
+++ b/src/kingcupgrade/coordination/dispatcher/upstreams.rs
@@ -41,7 +41,8 @@
 
     /// Applies the platform's list of the pool's upstreams.
     pub fn on_listing(&mut self, now: Millis, listing: &[Listed], out: &mut Vec<DispatcherOutput>) {
-        self.update_notices(now, listing);
+        let noted = listing.iter().map(|l| (&l.upstream, l.incarnation, l.leaving));
+        self.notices.on_listing(now, noted);
         let listed: BTreeSet<&UpstreamName> = listing.iter().map(|l| &l.upstream).collect();
         self.slots.retain(|name, _| listed.contains(name));
         if !self.static_owners.keys().eq(listed.iter().copied()) {
--- a/src/kingcupgrade/coordination/notices.rs
+++ b/src/kingcupgrade/coordination/notices.rs
@@ -129,17 +129,23 @@
         noted.map_or(NoticeState::default(), |noted| noted.state)
     }
 
-    /// Records which incarnations are listed, and drops the notices of those unseen for long.
+    /// Records which incarnations the platform lists, each with whether it is listed as leaving, and
+    /// drops the notices of those unseen for long.
+    ///
+    /// An upstream that leaves doesn't become ready again without a restart. A list that shows it as
+    /// ready was delayed, and requests sent because of it would be cut off.
     pub fn on_listing<'a>(
         &mut self,
         now: Millis,
-        listed: impl Iterator<Item = (&'a UpstreamName, u64)>,
+        listed: impl Iterator<Item = (&'a UpstreamName, u64, bool)>,
     ) {
-        if self.noted.is_empty() {
-            return;
-        }
-        for (upstream, incarnation) in listed {
-            if let Some(noted) = self.noted.get_mut(&(upstream.clone(), incarnation)) {
+        for (upstream, incarnation, is_leaving) in listed {
+            if is_leaving {
+                let leaving = UpstreamNotice { is_leaving, backoff: None };
+                self.on_notice(now, upstream, incarnation, leaving);
+            } else if !self.noted.is_empty()
+                && let Some(noted) = self.noted.get_mut(&(upstream.clone(), incarnation))
+            {
                 noted.last_seen = now;
             }
         }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -202,7 +202,8 @@
 
     /// Replaces the known upstreams by the platform's complete list.
     pub fn set_listing(&mut self, now: Millis, listing: Vec<ListedUpstream>) {
-        self.update_notices(now, &listing);
+        let noted = listing.iter().map(|l| (&l.name, l.started_unix_ms, !l.is_ready));
+        self.notices.on_listing(now, noted);
         let names: BTreeSet<UpstreamName> = listing.iter().map(|l| l.name.clone()).collect();
         self.upstreams.retain(|name, _| names.contains(name));
         for listed in listing {
@@ -225,17 +226,6 @@
         self.update_version_uses();
     }
 
-    fn update_notices(&mut self, now: Millis, listing: &[ListedUpstream]) {
-        for listed in listing.iter().filter(|listed| !listed.is_ready) {
-            // An upstream that leaves doesn't become ready again without a restart. A list that
-            // shows it as ready was delayed, and requests sent because of it would be cut off.
-            let leaving = UpstreamNotice { is_leaving: true, backoff: None };
-            self.notices.on_notice(now, &listed.name, listed.started_unix_ms, leaving);
-        }
-        let listed = listing.iter().map(|listed| (&listed.name, listed.started_unix_ms));
-        self.notices.on_listing(now, listed);
-    }
-
     /// Records what an incarnation of an upstream asks for on an answer.
     pub fn on_notice(
         &mut self,
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -213,7 +213,7 @@
     notices.on_notice(Millis(0), &name, 1, LEAVING);
     notices.on_notice(Millis(0), &name, 2, LEAVING);
     notices.on_notice(Millis(0), &name, 3, backoff(hour));
-    notices.on_listing(Millis(500_000), [(&name, 2)].into_iter());
+    notices.on_listing(Millis(500_000), [(&name, 2, false)].into_iter());
     notices.expire(Millis(700_000));
     let takes = |incarnation| notices.state(&name, incarnation).takes_requests(Millis(700_000));
     assert_eq!([1, 2, 3].map(takes), [true, false, false]);
