Show what became of each process when a test fails, and freeze processes again and again

A thawed dispatcher did not go on in one run of the checks, and nothing that was kept told a process that ended by a signal from one that was still stopped, or that ran and did the wrong thing: the test's support never looked at the child.

When a test of a fleet fails, its support now prints for each process the status or signal it ended with, or of each thread its state, what it waits for in the kernel and how often it was switched out, and the end of its log.

New tests freeze a process under traffic and scrapes at drawn moments, for 30 ms to 2.5 s: the entries of kingcupd, and the entry and control instances of kingcup-platform. KINGCUP_FREEZES sets another number of freezes.

--- a/crates/kingcup-support/src/fleet/mod.rs
+++ b/crates/kingcup-support/src/fleet/mod.rs
@@ -25,7 +25,9 @@
     plan::{InstancePlan, Program},
     usage::Usage,
 };
-use crate::{caller::Caller, free_address, platform::Platform, proxy::Proxy, wait_until};
+use crate::{
+    caller::Caller, free_address, platform::Platform, process_state, proxy::Proxy, wait_until,
+};
 
 /// The fleet key of all fleets started here.
 pub const FLEET_KEY: &str = "a key for fleets on one machine";
@@ -345,6 +347,21 @@
         self.members[instance].operator_address
     }
 
+    /// Prints what became of each process and the end of its log, for a test that fails.
+    fn print_states(&mut self) {
+        let folder = self.folder.display();
+        eprintln!("the logs are in {folder}");
+        for (instance, member) in &mut self.members {
+            let state = match &mut member.child {
+                Some(child) => process_state::describe(child),
+                None => "not started, or killed by the test".to_owned(),
+            };
+            let log = fs::read_to_string(self.folder.join(format!("{instance}.log")));
+            let last = process_state::last_lines(&log.unwrap_or_else(|err| err.to_string()));
+            eprintln!("{instance} {state}\n{last}");
+        }
+    }
+
     /// Returns an instance's `/metrics` page, or an empty string if it can't be reached.
     pub fn metrics(&self, instance: &str) -> String {
         Caller::new("").get(self.operator_address(instance), "/metrics").unwrap_or_default()
@@ -361,6 +378,9 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_states();
+        }
         let instances: Vec<String> = self.members.keys().cloned().collect();
         for instance in instances {
             self.kill(&instance);
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod freezes;
 pub mod plain_service;
 pub mod platform;
+pub mod process_state;
 pub mod proxy;
 pub mod rollouts;
 pub mod settings;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod events;
 mod explain;
 mod fleet_load;
+mod freezes;
 mod input;
 mod isolation;
 mod latency;
