Serve an organisation's requests wherever they wait, not where most of them do

Callers saw: with as many callers at each of three entries, those of one entry were served a few times and then refused at their deadline of 20 s (code 3002), while the others were served all the time: 7 answers there, 164 and 179 at the other two. Found by the new test of freezes, which took 25 s without any freeze.

Cause: within an organisation, a dispatcher granted each slot to the entry with the longest queue, and between equal ones to the last name. With 9 callers and 2 slots the first entry never has more waiting than another. The fault is not the tie alone: an entry with one caller beside one with twenty gets nothing for as long as the organisation keeps the longer queue full.

Ruled out: the counters of organisations (there is one organisation), and sessions or grants that are lost (no entry in the logs, and the other entries' grants arrive).

Change: each entry has a turn; a grant moves it on by a distance divided by the number of its waiting requests (start tags of weighted fair queueing), so that a request waits about as long at any entry. Nothing is kept for entries where nothing waits.

Elsewhere: the platform's entries decide for themselves and know no such choice.

--- a/src/kingcupgrade/coordination/dispatcher/grants.rs
+++ b/src/kingcupgrade/coordination/dispatcher/grants.rs
@@ -67,7 +67,7 @@
         let mut batches: BTreeMap<Instance, Vec<Grant>> = BTreeMap::new();
         while let Some(organisation) = self.counters.next_organisation().cloned() {
             let Some(upstream) = self.least_loaded_upstream(now).cloned() else { break };
-            let Some(entry) = self.demand.longest_queue(&organisation) else { break };
+            let Some(entry) = self.demand.next_entry(&organisation).cloned() else { break };
             let grant = self.grant(now, organisation, upstream, &entry, out);
             batches.entry(entry).or_default().push(grant);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod peers;
 mod pools;
 mod process;
+mod queue_turns;
 mod record;
 mod rollouts;
 mod roster;
--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -149,6 +149,23 @@
     assert_cold_limit_held(&world);
 }
 
+// Guards against callers who wait until their deadline at one entry while the same organisation's
+// callers at the other entries are served.
+#[test]
+fn callers_of_one_organisation_are_served_at_every_entry() {
+    let world = start(&["north"], 3, &cold_engine()).with_documents();
+    let start =
+        |entry: String| LoadGenerator::start(&entry, world.fleet.entry(&entry), "alder", 3, 10);
+    let callers: Vec<LoadGenerator> =
+        world.fleet.entries().into_iter().map(|(entry, _)| start(entry)).collect();
+    let are_served = callers.iter().all(|callers| callers.wait_for(15));
+    assert!(are_served, "an entry's callers are not served");
+    let answers = callers.into_iter().flat_map(LoadGenerator::finish);
+    let unserved = answers.filter(|(asked, answer)| !answer.is_complete_for(asked));
+    assert_eq!(unserved.count(), 0);
+    assert_cold_limit_held(&world);
+}
+
 // Guards against an organisation that floods one entry beyond its queue and delays others. It must
 // be refused at once with a retry delay, and another organisation at the same entry must get every
 // answer.
