Complete a rollout only once the new version's answers to the whole traffic are sound

Cause: six of its bad answers came before the promotion, too few to tell. With all the traffic the evidence comes within a second, but the rollout was complete as soon as the old version was idle, 1.1 s after the promotion (15 bad answers by then). What is complete isn't watched any more, and the old version may be stopped, so nothing could take it back.

Change: promoting is a step of its own for the judge, like those of a canary, and the rollout is complete once the old version is idle and the answers since the promotion are sound; at the latest 0.8 s before its deadline, as before.

--- a/src/kingcupgrade/coordination/rollout/schedule.rs
+++ b/src/kingcupgrade/coordination/rollout/schedule.rs
@@ -91,7 +91,10 @@
             Some(RolloutStage::RolledBack(RollbackReason::NoCapacity))
         }
         RolloutStage::Promoting => {
-            let is_due = situation.is_old_idle || situation.time_left() <= END_MARGIN;
+            // A version may turn bad just before it is promoted, and is taken back only until the
+            // rollout is complete: its answers to the whole traffic have to be sound as well.
+            let is_done = situation.is_old_idle && situation.assessment == Assessment::Sound;
+            let is_due = is_done || situation.time_left() <= END_MARGIN;
             is_due.then_some(RolloutStage::Complete)
         }
         RolloutStage::Complete | RolloutStage::RolledBack(_) => None,
--- a/src/kingcupgrade/coordination/rollout/watch.rs
+++ b/src/kingcupgrade/coordination/rollout/watch.rs
@@ -110,7 +110,7 @@
             return;
         }
         self.stage = stage;
-        if matches!(stage, RolloutStage::Canary(_)) {
+        if stage.is_running() {
             self.judge.begin_step();
         }
     }
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -8,7 +8,9 @@
 };
 use kingcupgrade::{
     coordination::rollout::{
-        Assessment, Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Situation, Use, next_stage,
+        Assessment, Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Situation, Use,
+        judge::{Comparison, Criterion},
+        next_stage,
     },
     core::{Instance, Millis, Version},
     protocol::{
@@ -67,6 +69,46 @@
     assert!(summary.longest_after_50 <= ROLLBACK, "{summary}");
 }
 
+/// Guards against a version that turns bad shortly before it is promoted and stays in use, because
+/// the rollout was complete before its first bad answers to the whole traffic were counted.
+#[test]
+fn a_version_that_turns_bad_as_it_is_promoted_is_taken_back() {
+    let result = run(&Plan::draw(9_222), Ablation::None);
+    assert!(result.last_after_50.is_some_and(|last| last <= ROLLBACK), "{result:?}");
+    assert!(!result.is_promoted(), "{result:?}");
+}
+
+/// Guards against a rollout that is complete, so that its old version is stopped, while the answers
+/// to the whole traffic don't suffice to tell whether the new version is sound.
+#[test]
+fn a_promotion_is_complete_only_once_its_answers_are_sound() {
+    let open = Comparison {
+        route: "r".to_owned(),
+        criterion: Criterion::Failures,
+        canary: (1, 4),
+        baseline: (2, 90),
+    };
+    let promoting = |assessment, elapsed| Situation {
+        stage: RolloutStage::Promoting,
+        elapsed: Millis(elapsed),
+        duration: Millis(12_000),
+        assessment,
+        answers_in_step: 4,
+        old_slots: 100,
+        new_slots: 100,
+        is_known_version: false,
+        is_old_idle: true,
+    };
+    let undecided = Assessment::Undecided(open.clone());
+    let degraded = Assessment::Degraded(RollbackReason::Failures, open);
+    let rolled_back = RolloutStage::RolledBack(RollbackReason::Failures);
+    assert_eq!(next_stage(&promoting(undecided.clone(), 9_000)), None);
+    assert_eq!(next_stage(&promoting(degraded, 9_000)), Some(rolled_back));
+    let complete = Some(RolloutStage::Complete);
+    assert_eq!(next_stage(&promoting(Assessment::Sound, 9_000)), complete);
+    assert_eq!(next_stage(&promoting(undecided, 11_300)), complete, "the deadline is missed");
+}
+
 /// Guards against a new version that takes more requests than allowed because each entry rounds its
 /// part up, or because a route with few requests gets a part of its own.
 #[test]
