Tell the thread of a request that its caller had left before it asked to be told

Callers saw nothing; upstreams saw requests that run for nobody: a caller who leaves while the thread that serves the request of kingcupd starts or reads the body was never noticed before the answer. The request was queued, took a slot, was sent and ran to its end while others waited.

Cause: the action to run on a disconnect went to a task that had ended, and was dropped. The task also asked for the action before it closed its end, so that one registered in between was lost too.

Evidence: disconnects::a_caller_who_left_before_the_request_was_queued_is_noticed failed each time before (the thread ended without being told), and passes.

--- a/src/kingcupgrade/transport/http/connection.rs
+++ b/src/kingcupgrade/transport/http/connection.rs
@@ -97,8 +97,10 @@
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        let action = self.action.take().and_then(|mut action| action.try_recv().ok());
-        if let Some(action) = action {
+        let Some(mut action) = self.action.take() else { return };
+        // Closed first: an action that is registered after this is run by the thread that does so.
+        action.close();
+        if let Ok(action) = action.try_recv() {
             action();
         }
     }
--- a/src/kingcupgrade/transport/http/request.rs
+++ b/src/kingcupgrade/transport/http/request.rs
@@ -88,11 +88,12 @@
         String::from_utf8(body).map_err(|err| CodedError::new(Code::BadRequest, err.to_string()))
     }
 
-    /// Registers an action to be run if the caller disconnects before the response begins.
+    /// Registers an action to be run if the caller disconnects before the response begins. If the
+    /// caller has already disconnected, it is run at once.
     pub fn on_disconnect(self, action: impl FnOnce() + Send + 'static) -> Responder {
-        // If the caller has already disconnected, the action is dropped here without being run; the
-        // thread that serves the request finds out when it responds.
-        let _ = self.on_disconnect.send(Box::new(action));
+        if let Err(action) = self.on_disconnect.send(Box::new(action)) {
+            action();
+        }
         self.responder
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod configuration_pull;
 mod connections;
 mod deposits;
+mod disconnects;
 mod disk;
 mod documentation;
 mod domains;
