Ask the kernel whether the caller has left before a request is sent

Engines read prompts for nobody while others are refused.

Cause: an entry learns that a caller has left when the runtime polls its socket. On an entry that is behind, the request is read late, when the close has come already, and it is sent in the same turn; or the verdict on a queued request comes before the next poll of the socket. Both go wrong however long the entry is behind.

Ruled out: a caller whose close came together with its request (hyper reads on after the head and drops the request before it is served; the first form of the test showed that), and a connection that is dropped late (closed in the same turn since "connections are driven by the task that uses them"; module connections).

Change: before the first byte is sent, also of a retry or of a stream that is resumed, the entry peeks at the caller's socket. If it is closed or reset, nothing is sent, and the request ends with the new code 3010; the line `withheld` has a reason now. It costs one system call a request; socket2, which the runtime uses already, makes it.

--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -94,6 +94,8 @@
     OverShare = 3008, NotRun, 429, "The organisation asks for more than its share while capacity is short.";
 
     UpstreamsBackingOff = 3009, NotRun, 503, "Every upstream of the service has asked for no requests for some time.";
+    /// The caller has left before its request was sent to an upstream; it is refused for the log.
+    CallerLeft = 3010, NotRun, 503, "The caller has left before the request was sent.";
 
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -73,11 +73,24 @@
     pub(super) notice: UpstreamNotice,
 }
 
+/// Why a request is not sent to its upstream after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum WithheldReason {
+    /// The upstream has asked for no requests since the request was placed on it.
+    UpstreamAsked,
+    /// The caller has left.
+    CallerLeft,
+}
+
 /// The fields of the log line for a request that is not sent to its upstream after all.
 #[derive(Serialize)]
-struct WithheldLine<'a> {
-    request: Option<&'a str>,
-    upstream: &'a UpstreamName,
+pub(super) struct WithheldLine<'a> {
+    pub(super) request: Option<&'a str>,
+    pub(super) upstream: &'a UpstreamName,
+    pub(super) reason: WithheldReason,
+    /// Time since the request arrived.
+    pub(super) after_ms: Millis,
 }
 
 /// The fields of the log line for an upstream that begins to ask for no requests.
@@ -125,10 +138,10 @@
         self.log_limited("rejected", line);
     }
 
-    /// Logs that a request is not sent to the upstream that it was placed on, since that has asked
-    /// for no requests meanwhile; up to the limit of such lines.
-    pub(super) fn withheld(&self, request: Option<&str>, upstream: &UpstreamName) {
-        self.log_limited("withheld", &WithheldLine { request, upstream });
+    /// Logs that a request is not sent to the upstream that it was placed on, up to the limit of
+    /// such lines.
+    pub(super) fn withheld(&self, line: &WithheldLine<'_>) {
+        self.log_limited("withheld", line);
     }
 
     /// Logs a line unless the limit of this second is reached; returns whether it did.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! the processor; scheduling decisions are direct calls of [`Traffic`], without messages or locks.
 
 pub mod adapter;
+pub mod caller;
 mod decisions;
 pub mod events;
 pub mod latency;
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -18,7 +18,7 @@
     transport::{
         gateway::{
             adapter::{ForwardContext, PlatformAdapter},
-            decisions::RejectionLine,
+            decisions::{RejectionLine, WithheldLine, WithheldReason},
             pool::{CheckoutError, Connection},
             response::strip_hop_headers,
         },
@@ -43,6 +43,8 @@
     NotSent,
     /// No byte of the request was sent, since the upstream has asked for no requests meanwhile.
     Withheld,
+    /// No byte of the request was sent, since its caller has left meanwhile.
+    CallerLeft,
     /// The upstream stated that it did not run the request.
     Rejected,
     /// The request was sent, and it is unknown whether it ran.
@@ -89,9 +91,15 @@
             if !self.gateway.traffic.borrow().may_send(self.gateway.now(), attempt.no) {
                 pool.checkin(connection);
                 attempt.end(SendEnd::Cancelled);
-                self.gateway.decisions.withheld(self.request_id.as_deref(), &grant.upstream);
+                self.log_withheld(grant, WithheldReason::UpstreamAsked);
                 return SendResult::Withheld;
             }
+            if self.caller.has_left() {
+                pool.checkin(connection);
+                attempt.end(SendEnd::Cancelled);
+                self.log_withheld(grant, WithheldReason::CallerLeft);
+                return SendResult::CallerLeft;
+            }
             match self.send_on(connection, grant, last_event).await {
                 ExchangeResult::Stale => {}
                 ExchangeResult::Response(response) => {
@@ -114,6 +122,15 @@
         SendResult::NotSent
     }
 
+    fn log_withheld(&self, grant: &Grant, reason: WithheldReason) {
+        self.gateway.decisions.withheld(&WithheldLine {
+            request: self.request_id.as_deref(),
+            upstream: &grant.upstream,
+            reason,
+            after_ms: self.gateway.now().since(self.arrived),
+        });
+    }
+
     async fn send_on(
         &self,
         mut connection: Connection,
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -19,6 +19,7 @@
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead},
+    caller::Caller,
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
 };
@@ -39,6 +40,7 @@
 /// A caller's request and the state of its processing.
 pub(super) struct ProxiedRequest<E: PlatformAdapter> {
     pub(super) gateway: Rc<Gateway<E>>,
+    caller: Caller,
     request_id: Option<String>,
     method: Method,
     uri: Uri,
@@ -95,6 +97,7 @@
     /// Returns the code with which the request is to be refused.
     pub(super) fn new(
         gateway: Rc<Gateway<E>>,
+        caller: Caller,
         configuration: &Configuration,
         head: request::Parts,
         decoded: RequestHead,
@@ -135,6 +138,7 @@
             deadline_at: arrived + timeout,
             progress: std::cell::RefCell::default(),
             gateway,
+            caller,
             route,
             service,
             organisation,
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -86,6 +86,7 @@
                         return Err(error(Code::NoUpstream, RETRY_AFTER_REJECTED));
                     }
                 }
+                SendResult::CallerLeft => return Err(error(Code::CallerLeft, Millis::ZERO)),
                 SendResult::Rejected => {
                     self.progress.borrow_mut().avoid.push(grant.upstream);
                     let (traffic, now) = (&self.gateway.traffic, self.gateway.now());
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -15,6 +15,7 @@
 use super::{
     Gateway,
     adapter::PlatformAdapter,
+    caller::{Caller, CallerStream},
     request::ProxiedRequest,
     response::{ResponseBody, error_response},
 };
@@ -109,10 +110,12 @@
         true => DRAIN_HEAD_TIMEOUT,
         false => idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK,
     };
+    let stream = CallerStream::new(stream);
+    let caller = stream.caller();
     let service = service_fn(|request| {
-        let gateway = gateway.clone();
+        let (gateway, caller) = (gateway.clone(), caller.clone());
         async move {
-            let mut response = serve_one(gateway.clone(), request).await?;
+            let mut response = serve_one(gateway.clone(), caller, request).await?;
             if !may_keep_connection(&gateway) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -158,6 +161,7 @@
 
 async fn serve_one<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody<E>>, Infallible> {
     let _count_guard = CountGuard::new(&gateway.open_requests);
@@ -177,7 +181,7 @@
     let Some(configuration) = configuration else {
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
-    match ProxiedRequest::new(gateway.clone(), &configuration, head, decoded, body) {
+    match ProxiedRequest::new(gateway.clone(), caller, &configuration, head, decoded, body) {
         Ok(proxied) if !gateway.has_time_for(proxied.timeout()) => {
             refuse(Code::Draining, RETRY_AFTER_DRAIN)
         }
