Free a fake engine's slot before its answer ends, not after

Tests of module pools failed now and then at a load of 70 with "a cold engine crashed": a_frozen_entry_takes_no_engine_with_it, a_failure_domain_that_is_cut_off_serves_and_rejoins, a_dispatcher_killed_while_connections_are_silent_is_replaced, the_last_entry_of_a_failure_domain_serves_its_static_share and a_warm_engine_gone_cold_without_notice_does_not_fall_over.

Cause: the fake sent the end of an answer and counted the request as ended after that, on a thread that may have to wait for a processor in between. The entry frees the slot when it has read the end, and the next request then counts beside one that is over.

A request that is over for its client can't be more than the engine bears, so the check isn't made weaker: at most 2 at a time while cold, and no crash, counted from the start of a request to just before its end can be seen.

--- a/crates/kingcup-support/src/engine/state.rs
+++ b/crates/kingcup-support/src/engine/state.rs
@@ -108,8 +108,19 @@
             request.respond(refusal.with(OUTCOME_HEADER, "not-run"));
             return;
         }
-        let complete = self.stream(request, &prompt);
-        self.end(complete);
+        let Some(stream) = self.stream(request, &prompt) else {
+            self.free_slot();
+            self.record.lock().expect("engine record").cancelled += 1;
+            return;
+        };
+        // Both before the client can see the end, as in an engine that frees the slot with the last
+        // step: the client's next request must not count beside this one.
+        self.free_slot();
+        self.completed.fetch_add(1, Ordering::SeqCst);
+        if stream.end().is_err() {
+            self.completed.fetch_sub(1, Ordering::SeqCst);
+            self.record.lock().expect("engine record").cancelled += 1;
+        }
     }
 
     pub(super) fn setup(&self) -> EngineSetup {
@@ -192,15 +203,10 @@
         true
     }
 
-    fn end(&self, complete: bool) {
+    fn free_slot(&self) {
         let mut record = self.record.lock().expect("engine record");
         let running = self.running.fetch_sub(1, Ordering::SeqCst) - 1;
         record.running.push((Instant::now(), running));
-        if complete {
-            self.completed.fetch_add(1, Ordering::SeqCst);
-        } else {
-            record.cancelled += 1;
-        }
     }
 
     fn is_cooling(&self) -> bool {
@@ -214,8 +220,8 @@
         has_crashed || self.stopped.load(Ordering::SeqCst)
     }
 
-    /// Streams a response; returns whether all of it was sent.
-    fn stream(&self, request: Request, prompt: &Prompt) -> bool {
+    /// Streams a response; returns the stream, which is still to be ended, if all of it was sent.
+    fn stream(&self, request: Request, prompt: &Prompt) -> Option<ResponseStream> {
         let offset = request.header(RESUME_HEADER).and_then(|value| value.parse().ok());
         let offset = offset.unwrap_or(0);
         let head = ServerResponse::new(200, "text/event-stream", "");
@@ -228,15 +234,16 @@
                 thread::sleep(PAUSE_CHECK);
             }
             if self.is_down() {
-                return false;
+                return None;
             }
             let stall_after = self.stall_after.load(Ordering::SeqCst);
             if stall_after > 0 && n >= stall_after {
-                return self.stall(stream);
+                self.stall(stream);
+                return None;
             }
             let event = format!("data: {} {n}\n\n", prompt.id);
             if stream.write(event.as_bytes()).is_err() {
-                return false;
+                return None;
             }
             let served = ServedTokens {
                 organisation: prompt.organisation.clone(),
@@ -245,16 +252,15 @@
             };
             self.record.lock().expect("engine record").served.push(served);
         }
-        stream.end().is_ok()
+        Some(stream)
     }
 
     /// Holds the connection open without writing, until stalling is disabled or the engine is down.
-    fn stall(&self, stream: ResponseStream) -> bool {
+    fn stall(&self, stream: ResponseStream) {
         while self.stall_after.load(Ordering::SeqCst) > 0 && !self.is_down() {
             thread::sleep(Duration::from_millis(20));
         }
         // A stream that is dropped without `end` is a truncated response.
         drop(stream);
-        false
     }
 }
