End the run of a caller who has left, at kingcupd's entries too

Upstreams saw: a request of kingcupd whose caller has left ran on until its answer began, or, in the middle of a stream, until the next event, which may take as long as the deadline. A stream that then fell silent was even resumed at another upstream.

Cause: the thread of a request waits for the upstream in a blocking read. The disconnect was put into the channel that it reads only between attempts, and was not watched for at all once the answer had begun.

Change: the watch for a disconnect lasts until the answer has ended, and it closes the connection of the attempt in progress (ureq's agent of that attempt is shut down). The attempt ends as left by its caller: nothing is retried or resumed, and the slot is free. An attempt that was granted in the meantime isn't begun. A request with an idempotency key runs to its end as before: its answer is kept for the caller who asks again.

--- a/src/kingcupgrade/transport/callers/mod.rs
+++ b/src/kingcupgrade/transport/callers/mod.rs
@@ -27,6 +27,7 @@
         Event, NextRequest, SharedView, Verdict,
         http::{self, Request},
         next_request,
+        upstream::Cancellation,
     },
 };
 
@@ -104,6 +105,9 @@
         needs_claim: admitted.keyed.is_some(),
     };
     let disconnect_tx = tx.clone();
+    let cancellation = Cancellation::default();
+    // The answer to a keyed request is kept for the caller who sends it again.
+    let cancelled = admitted.keyed.is_none().then(|| cancellation.clone());
     if shared.events.send(Event::Arrived(arrival, admitted.keyed.clone(), tx)).is_err() {
         refuse(request, &CodedError::new(Code::Draining, ""), Millis::ZERO);
         return;
@@ -112,8 +116,12 @@
     // that the node knows that nothing more is sent for the request.
     let responder = request.on_disconnect(move || {
         let _ = disconnect_tx.send(Verdict::Disconnected);
+        if let Some(cancelled) = cancelled {
+            cancelled.cancel();
+        }
     });
     let deadline = Instant::now() + Duration::from_millis(admitted.document.limits.deadline_ms);
-    let relay = Relay { id, admitted: &admitted, shared, deadline, arrived: Instant::now() };
+    let arrived = Instant::now();
+    let relay = Relay { id, admitted: &admitted, shared, deadline, arrived, cancellation };
     relay.run(responder, &rx);
 }
--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -22,7 +22,11 @@
     },
     core::{Code, ServiceKind, UpstreamName},
     protocol::record::StoredAnswer,
-    transport::{Event, Verdict, http::Responder, upstream},
+    transport::{
+        Event, Verdict,
+        http::Responder,
+        upstream::{self, Cancellation},
+    },
 };
 
 /// The maximum length of a response that is not streamed, in bytes.
@@ -43,6 +47,7 @@
     pub(super) shared: &'a Shared,
     pub(super) deadline: Instant,
     pub(super) arrived: Instant,
+    pub(super) cancellation: Cancellation,
 }
 
 impl Relay<'_> {
@@ -124,7 +129,9 @@
         resume_from: u64,
     ) -> Result<Response<Body>, AttemptEnd> {
         let request = &self.admitted.upstream;
-        let sent = upstream::send(request, upstream, address, resume_from, self.remaining());
+        let remaining = self.remaining();
+        let sent =
+            upstream::send(request, upstream, address, resume_from, remaining, &self.cancellation);
         if !sent.notice.is_empty() {
             // Sending fails only while the process exits, as in `end`.
             let _ = self.shared.events.send(Event::Input(Input::Noticed(self.id, sent.notice)));
@@ -132,6 +139,11 @@
         sent.response
     }
 
+    /// Returns `end`, or the end of an attempt whose caller has left if that is so.
+    fn unless_cancelled(&self, end: AttemptEnd) -> AttemptEnd {
+        if self.cancellation.is_cancelled() { AttemptEnd::HungUp } else { end }
+    }
+
     /// Makes an attempt whose response is forwarded once it is complete. Returns the response state
     /// unless the request has ended.
     fn buffer(
@@ -145,15 +157,16 @@
             Ok(response) => response,
             Err(end) => {
                 self.end(end, 0, None, None);
-                return Some(state);
+                return (end != AttemptEnd::HungUp).then_some(state);
             }
         };
         let first_byte = sent.elapsed();
         let content_type = content_type(&response);
         let status = response.status().as_u16();
         let Ok(body) = upstream::read_whole(response.body_mut(), MAX_RESPONSE_LEN) else {
-            self.end(AttemptEnd::Broken, 0, Some(first_byte), None);
-            return Some(state);
+            let end = self.unless_cancelled(AttemptEnd::Broken);
+            self.end(end, 0, Some(first_byte), None);
+            return (end != AttemptEnd::HungUp).then_some(state);
         };
         let kept = self.admitted.keyed.as_ref().map(|_| StoredAnswer {
             status,
@@ -185,7 +198,7 @@
             Ok(response) => response,
             Err(end) => {
                 self.end(end, cost_of(offset), None, None);
-                return Some(state);
+                return (end != AttemptEnd::HungUp).then_some(state);
             }
         };
         if offset > 0 && resumed_from(&response) != Some(offset) {
@@ -216,13 +229,12 @@
                 Ok(0) => break,
                 Ok(count) => count,
                 Err(_) => {
-                    let end = if self.remaining().is_zero() {
-                        AttemptEnd::TimedOut
-                    } else {
-                        AttemptEnd::Broken
-                    };
+                    let is_late = self.remaining().is_zero();
+                    let end = if is_late { AttemptEnd::TimedOut } else { AttemptEnd::Broken };
+                    let end = self.unless_cancelled(end);
                     self.end(end, cost_of(events), first_byte, None);
-                    return Some(ResponseState::Streaming { stream, events });
+                    let is_open = end != AttemptEnd::HungUp;
+                    return is_open.then_some(ResponseState::Streaming { stream, events });
                 }
             };
             first_byte.get_or_insert_with(|| self.record_first_byte(sent));
@@ -247,7 +259,12 @@
         if !partial.is_empty() {
             let _ = stream.write(&partial);
         }
-        self.end(AttemptEnd::Completed, cost_of(events), first_byte, None);
+        // A response that ends with its connection looks complete when the connection is closed.
+        let end = self.unless_cancelled(AttemptEnd::Completed);
+        self.end(end, cost_of(events), first_byte, None);
+        if end == AttemptEnd::HungUp {
+            return None;
+        }
         self.record_done();
         let _ = stream.end();
         None
--- a/src/kingcupgrade/transport/http/connection.rs
+++ b/src/kingcupgrade/transport/http/connection.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Handler,
-    request::{DisconnectAction, Request},
+    request::{DisconnectGuard, Request},
     response::{ResponseBody, ServerResponse},
 };
 use crate::core::{Code, Millis, code::CodedError};
@@ -76,32 +76,14 @@
     serve: Handler,
 ) -> Result<Response<ResponseBody>, oneshot::error::RecvError> {
     let (request, receiver) = Request::new(request);
-    let watch = DisconnectGuard { action: Some(receiver.on_disconnect) };
+    let mut watch = DisconnectGuard::new(receiver.on_disconnect);
     serve(request);
     let response = receiver.response.await;
-    watch.disarm();
-    response
-}
-
-/// Runs a request's action when its caller disconnects: hyper then drops the future that waits for
-/// the response, which drops this value.
-struct DisconnectGuard {
-    action: Option<oneshot::Receiver<DisconnectAction>>,
-}
-
-impl DisconnectGuard {
-    fn disarm(mut self) {
-        self.action = None;
-    }
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        let Some(mut action) = self.action.take() else { return };
-        // Closed first: an action that is registered after this is run by the thread that does so.
-        action.close();
-        if let Ok(action) = action.try_recv() {
-            action();
+    match response {
+        Ok(response) => Ok(response.map(|body| body.watched_by(watch))),
+        Err(err) => {
+            watch.disarm();
+            Err(err)
         }
     }
 }
--- a/src/kingcupgrade/transport/http/request.rs
+++ b/src/kingcupgrade/transport/http/request.rs
@@ -24,9 +24,37 @@
     connections: runtime::Handle,
 }
 
-/// The action to be run if the caller disconnects before the response begins.
+/// The action to be run if the caller disconnects before the response has ended.
 pub(super) type DisconnectAction = Box<dyn FnOnce() + Send>;
 
+/// Runs a request's action when its caller disconnects: hyper then drops the future that waits for
+/// the response, or the response's body, and with it this value.
+pub(super) struct DisconnectGuard {
+    action: Option<oneshot::Receiver<DisconnectAction>>,
+}
+
+impl DisconnectGuard {
+    pub(super) fn new(action: oneshot::Receiver<DisconnectAction>) -> DisconnectGuard {
+        DisconnectGuard { action: Some(action) }
+    }
+
+    /// Ends the watch: the response has ended, or is cut off by this side.
+    pub(super) fn disarm(&mut self) {
+        self.action = None;
+    }
+}
+
+impl Drop for DisconnectGuard {
+    fn drop(&mut self) {
+        let Some(mut action) = self.action.take() else { return };
+        // Closed first: an action that is registered after this is run by the thread that does so.
+        action.close();
+        if let Ok(action) = action.try_recv() {
+            action();
+        }
+    }
+}
+
 /// The receiving ends of a request's channels, held by the task of its connection.
 pub(super) struct ResponseReceiver {
     pub(super) response: oneshot::Receiver<Response<ResponseBody>>,
@@ -88,7 +116,7 @@
         String::from_utf8(body).map_err(|err| CodedError::new(Code::BadRequest, err.to_string()))
     }
 
-    /// Registers an action to be run if the caller disconnects before the response begins. If the
+    /// Registers an action to be run if the caller disconnects before the response has ended. If the
     /// caller has already disconnected, it is run at once.
     pub fn on_disconnect(self, action: impl FnOnce() + Send + 'static) -> Responder {
         if let Err(action) = self.on_disconnect.send(Box::new(action)) {
--- a/src/kingcupgrade/transport/http/response.rs
+++ b/src/kingcupgrade/transport/http/response.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use super::request::DisconnectGuard;
 use crate::core::{Code, Millis, code::CodedError};
 
 /// The number of chunks of a stream that may be queued for a caller who reads slowly; then the
@@ -88,7 +89,8 @@
 
     pub(super) fn into_stream(self) -> (ResponseStream, Response<ResponseBody>) {
         let (tx, rx) = mpsc::channel(CHUNK_QUEUE_LEN);
-        (ResponseStream { tx }, self.into_response(ResponseBody::Stream(rx)))
+        let body = ResponseBody::Stream { chunks: rx, watch: None };
+        (ResponseStream { tx }, self.into_response(body))
     }
 
     fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
@@ -159,7 +161,22 @@
 /// The body of a response, as hyper sends it.
 pub(super) enum ResponseBody {
     Complete(Bytes),
-    Stream(mpsc::Receiver<Chunk>),
+    Stream { chunks: mpsc::Receiver<Chunk>, watch: Option<DisconnectGuard> },
+}
+
+impl ResponseBody {
+    /// Keeps watching for a disconnect of the caller until a stream has ended.
+    pub(super) fn watched_by(self, mut guard: DisconnectGuard) -> ResponseBody {
+        match self {
+            ResponseBody::Complete(bytes) => {
+                guard.disarm();
+                ResponseBody::Complete(bytes)
+            }
+            ResponseBody::Stream { chunks, .. } => {
+                ResponseBody::Stream { chunks, watch: Some(guard) }
+            }
+        }
+    }
 }
 
 /// The error that aborts a response because its stream was dropped before the end.
@@ -187,11 +204,17 @@
             ResponseBody::Complete(bytes) => {
                 Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
             }
-            ResponseBody::Stream(rx) => rx.poll_recv(cx).map(|chunk| match chunk {
-                Some(Chunk::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(Chunk::End) => None,
-                None => Some(Err(TruncatedResponse)),
-            }),
+            ResponseBody::Stream { chunks, watch } => {
+                let polled = chunks.poll_recv(cx);
+                if let (Poll::Ready(Some(Chunk::End) | None), Some(watch)) = (&polled, watch) {
+                    watch.disarm();
+                }
+                polled.map(|chunk| match chunk {
+                    Some(Chunk::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Chunk::End) => None,
+                    None => Some(Err(TruncatedResponse)),
+                })
+            }
         }
     }
 
@@ -202,7 +225,7 @@
     fn size_hint(&self) -> hyper::body::SizeHint {
         match self {
             ResponseBody::Complete(bytes) => hyper::body::SizeHint::with_exact(bytes.len() as u64),
-            ResponseBody::Stream(_) => hyper::body::SizeHint::default(),
+            ResponseBody::Stream { .. } => hyper::body::SizeHint::default(),
         }
     }
 }
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -4,7 +4,13 @@
 //! only after the request has been written, and an outcome that should be "not run" would be
 //! "unknown".
 
-use std::{io, io::Read, net::SocketAddr, time::Duration};
+use std::{
+    io::{self, Read},
+    mem,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use ureq::{
     Body, SendBody,
@@ -69,13 +75,65 @@
     }
 }
 
-/// Sends a request to an upstream.
+/// Ends the attempt in progress when the caller leaves: the upstream would work on for nobody, and
+/// the thread that waits for it would not notice before the next event.
+#[derive(Clone, Default)]
+pub struct Cancellation(Arc<Mutex<Attempt>>);
+
+/// What there is to cancel.
+#[derive(Default)]
+enum Attempt {
+    #[default]
+    None,
+    Running(ureq::Agent),
+    Cancelled,
+}
+
+impl Cancellation {
+    /// Closes the connection of the attempt in progress, and lets none begin.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread panicked in another call.
+    pub fn cancel(&self) {
+        let attempt = mem::replace(&mut *self.lock(), Attempt::Cancelled);
+        if let Attempt::Running(agent) = attempt {
+            agent.shutdown();
+        }
+    }
+
+    /// Returns whether the attempts are cancelled.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread panicked in another call.
+    pub fn is_cancelled(&self) -> bool {
+        matches!(*self.lock(), Attempt::Cancelled)
+    }
+
+    /// Begins an attempt; returns false if it is cancelled already.
+    fn begin(&self, agent: &ureq::Agent) -> bool {
+        let mut attempt = self.lock();
+        if matches!(*attempt, Attempt::Cancelled) {
+            return false;
+        }
+        *attempt = Attempt::Running(agent.clone());
+        true
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Attempt> {
+        self.0.lock().expect("no thread panics holding an attempt")
+    }
+}
+
+/// Sends a request to an upstream. If it is cancelled, it ends as a caller's disconnect.
 pub fn send(
     request: &UpstreamRequest,
     upstream: &UpstreamName,
     address: SocketAddr,
     resume_from: u64,
     remaining: Duration,
+    cancellation: &Cancellation,
 ) -> SendResult {
     let config = ureq::Agent::config_builder()
         .timeout_connect(Some(CONNECT_TIMEOUT))
@@ -107,6 +165,9 @@
     let Ok(prepared) = with_length.body(body) else {
         return SendResult::without_answer(AttemptEnd::NotSent);
     };
+    if !cancellation.begin(&agent) {
+        return SendResult::without_answer(AttemptEnd::HungUp);
+    }
     match agent.run(prepared) {
         Ok(response) => {
             let notice = notice_of(upstream, &response);
@@ -114,6 +175,7 @@
             let response = if was_refused { Err(AttemptEnd::Refused) } else { Ok(response) };
             SendResult { notice, response }
         }
+        Err(_) if cancellation.is_cancelled() => SendResult::without_answer(AttemptEnd::HungUp),
         Err(err) => SendResult::without_answer(classify(&err)),
     }
 }
