--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use super::turns::EntryTurns;
 use crate::{
     core::{FailureDomain, Instance, Millis, Organisation},
     protocol::dispatch::{Session, SessionTag},
@@ -36,43 +37,6 @@
     }
 }
 
-/// The distance between two turns of an entry with a single waiting request.
-const TURN: u64 = 1 << 20;
-
-/// The entries at which an organisation's requests wait, in the order in which they get slots.
-///
-/// Each grant moves the entry's next turn on, the less the more requests wait there, so that a
-/// request waits about as long at any entry. Were the longest queue always first, a shorter one
-/// would get nothing for as long as the organisation keeps the longer ones full.
-#[derive(Clone, Debug, Default)]
-struct EntryTurns {
-    /// The turn of the last grant.
-    last: u64,
-    /// The next turn of each entry with a non-zero reported count.
-    next: BTreeMap<Instance, u64>,
-}
-
-impl EntryTurns {
-    /// Records how many requests wait at an entry.
-    fn set_waiting(&mut self, entry: &Instance, count: u32) {
-        let turn = self.last + turn_distance(count);
-        let next = self.next.entry(entry.clone()).or_insert(turn);
-        *next = turn.min(*next);
-    }
-
-    /// Records a grant to an entry, at which `count` requests wait after it.
-    fn on_granted(&mut self, entry: &Instance, count: u32) {
-        if let Some(next) = self.next.get_mut(entry) {
-            self.last = self.last.max(*next);
-            *next = self.last + turn_distance(count);
-        }
-    }
-}
-
-fn turn_distance(waiting: u32) -> u64 {
-    TURN / u64::from(waiting.max(1))
-}
-
 /// Interval at which a session with waiting requests is acknowledged and sent offers.
 const ACK_INTERVAL: Millis = Millis(500);
 /// Interval of acknowledgements to any other session.
@@ -181,8 +145,8 @@
 
     fn remove_queue(&mut self, entry: &Instance, organisation: &Organisation) {
         if let Some(turns) = self.queues.get_mut(organisation) {
-            turns.next.remove(entry);
-            if turns.next.is_empty() {
+            turns.remove(entry);
+            if turns.is_empty() {
                 self.queues.remove(organisation);
             }
         }
@@ -223,15 +187,13 @@
     /// Returns how many of an organisation's requests wait, over all entries.
     pub fn total(&self, organisation: &Organisation) -> u32 {
         let Some(turns) = self.queues.get(organisation) else { return 0 };
-        turns.next.keys().map(|entry| self.sessions[entry].waiting(organisation)).sum()
+        turns.entries().map(|entry| self.sessions[entry].waiting(organisation)).sum()
     }
 
     /// Returns the entry whose turn it is to serve one of an organisation's requests.
     pub fn next_entry(&self, organisation: &Organisation) -> Option<&Instance> {
-        let turns = self.queues.get(organisation)?.next.iter();
         let waits = |entry: &Instance| self.sessions[entry].waiting(organisation) > 0;
-        let waiting = turns.filter(|(entry, _)| waits(entry));
-        waiting.min_by_key(|(_, turn)| **turn).map(|(entry, _)| entry)
+        self.queues.get(organisation)?.first(waits)
     }
 
     /// Records a grant as in transit to an entry.
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod recovery;
 mod rollout;
 pub mod slots;
+mod turns;
 mod upstreams;
 mod withheld;
 
