Keep kingcupd running on SIGHUP, and log that the signal came

Callers saw their connections cut, operators an instance that is gone and a log that ends in the middle: SIGHUP killed kingcupd by its default, without a line. It comes when a terminal is closed, and to a process that is stopped when its shell ends: the kernel then sends SIGHUP and SIGCONT to its group.

Found while a freeze was traced: pools::a_thawed_dispatcher_gives_no_slot_of_its_successor failed in the first run of each of three loops, and in none of 51 later ones. Those first runs had a process stopped when the shell that had started them ended. Shown by runs: with the shell ending 4 and 5 s after the start the test fails ("no other entry takes over": the frozen dispatcher goes on), with 2 and 3 s and in sessions of their own (3 of 3) it passes. The loops ignored SIGHUP; without that, the process ends with "signal 1" and a log that stops at the freeze.

SIGHUP is logged and has no other effect, as kingcupd reads its settings at the start only.

process::a_hang_up_does_not_end_an_instance failed before ("ended: signal 1") and passes. Whether the run in which a thawed entry did not serve was ended so isn't known: its test went on, and a group's SIGHUP goes to the test as well.

--- a/src/kingcupgrade/ops/serve.rs
+++ b/src/kingcupgrade/ops/serve.rs
@@ -2,7 +2,11 @@
 
 use anyhow::Context;
 
-use crate::{core::Settings, transport::daemon, util::process};
+use crate::{
+    core::Settings,
+    transport::{daemon, signals::EarlySignals},
+    util::process,
+};
 
 /// Runs the instance described by a settings file until it receives a stop signal.
 ///
@@ -10,9 +14,10 @@
 ///
 /// Returns an error if the settings are invalid or the instance cannot be started.
 pub fn serve(path: &Path) -> anyhow::Result<()> {
+    let signals = EarlySignals::catch()?;
     let settings = Settings::load(path)?;
     let instance = settings.instance.clone();
     process::run_logged(|| {
-        daemon::run(settings).with_context(|| format!("instance {instance} stopped"))
+        daemon::run(settings, signals).with_context(|| format!("instance {instance} stopped"))
     })
 }
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -12,7 +12,6 @@
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::PrometheusBuilder;
-use signal_hook::consts::{SIGINT, SIGTERM};
 
 use super::{
     Event, SharedView, Verdict, callers,
@@ -22,6 +21,7 @@
     operators,
     peers::{PeerConfig, Peers},
     platform::{self, WatchedServices},
+    signals::EarlySignals,
 };
 use crate::{
     coordination::{
@@ -47,13 +47,12 @@
 ///
 /// Returns an error if the instance can't be started: an address in use, or a data folder that
 /// can't be read.
-pub fn run(settings: Settings) -> anyhow::Result<()> {
+pub fn run(settings: Settings, signals: EarlySignals) -> anyhow::Result<()> {
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let settings = Arc::new(settings);
     let (tx, rx) = mpsc::channel();
-    let draining = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(SIGTERM, draining.clone())?;
-    signal_hook::flag::register(SIGINT, draining.clone())?;
+    signals.catch_interrupt()?;
+    let draining = signals.termination();
 
     let clock = Clock::start();
     let (disk, control) = open_replica(&settings, clock)?;
@@ -80,6 +79,7 @@
         callers: BTreeMap::new(),
         operators: BTreeMap::new(),
         next_ticket: 1,
+        signals,
     };
     control_thread.run(&rx, &draining);
     log::event("stopped", &settings.instance);
@@ -120,6 +120,7 @@
     callers: BTreeMap<RequestId, mpsc::Sender<Verdict>>,
     operators: BTreeMap<Ticket, mpsc::Sender<OperatorReply>>,
     next_ticket: Ticket,
+    signals: EarlySignals,
 }
 
 impl ControlThread {
@@ -147,6 +148,9 @@
                 next_tick = now + Millis(TICK.as_millis() as u64);
                 self.handle(Input::Tick, &mut out);
                 gauge!("kingcup_open_requests").set(self.node.open_requests() as f64);
+                if self.signals.take_hang_up() {
+                    log::warning("hang-up-ignored", &"settings are read at the start only");
+                }
             }
             self.node.flush(self.clock.now(), unix_ms(), &mut out);
             self.handle_outputs(out);
--- a/src/kingcupgrade/transport/signals.rs
+++ b/src/kingcupgrade/transport/signals.rs
@@ -1,8 +1,9 @@
-//! Handling of signals that arrive while a process starts.
+//! Handling of signals from the beginning of a process.
 //!
-//! Until a handler is installed, SIGTERM and SIGHUP kill the process. Starting may take a while,
-//! particularly with a slow disk, and the settings may change at any time: the SIGHUP that
-//! announces the change would kill the process that is about to read them.
+//! Until a handler is installed, SIGTERM and SIGHUP kill the process, and it logs nothing. Starting
+//! may take a while, particularly with a slow disk, and the settings may change at any time: the
+//! SIGHUP that announces the change would kill the process that is about to read them. A SIGHUP also
+//! comes when a terminal is closed, or to a process that was stopped when its shell ended.
 
 use std::{
     io,
@@ -13,7 +14,7 @@
 };
 
 use signal_hook::{
-    consts::{SIGHUP, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     flag,
 };
 
@@ -21,6 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EarlySignals {
     terminated: Arc<AtomicBool>,
+    hung_up: Arc<AtomicBool>,
 }
 
 impl EarlySignals {
@@ -32,11 +34,30 @@
     pub fn catch() -> io::Result<EarlySignals> {
         let signals = EarlySignals::default();
         flag::register(SIGTERM, signals.terminated.clone())?;
-        // The settings are read after this, so that a SIGHUP that arrives earlier can be ignored.
-        flag::register(SIGHUP, Arc::default())?;
+        // Settings are read after this, so that a SIGHUP that arrives earlier can be ignored.
+        flag::register(SIGHUP, signals.hung_up.clone())?;
         Ok(signals)
     }
 
+    /// Takes SIGINT for SIGTERM from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the handler can't be installed.
+    pub(super) fn catch_interrupt(&self) -> io::Result<()> {
+        flag::register(SIGINT, self.terminated.clone()).map(drop)
+    }
+
+    /// Returns whether SIGHUP has arrived since the last call.
+    pub(super) fn take_hang_up(&self) -> bool {
+        self.hung_up.swap(false, Ordering::SeqCst)
+    }
+
+    /// Returns the flag that is set when SIGTERM arrives.
+    pub(super) fn termination(&self) -> Arc<AtomicBool> {
+        self.terminated.clone()
+    }
+
     /// Returns whether SIGTERM has arrived.
     pub(super) fn is_terminated(&self) -> bool {
         self.terminated.load(Ordering::SeqCst)
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -3,9 +3,12 @@
 use std::{env, panic, process::Command, thread, time::Duration};
 
 use anyhow::anyhow;
+use kingcup_support::{engine::EngineConfig, wait_until};
 use kingcupgrade::util::process;
 use serde_json::Value;
 
+use crate::support::{LoadGenerator, TIMEOUT, start};
+
 /// The environment variable that makes the test binary end in a given way, as a child process.
 const TERMINATION: &str = "KINGCUP_TEST_TERMINATION";
 
@@ -39,6 +42,22 @@
     (lines.collect(), child.status.code())
 }
 
+/// Guards against an instance of kingcupd that ends without a word when its terminal is closed, or
+/// when its shell ends while it is stopped: the kernel then sends SIGHUP, and its callers are cut off.
+#[test]
+fn a_hang_up_does_not_end_an_instance() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let entry = "entry-north-0";
+    let callers = LoadGenerator::start("kept", world.fleet.entry(entry), "alder", 2, 5);
+    assert!(callers.wait_for(3));
+    world.fleet.signal(entry, "HUP");
+    let is_logged = || world.fleet.log(entry).contains("hang-up-ignored");
+    assert!(wait_until(TIMEOUT, is_logged), "the signal is not logged");
+    assert!(callers.wait_for(10), "nothing is served after the signal");
+    let answers = callers.finish();
+    assert!(answers.iter().all(|(asked, answer)| answer.is_complete_for(asked)));
+}
+
 /// Guards against a restart without a known cause: a process that fails or panics and logs nothing
 /// about it.
 #[test]
