--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -206,6 +206,23 @@
     assert_eq!(world.engines[0].record().crashes, 0);
 }
 
+// Guards against a cold engine that falls over because it stood still for a moment: entries give up
+// on the requests that it still runs, and their slots must not be granted again at once.
+#[test]
+fn a_cold_engine_that_stands_still_gets_nothing_beyond_its_limit() {
+    let world = start(&["north"], 2, &cold_engine()).with_documents();
+    let engine = world.engines[0].clone();
+    let callers = LoadGenerator::start("kept", world.fleet.entry("entry-north-0"), "alder", 5, 10);
+    assert!(callers.wait_for(5));
+    engine.pause();
+    // Longer than an entry waits for the next event, 1.5 s, and than the pauses after its failures.
+    thread::sleep(Duration::from_millis(5_000));
+    engine.resume();
+    assert!(callers.wait_for(10), "nothing is served after the engine has gone on");
+    check_answers(&callers.finish());
+    assert_cold_limit_held(&world);
+}
+
 // Guards against connections that stay open and carry nothing, as after a firewall has dropped
 // their state, while new connections work. Demand reports and grants sent on them would be lost for
 // good.
