Read the log of a failed test's process by the function there is, and drop a needless condition

Printing what became of a fleet's processes built the path of each log and read it again beside Fleet::log; it calls that now. The state of a process is read from /proc, so that asking for a Unix system around its signal was needless.

--- a/crates/kingcup-support/src/fleet/mod.rs
+++ b/crates/kingcup-support/src/fleet/mod.rs
@@ -349,15 +349,15 @@
 
     /// Prints what became of each process and the end of its log, for a test that fails.
     fn print_states(&mut self) {
-        let folder = self.folder.display();
-        eprintln!("the logs are in {folder}");
-        for (instance, member) in &mut self.members {
+        eprintln!("the logs are in {}", self.folder.display());
+        let instances: Vec<String> = self.members.keys().cloned().collect();
+        for instance in instances {
+            let last = process_state::last_lines(&self.log(&instance));
+            let member = self.members.get_mut(&instance).expect("a known instance");
             let state = match &mut member.child {
                 Some(child) => process_state::describe(child),
                 None => "not started, or killed by the test".to_owned(),
             };
-            let log = fs::read_to_string(self.folder.join(format!("{instance}.log")));
-            let last = process_state::last_lines(&log.unwrap_or_else(|err| err.to_string()));
             eprintln!("{instance} {state}\n{last}");
         }
     }
--- a/crates/kingcup-support/src/process_state.rs
+++ b/crates/kingcup-support/src/process_state.rs
@@ -7,6 +7,7 @@
 use std::{
     fmt::Write,
     fs,
+    os::unix::process::ExitStatusExt,
     path::Path,
     process::{Child, ExitStatus},
 };
@@ -31,14 +32,10 @@
 }
 
 fn describe_status(status: ExitStatus) -> String {
-    #[cfg(unix)]
-    {
-        use std::os::unix::process::ExitStatusExt;
-        if let Some(signal) = status.signal() {
-            return format!("signal {signal}, core dumped {}", status.core_dumped());
-        }
+    match status.signal() {
+        Some(signal) => format!("signal {signal}, core dumped {}", status.core_dumped()),
+        None => status.to_string(),
     }
-    status.to_string()
 }
 
 /// Describes each thread: its name, its state, what it waits for in the kernel, and how often it
