Log after which event a stream goes on, and which request of its caller began it

The header Resumes was decoded nowhere, and a line 'placed' told the version an attempt went to but not whether a stream went on there, so the hypotheses on the streams that mixed two versions could not be told apart. Lines of streams that go on are kept to the larger limit, as repeats are. Nothing is decided by it yet.

--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -33,6 +33,17 @@
     pub max_output: u32,
     /// The caller's estimate of the number of tokens to be generated.
     pub output_hint: Option<u32>,
+    /// The stream that the caller takes up again, if it does.
+    pub taken_up: Option<TakenUpStream>,
+}
+
+/// A stream that broke off and that its caller takes up again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TakenUpStream {
+    /// The id of the caller's request that brought the stream's first event, if stated.
+    pub begun_by: Option<String>,
+    /// The id of the last event that the caller has, if it is a number.
+    pub last_event: Option<u64>,
 }
 
 /// What the product adds to a request that it forwards to an upstream.
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -18,8 +18,8 @@
     util::log,
 };
 
-/// Lines per second for refusals, rejections, repeats and late responses. At some 30 µs each they take less
-/// than a fiftieth of a quarter of a core.
+/// Lines per second for refusals, rejections, repeats, streams that go on and late responses. At some
+/// 30 µs each they take less than a fiftieth of a quarter of a core.
 const MAX_LINES: usize = 100;
 
 /// Lines per second for first placements: enough to see how requests are placed, for a hundredth
@@ -51,6 +51,11 @@
     pub(super) upstream: &'a UpstreamName,
     /// The version of its software.
     pub(super) upstream_version: Option<&'a Version>,
+    /// The id of the caller's request that brought the stream's first event, if the caller takes it
+    /// up again.
+    pub(super) begun_by: Option<&'a str>,
+    /// The id of the event after which the stream goes on, if it does.
+    pub(super) last_event: Option<u64>,
     /// Number of upstreams that received the request before.
     pub(super) attempts: u32,
     /// Time since the request arrived.
@@ -114,9 +119,10 @@
 impl DecisionLog {
     /// Logs the placement of a request, up to the limit for first placements or for repeats.
     pub(super) fn placed(&self, line: &PlacementLine<'_>) {
-        let (logged, limit) = match line.attempts {
-            0 => (&self.placed, MAX_PLACED_LINES),
-            _ => (&self.lines, MAX_LINES),
+        let is_first = line.attempts == 0 && line.last_event.is_none();
+        let (logged, limit) = match is_first {
+            true => (&self.placed, MAX_PLACED_LINES),
+            false => (&self.lines, MAX_LINES),
         };
         let mut logged = logged.borrow_mut();
         if *logged < limit {
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -18,7 +18,7 @@
 use self::routing::{choose_service, host_of};
 use super::{
     Gateway,
-    adapter::{PlatformAdapter, RequestHead},
+    adapter::{PlatformAdapter, RequestHead, TakenUpStream},
     caller::Caller,
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
@@ -51,6 +51,8 @@
     service: Service,
     organisation: Option<Organisation>,
     prompt: Arc<[PromptPart]>,
+    /// The stream that the caller takes up again, if it does.
+    taken_up: Option<TakenUpStream>,
     /// The expected number of tokens to be generated.
     output: u32,
     /// The number of tokens in one event of the response.
@@ -133,6 +135,7 @@
             body,
             route_name: route.name.as_str().into(),
             prompt: decoded.prompt.into(),
+            taken_up: decoded.taken_up,
             target: arrived + target,
             deadline: Instant::now() + timeout.as_duration(),
             deadline_at: arrived + timeout,
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Logs the upstream chosen for an attempt.
-    pub(super) fn report_placed(&self, grant: &Grant) {
+    /// Logs the upstream chosen for an attempt, and after which event a stream goes on there.
+    pub(super) fn report_placed(&self, grant: &Grant, last_event: Option<u64>) {
         let now = self.gateway.now();
         let expected = Millis(grant.basis.expected_ms);
         let mut progress = self.progress.borrow_mut();
@@ -94,6 +94,8 @@
             organisation: self.organisation.as_ref(),
             upstream: &grant.upstream,
             upstream_version: grant.version.as_ref(),
+            begun_by: self.taken_up.as_ref().and_then(|stream| stream.begun_by.as_deref()),
+            last_event,
             attempts: self.progress.borrow().attempts,
             after_ms: now.since(self.arrived),
             basis: &grant.basis,
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -68,7 +68,8 @@
                 Verdict::Start(grant) => grant,
                 Verdict::Refuse { code, retry_after } => return Err(error(code, retry_after)),
             };
-            self.report_placed(&grant);
+            let taken_up_after = self.taken_up.as_ref().and_then(|stream| stream.last_event);
+            self.report_placed(&grant, last_event.or(taken_up_after));
             match self.send_once(&grant, attempt, last_event).await {
                 SendResult::Response(response) => return Ok(*response),
                 SendResult::NotSent => {
