Let a stream go on only at the version that began it, whoever asks for it

Cause: an upstream's version was known to the list, the rollouts and a log line, but a request that goes on with a stream carried no trace of who began it, so placement could not ask.

Change: a request carries the versions that may serve it, RequiredVersion, and placement has no other way to an upstream. Once its first event has reached the caller, a stream requires the version of that event; before, any may serve it. One that callers take up requires what an entry can show: entries tell each other which streams they began with the load reports that they send anyway (8 bytes each; all of them in a small fleet, the collectors of the failure domain in a large one), and an entry that doesn't know asks those. The record goes by the caller's own id and holds the service too, as a weighted route may choose another for the next id. Without a record, a service that had one version for as long as a stream can last needs none. Anything else is refused at once: K3011, no upstream of that version; K3012, nobody knows who began it. A replaced version gets the rest of its streams, one that was rolled back nothing. A grant ends with the incarnation that it was made for.

New tests of the decisions, of the exchange in fleets of 3 to 84, and of a restart under the same name.

--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -2,7 +2,10 @@
 //! plain service.
 
 use kingcupgrade::{
-    coordination::traffic::{Demand, PromptPart, RequestNo},
+    coordination::{
+        required_version::RequiredVersion,
+        traffic::{Demand, PromptPart, RequestNo},
+    },
     core::{
         Millis, Organisation, Service,
         configuration::{Configuration, EngineLimits, Limits, Route, RouteKind, ServiceConfig},
@@ -98,5 +101,6 @@
         expected_output: 200,
         avoid: Vec::new(),
         is_repeat: false,
+        version: RequiredVersion::Any,
     }
 }
--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -7,7 +7,7 @@
     core::{Instance, Millis, code::CodedError},
     protocol::{
         Message,
-        fleet::{FleetEntry, ListingUpdate, LoadReport},
+        fleet::{BegunStreams, FleetEntry, ListingUpdate, LoadReport, OriginRequest, StreamOrigin},
         record::{Command, Reply},
         rollout::RolloutReport,
     },
@@ -37,6 +37,10 @@
     RequestListing(Option<Instance>),
     /// The platform's list of upstreams is to be sent to an entry that requested it.
     SendListing(Instance, ListingUpdate),
+    /// Other entries are to be asked where a stream began.
+    AskOrigin(OriginRequest),
+    /// Another entry's question with this number is to be answered.
+    SendOrigin(Instance, u64, StreamOrigin),
     /// Writing to the disk failed.
     StorageFailed(CodedError),
     /// The disk works again; the replica was opened anew from it.
@@ -74,6 +78,12 @@
     ListingReceived(Instance, ListingUpdate),
     /// Another entry requested the platform's list of upstreams.
     ListingRequested(Instance),
+    /// Another entry began these streams.
+    StreamsBegun(Vec<BegunStreams>),
+    /// Another entry asks where a stream began.
+    OriginRequested(Instance, OriginRequest),
+    /// The question with this number is decided.
+    OriginFound(u64, StreamOrigin),
     /// The control instance that is asked for the configuration changed, or whether the
     /// configuration is confirmed.
     SourceChanged(ConfigurationSource),
--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -15,7 +15,7 @@
     core::{FailureDomain, Instance, Millis, Organisation, UpstreamName},
     protocol::{
         Message,
-        fleet::{CachedParts, FleetEntry, FleetLoad, FleetMessage, Load, LoadReport},
+        fleet::{BegunStreams, CachedParts, FleetEntry, FleetLoad, FleetMessage, Load, LoadReport},
     },
     util::rendezvous,
 };
@@ -113,6 +113,11 @@
     fn is_mesh(&self) -> bool {
         self.entries <= MAX_MESH_ENTRIES
     }
+
+    /// Returns the other entries that get reports from more than themselves.
+    fn keepers(&self) -> impl Iterator<Item = &Instance> {
+        self.receivers.iter().chain(&self.remote_collectors)
+    }
 }
 
 /// An action for the node to carry out.
@@ -122,6 +127,8 @@
     SendToAll(Vec<Instance>, Message),
     /// Other entries have this load under way.
     LoadReceived(Instance, LoadReport),
+    /// Another entry began these streams.
+    StreamsBegun(Vec<BegunStreams>),
 }
 
 /// The reports and sums known to one entry.
@@ -167,6 +174,7 @@
         if self.topology.is_mesh() {
             return;
         }
+        report.begun = Vec::new();
         if self.topology.members.is_some() {
             add_announcements(&mut self.local_cached_parts, &mut report.kept);
         }
@@ -233,8 +241,14 @@
         if self.topology.members.is_some() {
             add_announcements(&mut self.local_cached_parts, &mut report.kept);
         }
+        let begun = std::mem::take(&mut report.begun);
         self.members.insert(from.clone(), (now, report));
-        None
+        (!begun.is_empty()).then_some(LoadExchangeOutput::StreamsBegun(begun))
+    }
+
+    /// Returns the entries that may know which streams others began.
+    pub(super) fn origin_keepers(&self, own: &Instance) -> Vec<Instance> {
+        self.topology.keepers().filter(|keeper| *keeper != own).cloned().collect()
     }
 
     /// Handles the sum of another failure domain.
@@ -321,6 +335,7 @@
             requested: tokens(&self.requested),
             kept: Vec::new(),
             refused: tokens(&self.refused),
+            begun: Vec::new(),
         }
     }
 }
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod io;
 mod listing;
 mod load_exchange;
+mod origins;
 mod roster;
 mod status;
 
@@ -24,6 +25,7 @@
 };
 use self::{
     load_exchange::{LoadExchange, LoadExchangeOutput},
+    origins::OriginQuestions,
     roster::{Announcement, Roster, RosterUpdate},
 };
 use super::{
@@ -52,6 +54,7 @@
             LoadExchangeOutput::LoadReceived(from, report) => {
                 FleetOutput::LoadReceived(from, report)
             }
+            LoadExchangeOutput::StreamsBegun(begun) => FleetOutput::StreamsBegun(begun),
         }
     }
 }
@@ -66,6 +69,7 @@
     client: RecordClient,
     roster: Roster,
     load_exchange: LoadExchange,
+    origin_questions: OriginQuestions,
     awaited: BTreeMap<u64, Ticket>,
     /// Messages from this instance to itself.
     own_messages: VecDeque<Message>,
@@ -89,6 +93,7 @@
             client,
             roster: Roster::new(seeds),
             load_exchange: LoadExchange::default(),
+            origin_questions: OriginQuestions::default(),
             awaited: BTreeMap::new(),
             own_messages: VecDeque::new(),
             next_announcement: Millis::ZERO,
@@ -147,6 +152,11 @@
             FleetInput::SendListing(to, update) => {
                 out.push(FleetOutput::Send(to, Message::Fleet(FleetMessage::Listing(update))));
             }
+            FleetInput::AskOrigin(request) => self.ask_origin(now, request, out),
+            FleetInput::SendOrigin(to, number, origin) => {
+                let message = Message::Fleet(FleetMessage::Origin(number, origin));
+                out.push(FleetOutput::Send(to, message));
+            }
             FleetInput::StorageFailed(err) => {
                 if let Some(control) = &mut self.control {
                     control.on_storage_failed(err);
@@ -284,6 +294,10 @@
                 out.push(FleetOutput::ListingReceived(from.clone(), update))
             }
             FleetMessage::ListingRequest => out.push(FleetOutput::ListingRequested(from.clone())),
+            FleetMessage::OriginRequest(request) => {
+                out.push(FleetOutput::OriginRequested(from.clone(), request));
+            }
+            FleetMessage::Origin(number, origin) => self.on_origin(from, number, origin, out),
         }
     }
 
--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod notices;
 pub mod orders;
 pub mod overload;
+pub mod required_version;
 pub mod rollout;
 pub mod shutdown;
 pub mod traffic;
--- a/src/kingcupgrade/coordination/rollout/participant.rs
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -115,6 +115,11 @@
         self.versions.use_of(version)
     }
 
+    /// Returns whether a version was found bad.
+    pub fn is_rolled_back(&self, version: Option<&Version>) -> bool {
+        self.versions.is_rolled_back(version)
+    }
+
     /// Returns the version that a running rollout moves to.
     pub fn new_version(&self) -> Option<&Version> {
         self.running.as_ref().map(|running| &running.to)
--- a/src/kingcupgrade/coordination/rollout/versions.rs
+++ b/src/kingcupgrade/coordination/rollout/versions.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Returns whether a version was found bad: it gets nothing, not even the rest of a stream.
+    pub fn is_rolled_back(&self, version: Option<&Version>) -> bool {
+        let rollout = version.and_then(|version| self.named(version));
+        rollout.is_some_and(|rollout| matches!(rollout.stage, RolloutStage::RolledBack(_)))
+    }
+
     fn is_promoting(&self) -> bool {
         self.running().is_some_and(|rollout| rollout.stage == RolloutStage::Promoting)
     }
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::core::{Millis, Organisation, Service, UpstreamName};
+use crate::{
+    coordination::required_version::RequiredVersion,
+    core::{Millis, Organisation, Service, UpstreamName},
+};
 
 /// A part of a prompt. Requests that have a part in common share what an engine caches for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,8 @@
     pub avoid: Vec<UpstreamName>,
     /// Whether the request was sent to an upstream before.
     pub is_repeat: bool,
+    /// The versions that may serve it.
+    pub version: RequiredVersion,
 }
 
 impl Demand {
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod demand;
 mod engine;
 mod health;
+mod origins;
 mod peer_reports;
 mod placement;
 mod queue;
@@ -35,13 +36,15 @@
     demand::{Demand, PromptPart, RequestNo},
     engine::EngineSpeed,
     health::Health,
+    origins::stream_key,
     placement::PlacementError,
     shares::{ShareStatus, Shares},
     upstream::Upstream,
     verdict::{Basis, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, peer_reports::PeerReports, rollouts::Rollouts, sent::SentRequest,
+    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
+    sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -50,12 +53,14 @@
         rollout::{ExposureLimit, Senders},
     },
     core::{
-        FailureDomain, Instance, Millis, Service, UpstreamName,
+        FailureDomain, Instance, Millis, Service, UpstreamName, Version,
         configuration::{Configuration, ServiceConfig},
         fleet::FleetSettings,
     },
     protocol::{
-        fleet::{CachedParts, ListedUpstream, LoadReport},
+        fleet::{
+            BegunStreams, CachedParts, ListedUpstream, LoadReport, OriginRequest, StreamOrigin,
+        },
         rollout::{Rollout, RolloutReport},
     },
 };
@@ -80,6 +85,7 @@
     last_poll: Millis,
     shares: Shares,
     rollouts: Rollouts,
+    origins: Origins,
     /// Prompt parts that upstreams cache and that have not been reported to the other entries.
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
@@ -105,6 +111,7 @@
             last_poll: Millis::ZERO,
             shares: Shares::default(),
             rollouts: Rollouts::default(),
+            origins: Origins::default(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
         }
@@ -112,6 +119,7 @@
 
     /// Applies a configuration.
     pub fn set_configuration(&mut self, configuration: Arc<Configuration>) {
+        self.origins.set_configuration(&configuration);
         self.configuration = Some(configuration);
     }
 
@@ -204,6 +212,7 @@
     pub fn set_listing(&mut self, now: Millis, listing: Vec<ListedUpstream>) {
         let noted = listing.iter().map(|l| (&l.name, l.started_unix_ms, !l.is_ready));
         self.notices.on_listing(now, noted);
+        self.origins.on_listing(now, listing.iter());
         let names: BTreeSet<UpstreamName> = listing.iter().map(|l| l.name.clone()).collect();
         self.upstreams.retain(|name, _| names.contains(name));
         for listed in listing {
@@ -249,22 +258,27 @@
 
     /// Returns whether a request that was granted an upstream may still be sent to it. The grant may
     /// have waited for a connection or for the processor, and the upstream may have asked for no
-    /// requests meanwhile.
+    /// requests or have restarted meanwhile.
     pub fn may_send(&self, now: Millis, no: RequestNo) -> bool {
         let Some(sent) = self.sent.get(&no) else { return false };
-        let domain = self.upstreams.get(&sent.upstream).map(|upstream| &upstream.listed.domain);
-        let is_out = domain.is_some_and(|domain| self.domains_out.contains(domain));
-        !is_out && self.notices.state(&sent.upstream, sent.incarnation).takes_requests(now)
+        let listed = self.upstreams.get(&sent.upstream).map(|upstream| &upstream.listed);
+        let is_out = listed.is_some_and(|listed| self.domains_out.contains(&listed.domain));
+        let has_restarted = listed.is_some_and(|listed| listed.started_unix_ms != sent.incarnation);
+        !is_out
+            && !has_restarted
+            && self.notices.state(&sent.upstream, sent.incarnation).takes_requests(now)
     }
 
     fn update_version_uses(&mut self) {
         for upstream in self.upstreams.values_mut() {
             upstream.version_use = self.rollouts.use_of(&upstream.listed);
+            upstream.is_rolled_back = self.rollouts.is_rolled_back(&upstream.listed);
         }
     }
 
     /// Applies another entry's load report.
     pub fn on_report(&mut self, now: Millis, from: Instance, mut report: LoadReport) {
+        self.origins.on_reported(now, std::mem::take(&mut report.begun));
         for CachedParts(name, parts) in std::mem::take(&mut report.kept) {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
                 upstream.on_announced_parts(now, &parts);
@@ -273,21 +287,43 @@
         self.peer_reports.on_report(now, from, report, &mut self.upstreams);
     }
 
+    /// Records a stream of a caller that has begun here, at this version of its service.
+    pub fn on_stream_begun(
+        &mut self,
+        now: Millis,
+        request_id: &str,
+        service: &Service,
+        version: Option<&Version>,
+    ) {
+        self.origins.on_begun(now, stream_key(request_id), service, version);
+    }
+
+    /// Records streams that began at other entries.
+    pub fn on_streams_begun(&mut self, now: Millis, begun: Vec<BegunStreams>) {
+        self.origins.on_reported(now, begun);
+    }
+
+    /// Returns where a stream began, as far as this entry can show it.
+    pub fn origin(&self, now: Millis, request: &OriginRequest) -> StreamOrigin {
+        self.origins.origin(now, request)
+    }
+
     /// Drops the reports of entries that have stopped sending them.
     pub fn expire_reports(&mut self, now: Millis) {
         let entries = self.entry_count();
         self.peer_reports.expire(now, entries, &mut self.upstreams);
     }
 
-    /// Returns the load report to send to the other entries, with the prompt parts that were not
-    /// announced yet.
+    /// Returns the load report to send to the other entries, with the prompt parts and the
+    /// begun streams that they were not told of yet.
     pub fn take_report(&mut self, now: Millis) -> LoadReport {
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
-        LoadReport { kept, ..self.report(now) }
+        let begun = self.origins.take_unreported();
+        LoadReport { kept, begun, ..self.report(now) }
     }
 
-    /// Returns this entry's load, without the prompt parts to announce.
+    /// Returns this entry's load, without what is told only once.
     pub fn report(&self, now: Millis) -> LoadReport {
         let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.own.running > 0);
         LoadReport {
@@ -297,6 +333,7 @@
             requested: self.shares.requested(now),
             kept: Vec::new(),
             refused: self.shares.refused(now),
+            begun: Vec::new(),
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -7,7 +7,7 @@
 
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
 use crate::{
-    coordination::{notices::slot_share, rollout::Use},
+    coordination::{notices::slot_share, required_version::RequiredVersion, rollout::Use},
     core::{FailureDomain, Millis, Service, UpstreamName},
     protocol::fleet::ListedUpstream,
 };
@@ -52,7 +52,8 @@
 /// Why no upstream can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementError {
-    /// The service has no upstream, or all are out of service, leaving or avoided by the request.
+    /// The service has no upstream that may serve the request, or all of them are out of service,
+    /// leaving or avoided by it.
     NoUpstream,
     /// All upstreams have asked for no requests; the time until the first takes them again.
     BackingOff(Millis),
@@ -80,6 +81,35 @@
     hash ^ (hash >> 33)
 }
 
+/// Which upstreams of a service a request may go to, by their versions.
+#[derive(Clone, Copy, Debug)]
+enum Eligible<'a> {
+    /// Those of versions with this use.
+    UsedAs(Use),
+    /// Those of the version that has to serve the request: it began the stream, so that one that
+    /// gets no new requests may finish it.
+    Required(&'a RequiredVersion),
+}
+
+impl<'a> Eligible<'a> {
+    /// Returns the upstreams that a request may go to unless a canary takes it.
+    fn of(demand: &'a Demand) -> Eligible<'a> {
+        match demand.version.is_exact() {
+            true => Eligible::Required(&demand.version),
+            false => Eligible::UsedAs(Use::Serving),
+        }
+    }
+
+    fn includes(self, upstream: &Upstream) -> bool {
+        match self {
+            Eligible::UsedAs(version_use) => upstream.version_use == version_use,
+            Eligible::Required(version) => {
+                !upstream.is_rolled_back && version.allows(upstream.listed.version.as_ref())
+            }
+        }
+    }
+}
+
 impl Traffic {
     /// Selects the upstream for a request. A canary gets it if its exposure allows.
     pub(super) fn place(
@@ -88,12 +118,13 @@
         demand: &Demand,
         terms: PlacementTerms,
     ) -> Result<UpstreamName, PlacementError> {
-        if self.rollouts.allows_canary(now, demand)
-            && let Ok(name) = self.place_among(now, demand, terms, Use::Canary)
+        if !demand.version.is_exact()
+            && self.rollouts.allows_canary(now, demand)
+            && let Ok(name) = self.place_among(now, demand, terms, Eligible::UsedAs(Use::Canary))
         {
             return Ok(name);
         }
-        self.place_among(now, demand, terms, Use::Serving)
+        self.place_among(now, demand, terms, Eligible::of(demand))
     }
 
     fn place_among(
@@ -101,12 +132,12 @@
         now: Millis,
         demand: &Demand,
         terms: PlacementTerms,
-        version_use: Use,
+        eligible: Eligible<'_>,
     ) -> Result<UpstreamName, PlacementError> {
         let Some(plan) = self.plan(&demand.service) else { return Err(PlacementError::NoUpstream) };
-        let mut names = self.usable(now, demand, version_use);
+        let mut names = self.usable(now, demand, eligible);
         if names.is_empty() {
-            let left = self.backoff_left(now, &demand.service, version_use);
+            let left = self.backoff_left(now, &demand.service, eligible);
             return Err(left.map_or(PlacementError::NoUpstream, PlacementError::BackingOff));
         }
         if let Some(part) = demand.affinity() {
@@ -114,12 +145,9 @@
         }
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let ms_to_target = (demand.target.since(now).0 as f64 - RETURN_MARGIN_MS).max(0.0);
-        let load_target = match version_use {
-            Use::Canary if self.rollouts.is_last_step(&demand.service) => {
-                Some(self.mean_running(now, demand))
-            }
-            _ => None,
-        };
+        let is_canary = matches!(eligible, Eligible::UsedAs(Use::Canary));
+        let load_target = (is_canary && self.rollouts.is_last_step(&demand.service))
+            .then(|| self.mean_running(now, demand));
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -173,7 +201,7 @@
     /// Returns the time until the least loaded usable upstream has read all prompts sent to it.
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let names = self.usable(now, demand, Use::Serving);
+        let names = self.usable(now, demand, Eligible::of(demand));
         let unread = names.iter().filter_map(|name| {
             let upstream = self.upstreams.get_mut(name)?;
             upstream.advance_reading(now, speed.read_rate());
@@ -186,7 +214,7 @@
     /// Returns the mean number of requests under way at upstreams that serve: the load that a
     /// canary should see before its version is judged.
     fn mean_running(&self, now: Millis, demand: &Demand) -> f64 {
-        let names = self.usable(now, demand, Use::Serving);
+        let names = self.usable(now, demand, Eligible::UsedAs(Use::Serving));
         let running: u32 = names.iter().map(|name| self.upstreams[name].running(now)).sum();
         f64::from(running) / names.len().max(1) as f64
     }
@@ -196,35 +224,40 @@
     fn in_service(
         &self,
         service: &Service,
-        version_use: Use,
+        eligible: Eligible<'_>,
     ) -> impl Iterator<Item = (&UpstreamName, &Upstream)> {
         let all = self.by_service.get(service).into_iter().flatten();
         let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
         known.filter(move |(_, upstream)| {
             upstream.is_ready()
-                && upstream.version_use == version_use
+                && eligible.includes(upstream)
                 && !self.domains_out.contains(&upstream.listed.domain)
         })
     }
 
     /// Returns the time until an upstream of a service takes requests again, if all of them have
     /// asked for none.
-    fn backoff_left(&self, now: Millis, service: &Service, version_use: Use) -> Option<Millis> {
-        let upstreams = self.in_service(service, version_use);
+    fn backoff_left(
+        &self,
+        now: Millis,
+        service: &Service,
+        eligible: Eligible<'_>,
+    ) -> Option<Millis> {
+        let upstreams = self.in_service(service, eligible);
         let left = upstreams.map(|(_, upstream)| upstream.notices.backoff_left(now)).min();
         left.filter(|left| *left > Millis::ZERO)
     }
 
     /// Returns the time after which a request that upstreams have turned away may be sent, if every
-    /// upstream of its service has asked for no requests.
-    pub fn time_to_end_of_backoff(&self, now: Millis, service: &Service) -> Option<Millis> {
-        self.backoff_left(now, service, Use::Serving)
+    /// upstream that may serve it has asked for no requests.
+    pub fn time_to_end_of_backoff(&self, now: Millis, demand: &Demand) -> Option<Millis> {
+        self.backoff_left(now, &demand.service, Eligible::of(demand))
     }
 
     /// Returns the upstreams that may get a request: those in service that have not asked for no
     /// requests and are not ejected. If more than two thirds are ejected, they are included too.
-    fn usable(&self, now: Millis, demand: &Demand, version_use: Use) -> Vec<UpstreamName> {
-        let in_service = self.in_service(&demand.service, version_use);
+    fn usable(&self, now: Millis, demand: &Demand, eligible: Eligible<'_>) -> Vec<UpstreamName> {
+        let in_service = self.in_service(&demand.service, eligible);
         let ready = in_service.filter(|(name, upstream)| {
             upstream.notices.takes_requests(now) && !demand.avoid.contains(name)
         });
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -65,9 +65,7 @@
         self.shares.on_requested(now, &demand.organisation, work);
         match self.start(now, &demand, status) {
             Ok(verdict) => Some(verdict),
-            Err(PlacementError::NoUpstream) => {
-                Some(refuse(Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM))
-            }
+            Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
             Err(PlacementError::BackingOff(left)) => Some(refuse(Code::UpstreamsBackingOff, left)),
             Err(PlacementError::Full) if status == ShareStatus::Over => {
                 Some(self.refuse_until_capacity(now, Code::OverShare, &demand))
@@ -118,7 +116,7 @@
         };
         let name = self.place(now, demand, terms)?;
         let granted = self.grant(now, demand, &name);
-        Ok(granted.map_or(refuse(Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM), Verdict::Start))
+        Ok(granted.map_or(refuse_without_upstream(demand), Verdict::Start))
     }
 
     /// Refuses a request for lack of capacity or because its organisation is over its share, with
@@ -167,7 +165,7 @@
             match started {
                 Ok(verdict) => out.push((no, verdict)),
                 Err(PlacementError::NoUpstream) => {
-                    out.push((no, refuse(Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM)));
+                    out.push((no, refuse_without_upstream(&waiting.demand)));
                 }
                 Err(PlacementError::BackingOff(left)) => {
                     out.push((no, refuse(Code::UpstreamsBackingOff, left)));
@@ -184,6 +182,14 @@
     }
 }
 
+fn refuse_without_upstream(demand: &Demand) -> Verdict {
+    let code = match demand.version.is_exact() {
+        true => Code::NoUpstreamOfVersion,
+        false => Code::NoUpstream,
+    };
+    refuse(code, RETRY_AFTER_NO_UPSTREAM)
+}
+
 fn refuse(code: Code, retry_after: Millis) -> Verdict {
     Verdict::Refuse { code, retry_after }
 }
--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -72,6 +72,12 @@
         participant.map_or(Use::Serving, |p| p.use_of(listed.version.as_ref()))
     }
 
+    /// Returns whether the version of an upstream was found bad.
+    pub(super) fn is_rolled_back(&self, listed: &ListedUpstream) -> bool {
+        let participant = self.services.get(&listed.service);
+        participant.is_some_and(|p| p.is_rolled_back(listed.version.as_ref()))
+    }
+
     /// Returns whether a request may go to a canary. Repeats go to the old version: a
     /// caller meets the new one once at most.
     pub(super) fn allows_canary(&self, now: Millis, demand: &Demand) -> bool {
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -97,6 +97,9 @@
     /// The caller has left before its request was sent to an upstream; it is refused for the log.
     CallerLeft = 3010, NotRun, 503, "The caller has left before the request was sent.";
 
+    NoUpstreamOfVersion = 3011, NotRun, 503, "No upstream of the version that began the stream can be reached.";
+    OriginUnknown = 3012, NotRun, 503, "Which version began the stream is not known.";
+
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -94,6 +94,78 @@
     pub Vec<u64>,
 );
 
+/// Identifies a stream: a digest of the id of the caller's request that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamKey(pub u64);
+
+/// Streams that began at one version of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BegunStreams {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: Service,
+    /// The version of the software of its upstreams; `None` if they state none.
+    #[serde(rename = "v")]
+    pub version: Option<Version>,
+    /// The streams.
+    #[serde(rename = "k")]
+    pub streams: Vec<StreamKey>,
+}
+
+/// Where a stream began, as far as an entry knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamOrigin {
+    /// The entry can't tell.
+    #[serde(rename = "n")]
+    Unknown,
+    /// The stream began at this version of this service.
+    #[serde(rename = "b")]
+    Begun {
+        /// The service.
+        #[serde(rename = "s")]
+        service: Service,
+        /// The version; `None` if its upstreams state none.
+        #[serde(rename = "v")]
+        version: Option<Version>,
+        /// Whether the stream itself is known. Otherwise, the service had only this version for as
+        /// long as a stream can last.
+        #[serde(rename = "r")]
+        is_recorded: bool,
+    },
+}
+
+impl StreamOrigin {
+    /// Creates a known origin.
+    pub fn begun(service: &Service, version: &Option<Version>, is_recorded: bool) -> StreamOrigin {
+        StreamOrigin::Begun { service: service.clone(), version: version.clone(), is_recorded }
+    }
+
+    /// Returns whether the origin is known.
+    pub fn is_known(&self) -> bool {
+        *self != StreamOrigin::Unknown
+    }
+
+    /// Returns whether the stream itself is known.
+    pub fn is_recorded(&self) -> bool {
+        matches!(self, StreamOrigin::Begun { is_recorded: true, .. })
+    }
+}
+
+/// Asks where a stream began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OriginRequest {
+    /// The number of the question within the entry that asks.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The stream, if its caller names it.
+    #[serde(rename = "k")]
+    pub stream: Option<StreamKey>,
+    /// The only service that may have begun it, if there is just one.
+    #[serde(rename = "s")]
+    pub service: Option<Service>,
+}
+
 /// The load of one entry, as reported to other entries, or a sum of such reports.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -115,6 +187,9 @@
     /// Tokens recently refused to each organisation, as a decaying count over a shorter time.
     #[serde(rename = "f", default)]
     pub refused: Vec<(Organisation, f32)>,
+    /// Streams that the sender began since the previous report; empty in sums.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<BegunStreams>,
 }
 
 /// The load of all entries of the fleet.
@@ -180,4 +255,10 @@
     /// Requests the complete listing.
     #[serde(rename = "w")]
     ListingRequest,
+    /// Asks where a stream began.
+    #[serde(rename = "a")]
+    OriginRequest(OriginRequest),
+    /// Answers the question with this number.
+    #[serde(rename = "b")]
+    Origin(u64, StreamOrigin),
 }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -27,7 +27,7 @@
     core::{Instance, Millis, clock::Clock, fleet::FleetSettings, settings::Role},
     protocol::{
         Message,
-        fleet::{FleetEntry, ListingUpdate, LoadReport},
+        fleet::{BegunStreams, FleetEntry, ListingUpdate, LoadReport, OriginRequest, StreamOrigin},
         record::{Command, Reply},
     },
     state::{
@@ -71,6 +71,12 @@
     ListingReceived(Instance, ListingUpdate),
     /// Another entry has requested the platform's list of upstreams.
     ListingRequested(Instance),
+    /// Another entry began these streams.
+    StreamsBegun(Vec<BegunStreams>),
+    /// Another entry asks where a stream began.
+    OriginRequested(Instance, OriginRequest),
+    /// The question with this number is decided.
+    OriginFound(u64, StreamOrigin),
 }
 
 /// The receiver of updates; called on the control thread, so it must not block.
@@ -337,6 +343,13 @@
                 (self.sink)(FleetUpdate::ListingReceived(from, update))
             }
             FleetOutput::ListingRequested(from) => (self.sink)(FleetUpdate::ListingRequested(from)),
+            FleetOutput::StreamsBegun(begun) => (self.sink)(FleetUpdate::StreamsBegun(begun)),
+            FleetOutput::OriginRequested(from, request) => {
+                (self.sink)(FleetUpdate::OriginRequested(from, request))
+            }
+            FleetOutput::OriginFound(number, origin) => {
+                (self.sink)(FleetUpdate::OriginFound(number, origin))
+            }
             FleetOutput::SourceChanged(source) => log::event("configuration-source", &source),
             FleetOutput::Restarted { instance, restarts } => {
                 counter!("kingcup_restarts_seen").increment(1);
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -150,6 +150,11 @@
         self.log_limited("withheld", line);
     }
 
+    /// Logs that a caller takes a stream up again, up to the limit of such lines.
+    pub(super) fn taken_up(&self, line: &impl Serialize) {
+        self.log_limited("stream-taken-up", line);
+    }
+
     /// Logs a line unless the limit of this second is reached; returns whether it did.
     fn log_limited(&self, event: &str, line: &impl Serialize) -> bool {
         let mut lines = self.lines.borrow_mut();
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod latency;
 mod listing;
+mod origins;
 pub mod pool;
 mod relay;
 mod request;
@@ -38,6 +39,7 @@
 use self::{
     adapter::PlatformAdapter,
     decisions::{DecisionLog, FailureLine, NoticeLine},
+    origins::OriginAnswers,
     pool::Pool,
     scheduling_delay::probe_scheduling_delay,
 };
@@ -80,6 +82,7 @@
     waiting: RefCell<HashMap<RequestNo, oneshot::Sender<Verdict>>>,
     pool: Rc<Pool>,
     decisions: DecisionLog,
+    origin_answers: OriginAnswers,
     overload: Cell<Overload>,
     link: RefCell<LinkLoad>,
     /// Whether a measurement of the scheduling delay is in progress.
@@ -250,6 +253,13 @@
             }
             FleetUpdate::ListingReceived(from, update) => self.on_listing_update(from, update),
             FleetUpdate::ListingRequested(from) => self.send_listing(from),
+            FleetUpdate::StreamsBegun(begun) => {
+                self.traffic.borrow_mut().on_streams_begun(self.now(), begun);
+            }
+            FleetUpdate::OriginRequested(from, request) => {
+                self.answer_origin_request(from, &request);
+            }
+            FleetUpdate::OriginFound(number, origin) => self.on_origin_found(number, origin),
             FleetUpdate::LoadReceived(from, report) => {
                 self.traffic.borrow_mut().on_report(self.now(), from, report);
             }
@@ -292,6 +302,7 @@
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
+        origin_answers: OriginAnswers::default(),
         overload: Cell::default(),
         link: RefCell::default(),
         is_probing: Cell::default(),
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     coordination::traffic::SendEnd,
-    core::{Code, Millis, configuration::RouteKind},
+    core::{Code, Millis, Version, configuration::RouteKind},
 };
 
 /// An upstream is taken for hung if it sends nothing in the middle of a stream for this many times
@@ -38,10 +38,20 @@
 const ABORT_SLACK: Duration = Duration::from_millis(100);
 
 /// The upstream response being read.
-struct Source<E: PlatformAdapter> {
+pub(super) struct Source<E: PlatformAdapter> {
     body: Incoming,
     connection: Connection,
     attempt: AttemptGuard<E>,
+    /// The version of the upstream's software, if known.
+    version: Option<Version>,
+}
+
+impl<E: PlatformAdapter> UpstreamResponse<E> {
+    /// Returns the head, and the rest to be read.
+    pub(super) fn into_source(self) -> (http::response::Parts, Source<E>) {
+        let UpstreamResponse { head, body, connection, attempt, version } = self;
+        (head, Source { body, connection, attempt, version })
+    }
 }
 
 /// Obtains a response from another upstream; `None` if the stream can't be resumed.
@@ -71,15 +81,10 @@
 }
 
 impl<E: PlatformAdapter> Relay<E> {
-    pub(super) fn new(
-        request: Rc<ProxiedRequest<E>>,
-        body: Incoming,
-        connection: Connection,
-        attempt: AttemptGuard<E>,
-    ) -> Relay<E> {
+    pub(super) fn new(request: Rc<ProxiedRequest<E>>, source: Source<E>) -> Relay<E> {
         let silent_until = request.hang_deadline();
         Relay {
-            state: State::Reading(Source { body, connection, attempt }),
+            state: State::Reading(source),
             splitter: EventSplitter::default(),
             last_id: None,
             last_event: None,
@@ -155,7 +160,7 @@
         let now = Instant::now();
         match self.last_event.replace(now) {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
-            None => self.request.on_first_byte(),
+            None => self.on_first_event(),
         }
         let gap = self.request.route.max_event_gap.0 * MAX_SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE_MS));
@@ -163,6 +168,13 @@
         Some(events.bytes)
     }
 
+    fn on_first_event(&self) {
+        self.request.on_first_byte();
+        if let State::Reading(source) = &self.state {
+            self.request.on_stream_begun(source.version.as_ref());
+        }
+    }
+
     /// Resumes the stream on another upstream if this one has been silent for too long, and aborts
     /// it if the deadline has passed.
     fn poll_timer(
@@ -210,8 +222,8 @@
     fn on_resumed(&mut self, response: UpstreamResponse<E>) {
         self.silent_until = self.request.hang_deadline();
         self.timer.as_mut().reset(self.silent_until);
-        let UpstreamResponse { body, connection, attempt, .. } = response;
-        self.state = State::Reading(Source { body, connection, attempt });
+        let (_, source) = response.into_source();
+        self.state = State::Reading(source);
     }
 
     fn finish(&mut self) {
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     coordination::traffic::{RequestNo, SendEnd},
+    core::Version,
     transport::gateway::{Gateway, adapter::PlatformAdapter, pool::Connection},
 };
 
@@ -64,4 +65,6 @@
     pub(in crate::transport::gateway) body: Incoming,
     pub(in crate::transport::gateway) connection: Connection,
     pub(in crate::transport::gateway) attempt: AttemptGuard<E>,
+    /// The version of the upstream's software, if known.
+    pub(in crate::transport::gateway) version: Option<Version>,
 }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -228,7 +228,14 @@
             attempt.end(SendEnd::Broken);
             return SendResult::Unknown;
         }
-        SendResult::Response(Box::new(UpstreamResponse { head, body, connection, attempt }))
+        let version = grant.version.clone();
+        SendResult::Response(Box::new(UpstreamResponse {
+            head,
+            body,
+            connection,
+            attempt,
+            version,
+        }))
     }
 
     /// Reads the body of a rejection, and returns the connection to the pool if that succeeds.
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -24,11 +24,15 @@
     response::{ResponseBody, strip_hop_headers},
 };
 use crate::{
-    coordination::traffic::{PromptPart, SendEnd},
+    coordination::{
+        required_version::RequiredVersion,
+        traffic::{PromptPart, SendEnd},
+    },
     core::{
-        Code, Millis, Organisation, Service, UpstreamName,
+        Code, Millis, Organisation, Service, UpstreamName, Version,
         configuration::{Configuration, Route, RouteKind},
     },
+    protocol::fleet::StreamOrigin,
 };
 
 /// The timeout of a request whose caller states none.
@@ -79,6 +83,8 @@
     queued: Millis,
     /// The last attempt before the first byte arrived.
     sent: Option<LastSend>,
+    /// The versions that may serve the request: the one that began its stream, once it has begun.
+    version: RequiredVersion,
     /// When the first event of a stream arrived, or the end of a response that is not streamed.
     first_byte: Option<Millis>,
 }
@@ -161,6 +167,40 @@
         self.deadline_at.since(self.arrived)
     }
 
+    /// Finds out which version has to serve the request, if its caller takes a stream up again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code with which the request is to be refused, if that can't be shown.
+    pub(super) async fn find_version(&mut self) -> Result<(), Code> {
+        let Some(stream) = &self.taken_up else { return Ok(()) };
+        let allowed = || self.route.services.iter().filter(|(_, weight)| *weight > 0);
+        let only = allowed().next().filter(|_| allowed().count() == 1);
+        let only = only.map(|(service, _)| service);
+        let origin = self.gateway.find_origin(self.request_id.as_deref(), stream, only).await;
+        let StreamOrigin::Begun { service, version, .. } = origin else {
+            return Err(Code::OriginUnknown);
+        };
+        // The configuration may have changed since the stream began.
+        if !allowed().any(|(allowed, _)| *allowed == service) {
+            return Err(Code::NoUpstreamOfVersion);
+        }
+        self.service = service;
+        self.progress.borrow_mut().version = RequiredVersion::Exactly(version);
+        Ok(())
+    }
+
+    /// Records that the stream has begun for the caller, at this version: from now on it goes on
+    /// only there.
+    pub(super) fn on_stream_begun(&self, version: Option<&Version>) {
+        self.progress.borrow_mut().version = RequiredVersion::Exactly(version.cloned());
+        let is_resumable = matches!(self.route.kind, RouteKind::Stream { resumable: true });
+        if let Some(id) = self.request_id.as_deref().filter(|_| is_resumable) {
+            let now = self.gateway.now();
+            self.gateway.traffic.borrow_mut().on_stream_begun(now, id, &self.service, version);
+        }
+    }
+
     /// Refuses the request because this entry is overloaded.
     pub(super) fn shed(&self) -> Response<ResponseBody<E>> {
         // The request isn't queued, so nothing is registered under its number.
@@ -191,10 +231,10 @@
         self: Rc<ProxiedRequest<E>>,
         response: UpstreamResponse<E>,
     ) -> Response<ResponseBody<E>> {
-        let mut head = response.head;
+        let (mut head, source) = response.into_source();
         strip_hop_headers(&mut head.headers);
         head.version = http::Version::HTTP_11;
-        let relay = Relay::new(self, response.body, response.connection, response.attempt);
+        let relay = Relay::new(self, source);
         Response::from_parts(head, ResponseBody::Streamed(Box::new(relay)))
     }
 
@@ -206,7 +246,7 @@
     ) -> Response<ResponseBody<E>> {
         let mut response = first;
         loop {
-            let UpstreamResponse { head, body, mut connection, attempt } = response;
+            let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
             let reading = connection.drive(Limited::new(body, MAX_RESPONSE_LEN).collect());
             let read = timeout_at(self.deadline, reading).await;
             let may_repeat = self.route.kind.is_idempotent();
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -105,7 +105,11 @@
     }
 
     /// Logs the refusal of the request, and builds the response.
-    pub(super) fn refuse(&self, code: Code, retry_after: Millis) -> Response<ResponseBody<E>> {
+    pub(in crate::transport::gateway) fn refuse(
+        &self,
+        code: Code,
+        retry_after: Millis,
+    ) -> Response<ResponseBody<E>> {
         let progress = self.progress.borrow();
         self.gateway.decisions.refused(code, &self.failure_line(code, retry_after, &progress));
         drop(progress);
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -60,6 +60,7 @@
         let mut may_have_run = self.progress.borrow().attempts > 0;
         loop {
             let attempt = AttemptGuard::new(self.gateway.clone());
+            let attempt_no = attempt.no;
             let error = |code: Code, retry_after| {
                 // `code` states that the request did not run; that may not be true any more.
                 if may_have_run { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
@@ -91,7 +92,8 @@
                 SendResult::Rejected => {
                     self.progress.borrow_mut().avoid.push(grant.upstream);
                     let (traffic, now) = (&self.gateway.traffic, self.gateway.now());
-                    let left = traffic.borrow().time_to_end_of_backoff(now, &self.service);
+                    let left =
+                        traffic.borrow().time_to_end_of_backoff(now, &self.demand(attempt_no));
                     if let Some(left) = left {
                         return Err(error(Code::UpstreamsBackingOff, left));
                     }
@@ -139,6 +141,7 @@
             expected_output: self.output,
             avoid: self.progress.borrow().avoid.clone(),
             is_repeat: self.progress.borrow().attempts > 0,
+            version: self.progress.borrow().version.clone(),
         }
     }
 
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -53,6 +53,10 @@
 /// immediately.
 const RETRY_AFTER_DRAIN: Millis = Millis(50);
 
+/// The retry delay sent when it can't be shown which version began a stream: entries tell each other
+/// of new streams several times a second.
+const RETRY_AFTER_UNKNOWN_ORIGIN: Millis = Millis(500);
+
 /// Increments a counter for as long as the value lives.
 struct CountGuard<'a>(&'a std::cell::Cell<usize>);
 
@@ -186,7 +190,10 @@
             refuse(Code::Draining, RETRY_AFTER_DRAIN)
         }
         Ok(proxied) if gateway.must_shed() => Ok(proxied.shed()),
-        Ok(proxied) => Ok(Rc::new(proxied).serve().await),
+        Ok(mut proxied) => match proxied.find_version().await {
+            Ok(()) => Ok(Rc::new(proxied).serve().await),
+            Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
+        },
         Err(code) => refuse(code, Millis::ZERO),
     }
 }
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -12,7 +12,10 @@
     },
     protocol::{
         Message,
-        fleet::{CachedParts, FleetEntry, FleetMessage, Load, LoadReport},
+        fleet::{
+            BegunStreams, CachedParts, FleetEntry, FleetMessage, Load, LoadReport, OriginRequest,
+            StreamKey, StreamOrigin,
+        },
     },
 };
 
@@ -27,6 +30,10 @@
     messages: BTreeMap<Instance, usize>,
     /// The cached prompt parts that were announced to each entry.
     cached_parts: BTreeMap<Instance, Vec<CachedParts>>,
+    /// The streams that each entry knows others to have begun.
+    begun: BTreeMap<Instance, Vec<BegunStreams>>,
+    /// The origins that entries have asked for.
+    origins: BTreeMap<Instance, StreamOrigin>,
     failed: Vec<Instance>,
 }
 
@@ -54,6 +61,8 @@
             reports: BTreeMap::new(),
             messages: BTreeMap::new(),
             cached_parts: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            origins: BTreeMap::new(),
             failed: Vec::new(),
         };
         let entries = fleet.entries.clone();
@@ -86,7 +95,21 @@
                         self.handle(now, &peer, input);
                     }
                 }
+                FleetOutput::Send(to, message) => {
+                    self.handle(now, &to, FleetInput::Received(entry.clone(), message));
+                }
+                FleetOutput::StreamsBegun(begun) => {
+                    self.begun.entry(entry.clone()).or_default().extend(begun);
+                }
+                FleetOutput::OriginRequested(from, request) => {
+                    let answer = FleetInput::SendOrigin(from, request.number, self.known(entry));
+                    self.handle(now, entry, answer);
+                }
+                FleetOutput::OriginFound(_, origin) => {
+                    self.origins.insert(entry.clone(), origin);
+                }
                 FleetOutput::LoadReceived(from, report) => {
+                    self.begun.entry(entry.clone()).or_default().extend(report.begun.clone());
                     self.cached_parts.entry(entry.clone()).or_default().extend(report.kept.clone());
                     self.reports.entry(entry.clone()).or_default().insert(from, report);
                 }
@@ -95,6 +118,14 @@
         }
     }
 
+    /// Returns the origin of the only stream that an entry may know.
+    fn known(&self, entry: &Instance) -> StreamOrigin {
+        let begun = self.begun.get(entry).and_then(|begun| begun.first());
+        begun.map_or(StreamOrigin::Unknown, |begun| {
+            StreamOrigin::begun(&begun.service, &begun.version, true)
+        })
+    }
+
     /// Makes each entry report that it runs `running(entry)` requests at one upstream.
     fn share_load(&mut self, now: Millis, running: impl Fn(usize) -> u32) {
         for (place, entry) in self.names().into_iter().enumerate() {
@@ -197,3 +228,30 @@
         }
     }
 }
+
+/// Guards against a stream that no other entry knows once the entry that began it has failed, in a
+/// fleet of any size, and against one that is told of to all entries of a large fleet.
+#[test]
+fn any_entry_finds_out_where_a_stream_of_a_failed_one_began() {
+    for count in [3, 16, 17, 84] {
+        let mut fleet = Fleet::start(count);
+        fleet.share_load(Millis::ZERO, |_| 1);
+        let beginner = fleet.names().pop().expect("an entry");
+        let streams = vec![StreamKey(7)];
+        let begun = BegunStreams { service: "engine".into(), version: Some("v1".into()), streams };
+        let report = LoadReport { begun: vec![begun], ..LoadReport::default() };
+        fleet.handle(Millis(200), &beginner, FleetInput::ShareLoad(report));
+        fleet.share_load(Millis(400), |_| 1);
+        let told = fleet.begun.values().filter(|begun| !begun.is_empty()).count();
+        assert!(told <= 15, "{told} of {count} entries were told");
+        fleet.failed.push(beginner.clone());
+        for entry in fleet.names().into_iter().filter(|entry| *entry != beginner) {
+            let stream = Some(StreamKey(7));
+            let request = OriginRequest { number: 1, stream, service: None };
+            fleet.handle(Millis(500), &entry, FleetInput::AskOrigin(request));
+            let found = fleet.origins.get(&entry).is_some_and(StreamOrigin::is_recorded);
+            let knows = fleet.known(&entry).is_recorded();
+            assert!(found || knows, "{entry} of {count}");
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod shutdown;
 mod slots;
 mod stalls;
+mod stream_versions;
 mod support;
 mod traffic;
 mod upstream_notices;
