--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod documentation;
 mod domains;
+mod engine_versions;
 mod entry;
 mod events;
 mod explain;
