Let kingcupd's answers go on only at the version that began them

What callers saw: as on the platform, an answer that broke off went on at an engine of another version.

Cause: a grant names an upstream and its incarnation, not its version, and an entry sends whatever is next in the organisation's queue on it.

Change: grants carry the version. An answer of which events have been sent requires the version that sent them. The entry tells the dispatcher with its next report, at once, and the dispatcher grants a slot of that version if one is free; the entry declines others, which then serve the requests behind it, and cuts the answer off after three, so that a caller whose version is gone doesn't wait for the deadline. A version that was rolled back gets no rest of an answer.

Before: both tests of the module engine_versions fail (requests that ran at v1 and v2). After: 3 runs of it passed, with entry, queue_turns and the model of nodes.

--- a/crates/kingcup-load/src/drive.rs
+++ b/crates/kingcup-load/src/drive.rs
@@ -285,6 +285,7 @@
                         upstream: "engine-0123".into(),
                         address: address(),
                         incarnation: 1,
+                        version: None,
                     });
                 }
             }
@@ -355,6 +356,7 @@
                 finished: std::mem::take(&mut peer_entry.finished),
                 progress: std::mem::take(&mut peer_entry.progress),
                 notices: Vec::new(),
+                begun: Vec::new(),
             };
             self.deliver_dispatch(&key.1, dispatched_pool(key.0), body);
         }
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -186,6 +186,7 @@
             }],
             progress: Vec::new(),
             notices: Vec::new(),
+            begun: Vec::new(),
         };
         dispatcher.on_message(now, &entry, 1, &body, &mut out);
         ended += 1;
@@ -252,7 +253,7 @@
         entry_machine.admit(now, arrival, &document, &mut out);
         let id = GrantId(1, next);
         let (upstream, address) = ("engine-01".into(), address());
-        let grant = Grant { id, organisation, upstream, address, incarnation: 1 };
+        let grant = Grant { id, organisation, upstream, address, incarnation: 1, version: None };
         let body = DispatchBody::Grants { session, last_report, grants: vec![grant] };
         let message = DispatchMessage { pool: pool(), term: 1, origin: None, body };
         entry_machine.on_message(now, &view, &holder, &message, &mut out);
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -61,6 +61,7 @@
             finished: vec![done],
             progress: Vec::new(),
             notices: Vec::new(),
+            begun: Vec::new(),
         };
         dispatcher.on_message(now, &entry, 1, &report, &mut out);
     }
--- a/src/kingcupgrade/coordination/dispatcher/demand.rs
+++ b/src/kingcupgrade/coordination/dispatcher/demand.rs
@@ -5,7 +5,7 @@
 use super::turns::EntryTurns;
 use crate::{
     core::{FailureDomain, Instance, Millis, Organisation},
-    protocol::dispatch::{Session, SessionTag},
+    protocol::dispatch::{BegunAnswer, Session, SessionTag},
 };
 
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     unreceived: VecDeque<Organisation>,
     /// Waiting requests as last reported, less the grants received since.
     reported: BTreeMap<Organisation, u32>,
+    /// The waiting requests whose answers have begun, without those that were granted a slot.
+    begun: Vec<BegunAnswer>,
 }
 
 impl EntrySession {
@@ -81,6 +83,7 @@
             granted: 0,
             unreceived: VecDeque::new(),
             reported: BTreeMap::new(),
+            begun: Vec::new(),
         };
         self.sessions.insert(entry.clone(), state);
         if knows_term {
@@ -131,6 +134,25 @@
         }
     }
 
+    /// Records waiting requests whose answers have begun.
+    pub fn note_begun(&mut self, entry: &Instance, begun: &[BegunAnswer]) {
+        if let Some(state) = self.sessions.get_mut(entry) {
+            state.begun.extend_from_slice(begun);
+        }
+    }
+
+    /// Removes and returns the next of an organisation's waiting requests at an entry whose answer
+    /// has begun. They are at the head of the entry's queue.
+    pub fn take_begun(
+        &mut self,
+        entry: &Instance,
+        organisation: &Organisation,
+    ) -> Option<BegunAnswer> {
+        let begun = &mut self.sessions.get_mut(entry)?.begun;
+        let index = begun.iter().position(|begun| begun.0 == *organisation)?;
+        Some(begun.remove(index))
+    }
+
     /// Sets the number of requests of an organisation that wait at an entry.
     pub fn set(&mut self, entry: &Instance, organisation: &Organisation, count: u32) {
         let Some(state) = self.sessions.get_mut(entry) else { return };
--- a/src/kingcupgrade/coordination/dispatcher/grants.rs
+++ b/src/kingcupgrade/coordination/dispatcher/grants.rs
@@ -13,7 +13,7 @@
 use crate::{
     coordination::{decision::Decision, rollout::Use},
     core::{Instance, Millis, Organisation, UpstreamName},
-    protocol::dispatch::{DispatchBody, Grant, GrantId},
+    protocol::dispatch::{BegunAnswer, DispatchBody, Grant, GrantId},
 };
 
 impl Dispatcher {
@@ -49,8 +49,25 @@
     }
 
     fn least_loaded_of(&self, now: Millis, version_use: Use) -> Option<&UpstreamName> {
+        self.least_loaded_among(now, |name| self.use_of(name) == version_use)
+    }
+
+    /// Returns the upstream for a request whose answer has begun: one of its version, if one has a
+    /// free slot. Otherwise the slot is for the requests behind it.
+    fn least_loaded_for(&self, now: Millis, begun: &BegunAnswer) -> Option<&UpstreamName> {
+        let version = begun.1.as_ref();
+        self.least_loaded_among(now, |name| {
+            self.version_of(name) == version && !self.rollout.is_rolled_back(version)
+        })
+    }
+
+    fn least_loaded_among(
+        &self,
+        now: Millis,
+        is_eligible: impl Fn(&UpstreamName) -> bool,
+    ) -> Option<&UpstreamName> {
         let with_free_slots = self.slots.iter().filter_map(|(name, slots)| {
-            if self.use_of(name) != version_use {
+            if !is_eligible(name) {
                 return None;
             }
             let free = self.free_slots(now, name, slots);
@@ -68,6 +85,9 @@
         while let Some(organisation) = self.counters.next_organisation().cloned() {
             let Some(upstream) = self.least_loaded_upstream(now).cloned() else { break };
             let Some(entry) = self.demand.next_entry(&organisation).cloned() else { break };
+            let begun = self.demand.take_begun(&entry, &organisation);
+            let required = begun.and_then(|begun| self.least_loaded_for(now, &begun).cloned());
+            let upstream = required.unwrap_or(upstream);
             let grant = self.grant(now, organisation, upstream, &entry, out);
             batches.entry(entry).or_default().push(grant);
         }
@@ -119,6 +139,7 @@
             limit: slots.limit(),
         }));
         let (address, incarnation) = (slots.address, slots.incarnation());
-        Grant { id, organisation, upstream, address, incarnation }
+        let version = slots.version.clone();
+        Grant { id, organisation, upstream, address, incarnation, version }
     }
 }
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -245,6 +245,7 @@
                 finished,
                 progress,
                 notices,
+                begun,
             } => {
                 let in_sequence = self.demand.on_report(now, from, *session, *seq, *received);
                 if !in_sequence {
@@ -260,6 +261,7 @@
                 for (id, cost) in progress {
                     self.on_progress(*id, *cost);
                 }
+                self.demand.note_begun(from, begun);
                 self.set_waiting(now, from, waiting);
             }
             DispatchBody::Close { session } => self.on_close(now, from, *session),
--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -1,15 +1,15 @@
 //! Use of grants, attempts to send requests, and retries.
 
 use super::{
-    AttemptEnd, EntryMachine, EntryOutput, HeldGrant, MAX_ATTEMPTS, RequestId, Stage,
-    UPSTREAM_AVOIDANCE,
+    AttemptEnd, EntryMachine, EntryOutput, HeldGrant, MAX_ATTEMPTS, MAX_DECLINED_GRANTS, RequestId,
+    Stage, UPSTREAM_AVOIDANCE,
 };
 use crate::{
-    coordination::{decision::Decision, view::View},
+    coordination::{decision::Decision, required_version::RequiredVersion, view::View},
     core::{Code, Millis, UpstreamName},
     protocol::{
         Pool,
-        dispatch::{FinishedGrant, Grant, GrantId, GrantOutcome},
+        dispatch::{BegunAnswer, FinishedGrant, Grant, GrantId, GrantOutcome},
     },
 };
 
@@ -34,11 +34,13 @@
             organisation: grant.organisation.clone(),
             upstream: grant.upstream.clone(),
             incarnation: grant.incarnation,
+            version: grant.version.clone(),
             cost: 0,
         };
         self.held.insert((pool.clone(), grant.id), held);
         let Some(id) = next else {
             self.end_grant(pool, grant.id, GrantOutcome::Unused, 0, None);
+            self.on_declined(pool, grant, out);
             return;
         };
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -54,12 +56,46 @@
     fn next_request(&mut self, now: Millis, pool: &Pool, grant: &Grant) -> Option<RequestId> {
         let requests = &self.requests;
         let accepts = |id: RequestId| {
-            let avoided = requests.get(&id).and_then(|request| request.avoid.as_ref());
-            !avoided.is_some_and(|(upstream, until)| *upstream == grant.upstream && now < *until)
+            let Some(request) = requests.get(&id) else { return true };
+            let avoided = request.avoid.as_ref();
+            let is_avoided = avoided
+                .is_some_and(|(upstream, until)| *upstream == grant.upstream && now < *until);
+            !is_avoided && request.version.allows(grant.version.as_ref())
         };
         self.queues.take(&pool.0, &grant.organisation, accepts)
     }
 
+    /// Handles a grant that nothing was sent on: asks for another one for the request whose answer
+    /// goes on at another version, or ends its answer.
+    fn on_declined(&mut self, pool: &Pool, grant: &Grant, out: &mut Vec<EntryOutput>) {
+        let requests = &self.requests;
+        let declines = |id: &RequestId| {
+            let request = requests.get(id);
+            request.is_some_and(|request| !request.version.allows(grant.version.as_ref()))
+        };
+        let declined = self.queues.find(&pool.0, &grant.organisation, declines);
+        let Some((id, request)) = declined.and_then(|id| Some((id, self.requests.get_mut(&id)?)))
+        else {
+            return;
+        };
+        request.declined += 1;
+        if request.declined >= MAX_DECLINED_GRANTS {
+            self.give_up(id, Code::AnswerBroken, out);
+        } else {
+            self.note_begun(id);
+        }
+    }
+
+    /// Tells the dispatchers which version a queued request goes on at, if its answer has begun.
+    fn note_begun(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let RequiredVersion::Exactly(version) = &request.version else { return };
+        let begun = BegunAnswer(request.organisation.clone(), version.clone());
+        for session in self.sessions.values_mut().filter(|s| s.pool.0 == request.service) {
+            session.note_begun(begun.clone());
+        }
+    }
+
     pub(super) fn start(
         &mut self,
         now: Millis,
@@ -166,7 +202,11 @@
     ) {
         let Some(request) = self.requests.get(&id) else { return };
         let Stage::Sent { pool, grant } = request.stage.clone() else { return };
-        let upstream = self.held.get(&(pool.clone(), grant)).map(|held| held.upstream.clone());
+        let held = self.held.get(&(pool.clone(), grant));
+        let upstream = held.map(|held| held.upstream.clone());
+        let version = held.and_then(|held| held.version.clone());
+        // Only answers that are forwarded event by event cost something before they are complete.
+        let has_begun = first_byte_ms.is_some() && cost > 0;
         let outcome = match end {
             AttemptEnd::Completed => GrantOutcome::Completed,
             AttemptEnd::Refused => GrantOutcome::Refused,
@@ -186,6 +226,9 @@
             AttemptEnd::Broken | AttemptEnd::BrokenForGood => Code::AnswerBroken,
             AttemptEnd::TimedOut => Code::AnswerTimeout,
         };
+        if has_begun && let Some(request) = self.requests.get_mut(&id) {
+            request.version = RequiredVersion::Exactly(version);
+        }
         if self.may_retry(now, id, end) {
             self.requeue(now, id, upstream, out);
         } else {
@@ -217,6 +260,7 @@
         let (service, organisation) = (request.service.clone(), request.organisation.clone());
         self.queues.push_front(&service, &organisation, id, request.bytes);
         self.note_changed(&service, &organisation);
+        self.note_begun(id);
         if let Some(upstream) = upstream {
             out.push(EntryOutput::Decided(Decision::Retry { request: id, upstream }));
         }
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -16,9 +16,12 @@
 
 pub use self::io::{Arrival, AttemptEnd, EntryOutput, RequestId};
 use self::{budget::RetryBudget, pool_session::PoolSession, queue::Queues};
-use super::{decision::Decision, notices::Notices, view::View};
+use super::{decision::Decision, notices::Notices, required_version::RequiredVersion, view::View};
 use crate::{
-    core::{Code, Document, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName},
+    core::{
+        Code, Document, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName,
+        Version,
+    },
     protocol::{
         Pool,
         dispatch::{DispatchBody, DispatchMessage, Grant, GrantId, GrantOutcome},
@@ -27,6 +30,9 @@
 
 /// Maximum number of times a request is sent.
 const MAX_ATTEMPTS: u32 = 4;
+/// Maximum number of grants of other versions that a request whose answer has begun declines: by then
+/// no upstream of its version has a free slot.
+const MAX_DECLINED_GRANTS: u32 = 3;
 /// How long an offer of slots in another failure domain is valid.
 const OFFER_TTL: Millis = Millis(2_000);
 /// A session is closed after this time without grants in use or open requests of its service.
@@ -60,6 +66,10 @@
     deadline: Millis,
     attempts: u32,
     avoid: Option<(UpstreamName, Millis)>,
+    /// The versions that may serve it: the one that began its answer, once it has begun.
+    version: RequiredVersion,
+    /// The grants of other versions that came instead of one that may serve it.
+    declined: u32,
     stage: Stage,
 }
 
@@ -68,6 +78,7 @@
     organisation: Organisation,
     upstream: UpstreamName,
     incarnation: u64,
+    version: Option<Version>,
     cost: u32,
 }
 
@@ -181,6 +192,8 @@
             deadline: now + Millis(limits.deadline_ms),
             attempts: 0,
             avoid: None,
+            version: RequiredVersion::Any,
+            declined: 0,
             stage: Stage::Queued,
         };
         if self.draining || !has_room {
--- a/src/kingcupgrade/coordination/entry/pool_session.rs
+++ b/src/kingcupgrade/coordination/entry/pool_session.rs
@@ -8,7 +8,7 @@
     protocol::{
         Pool,
         dispatch::{
-            DispatchBody, FinishedGrant, Grant, GrantId, GrantInUse, QueuedRequests,
+            BegunAnswer, DispatchBody, FinishedGrant, Grant, GrantId, GrantInUse, QueuedRequests,
             ReportedNotice, Session,
         },
     },
@@ -66,6 +66,8 @@
     progress: BTreeMap<GrantId, u32>,
     /// What upstreams have asked for and the dispatcher was not told, by upstream and incarnation.
     notices: BTreeMap<(UpstreamName, u64), ReportedNotice>,
+    /// The queued requests whose answers have begun and that the dispatcher was not told of.
+    begun: Vec<BegunAnswer>,
 }
 
 impl PoolSession {
@@ -98,6 +100,7 @@
             finished: Vec::new(),
             progress: BTreeMap::new(),
             notices: BTreeMap::new(),
+            begun: Vec::new(),
         }
     }
 
@@ -133,6 +136,12 @@
         self.notices.insert((notice.upstream.clone(), notice.incarnation), notice);
     }
 
+    /// Records a queued request whose answer has begun.
+    pub fn note_begun(&mut self, begun: BegunAnswer) {
+        self.is_urgent = true;
+        self.begun.push(begun);
+    }
+
     /// Records the cost of a grant so far.
     pub fn note_progress(&mut self, id: GrantId, cost: u32) {
         self.progress.insert(id, cost);
@@ -217,6 +226,7 @@
             finished: std::mem::take(&mut self.finished),
             progress: std::mem::take(&mut self.progress).into_iter().collect(),
             notices: std::mem::take(&mut self.notices).into_values().collect(),
+            begun: std::mem::take(&mut self.begun),
         })
     }
 
--- a/src/kingcupgrade/coordination/entry/queue.rs
+++ b/src/kingcupgrade/coordination/entry/queue.rs
@@ -90,6 +90,17 @@
         Some(id)
     }
 
+    /// Returns the first request for which `is_meant` returns true.
+    pub fn find(
+        &self,
+        service: &Service,
+        organisation: &Organisation,
+        is_meant: impl Fn(&RequestId) -> bool,
+    ) -> Option<RequestId> {
+        let queue = self.queues.get(&(service.clone(), organisation.clone()))?;
+        queue.requests.iter().map(|(id, _)| *id).find(is_meant)
+    }
+
     /// Returns the number of an organisation's waiting requests.
     pub fn len(&self, service: &Service, organisation: &Organisation) -> usize {
         let key = (service.clone(), organisation.clone());
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::Pool;
-use crate::core::{FailureDomain, Instance, Millis, Organisation, OrganisationTag, UpstreamName};
+use crate::core::{
+    FailureDomain, Instance, Millis, Organisation, OrganisationTag, UpstreamName, Version,
+};
 
 /// Identifies a session by the process of the entry and a number that increases within it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -69,6 +71,9 @@
     /// The incarnation of the upstream.
     #[serde(rename = "n", default)]
     pub incarnation: u64,
+    /// The version of its software, if known.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
 }
 
 /// A grant that an entry is still using when it opens a session.
@@ -148,6 +153,15 @@
     pub u32,
 );
 
+/// A queued request whose answer has begun, and goes on only at the version that began it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BegunAnswer(
+    /// The organisation.
+    pub Organisation,
+    /// The version; `None` if its upstream states none.
+    pub Option<Version>,
+);
+
 /// The service that an organisation received in one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceReceived(
@@ -228,6 +242,9 @@
         /// What upstreams have asked for on their answers.
         #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
         notices: Vec<ReportedNotice>,
+        /// The queued requests whose answers have begun, since the previous report.
+        #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+        begun: Vec<BegunAnswer>,
     },
     /// Closes a session that has nothing left to report.
     #[serde(rename = "x")]
--- a/tests/testsuite/entry.rs
+++ b/tests/testsuite/entry.rs
@@ -57,6 +57,7 @@
             upstream: "orders-0".into(),
             address: "127.0.0.1:1".parse().expect("an address"),
             incarnation: 1,
+            version: None,
         };
         let session = Session(1, 1).tag();
         let body = DispatchBody::Grants { session, last_report: 0, grants: vec![grant] };
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -285,6 +285,7 @@
             finished: std::mem::take(&mut self.granted).into_iter().map(done).collect(),
             progress: Vec::new(),
             notices,
+            begun: Vec::new(),
         };
         let mut out = Vec::new();
         self.dispatcher.on_message(now, &self.entry, 1, &report, &mut out);
--- a/tests/testsuite/queue_turns.rs
+++ b/tests/testsuite/queue_turns.rs
@@ -113,6 +113,7 @@
                 finished: std::mem::take(&mut entry.held).into_iter().map(done).collect(),
                 progress: Vec::new(),
                 notices: Vec::new(),
+                begun: Vec::new(),
             };
             self.send(no, &report);
         }
