Log how far an attempt was when its upstream closed the connection, and with which parts

What ended an upstream could not be told: an attempt counted as broken whether the upstream closed the connection, fell silent or sent something invalid, and no line had the parts of the prompt. SendEnd tells the first apart now, for the health of upstreams and rollouts it counts as before, and the line upstream-disconnected has the rest. Nothing is decided by it yet.

--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -16,6 +16,12 @@
     pub tokens: u32,
 }
 
+/// Returns the ids of the parts of a prompt that other requests may share: all but the last.
+pub(super) fn shared_parts(prompt: &[PromptPart]) -> impl Iterator<Item = u64> {
+    let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id)
+}
+
 /// Identifies a request within its entry.
 pub type RequestNo = u64;
 
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -40,7 +40,7 @@
     placement::PlacementError,
     shares::{ShareStatus, Shares},
     upstream::Upstream,
-    verdict::{Basis, Grant, SendEnd, Verdict},
+    verdict::{Basis, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
     cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{Basis, Demand, Grant, RequestNo, SendEnd, Traffic};
+use super::{
+    Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic, demand::shared_parts,
+};
 use crate::{
     coordination::rollout::Use,
     core::{Millis, Organisation, Service, UpstreamName, Version},
@@ -28,10 +30,13 @@
     pub(super) tokens_ahead: u64,
     pub(super) memory: u64,
     pub(super) prompt: u64,
+    pub(super) parts: Arc<[PromptPart]>,
     pub(super) expected_output: u32,
     /// The work charged to its organisation's share, in tokens.
     pub(super) work: f64,
     pub(super) has_begun: bool,
+    /// Whether the head of the answer has arrived.
+    pub(super) has_head: bool,
     pub(super) generated: u32,
     /// The version of the upstream, and how it was used when the request was sent.
     pub(super) version: Option<Version>,
@@ -45,6 +50,24 @@
     pub(super) tokens_per_event: u32,
 }
 
+impl SentRequest {
+    /// Returns the number of events of the answer that have arrived.
+    fn events(&self) -> u32 {
+        self.generated / self.tokens_per_event.max(1)
+    }
+
+    fn disconnect(&self, now: Millis) -> Disconnect {
+        Disconnect {
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+            has_head: self.has_head,
+            events: self.events(),
+            shared_parts: shared_parts(&self.parts).collect(),
+            after_ms: now.since(self.sent_at),
+        }
+    }
+}
+
 impl Traffic {
     pub(super) fn grant(
         &mut self,
@@ -93,9 +116,11 @@
             tokens_ahead,
             memory,
             prompt,
+            parts: demand.prompt.clone(),
             expected_output: demand.expected_output,
             work: demand.work(),
             has_begun: false,
+            has_head: false,
             generated: 0,
             version: upstream.listed.version.clone(),
             version_use: upstream.version_use,
@@ -137,6 +162,13 @@
         }
     }
 
+    /// Records that the head of an answer has arrived.
+    pub fn on_head(&mut self, no: RequestNo) {
+        if let Some(sent) = self.sent.get_mut(&no) {
+            sent.has_head = true;
+        }
+    }
+
     /// Records generated tokens.
     pub fn on_tokens(&mut self, no: RequestNo, tokens: u32) {
         if let Some(sent) = self.sent.get_mut(&no) {
@@ -151,9 +183,10 @@
         }
     }
 
-    /// Records the end of a request that was sent.
-    pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) {
-        let Some(sent) = self.sent.remove(&no) else { return };
+    /// Records the end of a request that was sent; returns how far it was if its upstream closed the
+    /// connection.
+    pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) -> Option<Disconnect> {
+        let sent = self.sent.remove(&no)?;
         self.rollouts.on_end(now, &sent, end);
         let service_rate = self.median_failure_rate(&sent.service);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
@@ -165,7 +198,9 @@
             }
             match end {
                 SendEnd::Answered => upstream.health.on_answer(),
-                SendEnd::Failed | SendEnd::Broken => upstream.health.on_failure(now, service_rate),
+                SendEnd::Failed | SendEnd::Disconnected | SendEnd::Broken => {
+                    upstream.health.on_failure(now, service_rate)
+                }
                 SendEnd::Unreachable => upstream.health.on_unreachable(now),
                 SendEnd::Replaced => upstream.listed.is_ready = false,
                 SendEnd::Rejected => {
@@ -181,6 +216,7 @@
             self.shares.on_served(now, &sent.organisation, -sent.work);
         }
         self.update_output_average(now, &sent, end);
+        (end == SendEnd::Disconnected).then(|| sent.disconnect(now))
     }
 
     fn median_failure_rate(&self, service: &Service) -> f64 {
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -57,6 +57,23 @@
     },
 }
 
+/// How far an attempt was when its upstream closed the connection.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Disconnect {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Whether the head of the answer had arrived.
+    pub has_head: bool,
+    /// The events of the answer that had arrived.
+    pub events: u32,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<u64>,
+    /// The time since the request was sent.
+    pub after_ms: Millis,
+}
+
 /// How a request that was sent ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendEnd {
@@ -64,7 +81,9 @@
     Answered,
     /// The upstream answered with a failure.
     Failed,
-    /// The answer broke off or was invalid, or none came.
+    /// The upstream closed or reset the connection before the end of the answer.
+    Disconnected,
+    /// The answer was invalid, or the upstream fell silent.
     Broken,
     /// No connection could be made to send the request on.
     Unreachable,
@@ -82,6 +101,7 @@
         match self {
             SendEnd::Answered => "answered",
             SendEnd::Failed => "failed",
+            SendEnd::Disconnected => "disconnected",
             SendEnd::Broken => "broken",
             SendEnd::Unreachable => "unreachable",
             SendEnd::Rejected => "rejected",
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -13,7 +13,10 @@
 
 use super::latency::{self, Judgement, LateResponseLine, Times};
 use crate::{
-    coordination::{notices::UpstreamNotice, traffic::Basis},
+    coordination::{
+        notices::UpstreamNotice,
+        traffic::{Basis, Disconnect},
+    },
     core::{Code, Millis, Organisation, UpstreamName, Version},
     util::log,
 };
@@ -107,6 +110,13 @@
     pub(super) notice: UpstreamNotice,
 }
 
+/// The fields of the log line for an attempt whose upstream closed the connection.
+#[derive(Serialize)]
+pub(super) struct DisconnectLine<'a> {
+    pub(super) request: Option<&'a str>,
+    pub(super) disconnect: Disconnect,
+}
+
 /// Writes the lines and counts those of the current second.
 #[derive(Debug, Default)]
 pub(super) struct DecisionLog {
@@ -150,6 +160,11 @@
         self.log_limited("withheld", line);
     }
 
+    /// Logs that an upstream closed the connection of an attempt, up to the limit of such lines.
+    pub(super) fn disconnected(&self, line: &DisconnectLine<'_>) {
+        self.log_limited("upstream-disconnected", line);
+    }
+
     /// Logs that a caller takes a stream up again, up to the limit of such lines.
     pub(super) fn taken_up(&self, line: &impl Serialize) {
         self.log_limited("stream-taken-up", line);
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -134,8 +134,8 @@
                     return Poll::Ready(None);
                 }
                 Poll::Ready(Some(Err(_)) | None) => {
-                    if !self.resume() {
-                        return self.abort(SendEnd::Broken);
+                    if !self.resume(SendEnd::Disconnected) {
+                        return self.abort(SendEnd::Disconnected);
                     }
                 }
                 Poll::Pending => {
@@ -190,7 +190,7 @@
                 (&self.state, self.request.route.kind),
                 (State::Reading(_), RouteKind::Stream { resumable: true })
             );
-            if now >= self.silent_until && can_resume && self.resume() {
+            if now >= self.silent_until && can_resume && self.resume(SendEnd::Broken) {
                 cx.waker().wake_by_ref();
                 self.silent_until = self.abort_at;
             }
@@ -200,15 +200,16 @@
         Poll::Pending
     }
 
-    /// Starts to resume the stream at another upstream; returns whether that is permitted.
-    fn resume(&mut self) -> bool {
+    /// Starts to resume the stream at another upstream after its attempt has ended so; returns
+    /// whether that is permitted.
+    fn resume(&mut self, end: SendEnd) -> bool {
         let State::Reading(_) = &self.state else { return false };
         if !self.request.may_repeat() {
             return false;
         }
         self.splitter = EventSplitter::default();
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
-            source.attempt.end(SendEnd::Broken);
+            source.attempt.end(end);
         }
         let request = self.request.clone();
         let last_id = self.last_id;
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -8,22 +8,25 @@
 use crate::{
     coordination::traffic::{RequestNo, SendEnd},
     core::Version,
-    transport::gateway::{Gateway, adapter::PlatformAdapter, pool::Connection},
+    transport::gateway::{
+        Gateway, adapter::PlatformAdapter, decisions::DisconnectLine, pool::Connection,
+    },
 };
 
 /// Keeps an attempt registered with the scheduler while it is queued or running; dropping the guard
 /// cancels the attempt.
 pub(in crate::transport::gateway) struct AttemptGuard<E: PlatformAdapter> {
     gateway: Rc<Gateway<E>>,
+    request_id: Option<String>,
     pub(super) no: RequestNo,
     is_open: bool,
 }
 
 impl<E: PlatformAdapter> AttemptGuard<E> {
-    pub(super) fn new(gateway: Rc<Gateway<E>>) -> AttemptGuard<E> {
+    pub(super) fn new(gateway: Rc<Gateway<E>>, request_id: Option<String>) -> AttemptGuard<E> {
         let no = gateway.next_request.get();
         gateway.next_request.set(no + 1);
-        AttemptGuard { gateway, no, is_open: true }
+        AttemptGuard { gateway, request_id, no, is_open: true }
     }
 
     /// Reports how the attempt ended.
@@ -35,11 +38,20 @@
         if std::mem::take(&mut self.is_open) {
             counter!("kingcup_attempts", "end" => end.as_str()).increment(1);
             let now = self.gateway.now();
-            self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
+            let disconnect = self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
+            if let Some(disconnect) = disconnect {
+                let request = self.request_id.as_deref();
+                self.gateway.decisions.disconnected(&DisconnectLine { request, disconnect });
+            }
             self.gateway.poll_waiting();
         }
     }
 
+    /// Reports that the head of the answer has arrived.
+    pub(super) fn on_head(&self) {
+        self.gateway.traffic.borrow_mut().on_head(self.no);
+    }
+
     /// Reports events that have arrived, and the number of tokens in them.
     pub(in crate::transport::gateway) fn on_events(&self, tokens: u32) {
         let now = self.gateway.now();
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -108,7 +108,7 @@
                 }
                 ExchangeResult::Broken => {
                     self.progress.borrow_mut().attempts += 1;
-                    attempt.end(SendEnd::Broken);
+                    attempt.end(SendEnd::Disconnected);
                     return SendResult::Unknown;
                 }
                 ExchangeResult::TimedOut => {
@@ -228,6 +228,7 @@
             attempt.end(SendEnd::Broken);
             return SendResult::Unknown;
         }
+        attempt.on_head();
         let version = grant.version.clone();
         SendResult::Response(Box::new(UpstreamResponse {
             head,
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, header, request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
@@ -269,8 +269,9 @@
                         None => return complete_response(head, body.to_bytes()),
                     }
                 }
-                Ok(Err(_)) => {
-                    attempt.end(SendEnd::Broken);
+                Ok(Err(err)) => {
+                    let is_too_long = err.is::<LengthLimitError>();
+                    attempt.end(if is_too_long { SendEnd::Broken } else { SendEnd::Disconnected });
                     drop(connection);
                     match self.retry().await {
                         Some(again) => response = again,
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -59,7 +59,7 @@
         // Whether an earlier attempt may have run.
         let mut may_have_run = self.progress.borrow().attempts > 0;
         loop {
-            let attempt = AttemptGuard::new(self.gateway.clone());
+            let attempt = AttemptGuard::new(self.gateway.clone(), self.request_id.clone());
             let attempt_no = attempt.no;
             let error = |code: Code, retry_after| {
                 // `code` states that the request did not run; that may not be true any more.
