Keep a part of a prompt that crashes upstreams from all of them

Cause: an attempt whose upstream closes the connection counted against the upstream alone. What had ended it was forgotten and sent to the next one: as a repeat, as the rest of a stream, as the next request of its kind. Ruled out: repeats alone (70 crashes under 241 requests, most of which found no upstream), and entries that learn each by itself (one entry alone does the same).

Change: crashes suspect the shared parts of the request that was about to begin, answers that begin clear theirs. Three upstreams that end one by one blame the last part that all of them had. Upstreams that end together blame nothing by that, nor does a part that had answers shortly before. Entries tell each other what they see with their load reports, whose collectors pass on what is no sum as one kind of thing now. Requests with a blamed part are refused at once (K3013), also when they go on or were placed before. One entry at a time tries it again, after a minute and then ever less often; an answer that begins frees it everywhere.

New tests of the decisions and of the exchange in fleets of 3 to 84.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -15,7 +15,10 @@
     core::{FailureDomain, Instance, Millis, Organisation, UpstreamName},
     protocol::{
         Message,
-        fleet::{BegunStreams, CachedParts, FleetEntry, FleetLoad, FleetMessage, Load, LoadReport},
+        fleet::{
+            BarredPart, BegunStreams, CachedParts, Crash, FleetEntry, FleetLoad, FleetMessage,
+            Load, LoadReport,
+        },
     },
     util::rendezvous,
 };
@@ -141,10 +144,10 @@
     members: BTreeMap<Instance, (Millis, LoadReport)>,
     /// The sums of the other failure domains.
     domains: BTreeMap<FailureDomain, (Millis, LoadReport)>,
-    /// Cached prompt parts that entries of this failure domain announced, not passed on yet.
-    local_cached_parts: Vec<CachedParts>,
+    /// What entries of this failure domain announced, and was not passed on yet.
+    local_announcements: Announcements,
     /// The same that collectors of other failure domains announced.
-    remote_cached_parts: Vec<CachedParts>,
+    remote_announcements: Announcements,
 }
 
 impl LoadExchange {
@@ -176,7 +179,7 @@
         }
         report.begun = Vec::new();
         if self.topology.members.is_some() {
-            add_announcements(&mut self.local_cached_parts, &mut report.kept);
+            self.local_announcements.take_from(&mut report);
         }
         self.own.push_back(report);
         if self.own.len() > MAX_OWN_REPORTS {
@@ -208,8 +211,8 @@
             sum.add(report, 1);
             parts.push((own.clone(), report.number));
         }
-        let local_parts = std::mem::take(&mut self.local_cached_parts);
-        let domain_sum = LoadReport { kept: local_parts.clone(), ..sum.to_report() };
+        let local = std::mem::take(&mut self.local_announcements);
+        let domain_sum = local.clone().added_to(sum.to_report());
         let message = FleetMessage::DomainLoad(domain.clone(), domain_sum);
         out.push(LoadExchangeOutput::SendToAll(
             self.topology.remote_collectors.clone(),
@@ -218,9 +221,9 @@
         for (_, report) in self.domains.values() {
             sum.add(report, 1);
         }
-        let mut kept = std::mem::take(&mut self.remote_cached_parts);
-        kept.extend(local_parts);
-        let total = FleetLoad { report: LoadReport { kept, ..sum.to_report() }, parts };
+        let mut announced = std::mem::take(&mut self.remote_announcements);
+        announced.take_from(&mut local.added_to(LoadReport::default()));
+        let total = FleetLoad { report: announced.added_to(sum.to_report()), parts };
         out.extend(self.on_total(own, &total));
         out.push(LoadExchangeOutput::SendToAll(
             members,
@@ -239,7 +242,7 @@
             return Some(LoadExchangeOutput::LoadReceived(from.clone(), report));
         }
         if self.topology.members.is_some() {
-            add_announcements(&mut self.local_cached_parts, &mut report.kept);
+            self.local_announcements.take_from(&mut report);
         }
         let begun = std::mem::take(&mut report.begun);
         self.members.insert(from.clone(), (now, report));
@@ -259,7 +262,7 @@
         mut sum: LoadReport,
     ) {
         if self.topology.members.is_some() {
-            add_announcements(&mut self.remote_cached_parts, &mut sum.kept);
+            self.remote_announcements.take_from(&mut sum);
         }
         self.domains.insert(domain, (now, sum));
     }
@@ -273,18 +276,51 @@
         if let Some(report) = part {
             sum.add(report, -1);
         }
-        let report = LoadReport { kept: total.report.kept.clone(), ..sum.to_report() };
+        let report = Announcements::of(&total.report).added_to(sum.to_report());
         Some(LoadExchangeOutput::LoadReceived(Instance::from(TOTAL_SENDER), report))
     }
 }
 
-/// Adds announcements of cached parts, once where both collectors of a failure domain send the
-/// same.
-fn add_announcements(known: &mut Vec<CachedParts>, announced: &mut Vec<CachedParts>) {
-    let announced = std::mem::take(announced).into_iter();
-    for parts in announced {
-        if !known.contains(&parts) {
-            known.push(parts);
+/// What reports tell of single things, which sums don't add up but pass on.
+#[derive(Clone, Debug, Default)]
+struct Announcements {
+    kept: Vec<CachedParts>,
+    crashes: Vec<Crash>,
+    sound: Vec<u64>,
+    barred: Vec<BarredPart>,
+}
+
+impl Announcements {
+    /// Returns those of a report.
+    fn of(report: &LoadReport) -> Announcements {
+        let mut announced = Announcements::default();
+        announced.take_from(&mut report.clone());
+        announced
+    }
+
+    /// Moves those of a report to the known ones, once where both collectors of a failure domain
+    /// send the same.
+    fn take_from(&mut self, report: &mut LoadReport) {
+        add_unknown(&mut self.kept, &mut report.kept);
+        add_unknown(&mut self.crashes, &mut report.crashes);
+        add_unknown(&mut self.sound, &mut report.sound);
+        for barred in std::mem::take(&mut report.barred) {
+            if !self.barred.iter().any(|known| known.part == barred.part) {
+                self.barred.push(barred);
+            }
+        }
+    }
+
+    fn added_to(self, report: LoadReport) -> LoadReport {
+        let Announcements { kept, crashes, sound, barred } = self;
+        LoadReport { kept, crashes, sound, barred, ..report }
+    }
+}
+
+fn add_unknown<T: PartialEq>(known: &mut Vec<T>, announced: &mut Vec<T>) {
+    for item in std::mem::take(announced) {
+        if !known.contains(&item) {
+            known.push(item);
         }
     }
 }
@@ -329,13 +365,11 @@
             sums.map(|(organisation, tokens)| (organisation.clone(), *tokens as f32)).collect()
         };
         LoadReport {
-            number: 0,
             loads: loads.collect(),
             served: tokens(&self.served),
             requested: tokens(&self.requested),
-            kept: Vec::new(),
             refused: tokens(&self.refused),
-            begun: Vec::new(),
+            ..LoadReport::default()
         }
     }
 }
--- /dev/null
+++ b/src/kingcupgrade/coordination/traffic/barred_parts.rs
@@ -0,0 +1,69 @@
+//! Keeps requests with a part that crashes upstreams from all of them, at one entry.
+
+use super::{
+    Disconnect, PartChange, PromptPart, Traffic,
+    crashing_parts::{BEGUN_EVENTS, PartNews},
+    demand::shared_parts,
+};
+use crate::{
+    core::{Millis, UpstreamName},
+    protocol::fleet::{Crash, LoadReport},
+};
+
+impl Traffic {
+    /// Returns the changes of the parts that are kept from upstreams since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.part_changes)
+    }
+
+    /// Returns the time until a request is tried again that is kept from all upstreams, because a
+    /// part of its prompt crashes them.
+    pub(super) fn barred_for(&self, now: Millis, prompt: &[PromptPart]) -> Option<Millis> {
+        let (own, parts) = (self.settings.instance(), shared_parts(prompt));
+        self.crashing_parts.barred(now, parts, &own, &self.entries)
+    }
+
+    /// Records that an answer on a prompt has begun.
+    pub(super) fn on_answer_begun(&mut self, now: Millis, prompt: &[PromptPart]) {
+        let freed = self.crashing_parts.on_begun(now, shared_parts(prompt));
+        self.part_changes.extend(freed.into_iter().map(PartChange::Freed));
+    }
+
+    /// Returns the number of listed upstreams of the service that an upstream serves.
+    fn upstreams_beside(&self, name: &UpstreamName) -> usize {
+        let service = self.upstreams.get(name).map(|upstream| &upstream.listed.service);
+        service.and_then(|service| self.by_service.get(service)).map_or(0, Vec::len)
+    }
+
+    /// Records an upstream that closed the connection of a request.
+    pub(super) fn on_disconnect(&mut self, now: Millis, disconnect: &Disconnect) {
+        let upstreams = self.upstreams_beside(&disconnect.upstream);
+        if disconnect.events >= BEGUN_EVENTS {
+            let incarnation = (disconnect.upstream.clone(), disconnect.incarnation);
+            self.crashing_parts.on_end(now, incarnation, upstreams);
+            return;
+        }
+        let crash = Crash {
+            upstream: disconnect.upstream.clone(),
+            incarnation: disconnect.incarnation,
+            age: Millis::ZERO,
+            had_head: disconnect.has_head,
+            shared_parts: disconnect.shared_parts.clone(),
+        };
+        let blamed = self.crashing_parts.on_crash(now, crash, upstreams);
+        self.part_changes.extend(blamed.map(PartChange::Barred));
+    }
+
+    /// Applies what another entry's report tells of crashes.
+    pub(super) fn on_part_news(&mut self, now: Millis, report: &mut LoadReport) {
+        let news = PartNews {
+            crashes: std::mem::take(&mut report.crashes),
+            sound: std::mem::take(&mut report.sound),
+            barred: std::mem::take(&mut report.barred),
+        };
+        let mut crashing_parts = std::mem::take(&mut self.crashing_parts);
+        let blamed = crashing_parts.on_news(now, news, |name| self.upstreams_beside(name));
+        self.crashing_parts = crashing_parts;
+        self.part_changes.extend(blamed.into_iter().map(PartChange::Barred));
+    }
+}
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -8,8 +8,10 @@
 //! hold while the entries can't reach each other.
 
 mod backlog;
+mod barred_parts;
 mod budget;
 mod cold;
+mod crashing_parts;
 mod decaying_sum;
 mod demand;
 mod engine;
@@ -40,11 +42,11 @@
     placement::PlacementError,
     shares::{ShareStatus, Shares},
     upstream::Upstream,
-    verdict::{Basis, Disconnect, Grant, SendEnd, Verdict},
+    verdict::{Basis, Disconnect, Grant, PartChange, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    cold::cold_rate_share, crashing_parts::CrashingParts, crashing_parts::PartNews,
+    origins::Origins, peer_reports::PeerReports, rollouts::Rollouts, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -53,14 +55,12 @@
         rollout::{ExposureLimit, Senders},
     },
     core::{
-        FailureDomain, Instance, Millis, Service, UpstreamName, Version,
+        FailureDomain, Instance, Millis, Service, UpstreamName,
         configuration::{Configuration, ServiceConfig},
         fleet::FleetSettings,
     },
     protocol::{
-        fleet::{
-            BegunStreams, CachedParts, ListedUpstream, LoadReport, OriginRequest, StreamOrigin,
-        },
+        fleet::{CachedParts, ListedUpstream, LoadReport},
         rollout::{Rollout, RolloutReport},
     },
 };
@@ -86,6 +86,9 @@
     shares: Shares,
     rollouts: Rollouts,
     origins: Origins,
+    crashing_parts: CrashingParts,
+    /// Changes of the parts that are kept from upstreams, for the log.
+    part_changes: Vec<PartChange>,
     /// Prompt parts that upstreams cache and that have not been reported to the other entries.
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
@@ -112,6 +115,8 @@
             shares: Shares::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
+            crashing_parts: CrashingParts::default(),
+            part_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
         }
@@ -258,14 +263,16 @@
 
     /// Returns whether a request that was granted an upstream may still be sent to it. The grant may
     /// have waited for a connection or for the processor, and the upstream may have asked for no
-    /// requests or have restarted meanwhile.
+    /// requests or have restarted meanwhile, or a part of the prompt may have crashed others.
     pub fn may_send(&self, now: Millis, no: RequestNo) -> bool {
         let Some(sent) = self.sent.get(&no) else { return false };
         let listed = self.upstreams.get(&sent.upstream).map(|upstream| &upstream.listed);
         let is_out = listed.is_some_and(|listed| self.domains_out.contains(&listed.domain));
         let has_restarted = listed.is_some_and(|listed| listed.started_unix_ms != sent.incarnation);
+        let is_barred = !sent.is_trial && self.barred_for(now, &sent.parts).is_some();
         !is_out
             && !has_restarted
+            && !is_barred
             && self.notices.state(&sent.upstream, sent.incarnation).takes_requests(now)
     }
 
@@ -279,6 +286,7 @@
     /// Applies another entry's load report.
     pub fn on_report(&mut self, now: Millis, from: Instance, mut report: LoadReport) {
         self.origins.on_reported(now, std::mem::take(&mut report.begun));
+        self.on_part_news(now, &mut report);
         for CachedParts(name, parts) in std::mem::take(&mut report.kept) {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
                 upstream.on_announced_parts(now, &parts);
@@ -287,27 +295,6 @@
         self.peer_reports.on_report(now, from, report, &mut self.upstreams);
     }
 
-    /// Records a stream of a caller that has begun here, at this version of its service.
-    pub fn on_stream_begun(
-        &mut self,
-        now: Millis,
-        request_id: &str,
-        service: &Service,
-        version: Option<&Version>,
-    ) {
-        self.origins.on_begun(now, stream_key(request_id), service, version);
-    }
-
-    /// Records streams that began at other entries.
-    pub fn on_streams_begun(&mut self, now: Millis, begun: Vec<BegunStreams>) {
-        self.origins.on_reported(now, begun);
-    }
-
-    /// Returns where a stream began, as far as this entry can show it.
-    pub fn origin(&self, now: Millis, request: &OriginRequest) -> StreamOrigin {
-        self.origins.origin(now, request)
-    }
-
     /// Drops the reports of entries that have stopped sending them.
     pub fn expire_reports(&mut self, now: Millis) {
         let entries = self.entry_count();
@@ -320,20 +307,19 @@
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
         let begun = self.origins.take_unreported();
-        LoadReport { kept, begun, ..self.report(now) }
+        let PartNews { crashes, sound, barred } = self.crashing_parts.take_news(now);
+        LoadReport { kept, begun, crashes, sound, barred, ..self.report(now) }
     }
 
     /// Returns this entry's load, without what is told only once.
     pub fn report(&self, now: Millis) -> LoadReport {
         let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.own.running > 0);
         LoadReport {
-            number: 0,
             loads: busy.map(|(name, upstream)| (name.clone(), upstream.own.clone())).collect(),
             served: self.shares.served(now),
             requested: self.shares.requested(now),
-            kept: Vec::new(),
             refused: self.shares.refused(now),
-            begun: Vec::new(),
+            ..LoadReport::default()
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/origins.rs
+++ b/src/kingcupgrade/coordination/traffic/origins.rs
@@ -8,6 +8,7 @@
 
 use sha2::{Digest, Sha256};
 
+use super::Traffic;
 use crate::{
     core::{Millis, Service, Version, configuration::Configuration},
     protocol::fleet::{BegunStreams, ListedUpstream, OriginRequest, StreamKey, StreamOrigin},
@@ -125,3 +126,26 @@
         only.map(|(version, _)| version)
     }
 }
+
+impl Traffic {
+    /// Records a stream of a caller that has begun here, at this version of its service.
+    pub fn on_stream_begun(
+        &mut self,
+        now: Millis,
+        request_id: &str,
+        service: &Service,
+        version: Option<&Version>,
+    ) {
+        self.origins.on_begun(now, stream_key(request_id), service, version);
+    }
+
+    /// Records streams that began at other entries.
+    pub fn on_streams_begun(&mut self, now: Millis, begun: Vec<BegunStreams>) {
+        self.origins.on_reported(now, begun);
+    }
+
+    /// Returns where a stream began, as far as this entry can show it.
+    pub fn origin(&self, now: Millis, request: &OriginRequest) -> StreamOrigin {
+        self.origins.origin(now, request)
+    }
+}
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -55,6 +55,8 @@
     /// The service has no upstream that may serve the request, or all of them are out of service,
     /// leaving or avoided by it.
     NoUpstream,
+    /// A part of the prompt crashes upstreams; the time until it is tried again.
+    Barred(Millis),
     /// All upstreams have asked for no requests; the time until the first takes them again.
     BackingOff(Millis),
     /// All upstreams are full or would answer too late.
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -67,6 +67,7 @@
             Ok(verdict) => Some(verdict),
             Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
             Err(PlacementError::BackingOff(left)) => Some(refuse(Code::UpstreamsBackingOff, left)),
+            Err(PlacementError::Barred(left)) => Some(refuse(Code::PartBarred, left)),
             Err(PlacementError::Full) if status == ShareStatus::Over => {
                 Some(self.refuse_until_capacity(now, Code::OverShare, &demand))
             }
@@ -105,6 +106,9 @@
         demand: &Demand,
         status: ShareStatus,
     ) -> Result<Verdict, PlacementError> {
+        if let Some(left) = self.barred_for(now, &demand.prompt) {
+            return Err(PlacementError::Barred(left));
+        }
         let terms = match status {
             ShareStatus::Within => PlacementTerms { time_fraction: 1.0, may_reread: true },
             // Capacity that would require re-reading a part cached by another engine doesn't count
@@ -170,6 +174,9 @@
                 Err(PlacementError::BackingOff(left)) => {
                     out.push((no, refuse(Code::UpstreamsBackingOff, left)));
                 }
+                Err(PlacementError::Barred(left)) => {
+                    out.push((no, refuse(Code::PartBarred, left)));
+                }
                 Err(PlacementError::Full) if now >= waiting.wait_until => {
                     out.push((
                         no,
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::{
-    Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic, demand::shared_parts,
+    Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic,
+    crashing_parts::BEGUN_EVENTS, demand::shared_parts,
 };
 use crate::{
     coordination::rollout::Use,
@@ -31,6 +32,8 @@
     pub(super) memory: u64,
     pub(super) prompt: u64,
     pub(super) parts: Arc<[PromptPart]>,
+    /// Whether it tries a part that is kept from upstreams.
+    pub(super) is_trial: bool,
     pub(super) expected_output: u32,
     /// The work charged to its organisation's share, in tokens.
     pub(super) work: f64,
@@ -117,6 +120,7 @@
             memory,
             prompt,
             parts: demand.prompt.clone(),
+            is_trial: self.crashing_parts.on_sent(now, shared_parts(&demand.prompt)),
             expected_output: demand.expected_output,
             work: demand.work(),
             has_begun: false,
@@ -170,9 +174,13 @@
     }
 
     /// Records generated tokens.
-    pub fn on_tokens(&mut self, no: RequestNo, tokens: u32) {
-        if let Some(sent) = self.sent.get_mut(&no) {
-            sent.generated += tokens;
+    pub fn on_tokens(&mut self, now: Millis, no: RequestNo, tokens: u32) {
+        let Some(sent) = self.sent.get_mut(&no) else { return };
+        let before = sent.events();
+        sent.generated += tokens;
+        if before < BEGUN_EVENTS && sent.events() >= BEGUN_EVENTS {
+            let parts = sent.parts.clone();
+            self.on_answer_begun(now, &parts);
         }
     }
 
@@ -216,7 +224,12 @@
             self.shares.on_served(now, &sent.organisation, -sent.work);
         }
         self.update_output_average(now, &sent, end);
-        (end == SendEnd::Disconnected).then(|| sent.disconnect(now))
+        if end == SendEnd::Answered {
+            self.on_answer_begun(now, &sent.parts);
+        }
+        let disconnect = (end == SendEnd::Disconnected).then(|| sent.disconnect(now))?;
+        self.on_disconnect(now, &disconnect);
+        Some(disconnect)
     }
 
     fn median_failure_rate(&self, service: &Service) -> f64 {
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -57,6 +57,16 @@
     },
 }
 
+/// A change of the parts of prompts that are kept from upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PartChange {
+    /// Upstreams kept ending under this part, and it is kept from them.
+    Barred(u64),
+    /// An answer on this part has begun, and it is let through again.
+    Freed(u64),
+}
+
 /// How far an attempt was when its upstream closed the connection.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Disconnect {
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -100,6 +100,8 @@
     NoUpstreamOfVersion = 3011, NotRun, 503, "No upstream of the version that began the stream can be reached.";
     OriginUnknown = 3012, NotRun, 503, "Which version began the stream is not known.";
 
+    PartBarred = 3013, NotRun, 503, "A part of the prompt crashes upstreams.";
+
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -58,7 +58,7 @@
         notices::UpstreamNotice,
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
-        traffic::{Grant, RequestNo, Traffic, Verdict},
+        traffic::{Grant, PartChange, RequestNo, Traffic, Verdict},
     },
     core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
     protocol::fleet::FleetEntry,
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Logs which parts of prompts are kept from upstreams from now on, and which no longer.
+    fn log_part_changes(&self) {
+        for change in self.traffic.borrow_mut().take_part_changes() {
+            let kind = if matches!(change, PartChange::Barred(_)) { "barred" } else { "freed" };
+            counter!("kingcup_prompt_parts", "change" => kind).increment(1);
+            log::event("prompt-part", &change);
+        }
+    }
+
     /// Records what an upstream asks for on an answer, and logs it.
     fn on_notice(&self, grant: &Grant, notice: UpstreamNotice) {
         if notice.is_empty() {
@@ -368,6 +377,7 @@
         }
         let now = gateway.now();
         gateway.poll_waiting();
+        gateway.log_part_changes();
         gateway.link.borrow_mut().update(now, gateway.overload.get().scheduling_delay());
         if now >= next_share {
             let report = {
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -57,7 +57,7 @@
         let now = self.gateway.now();
         let mut traffic = self.gateway.traffic.borrow_mut();
         traffic.on_first_event(now, self.no);
-        traffic.on_tokens(self.no, tokens);
+        traffic.on_tokens(now, self.no, tokens);
     }
 }
 
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -13,8 +13,8 @@
     protocol::{
         Message,
         fleet::{
-            BegunStreams, CachedParts, FleetEntry, FleetMessage, Load, LoadReport, OriginRequest,
-            StreamKey, StreamOrigin,
+            BarredPart, BegunStreams, CachedParts, Crash, FleetEntry, FleetMessage, Load,
+            LoadReport, OriginRequest, StreamKey, StreamOrigin,
         },
     },
 };
@@ -34,6 +34,9 @@
     begun: BTreeMap<Instance, Vec<BegunStreams>>,
     /// The origins that entries have asked for.
     origins: BTreeMap<Instance, StreamOrigin>,
+    /// The crashes and the barred parts that each entry was told of.
+    crashes: BTreeMap<Instance, Vec<Crash>>,
+    barred: BTreeMap<Instance, Vec<BarredPart>>,
     failed: Vec<Instance>,
 }
 
@@ -63,6 +66,8 @@
             cached_parts: BTreeMap::new(),
             begun: BTreeMap::new(),
             origins: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            barred: BTreeMap::new(),
             failed: Vec::new(),
         };
         let entries = fleet.entries.clone();
@@ -110,6 +115,8 @@
                 }
                 FleetOutput::LoadReceived(from, report) => {
                     self.begun.entry(entry.clone()).or_default().extend(report.begun.clone());
+                    self.crashes.entry(entry.clone()).or_default().extend(report.crashes.clone());
+                    self.barred.entry(entry.clone()).or_default().extend(report.barred.clone());
                     self.cached_parts.entry(entry.clone()).or_default().extend(report.kept.clone());
                     self.reports.entry(entry.clone()).or_default().insert(from, report);
                 }
@@ -255,3 +262,33 @@
         }
     }
 }
+
+/// Guards against crashes of upstreams, and parts of prompts that cause them, that are known at one
+/// entry only.
+#[test]
+fn every_entry_hears_of_crashes_and_barred_parts() {
+    for count in [3, 16, 17, 84] {
+        let mut fleet = Fleet::start(count);
+        fleet.share_load(Millis::ZERO, |_| 1);
+        let sender = fleet.names().pop().expect("an entry");
+        let crash = Crash {
+            upstream: "engine".into(),
+            incarnation: 1,
+            age: Millis::ZERO,
+            had_head: true,
+            shared_parts: vec![1, 2],
+        };
+        let barred = vec![BarredPart { part: 2, age: Millis(10) }];
+        let report = LoadReport { crashes: vec![crash], barred, ..LoadReport::default() };
+        fleet.handle(Millis(200), &sender, FleetInput::ShareLoad(report));
+        for round in 2..5_u64 {
+            fleet.share_load(Millis(round * 200), |_| 1);
+        }
+        for entry in fleet.names().iter().filter(|entry| **entry != sender) {
+            let crashes = fleet.crashes.get(entry).map_or(0, Vec::len);
+            let barred = fleet.barred.get(entry).map_or(0, Vec::len);
+            assert!((1..=4).contains(&crashes), "{entry} of {count} heard of {crashes} crashes");
+            assert!((1..=4).contains(&barred), "{entry} of {count} heard of {barred} parts");
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cached_parts;
 mod configuration_pull;
 mod connections;
+mod crashing_parts;
 mod deposits;
 mod disconnects;
 mod disk;
