Take a stream of kingcupd's that ends inside an event for broken off

What callers saw: an answer with neither a length nor chunks that broke off inside an event was passed on with the rest of the event, as whole and done.

Cause: the end of the connection was the end of the answer, whatever had arrived. An answer of events that ends inside one is unfinished now, and goes on elsewhere at the count of whole events or ends with an error; other answers of engines are passed on as before.

The test, an upstream whose first answers end so, failed before with an answer of five events and a half taken for complete.

--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -32,6 +32,9 @@
 /// The maximum length of a response that is not streamed, in bytes.
 const MAX_RESPONSE_LEN: u64 = 64 << 20;
 
+/// The content type of answers that consist of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// How long after a request's deadline its thread stops waiting for the node.
 const VERDICT_SLACK: Duration = Duration::from_secs(10);
 
@@ -189,10 +192,7 @@
         upstream: &UpstreamName,
         address: SocketAddr,
     ) -> Option<ResponseState> {
-        let offset = match &state {
-            ResponseState::Pending(_) => 0,
-            ResponseState::Streaming { events, .. } => *events,
-        };
+        let offset = state.events();
         let sent = Instant::now();
         let response = match self.send(upstream, address, offset) {
             Ok(response) => response,
@@ -219,6 +219,7 @@
             ResponseState::Streaming { stream, events } => (stream, events),
             ResponseState::Pending(pending) => (begin_stream(pending, &response), 0),
         };
+        let is_event_stream = content_type(&response).starts_with(EVENT_STREAM);
         let mut first_byte = None;
         let mut next_reported_cost = FIRST_REPORTED_COST;
         let mut reader = response.body_mut().as_reader();
@@ -231,10 +232,11 @@
                 Err(_) => {
                     let is_late = self.remaining().is_zero();
                     let end = if is_late { AttemptEnd::TimedOut } else { AttemptEnd::Broken };
-                    let end = self.unless_cancelled(end);
-                    self.end(end, cost_of(events), first_byte, None);
-                    let is_open = end != AttemptEnd::HungUp;
-                    return is_open.then_some(ResponseState::Streaming { stream, events });
+                    return self.end_unfinished(
+                        end,
+                        ResponseState::Streaming { stream, events },
+                        first_byte,
+                    );
                 }
             };
             first_byte.get_or_insert_with(|| self.record_first_byte(sent));
@@ -256,6 +258,11 @@
                 let _ = self.shared.events.send(Event::Input(input));
             }
         }
+        // An answer may have neither a length nor chunks, so that its end tells nothing.
+        if is_event_stream && !partial.is_empty() {
+            let state = ResponseState::Streaming { stream, events };
+            return self.end_unfinished(AttemptEnd::Broken, state, first_byte);
+        }
         if !partial.is_empty() {
             let _ = stream.write(&partial);
         }
@@ -270,6 +277,19 @@
         None
     }
 
+    /// Reports the end of an attempt whose answer is unfinished. Returns the response state unless
+    /// the caller has left.
+    fn end_unfinished(
+        &self,
+        end: AttemptEnd,
+        state: ResponseState,
+        first_byte: Option<Duration>,
+    ) -> Option<ResponseState> {
+        let end = self.unless_cancelled(end);
+        self.end(end, cost_of(state.events()), first_byte, None);
+        (end != AttemptEnd::HungUp).then_some(state)
+    }
+
     fn record_first_byte(&self, sent: Instant) -> Duration {
         histogram!("kingcup_first_byte_ms").record(self.arrived.elapsed().as_millis() as f64);
         sent.elapsed()
--- a/src/kingcupgrade/transport/callers/response.rs
+++ b/src/kingcupgrade/transport/callers/response.rs
@@ -17,6 +17,16 @@
     Streaming { stream: ResponseStream, events: u64 },
 }
 
+impl ResponseState {
+    /// Returns the number of events that have been sent.
+    pub(super) fn events(&self) -> u64 {
+        match self {
+            ResponseState::Pending(_) => 0,
+            ResponseState::Streaming { events, .. } => *events,
+        }
+    }
+}
+
 /// Begins a streamed response.
 pub(super) fn begin_stream(
     pending: Responder,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,5 +44,6 @@
 mod stream_versions;
 mod support;
 mod traffic;
+mod unframed_answers;
 mod upstream_notices;
 mod view;
