Ask where a stream began only for routes that stream

A request of another kind that happens to carry Last-Event-Id or Resumes was looked up too, and refused while two versions served.

--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -173,7 +173,9 @@
     ///
     /// Returns the code with which the request is to be refused, if that can't be shown.
     pub(super) async fn find_version(&mut self) -> Result<(), Code> {
-        let Some(stream) = &self.taken_up else { return Ok(()) };
+        let Some(stream) = self.taken_up.as_ref().filter(|_| self.is_stream()) else {
+            return Ok(());
+        };
         let allowed = || self.route.services.iter().filter(|(_, weight)| *weight > 0);
         let only = allowed().next().filter(|_| allowed().count() == 1);
         let only = only.map(|(service, _)| service);
