Move what the control thread tells an entry into a module of its own, and read streams in one place

Two tests of streams began and read them with the same lines. No change of behaviour; the tests of streams pass.

--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -18,10 +18,11 @@
 mod rollouts;
 mod scheduling_delay;
 mod serve;
+mod updates;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -44,7 +45,7 @@
     scheduling_delay::probe_scheduling_delay,
 };
 use super::{
-    fleet::{FleetHandle, FleetUpdate},
+    fleet::FleetHandle,
     listen::listen,
     metrics, reload,
     signals::EarlySignals,
@@ -54,14 +55,13 @@
     coordination::{
         fleet::{FleetInput, share_interval},
         link::LinkLoad,
-        listing::{ListingDuty, ListingPlan, Neighbours},
+        listing::{ListingDuty, ListingPlan},
         notices::UpstreamNotice,
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
         traffic::{Grant, PartChange, RequestNo, Traffic, Verdict},
     },
-    core::{Code, Instance, Millis, clock::Clock, fleet::FleetSettings},
-    protocol::fleet::FleetEntry,
+    core::{Code, Millis, clock::Clock, fleet::FleetSettings},
     util::{log, random},
 };
 
@@ -214,66 +214,6 @@
             log::event("upstream-notice", &NoticeLine { upstream, incarnation, notice });
         }
     }
-
-    fn on_fleet_update(&self, update: FleetUpdate) {
-        match update {
-            FleetUpdate::View(view) => {
-                let out = view.domains().filter(|s| s.out).map(|s| s.name.clone());
-                let out: BTreeSet<_> = out.collect();
-                let mut traffic = self.traffic.borrow_mut();
-                traffic.set_domains_out(out);
-                traffic.set_rollouts(self.now(), view.rollouts());
-                let Some(newest) = view.configuration() else { return };
-                let known = traffic.configuration().map_or(0, |known| known.version);
-                if newest.version <= known {
-                    return;
-                }
-                match self.adapter.decode_configuration(newest.text.as_bytes()) {
-                    Ok(configuration) => {
-                        log::event("configuration-in-force", &newest.version);
-                        traffic.set_configuration(Arc::new(configuration));
-                    }
-                    Err(err) => log::warning("configuration-unreadable", &err),
-                }
-            }
-            FleetUpdate::RoundTrip(peer, time) => {
-                self.link.borrow_mut().on_round_trip(self.now(), &peer, time);
-            }
-            FleetUpdate::Confirmed(age) => {
-                let at = self.now().since(age);
-                self.traffic.borrow_mut().on_rollouts_confirmed(at);
-            }
-            FleetUpdate::Entries(entries) => {
-                let own = &self.settings.failure_domain;
-                let local = entries.iter().filter(|FleetEntry(_, domain)| domain == own);
-                let local: Vec<Instance> =
-                    local.map(|FleetEntry(entry, _)| entry.clone()).collect();
-                let all: Vec<Instance> =
-                    entries.into_iter().map(|FleetEntry(entry, _)| entry).collect();
-                let neighbours = Neighbours { fleet: &all, domain: &local };
-                let duty = neighbours.duty(&self.settings.instance());
-                if self.listing_duty.replace(duty) != duty {
-                    log::event("listing-duty", &duty);
-                }
-                self.traffic.borrow_mut().set_entries(all);
-                if !self.listing_plan.borrow().is_known() {
-                    self.fleet.send(FleetInput::RequestListing(None));
-                }
-            }
-            FleetUpdate::ListingReceived(from, update) => self.on_listing_update(from, update),
-            FleetUpdate::ListingRequested(from) => self.send_listing(from),
-            FleetUpdate::StreamsBegun(begun) => {
-                self.traffic.borrow_mut().on_streams_begun(self.now(), begun);
-            }
-            FleetUpdate::OriginRequested(from, request) => {
-                self.answer_origin_request(from, &request);
-            }
-            FleetUpdate::OriginFound(number, origin) => self.on_origin_found(number, origin),
-            FleetUpdate::LoadReceived(from, report) => {
-                self.traffic.borrow_mut().on_report(self.now(), from, report);
-            }
-        }
-    }
 }
 
 /// Runs an entry until it receives SIGTERM and has drained its requests.
