Count an answer as begun with its fourth event, and keep sound parts in two generations

An upstream may write more than its first event before it crashes: engines step every few milliseconds, and the recorded ones ended 70 to 110 ms after they began. With two events an answer that is about to end its upstream would have cleared the part. The parts that had answers are kept in two maps, so that none is scanned at each answer; whether a part is barred is asked only if one is. Module crashing_parts passes, with answers of four events.

--- a/src/kingcupgrade/coordination/traffic/barred_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/barred_parts.rs
@@ -19,6 +19,9 @@
     /// Returns the time until a request is tried again that is kept from all upstreams, because a
     /// part of its prompt crashes them.
     pub(super) fn barred_for(&self, now: Millis, prompt: &[PromptPart]) -> Option<Millis> {
+        if self.crashing_parts.bars_nothing() {
+            return None;
+        }
         let (own, parts) = (self.settings.instance(), shared_parts(prompt));
         self.crashing_parts.barred(now, parts, &own, &self.entries)
     }
--- a/src/kingcupgrade/coordination/traffic/crashing_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/crashing_parts.rs
@@ -17,8 +17,8 @@
     util::rendezvous,
 };
 
-/// The events of an answer after which it counts as begun: an upstream may crash in its first.
-pub(super) const BEGUN_EVENTS: u32 = 2;
+/// The events of an answer after which it counts as begun: an upstream may crash in the first ones.
+pub(super) const BEGUN_EVENTS: u32 = 4;
 /// The upstreams that have to end under a part, one by one and with the answer begun, before it is
 /// blamed.
 const MIN_CRASHES: usize = 3;
@@ -48,7 +48,7 @@
 const FIRST_TRIAL: Millis = Millis(60_000);
 /// The longest time between two trials.
 const MAX_TRIAL_INTERVAL: Millis = Millis(600_000);
-/// The limit of parts that are remembered as sound; at the limit, old ones are dropped.
+/// The limit of parts that are remembered as sound since they were last moved to the older ones.
 const MAX_SOUND_PARTS: usize = 8_192;
 
 /// An upstream's name and the Unix millisecond of its start.
@@ -109,6 +109,31 @@
     }
 }
 
+/// The parts of which answers have begun lately. Those of the last [`SOUND_TTL`] at least are kept,
+/// unless there are very many.
+#[derive(Debug, Default)]
+struct SoundParts {
+    recent: HashMap<u64, Millis>,
+    older: HashMap<u64, Millis>,
+    /// When the recent ones were last moved to the older ones.
+    moved: Millis,
+}
+
+impl SoundParts {
+    fn insert(&mut self, now: Millis, part: u64) {
+        if now.since(self.moved) > SOUND_TTL || self.recent.len() >= MAX_SOUND_PARTS {
+            self.older = std::mem::take(&mut self.recent);
+            self.moved = now;
+        }
+        self.recent.insert(part, now);
+    }
+
+    /// Returns when an answer on a part last began.
+    fn last(&self, part: u64) -> Option<Millis> {
+        self.recent.get(&part).or(self.older.get(&part)).copied()
+    }
+}
+
 /// A part that is kept from upstreams.
 #[derive(Clone, Copy, Debug)]
 struct Bar {
@@ -150,7 +175,7 @@
     /// The upstreams that ended lately, by the requests that broke off there.
     ends: Vec<(Millis, Incarnation)>,
     /// The parts of which answers have begun, here or as others told, and when last.
-    sound: HashMap<u64, Millis>,
+    sound: SoundParts,
     unreported_crashes: Vec<(Millis, Crash)>,
     /// Parts that others may suspect, and of which answers have begun.
     unreported_sound: Vec<u64>,
@@ -232,7 +257,7 @@
     pub(super) fn on_begun(&mut self, now: Millis, parts: impl Iterator<Item = u64>) -> Vec<u64> {
         let mut freed = Vec::new();
         for part in parts {
-            self.sound.insert(part, now);
+            self.sound.insert(now, part);
             let was_suspected = self.suspects.remove(&part).is_some();
             let was_barred = self.bars.remove(&part).is_some();
             if was_barred {
@@ -242,12 +267,14 @@
                 self.unreported_sound.push(part);
             }
         }
-        if self.sound.len() > MAX_SOUND_PARTS {
-            self.sound.retain(|_, at| now.since(*at) <= SOUND_TTL);
-        }
         freed
     }
 
+    /// Returns whether no part is kept from upstreams.
+    pub(super) fn bars_nothing(&self) -> bool {
+        self.bars.is_empty()
+    }
+
     /// Returns the time until a request with these parts is tried again, if one of them keeps it from
     /// all upstreams.
     pub(super) fn barred(
@@ -257,9 +284,6 @@
         own: &Instance,
         entries: &[Instance],
     ) -> Option<Millis> {
-        if self.bars.is_empty() {
-            return None;
-        }
         parts.find_map(|part| {
             let bar = self.bars.get(&part)?;
             let (due, left) = bar.trials(now);
@@ -298,7 +322,7 @@
             blamed.extend(self.add_crash(now, at, crash, upstreams(&crash.upstream)));
         }
         for part in news.sound {
-            self.sound.insert(part, now);
+            self.sound.insert(now, part);
             self.suspects.remove(&part);
             self.bars.remove(&part);
         }
@@ -328,7 +352,7 @@
 
     /// Returns whether an answer on a part has begun within the last `span`.
     fn sound_for(&self, now: Millis, part: u64, span: Millis) -> bool {
-        self.sound.get(&part).is_some_and(|at| now.since(*at) <= span)
+        self.sound.last(part).is_some_and(|at| now.since(at) <= span)
     }
 }
 
--- a/tests/testsuite/crashing_parts.rs
+++ b/tests/testsuite/crashing_parts.rs
@@ -41,7 +41,7 @@
     assert!(is_started(traffic.admit(now, demand).as_ref()), "request {no}");
     traffic.on_head(no);
     traffic.on_first_event(now, no);
-    traffic.on_tokens(now, no, 12);
+    traffic.on_tokens(now, no, 24);
     traffic.on_end(now, no, SendEnd::Answered);
 }
 
@@ -182,7 +182,7 @@
     let [(place, no)] = tried[..] else { panic!("{tried:?}") };
     entries[place].on_head(no);
     entries[place].on_first_event(now, no);
-    entries[place].on_tokens(now, no, 12);
+    entries[place].on_tokens(now, no, 24);
     exchange(&mut entries, &names, now);
     for (entry, name) in entries.iter_mut().zip(&names) {
         assert!(is_started(entry.admit(now, fatal(600, now)).as_ref()), "{name}");
