Bound what entries tell and keep of crashes when many upstreams end together

A report tells 16 crashes now, a collector passes on 64, and what was told is not told twice. Which upstreams ended together is kept as spans of time, and looked up only where a part might be blamed; suspects are dropped after the time for which crashes count. Open questions whose callers have left are dropped with the next one. The new test fails on the code before with 200 crashes in one report; module crashing_parts passes.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -46,6 +46,9 @@
 /// The number of own reports that are remembered, to be subtracted from totals: more than are sent
 /// while a total is on its way.
 const MAX_OWN_REPORTS: usize = 32;
+/// The crashes that a collector passes on at a time: of many upstreams that end together, some tell as
+/// much as all.
+const MAX_PASSED_CRASHES: usize = 64;
 /// The name under which the total of all other entries is delivered, in place of the sender of a
 /// report.
 const TOTAL_SENDER: &str = "total";
@@ -117,7 +120,7 @@
         self.entries <= MAX_MESH_ENTRIES
     }
 
-    /// Returns the other entries that get reports from more than themselves.
+    /// Returns the entries that get the reports of others.
     fn keepers(&self) -> impl Iterator<Item = &Instance> {
         self.receivers.iter().chain(&self.remote_collectors)
     }
@@ -303,6 +306,7 @@
     fn take_from(&mut self, report: &mut LoadReport) {
         add_unknown(&mut self.kept, &mut report.kept);
         add_unknown(&mut self.crashes, &mut report.crashes);
+        self.crashes.truncate(MAX_PASSED_CRASHES);
         add_unknown(&mut self.sound, &mut report.sound);
         for barred in std::mem::take(&mut report.barred) {
             if !self.barred.iter().any(|known| known.part == barred.part) {
--- a/src/kingcupgrade/coordination/traffic/crashing_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/crashing_parts.rs
@@ -9,7 +9,7 @@
 //! blame. A blamed part is kept from upstreams until an answer on it has begun again: from time to
 //! time a single entry lets one request through.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
     core::{Instance, Millis, UpstreamName},
@@ -48,6 +48,10 @@
 const FIRST_TRIAL: Millis = Millis(60_000);
 /// The longest time between two trials.
 const MAX_TRIAL_INTERVAL: Millis = Millis(600_000);
+/// The crashes that one report tells: of upstreams that end together, a few tell as much as all.
+const MAX_UNREPORTED_CRASHES: usize = 16;
+/// How often what is known of old crashes is dropped.
+const PRUNE_INTERVAL: Millis = Millis(10_000);
 /// The limit of parts that are remembered as sound since they were last moved to the older ones.
 const MAX_SOUND_PARTS: usize = 8_192;
 
@@ -60,8 +64,6 @@
     at: Millis,
     /// Whether the answer had begun to arrive.
     had_head: bool,
-    /// Whether the upstream ended together with others.
-    is_together: bool,
 }
 
 /// A part under which upstreams have ended since its last answer.
@@ -73,25 +75,23 @@
 }
 
 impl Suspect {
-    fn is_to_blame(&self) -> bool {
-        let alone = self.crashes.values().filter(|seen| seen.had_head && !seen.is_together);
-        let is_repeated = self.crashes.len() >= MIN_CRASHES && self.occasions() >= MIN_OCCASIONS;
-        match self.was_sound {
-            true => is_repeated && self.span() >= MIN_SPAN_OF_SOUND,
-            false => is_repeated || alone.count() >= MIN_CRASHES,
+    /// Returns whether the part is to blame; `is_together` tells whether upstreams ended together at
+    /// a time.
+    fn is_to_blame(&self, is_together: impl Fn(Millis) -> bool) -> bool {
+        if self.crashes.len() < MIN_CRASHES || self.was_sound && self.span() < MIN_SPAN_OF_SOUND {
+            return false;
         }
+        let is_alone = |seen: &&Seen| seen.had_head && !is_together(seen.at);
+        let alone = || self.crashes.values().filter(is_alone).count();
+        self.occasions() >= MIN_OCCASIONS || !self.was_sound && alone() >= MIN_CRASHES
     }
 
-    fn times(&self) -> Vec<Millis> {
+    fn occasions(&self) -> usize {
         let mut times: Vec<Millis> = self.crashes.values().map(|seen| seen.at).collect();
         times.sort();
-        times
-    }
-
-    fn occasions(&self) -> usize {
         let mut count = 0;
         let mut began: Option<Millis> = None;
-        for at in self.times() {
+        for at in times {
             if began.is_none_or(|began| at.since(began) > OCCASION_SPAN) {
                 began = Some(at);
                 count += 1;
@@ -101,11 +101,40 @@
     }
 
     fn span(&self) -> Millis {
-        let times = self.times();
-        match (times.first(), times.last()) {
-            (Some(first), Some(last)) => last.since(*first),
-            _ => Millis::ZERO,
+        let times = || self.crashes.values().map(|seen| seen.at);
+        let (first, last) = (times().min(), times().max());
+        last.unwrap_or_default().since(first.unwrap_or_default())
+    }
+}
+
+/// The times at which upstreams ended, and those at which some ended together.
+#[derive(Debug, Default)]
+struct Ends {
+    recent: Vec<(Millis, Incarnation)>,
+    /// The first and the last time of each group that ended together.
+    together: Vec<(Millis, Millis)>,
+}
+
+impl Ends {
+    /// Records that an upstream of a service with `upstreams` of them has ended.
+    fn insert(&mut self, at: Millis, incarnation: Incarnation, upstreams: usize) {
+        self.recent.retain(|(end, _)| at.since(*end) <= ENDS_TTL);
+        self.together.retain(|(_, last)| at.since(*last) <= CRASH_TTL);
+        if self.recent.iter().any(|(_, known)| *known == incarnation) {
+            return;
         }
+        self.recent.push((at, incarnation));
+        let times = self.recent.iter().map(|(end, _)| *end);
+        let near = times.filter(|end| at.since(*end).max(end.since(at)) <= TOGETHER_SPAN);
+        let near: Vec<Millis> = near.collect();
+        if near.len() >= MIN_TOGETHER.max(upstreams / TOGETHER_DIVISOR) {
+            let (first, last) = (near.iter().min(), near.iter().max());
+            self.together.extend(first.copied().zip(last.copied()));
+        }
+    }
+
+    fn is_together(&self, at: Millis) -> bool {
+        self.together.iter().any(|(first, last)| *first <= at && at <= *last)
     }
 }
 
@@ -172,33 +201,21 @@
 pub(super) struct CrashingParts {
     suspects: HashMap<u64, Suspect>,
     bars: BTreeMap<u64, Bar>,
-    /// The upstreams that ended lately, by the requests that broke off there.
-    ends: Vec<(Millis, Incarnation)>,
+    /// The upstreams that ended, by the requests that broke off there.
+    ends: Ends,
     /// The parts of which answers have begun, here or as others told, and when last.
     sound: SoundParts,
     unreported_crashes: Vec<(Millis, Crash)>,
     /// Parts that others may suspect, and of which answers have begun.
-    unreported_sound: Vec<u64>,
+    unreported_sound: BTreeSet<u64>,
+    next_prune: Millis,
 }
 
 impl CrashingParts {
     /// Records that an upstream of a service with `upstreams` of them closed the connection of a
     /// request, whether its answer had begun or not.
     pub(super) fn on_end(&mut self, at: Millis, incarnation: Incarnation, upstreams: usize) {
-        self.ends.retain(|(end, known)| at.since(*end) <= ENDS_TTL && *known != incarnation);
-        self.ends.push((at, incarnation));
-        let is_near = |end: Millis| at.since(end).max(end.since(at)) <= TOGETHER_SPAN;
-        let near = || self.ends.iter().filter(|(end, _)| is_near(*end));
-        if near().count() < MIN_TOGETHER.max(upstreams / TOGETHER_DIVISOR) {
-            return;
-        }
-        for suspect in self.suspects.values_mut() {
-            for (_, together) in near() {
-                if let Some(seen) = suspect.crashes.get_mut(together) {
-                    seen.is_together = true;
-                }
-            }
-        }
+        self.ends.insert(at, incarnation, upstreams);
     }
 
     /// Records that an upstream closed the connection of a request with these shared parts before
@@ -208,7 +225,10 @@
             return None;
         }
         let blamed = self.add_crash(now, now, &crash, upstreams);
-        self.unreported_crashes.push((now, crash));
+        let is_known = self.unreported_crashes.iter().any(|(_, known)| *known == crash);
+        if !is_known && self.unreported_crashes.len() < MAX_UNREPORTED_CRASHES {
+            self.unreported_crashes.push((now, crash));
+        }
         blamed
     }
 
@@ -231,14 +251,15 @@
                 .entry(*part)
                 .or_insert_with(|| Suspect { was_sound, ..Suspect::default() });
             suspect.crashes.retain(|_, seen| now.since(seen.at) <= CRASH_TTL);
-            let seen = Seen { at, had_head: crash.had_head, is_together: false };
+            let seen = Seen { at, had_head: crash.had_head };
             let known = suspect.crashes.entry(incarnation.clone()).or_insert(seen);
             known.had_head |= crash.had_head;
         }
-        self.on_end(at, incarnation, upstreams);
+        self.ends.insert(at, incarnation, upstreams);
+        let is_together = |at| self.ends.is_together(at);
         // The parts at the front are those that most prompts share.
         let mut parts = crash.shared_parts.iter().rev();
-        let blamed = *parts.find(|part| self.suspects[*part].is_to_blame())?;
+        let blamed = *parts.find(|part| self.suspects[*part].is_to_blame(is_together))?;
         self.bar(blamed, now);
         Some(blamed)
     }
@@ -264,7 +285,7 @@
                 freed.push(part);
             }
             if was_suspected || was_barred {
-                self.unreported_sound.push(part);
+                self.unreported_sound.insert(part);
             }
         }
         freed
@@ -315,7 +336,7 @@
         for crash in &news.crashes {
             for part in &crash.shared_parts {
                 if self.sound_for(now, *part, SOUND_AGAINST_REPORT) {
-                    self.unreported_sound.push(*part);
+                    self.unreported_sound.insert(*part);
                 }
             }
             let at = now.since(crash.age);
@@ -328,7 +349,7 @@
         }
         for BarredPart { part, age } in news.barred {
             if self.sound_for(now, part, SOUND_AGAINST_REPORT) {
-                self.unreported_sound.push(part);
+                self.unreported_sound.insert(part);
             } else if !self.bars.contains_key(&part) {
                 self.bar(part, now.since(age));
                 blamed.push(part);
@@ -339,13 +360,18 @@
 
     /// Returns what the other entries are to be told.
     pub(super) fn take_news(&mut self, now: Millis) -> PartNews {
+        if now >= self.next_prune {
+            self.next_prune = now + PRUNE_INTERVAL;
+            let is_recent = |seen: &Seen| now.since(seen.at) <= CRASH_TTL;
+            self.suspects.retain(|_, suspect| suspect.crashes.values().any(is_recent));
+        }
         let crashes = std::mem::take(&mut self.unreported_crashes).into_iter();
         let barred = self.bars.iter();
         let barred =
             barred.map(|(part, bar)| BarredPart { part: *part, age: now.since(bar.since) });
         PartNews {
             crashes: crashes.map(|(at, crash)| Crash { age: now.since(at), ..crash }).collect(),
-            sound: std::mem::take(&mut self.unreported_sound),
+            sound: std::mem::take(&mut self.unreported_sound).into_iter().collect(),
             barred: barred.collect(),
         }
     }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -45,8 +45,12 @@
     verdict::{Basis, Disconnect, Grant, PartChange, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, crashing_parts::CrashingParts, crashing_parts::PartNews,
-    origins::Origins, peer_reports::PeerReports, rollouts::Rollouts, sent::SentRequest,
+    cold::cold_rate_share,
+    crashing_parts::{CrashingParts, PartNews},
+    origins::Origins,
+    peer_reports::PeerReports,
+    rollouts::Rollouts,
+    sent::SentRequest,
 };
 use crate::{
     coordination::{
--- a/src/kingcupgrade/transport/gateway/origins.rs
+++ b/src/kingcupgrade/transport/gateway/origins.rs
@@ -26,6 +26,18 @@
     awaited: RefCell<HashMap<u64, oneshot::Sender<StreamOrigin>>>,
 }
 
+impl OriginAnswers {
+    /// Returns what receives the answer to a question.
+    fn expect(&self, number: u64) -> oneshot::Receiver<StreamOrigin> {
+        let (tx, rx) = oneshot::channel();
+        let mut awaited = self.awaited.borrow_mut();
+        // Callers that have left await nothing any more.
+        awaited.retain(|_, tx| !tx.is_closed());
+        awaited.insert(number, tx);
+        rx
+    }
+}
+
 /// The fields of the log line for a stream that its caller takes up again.
 #[derive(Serialize)]
 struct TakenUpLine<'a> {
@@ -77,8 +89,7 @@
 
     async fn ask_origin(&self, question: OriginRequest) -> StreamOrigin {
         let number = question.number;
-        let (tx, rx) = oneshot::channel();
-        self.origin_answers.awaited.borrow_mut().insert(number, tx);
+        let rx = self.origin_answers.expect(number);
         self.fleet.send(FleetInput::AskOrigin(question.clone()));
         let answer = timeout(ANSWER_TIMEOUT, rx).await;
         self.origin_answers.awaited.borrow_mut().remove(&number);
--- a/tests/testsuite/crashing_parts.rs
+++ b/tests/testsuite/crashing_parts.rs
@@ -226,3 +226,19 @@
     let (now, _) = crash_until_barred(&mut traffic, now);
     assert!(!traffic.may_send(now, 1));
 }
+
+/// Guards against a report that grows with the requests that broke off when many upstreams ended
+/// together: every entry of the fleet would have to read it.
+#[test]
+fn a_report_tells_few_of_many_crashes() {
+    let mut traffic = traffic(1e9, ENGINES);
+    let now = Millis(100);
+    for no in 0..200 {
+        let demand = with_session(fatal(no, now), 5_000 + no);
+        if is_started(traffic.admit(now, demand).as_ref()) {
+            traffic.on_end(now, no, SendEnd::Disconnected);
+        }
+    }
+    let told = traffic.take_report(now).crashes.len();
+    assert!((1..=16).contains(&told), "{told} crashes in one report");
+}
