--- a/src/kingcupgrade/coordination/traffic/barred_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/barred_parts.rs
@@ -6,7 +6,7 @@
     demand::shared_parts,
 };
 use crate::{
-    core::Millis,
+    core::{Millis, UpstreamName},
     protocol::fleet::{Crash, LoadReport},
 };
 
@@ -32,20 +32,28 @@
         self.part_changes.extend(freed.into_iter().map(PartChange::Freed));
     }
 
+    /// Returns the number of listed upstreams of the service that an upstream serves.
+    fn upstreams_beside(&self, name: &UpstreamName) -> usize {
+        let service = self.upstreams.get(name).map(|upstream| &upstream.listed.service);
+        service.and_then(|service| self.by_service.get(service)).map_or(0, Vec::len)
+    }
+
     /// Records an upstream that closed the connection of a request.
     pub(super) fn on_disconnect(&mut self, now: Millis, disconnect: &Disconnect) {
-        if !disconnect.has_head || disconnect.events >= BEGUN_EVENTS {
+        let upstreams = self.upstreams_beside(&disconnect.upstream);
+        if disconnect.events >= BEGUN_EVENTS {
             let incarnation = (disconnect.upstream.clone(), disconnect.incarnation);
-            self.crashing_parts.on_end(now, incarnation);
+            self.crashing_parts.on_end(now, incarnation, upstreams);
             return;
         }
         let crash = Crash {
             upstream: disconnect.upstream.clone(),
             incarnation: disconnect.incarnation,
             age: Millis::ZERO,
+            had_head: disconnect.has_head,
             shared_parts: disconnect.shared_parts.clone(),
         };
-        let blamed = self.crashing_parts.on_crash(now, crash);
+        let blamed = self.crashing_parts.on_crash(now, crash, upstreams);
         self.part_changes.extend(blamed.map(PartChange::Barred));
     }
 
@@ -56,7 +64,9 @@
             sound: std::mem::take(&mut report.sound),
             barred: std::mem::take(&mut report.barred),
         };
-        let blamed = self.crashing_parts.on_news(now, news);
+        let mut crashing_parts = std::mem::take(&mut self.crashing_parts);
+        let blamed = crashing_parts.on_news(now, news, |name| self.upstreams_beside(name));
+        self.crashing_parts = crashing_parts;
         self.part_changes.extend(blamed.into_iter().map(PartChange::Barred));
     }
 }
--- a/src/kingcupgrade/coordination/traffic/crashing_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/crashing_parts.rs
@@ -19,9 +19,10 @@
 
 /// The events of an answer after which it counts as begun: an upstream may crash in the first ones.
 pub(super) const BEGUN_EVENTS: u32 = 4;
-/// The upstreams that have to end under a part, one by one, before it is blamed.
+/// The upstreams that have to end under a part, one by one and with the answer begun, before it is
+/// blamed.
 const MIN_CRASHES: usize = 3;
-/// The occasions that suffice if upstreams ended together.
+/// The occasions that suffice if upstreams ended together or before an answer had begun.
 const MIN_OCCASIONS: usize = 3;
 /// Ends within this time after the first of them are one occasion.
 const OCCASION_SPAN: Millis = Millis(300);
@@ -31,6 +32,9 @@
 const ENDS_TTL: Millis = Millis(2_000);
 /// The least number of upstreams that end together for a reason that is no part.
 const MIN_TOGETHER: usize = 3;
+/// The same as a divisor of the upstreams of a service: where requests with a part come often, some
+/// of many upstreams end together by chance.
+const TOGETHER_DIVISOR: usize = 6;
 /// The time over which upstreams have to go on ending under a part that had answers shortly before.
 const MIN_SPAN_OF_SOUND: Millis = Millis(30_000);
 /// An answer shows for this long that its parts are sound.
@@ -46,8 +50,6 @@
 const MAX_TRIAL_INTERVAL: Millis = Millis(600_000);
 /// The crashes that one report tells: of upstreams that end together, a few tell as much as all.
 const MAX_UNREPORTED_CRASHES: usize = 16;
-/// The blamed parts that one report tells, the last first: there are few, and each report tells them.
-const MAX_TOLD_BARS: usize = 16;
 /// How often what is known of old crashes is dropped.
 const PRUNE_INTERVAL: Millis = Millis(10_000);
 /// The limit of parts that are remembered as sound since they were last moved to the older ones.
@@ -56,11 +58,18 @@
 /// An upstream's name and the Unix millisecond of its start.
 type Incarnation = (UpstreamName, u64);
 
+/// A crash with a part about to begin.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Millis,
+    /// Whether the answer had begun to arrive.
+    had_head: bool,
+}
+
 /// A part under which upstreams have ended since its last answer.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// When each upstream ended.
-    crashes: BTreeMap<Incarnation, Millis>,
+    crashes: BTreeMap<Incarnation, Seen>,
     /// Whether it had answers shortly before the first crash.
     was_sound: bool,
 }
@@ -72,12 +81,13 @@
         if self.crashes.len() < MIN_CRASHES || self.was_sound && self.span() < MIN_SPAN_OF_SOUND {
             return false;
         }
-        let alone = || self.crashes.values().filter(|at| !is_together(**at)).count();
+        let is_alone = |seen: &&Seen| seen.had_head && !is_together(seen.at);
+        let alone = || self.crashes.values().filter(is_alone).count();
         self.occasions() >= MIN_OCCASIONS || !self.was_sound && alone() >= MIN_CRASHES
     }
 
     fn occasions(&self) -> usize {
-        let mut times: Vec<Millis> = self.crashes.values().copied().collect();
+        let mut times: Vec<Millis> = self.crashes.values().map(|seen| seen.at).collect();
         times.sort();
         let mut count = 0;
         let mut began: Option<Millis> = None;
@@ -91,8 +101,9 @@
     }
 
     fn span(&self) -> Millis {
-        let (first, last) = (self.crashes.values().min(), self.crashes.values().max());
-        last.copied().unwrap_or_default().since(first.copied().unwrap_or_default())
+        let times = || self.crashes.values().map(|seen| seen.at);
+        let (first, last) = (times().min(), times().max());
+        last.unwrap_or_default().since(first.unwrap_or_default())
     }
 }
 
@@ -105,7 +116,8 @@
 }
 
 impl Ends {
-    fn insert(&mut self, at: Millis, incarnation: Incarnation) {
+    /// Records that an upstream of a service with `upstreams` of them has ended.
+    fn insert(&mut self, at: Millis, incarnation: Incarnation, upstreams: usize) {
         self.recent.retain(|(end, _)| at.since(*end) <= ENDS_TTL);
         self.together.retain(|(_, last)| at.since(*last) <= CRASH_TTL);
         if self.recent.iter().any(|(_, known)| *known == incarnation) {
@@ -115,7 +127,7 @@
         let times = self.recent.iter().map(|(end, _)| *end);
         let near = times.filter(|end| at.since(*end).max(end.since(at)) <= TOGETHER_SPAN);
         let near: Vec<Millis> = near.collect();
-        if near.len() >= MIN_TOGETHER {
+        if near.len() >= MIN_TOGETHER.max(upstreams / TOGETHER_DIVISOR) {
             let (first, last) = (near.iter().min(), near.iter().max());
             self.together.extend(first.copied().zip(last.copied()));
         }
@@ -200,18 +212,19 @@
 }
 
 impl CrashingParts {
-    /// Records that an upstream closed the connection of a request, however far its answer was.
-    pub(super) fn on_end(&mut self, at: Millis, incarnation: Incarnation) {
-        self.ends.insert(at, incarnation);
+    /// Records that an upstream of a service with `upstreams` of them closed the connection of a
+    /// request, whether its answer had begun or not.
+    pub(super) fn on_end(&mut self, at: Millis, incarnation: Incarnation, upstreams: usize) {
+        self.ends.insert(at, incarnation, upstreams);
     }
 
-    /// Records that an upstream closed the connection of a request with these shared parts as its
-    /// answer began; returns the part that is blamed with it, if one is.
-    pub(super) fn on_crash(&mut self, now: Millis, crash: Crash) -> Option<u64> {
+    /// Records that an upstream closed the connection of a request with these shared parts before
+    /// its answer had begun; returns the part that is blamed with it, if one is.
+    pub(super) fn on_crash(&mut self, now: Millis, crash: Crash, upstreams: usize) -> Option<u64> {
         if crash.shared_parts.is_empty() {
             return None;
         }
-        let blamed = self.add_crash(now, now, &crash);
+        let blamed = self.add_crash(now, now, &crash, upstreams);
         let is_known = self.unreported_crashes.iter().any(|(_, known)| *known == crash);
         if !is_known && self.unreported_crashes.len() < MAX_UNREPORTED_CRASHES {
             self.unreported_crashes.push((now, crash));
@@ -219,7 +232,13 @@
         blamed
     }
 
-    fn add_crash(&mut self, now: Millis, at: Millis, crash: &Crash) -> Option<u64> {
+    fn add_crash(
+        &mut self,
+        now: Millis,
+        at: Millis,
+        crash: &Crash,
+        upstreams: usize,
+    ) -> Option<u64> {
         // A blamed part explains the crash by itself.
         if crash.shared_parts.iter().any(|part| self.bars.contains_key(part)) {
             return None;
@@ -231,10 +250,12 @@
                 .suspects
                 .entry(*part)
                 .or_insert_with(|| Suspect { was_sound, ..Suspect::default() });
-            suspect.crashes.retain(|_, seen| now.since(*seen) <= CRASH_TTL);
-            suspect.crashes.entry(incarnation.clone()).or_insert(at);
+            suspect.crashes.retain(|_, seen| now.since(seen.at) <= CRASH_TTL);
+            let seen = Seen { at, had_head: crash.had_head };
+            let known = suspect.crashes.entry(incarnation.clone()).or_insert(seen);
+            known.had_head |= crash.had_head;
         }
-        self.ends.insert(at, incarnation);
+        self.ends.insert(at, incarnation, upstreams);
         let is_together = |at| self.ends.is_together(at);
         // The parts at the front are those that most prompts share.
         let mut parts = crash.shared_parts.iter().rev();
@@ -305,7 +326,12 @@
     }
 
     /// Applies what other entries tell; returns the parts that are blamed with it.
-    pub(super) fn on_news(&mut self, now: Millis, news: PartNews) -> Vec<u64> {
+    pub(super) fn on_news(
+        &mut self,
+        now: Millis,
+        news: PartNews,
+        upstreams: impl Fn(&UpstreamName) -> usize,
+    ) -> Vec<u64> {
         let mut blamed = Vec::new();
         for crash in &news.crashes {
             for part in &crash.shared_parts {
@@ -314,7 +340,7 @@
                 }
             }
             let at = now.since(crash.age);
-            blamed.extend(self.add_crash(now, at, crash));
+            blamed.extend(self.add_crash(now, at, crash, upstreams(&crash.upstream)));
         }
         for part in news.sound {
             self.sound.insert(now, part);
@@ -336,20 +362,17 @@
     pub(super) fn take_news(&mut self, now: Millis) -> PartNews {
         if now >= self.next_prune {
             self.next_prune = now + PRUNE_INTERVAL;
-            let is_recent = |seen: &Millis| now.since(*seen) <= CRASH_TTL;
+            let is_recent = |seen: &Seen| now.since(seen.at) <= CRASH_TTL;
             self.suspects.retain(|_, suspect| suspect.crashes.values().any(is_recent));
         }
         let crashes = std::mem::take(&mut self.unreported_crashes).into_iter();
         let barred = self.bars.iter();
-        let told =
-            |(part, bar): (&u64, &Bar)| BarredPart { part: *part, age: now.since(bar.since) };
-        let mut barred: Vec<BarredPart> = barred.map(told).collect();
-        barred.sort_by_key(|barred| barred.age);
-        barred.truncate(MAX_TOLD_BARS);
+        let barred =
+            barred.map(|(part, bar)| BarredPart { part: *part, age: now.since(bar.since) });
         PartNews {
             crashes: crashes.map(|(at, crash)| Crash { age: now.since(at), ..crash }).collect(),
             sound: std::mem::take(&mut self.unreported_sound).into_iter().collect(),
-            barred,
+            barred: barred.collect(),
         }
     }
 
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -166,7 +166,7 @@
     pub service: Option<Service>,
 }
 
-/// An upstream that closed the connection of a request as its answer began.
+/// An upstream that closed the connection of a request before its answer had begun.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The upstream.
@@ -178,6 +178,9 @@
     /// The time since then.
     #[serde(rename = "g")]
     pub age: Millis,
+    /// Whether the head of the answer had arrived.
+    #[serde(rename = "h")]
+    pub had_head: bool,
     /// The parts of the request's prompt that other requests may share, in order.
     #[serde(rename = "p")]
     pub shared_parts: Vec<u64>,
--- a/tests/testsuite/crashing_parts.rs
+++ b/tests/testsuite/crashing_parts.rs
@@ -236,7 +236,6 @@
     for no in 0..200 {
         let demand = with_session(fatal(no, now), 5_000 + no);
         if is_started(traffic.admit(now, demand).as_ref()) {
-            traffic.on_head(no);
             traffic.on_end(now, no, SendEnd::Disconnected);
         }
     }
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -275,6 +275,7 @@
             upstream: "engine".into(),
             incarnation: 1,
             age: Millis::ZERO,
+            had_head: true,
             shared_parts: vec![1, 2],
         };
         let barred = vec![BarredPart { part: 2, age: Millis(10) }];
