Ask the rollouts whether a version was found bad, and for a backoff by service and version alone

Whether a version was rolled back was kept at each upstream beside the use of its version, though only streams that go on ask for it; it is looked up there now. The time to the end of a backoff after a rejection built a whole request anew to tell its service and version, and kept the attempt's number for that. No change of behaviour: the modules of versions, rollouts, notices, signals, resets and traffic pass.

--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -283,7 +283,6 @@
     fn update_version_uses(&mut self) {
         for upstream in self.upstreams.values_mut() {
             upstream.version_use = self.rollouts.use_of(&upstream.listed);
-            upstream.is_rolled_back = self.rollouts.is_rolled_back(&upstream.listed);
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -94,22 +94,14 @@
 }
 
 impl<'a> Eligible<'a> {
-    /// Returns the upstreams that a request may go to unless a canary takes it.
-    fn of(demand: &'a Demand) -> Eligible<'a> {
-        match demand.version.is_exact() {
-            true => Eligible::Required(&demand.version),
+    /// Returns the upstreams that a request which requires this version may go to unless a canary
+    /// takes it.
+    fn of(version: &'a RequiredVersion) -> Eligible<'a> {
+        match version.is_exact() {
+            true => Eligible::Required(version),
             false => Eligible::UsedAs(Use::Serving),
         }
     }
-
-    fn includes(self, upstream: &Upstream) -> bool {
-        match self {
-            Eligible::UsedAs(version_use) => upstream.version_use == version_use,
-            Eligible::Required(version) => {
-                !upstream.is_rolled_back && version.allows(upstream.listed.version.as_ref())
-            }
-        }
-    }
 }
 
 impl Traffic {
@@ -126,7 +118,7 @@
         {
             return Ok(name);
         }
-        self.place_among(now, demand, terms, Eligible::of(demand))
+        self.place_among(now, demand, terms, Eligible::of(&demand.version))
     }
 
     fn place_among(
@@ -203,7 +195,7 @@
     /// Returns the time until the least loaded usable upstream has read all prompts sent to it.
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let names = self.usable(now, demand, Eligible::of(demand));
+        let names = self.usable(now, demand, Eligible::of(&demand.version));
         let unread = names.iter().filter_map(|name| {
             let upstream = self.upstreams.get_mut(name)?;
             upstream.advance_reading(now, speed.read_rate());
@@ -232,11 +224,21 @@
         let known = all.filter_map(|name| Some((name, self.upstreams.get(name)?)));
         known.filter(move |(_, upstream)| {
             upstream.is_ready()
-                && eligible.includes(upstream)
+                && self.is_eligible(upstream, eligible)
                 && !self.domains_out.contains(&upstream.listed.domain)
         })
     }
 
+    fn is_eligible(&self, upstream: &Upstream, eligible: Eligible<'_>) -> bool {
+        match eligible {
+            Eligible::UsedAs(version_use) => upstream.version_use == version_use,
+            Eligible::Required(version) => {
+                version.allows(upstream.listed.version.as_ref())
+                    && !self.rollouts.is_rolled_back(&upstream.listed)
+            }
+        }
+    }
+
     /// Returns the time until an upstream of a service takes requests again, if all of them have
     /// asked for none.
     fn backoff_left(
@@ -252,8 +254,13 @@
 
     /// Returns the time after which a request that upstreams have turned away may be sent, if every
     /// upstream that may serve it has asked for no requests.
-    pub fn time_to_end_of_backoff(&self, now: Millis, demand: &Demand) -> Option<Millis> {
-        self.backoff_left(now, &demand.service, Eligible::of(demand))
+    pub fn time_to_end_of_backoff(
+        &self,
+        now: Millis,
+        service: &Service,
+        version: &RequiredVersion,
+    ) -> Option<Millis> {
+        self.backoff_left(now, service, Eligible::of(version))
     }
 
     /// Returns the upstreams that may get a request: those in service that have not asked for no
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -51,8 +51,6 @@
     pub listed: ListedUpstream,
     /// How its version is used; kept here since it is read for each upstream at each placement.
     pub version_use: Use,
-    /// Whether its version was found bad.
-    pub is_rolled_back: bool,
     /// What it has asked for on its answers.
     pub notices: NoticeState,
     /// The time until which the upstream is cold.
@@ -77,7 +75,6 @@
         Upstream {
             cold_until: now + listed.cold,
             version_use: Use::Unused,
-            is_rolled_back: false,
             notices: NoticeState::default(),
             cold_bucket: ColdBucket { tokens: 0.0, at: now },
             listed,
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -60,7 +60,6 @@
         let mut may_have_run = self.progress.borrow().attempts > 0;
         loop {
             let attempt = AttemptGuard::new(self.gateway.clone(), self.request_id.clone());
-            let attempt_no = attempt.no;
             let error = |code: Code, retry_after| {
                 // `code` states that the request did not run; that may not be true any more.
                 if may_have_run { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
@@ -91,10 +90,7 @@
                 SendResult::CallerLeft => return Err(error(Code::CallerLeft, Millis::ZERO)),
                 SendResult::Rejected => {
                     self.progress.borrow_mut().avoid.push(grant.upstream);
-                    let (traffic, now) = (&self.gateway.traffic, self.gateway.now());
-                    let left =
-                        traffic.borrow().time_to_end_of_backoff(now, &self.demand(attempt_no));
-                    if let Some(left) = left {
+                    if let Some(left) = self.time_to_end_of_backoff() {
                         return Err(error(Code::UpstreamsBackingOff, left));
                     }
                     if !self.may_send_after_rejection() {
@@ -119,6 +115,14 @@
         }
     }
 
+    /// Returns the time after which the request may be sent, if every upstream that may serve it has
+    /// asked for no requests.
+    fn time_to_end_of_backoff(&self) -> Option<Millis> {
+        let progress = self.progress.borrow();
+        let traffic = self.gateway.traffic.borrow();
+        traffic.time_to_end_of_backoff(self.gateway.now(), &self.service, &progress.version)
+    }
+
     /// Returns whether a request that is known not to have run may be sent to another upstream; the
     /// attempt is taken from the retry budget nevertheless.
     fn may_send_after_rejection(&self) -> bool {
