Copy only what is announced from a total of reports, and count upstreams without moving state

An entry of a large fleet copied each whole total, loads and shares with it, to take four short lists from it, and collectors turned what they had collected into a report to merge it. What is announced has a merge of its own. The count of upstreams borrows the two maps it needs; the suspects were taken out and put back for it.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -182,7 +182,7 @@
         }
         report.begun = Vec::new();
         if self.topology.members.is_some() {
-            self.local_announcements.take_from(&mut report);
+            self.local_announcements.merge(Announcements::taken_from(&mut report));
         }
         self.own.push_back(report);
         if self.own.len() > MAX_OWN_REPORTS {
@@ -225,7 +225,7 @@
             sum.add(report, 1);
         }
         let mut announced = std::mem::take(&mut self.remote_announcements);
-        announced.take_from(&mut local.added_to(LoadReport::default()));
+        announced.merge(local);
         let total = FleetLoad { report: announced.added_to(sum.to_report()), parts };
         out.extend(self.on_total(own, &total));
         out.push(LoadExchangeOutput::SendToAll(
@@ -245,7 +245,7 @@
             return Some(LoadExchangeOutput::LoadReceived(from.clone(), report));
         }
         if self.topology.members.is_some() {
-            self.local_announcements.take_from(&mut report);
+            self.local_announcements.merge(Announcements::taken_from(&mut report));
         }
         let begun = std::mem::take(&mut report.begun);
         self.members.insert(from.clone(), (now, report));
@@ -265,7 +265,7 @@
         mut sum: LoadReport,
     ) {
         if self.topology.members.is_some() {
-            self.remote_announcements.take_from(&mut sum);
+            self.remote_announcements.merge(Announcements::taken_from(&mut sum));
         }
         self.domains.insert(domain, (now, sum));
     }
@@ -296,19 +296,31 @@
 impl Announcements {
     /// Returns those of a report.
     fn of(report: &LoadReport) -> Announcements {
-        let mut announced = Announcements::default();
-        announced.take_from(&mut report.clone());
-        announced
+        Announcements {
+            kept: report.kept.clone(),
+            crashes: report.crashes.clone(),
+            sound: report.sound.clone(),
+            barred: report.barred.clone(),
+        }
+    }
+
+    /// Returns those of a report, which has none any more.
+    fn taken_from(report: &mut LoadReport) -> Announcements {
+        Announcements {
+            kept: std::mem::take(&mut report.kept),
+            crashes: std::mem::take(&mut report.crashes),
+            sound: std::mem::take(&mut report.sound),
+            barred: std::mem::take(&mut report.barred),
+        }
     }
 
-    /// Moves those of a report to the known ones, once where both collectors of a failure domain
-    /// send the same.
-    fn take_from(&mut self, report: &mut LoadReport) {
-        add_unknown(&mut self.kept, &mut report.kept);
-        add_unknown(&mut self.crashes, &mut report.crashes);
+    /// Adds others, once where both collectors of a failure domain send the same.
+    fn merge(&mut self, others: Announcements) {
+        add_unknown(&mut self.kept, others.kept);
+        add_unknown(&mut self.crashes, others.crashes);
         self.crashes.truncate(MAX_PASSED_CRASHES);
-        add_unknown(&mut self.sound, &mut report.sound);
-        for barred in std::mem::take(&mut report.barred) {
+        add_unknown(&mut self.sound, others.sound);
+        for barred in others.barred {
             if !self.barred.iter().any(|known| known.part == barred.part) {
                 self.barred.push(barred);
             }
@@ -321,8 +333,8 @@
     }
 }
 
-fn add_unknown<T: PartialEq>(known: &mut Vec<T>, announced: &mut Vec<T>) {
-    for item in std::mem::take(announced) {
+fn add_unknown<T: PartialEq>(known: &mut Vec<T>, announced: Vec<T>) {
+    for item in announced {
         if !known.contains(&item) {
             known.push(item);
         }
--- a/src/kingcupgrade/coordination/traffic/barred_parts.rs
+++ b/src/kingcupgrade/coordination/traffic/barred_parts.rs
@@ -1,12 +1,14 @@
 //! Keeps requests with a part that crashes upstreams from all of them, at one entry.
 
+use std::collections::{BTreeMap, HashMap};
+
 use super::{
-    Disconnect, PartChange, PromptPart, Traffic,
+    Disconnect, PartChange, PromptPart, Traffic, Upstream,
     crashing_parts::{BEGUN_EVENTS, PartNews},
     demand::shared_parts,
 };
 use crate::{
-    core::{Millis, UpstreamName},
+    core::{Millis, Service, UpstreamName},
     protocol::fleet::{Crash, LoadReport},
 };
 
@@ -32,15 +34,9 @@
         self.part_changes.extend(freed.into_iter().map(PartChange::Freed));
     }
 
-    /// Returns the number of listed upstreams of the service that an upstream serves.
-    fn upstreams_beside(&self, name: &UpstreamName) -> usize {
-        let service = self.upstreams.get(name).map(|upstream| &upstream.listed.service);
-        service.and_then(|service| self.by_service.get(service)).map_or(0, Vec::len)
-    }
-
     /// Records an upstream that closed the connection of a request.
     pub(super) fn on_disconnect(&mut self, now: Millis, disconnect: &Disconnect) {
-        let upstreams = self.upstreams_beside(&disconnect.upstream);
+        let upstreams = upstreams_beside(&self.upstreams, &self.by_service, &disconnect.upstream);
         if disconnect.events >= BEGUN_EVENTS {
             let incarnation = (disconnect.upstream.clone(), disconnect.incarnation);
             self.crashing_parts.on_end(now, incarnation, upstreams);
@@ -64,9 +60,19 @@
             sound: std::mem::take(&mut report.sound),
             barred: std::mem::take(&mut report.barred),
         };
-        let mut crashing_parts = std::mem::take(&mut self.crashing_parts);
-        let blamed = crashing_parts.on_news(now, news, |name| self.upstreams_beside(name));
-        self.crashing_parts = crashing_parts;
+        let Traffic { crashing_parts, upstreams, by_service, .. } = self;
+        let upstreams_beside = |name: &UpstreamName| upstreams_beside(upstreams, by_service, name);
+        let blamed = crashing_parts.on_news(now, news, upstreams_beside);
         self.part_changes.extend(blamed.into_iter().map(PartChange::Barred));
     }
 }
+
+/// Returns the number of listed upstreams of the service that an upstream serves.
+fn upstreams_beside(
+    upstreams: &BTreeMap<UpstreamName, Upstream>,
+    by_service: &HashMap<Service, Vec<UpstreamName>>,
+    name: &UpstreamName,
+) -> usize {
+    let service = upstreams.get(name).map(|upstream| &upstream.listed.service);
+    service.and_then(|service| by_service.get(service)).map_or(0, Vec::len)
+}
