Log what a request asks for as a digest, and the ends of upstreams at kingcupd's entries

Each attempt of a caller has an id of its own, so the logs could not tell that the lines of eight attempts are of one request. Lines of placements, refusals and disconnects now have a digest of organisation, host, method, path, model, prompt, largest answer and body. kingcupd told a closed connection from silence nowhere; it does now, and logs it.

No decision changes.

--- a/crates/kingcup-load/src/drive/mod.rs
+++ b/crates/kingcup-load/src/drive/mod.rs
@@ -18,7 +18,7 @@
         entry::{Arrival, AttemptEnd},
         node::{Input, Node, Output},
     },
-    core::{Instance, Millis, Organisation, Service, Settings, settings::Role},
+    core::{Instance, Millis, Organisation, RequestDigest, Service, Settings, settings::Role},
     protocol::{
         Message, Pool,
         dispatch::{
@@ -234,6 +234,7 @@
         self.next_request += 1;
         let arrival = Arrival {
             id,
+            digest: RequestDigest(id),
             service: service(id as usize % SERVICES),
             organisation: organisation(id as usize * 7 % ORGANISATIONS),
             bytes: 100,
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -19,7 +19,7 @@
         node::{Input, Node},
         view::View,
     },
-    core::{Document, Instance, Millis, Organisation, settings::Role},
+    core::{Document, Instance, Millis, Organisation, RequestDigest, settings::Role},
     protocol::{
         Message, Pool,
         consensus::{LogEntry, Payload},
@@ -244,6 +244,7 @@
         let organisation = Organisation::from(names[next as usize % names.len()].as_str());
         let arrival = Arrival {
             id: next,
+            digest: RequestDigest(next),
             service: "tutor".into(),
             organisation: organisation.clone(),
             bytes: 100,
--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -7,7 +7,7 @@
         traffic::{Demand, PromptPart, RequestNo},
     },
     core::{
-        Millis, Organisation, Service,
+        Millis, Organisation, RequestDigest, Service,
         configuration::{Configuration, EngineLimits, Limits, Route, RouteKind, ServiceConfig},
     },
     protocol::fleet::ListedUpstream,
@@ -91,6 +91,7 @@
     ];
     Demand {
         no,
+        digest: RequestDigest(no),
         service: Service::from("engine"),
         route: "review".into(),
         organisation: Organisation::from(organisation),
--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -3,7 +3,9 @@
 use serde::Serialize;
 
 use super::rollout::watch::StageDecision;
-use crate::core::{Code, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName};
+use crate::core::{
+    Code, FailureDomain, Instance, Millis, Organisation, RequestDigest, Service, UpstreamName,
+};
 
 /// A routing or placement decision and the reason for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -36,6 +38,8 @@
     Send {
         /// The request.
         request: u64,
+        /// Identifies it among the attempts of its caller.
+        digest: RequestDigest,
         /// The service.
         service: Service,
         /// The organisation of the caller.
@@ -51,6 +55,8 @@
     Refuse {
         /// The request.
         request: u64,
+        /// Identifies it among the attempts of its caller.
+        digest: RequestDigest,
         /// The service.
         service: Service,
         /// The organisation of the caller.
@@ -58,6 +64,21 @@
         /// The reason.
         code: Code,
     },
+    /// An upstream closed the connection of a request before the end of its answer.
+    Disconnected {
+        /// The request.
+        request: u64,
+        /// Identifies it among the attempts of its caller.
+        digest: RequestDigest,
+        /// The service.
+        service: Service,
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Its incarnation.
+        incarnation: u64,
+        /// Whether its answer had begun.
+        has_begun: bool,
+    },
     /// An entry will retry a request.
     Retry {
         /// The request.
--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -109,6 +109,7 @@
         let waited = now.since(request.arrived);
         out.push(EntryOutput::Decided(Decision::Send {
             request: id,
+            digest: request.digest,
             service: pool.0.clone(),
             organisation: grant.organisation.clone(),
             upstream: grant.upstream.clone(),
@@ -202,15 +203,27 @@
     ) {
         let Some(request) = self.requests.get(&id) else { return };
         let Stage::Sent { pool, grant } = request.stage.clone() else { return };
-        let held = self.held.get(&(pool.clone(), grant));
-        let upstream = held.map(|held| held.upstream.clone());
-        let version = held.and_then(|held| held.version.clone());
+        let digest = request.digest;
+        let held = self.held.get(&(pool.clone(), grant)).cloned();
         // Only answers that are forwarded event by event cost something before they are complete.
         let has_begun = first_byte_ms.is_some() && cost > 0;
+        if let (AttemptEnd::Disconnected, Some(held)) = (end, &held) {
+            out.push(EntryOutput::Decided(Decision::Disconnected {
+                request: id,
+                digest,
+                service: pool.0.clone(),
+                upstream: held.upstream.clone(),
+                incarnation: held.incarnation,
+                has_begun,
+            }));
+        }
+        let (upstream, version) = held.map(|held| (held.upstream, held.version)).unzip();
+        let version = version.flatten();
         let outcome = match end {
             AttemptEnd::Completed => GrantOutcome::Completed,
             AttemptEnd::Refused => GrantOutcome::Refused,
             AttemptEnd::NotSent
+            | AttemptEnd::Disconnected
             | AttemptEnd::Broken
             | AttemptEnd::BrokenForGood
             | AttemptEnd::TimedOut => GrantOutcome::Failed,
@@ -223,7 +236,9 @@
                 return;
             }
             AttemptEnd::NotSent | AttemptEnd::Refused => Code::UpstreamRefused,
-            AttemptEnd::Broken | AttemptEnd::BrokenForGood => Code::AnswerBroken,
+            AttemptEnd::Disconnected | AttemptEnd::Broken | AttemptEnd::BrokenForGood => {
+                Code::AnswerBroken
+            }
             AttemptEnd::TimedOut => Code::AnswerTimeout,
         };
         if has_begun && let Some(request) = self.requests.get_mut(&id) {
--- a/src/kingcupgrade/coordination/entry/io.rs
+++ b/src/kingcupgrade/coordination/entry/io.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     coordination::decision::Decision,
-    core::{Code, Instance, Millis, Organisation, Service, UpstreamName},
+    core::{Code, Instance, Millis, Organisation, RequestDigest, Service, UpstreamName},
     protocol::dispatch::DispatchMessage,
 };
 
@@ -16,6 +16,8 @@
 pub struct Arrival {
     /// The request's ID.
     pub id: RequestId,
+    /// Identifies it among the attempts of its caller.
+    pub digest: RequestDigest,
     /// The called service.
     pub service: Service,
     /// The calling organisation.
@@ -37,7 +39,9 @@
     NotSent,
     /// The upstream reported that it did not run the request.
     Refused,
-    /// The request was sent, and its answer is missing or incomplete.
+    /// The request was sent, and the upstream closed the connection before the end of its answer.
+    Disconnected,
+    /// The request was sent, and its answer is invalid, or the upstream fell silent.
     Broken,
     /// Like `Broken`, but part of an answer that can't be resumed has already reached the caller.
     BrokenForGood,
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -19,8 +19,8 @@
 use super::{decision::Decision, notices::Notices, required_version::RequiredVersion, view::View};
 use crate::{
     core::{
-        Code, Document, FailureDomain, Instance, Millis, Organisation, Service, UpstreamName,
-        Version,
+        Code, Document, FailureDomain, Instance, Millis, Organisation, RequestDigest, Service,
+        UpstreamName, Version,
     },
     protocol::{
         Pool,
@@ -56,6 +56,7 @@
 
 #[derive(Clone, Debug)]
 struct Request {
+    digest: RequestDigest,
     service: Service,
     organisation: Organisation,
     bytes: usize,
@@ -179,9 +180,10 @@
         out: &mut Vec<EntryOutput>,
     ) {
         let limits = &document.limits;
-        let Arrival { id, service, organisation, bytes, idempotent, needs_claim } = arrival;
+        let Arrival { id, digest, service, organisation, bytes, idempotent, needs_claim } = arrival;
         let has_room = self.queues.has_room(&service, &organisation, bytes, limits);
         let request = Request {
+            digest,
             service: service.clone(),
             organisation: organisation.clone(),
             bytes,
@@ -236,6 +238,7 @@
     ) {
         out.push(EntryOutput::Decided(Decision::Refuse {
             request: id,
+            digest: request.digest,
             service: request.service.clone(),
             organisation: request.organisation.clone(),
             code,
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     coordination::required_version::RequiredVersion,
-    core::{Millis, Organisation, Service, UpstreamName},
+    core::{Millis, Organisation, RequestDigest, Service, UpstreamName},
 };
 
 /// A part of a prompt. Requests that have a part in common share what an engine caches for it.
@@ -30,6 +30,8 @@
 pub struct Demand {
     /// The request's number.
     pub no: RequestNo,
+    /// Identifies it among the attempts of its caller.
+    pub digest: RequestDigest,
     /// The service that the request is for.
     pub service: Service,
     /// The route, by which the number of generated tokens is learned.
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     coordination::rollout::Use,
-    core::{Millis, Organisation, Service, UpstreamName, Version},
+    core::{Millis, Organisation, RequestDigest, Service, UpstreamName, Version},
 };
 
 /// The fraction of this entry's share of a connection limit that is used: connections that are
@@ -23,6 +23,7 @@
     pub(super) upstream: UpstreamName,
     /// The incarnation of the upstream.
     pub(super) incarnation: u64,
+    pub(super) digest: RequestDigest,
     pub(super) service: Service,
     pub(super) organisation: Organisation,
     pub(super) route: Arc<str>,
@@ -63,6 +64,7 @@
         Disconnect {
             upstream: self.upstream.clone(),
             incarnation: self.incarnation,
+            digest: self.digest,
             has_head: self.has_head,
             events: self.events(),
             shared_parts: shared_parts(&self.parts).collect(),
@@ -112,6 +114,7 @@
         let sent = SentRequest {
             upstream: name.clone(),
             incarnation: upstream.listed.started_unix_ms,
+            digest: demand.digest,
             service: demand.service.clone(),
             organisation: demand.organisation.clone(),
             route: demand.route.clone(),
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::core::{Code, Millis, UpstreamName, Version};
+use crate::core::{Code, Millis, RequestDigest, UpstreamName, Version};
 
 /// Permission to send a request to an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +74,8 @@
     pub upstream: UpstreamName,
     /// Its incarnation.
     pub incarnation: u64,
+    /// Identifies the request among the attempts of its caller.
+    pub digest: RequestDigest,
     /// Whether the head of the answer had arrived.
     pub has_head: bool,
     /// The events of the answer that had arrived.
--- a/src/kingcupgrade/core/mod.rs
+++ b/src/kingcupgrade/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod code;
 pub mod configuration;
+pub mod digest;
 pub mod document;
 pub mod fleet;
 pub mod names;
@@ -13,6 +14,7 @@
 
 pub use clock::Millis;
 pub use code::{Code, Outcome};
+pub use digest::RequestDigest;
 pub use document::{Document, ServiceKind};
 pub use names::{
     FailureDomain, Instance, Organisation, OrganisationTag, Service, UpstreamName, Version,
--- a/src/kingcupgrade/transport/callers/admit.rs
+++ b/src/kingcupgrade/transport/callers/admit.rs
@@ -7,7 +7,7 @@
 use super::Shared;
 use crate::{
     coordination::node::KeyedRequest,
-    core::{Code, Document, Organisation, Service, code::CodedError},
+    core::{Code, Document, Organisation, RequestDigest, Service, code::CodedError},
     protocol::record::RequestKey,
     transport::{
         http::Request,
@@ -26,6 +26,8 @@
     pub(super) document: Arc<Document>,
     pub(super) service: Service,
     pub(super) organisation: Organisation,
+    /// The same over all attempts of the caller.
+    pub(super) digest: RequestDigest,
     pub(super) idempotent: bool,
     pub(super) keyed: Option<KeyedRequest>,
     pub(super) upstream: UpstreamRequest,
@@ -67,6 +69,13 @@
     } else {
         Some(read_key(request, &service, &organisation, &method, &path, &body)?)
     };
+    let digest = RequestDigest::of([
+        service.as_str().as_bytes(),
+        organisation.as_str().as_bytes(),
+        method.as_bytes(),
+        path.as_bytes(),
+        &body,
+    ]);
     let upstream = UpstreamRequest {
         method,
         path,
@@ -75,7 +84,7 @@
         read_timeout: Duration::from_millis(document.limits.silence_ms),
     };
     let document = document.clone();
-    Ok(Admitted { document, service, organisation, idempotent, keyed, upstream })
+    Ok(Admitted { document, service, organisation, digest, idempotent, keyed, upstream })
 }
 
 fn check_head(request: &Request) -> Result<(), CodedError> {
--- a/src/kingcupgrade/transport/callers/mod.rs
+++ b/src/kingcupgrade/transport/callers/mod.rs
@@ -98,6 +98,7 @@
     let (tx, rx) = mpsc::channel();
     let arrival = Arrival {
         id,
+        digest: admitted.digest,
         service: admitted.service.clone(),
         organisation: admitted.organisation.clone(),
         bytes: admitted.upstream.body.len(),
--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -166,10 +166,13 @@
         let first_byte = sent.elapsed();
         let content_type = content_type(&response);
         let status = response.status().as_u16();
-        let Ok(body) = upstream::read_whole(response.body_mut(), MAX_RESPONSE_LEN) else {
-            let end = self.unless_cancelled(AttemptEnd::Broken);
-            self.end(end, 0, Some(first_byte), None);
-            return (end != AttemptEnd::HungUp).then_some(state);
+        let body = match upstream::read_whole(response.body_mut(), MAX_RESPONSE_LEN) {
+            Ok(body) => body,
+            Err(err) => {
+                let end = self.unless_cancelled(upstream::end_of_read(&err));
+                self.end(end, 0, Some(first_byte), None);
+                return (end != AttemptEnd::HungUp).then_some(state);
+            }
         };
         let kept = self.admitted.keyed.as_ref().map(|_| StoredAnswer {
             status,
@@ -229,9 +232,11 @@
             let count = match reader.read(&mut buf) {
                 Ok(0) => break,
                 Ok(count) => count,
-                Err(_) => {
-                    let is_late = self.remaining().is_zero();
-                    let end = if is_late { AttemptEnd::TimedOut } else { AttemptEnd::Broken };
+                Err(err) => {
+                    let end = match self.remaining().is_zero() {
+                        true => AttemptEnd::TimedOut,
+                        false => upstream::end_of_read(&err),
+                    };
                     return self.end_unfinished(
                         end,
                         ResponseState::Streaming { stream, events },
@@ -261,7 +266,7 @@
         // An answer may have neither a length nor chunks, so that its end tells nothing.
         if is_event_stream && !partial.is_empty() {
             let state = ResponseState::Streaming { stream, events };
-            return self.end_unfinished(AttemptEnd::Broken, state, first_byte);
+            return self.end_unfinished(AttemptEnd::Disconnected, state, first_byte);
         }
         if !partial.is_empty() {
             let _ = stream.write(&partial);
--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -25,6 +25,8 @@
     pub request_id: Option<String>,
     /// The caller's API key.
     pub key: Option<String>,
+    /// The model that the request is for, if it names one.
+    pub model: Option<String>,
     /// The caller's timeout for the request.
     pub timeout: Option<Millis>,
     /// The parts of the prompt.
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -17,7 +17,7 @@
         notices::UpstreamNotice,
         traffic::{Basis, Disconnect},
     },
-    core::{Code, Millis, Organisation, UpstreamName, Version},
+    core::{Code, Millis, Organisation, RequestDigest, UpstreamName, Version},
     util::log,
 };
 
@@ -33,6 +33,8 @@
 #[derive(Serialize)]
 pub(super) struct FailureLine<'a> {
     pub(super) request: Option<&'a str>,
+    /// Identifies the request among the attempts of its caller, once it has been routed.
+    pub(super) digest: Option<RequestDigest>,
     pub(super) code: u16,
     pub(super) route: Option<&'a str>,
     pub(super) organisation: Option<&'a Organisation>,
@@ -49,6 +51,8 @@
 #[derive(Serialize)]
 pub(super) struct PlacementLine<'a> {
     pub(super) request: Option<&'a str>,
+    /// Identifies the request among the attempts of its caller.
+    pub(super) digest: RequestDigest,
     pub(super) route: &'a str,
     pub(super) organisation: Option<&'a Organisation>,
     pub(super) upstream: &'a UpstreamName,
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -164,6 +164,7 @@
     fn log_unrouted_refusal(&self, code: Code, retry_after: Millis, request: Option<&str>) {
         let line = FailureLine {
             request,
+            digest: None,
             code: code.number(),
             route: None,
             organisation: None,
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -1,6 +1,7 @@
 //! A caller's request: queueing, sending to an upstream, and retries.
 
 mod attempt;
+mod digest;
 mod exchange;
 mod reporting;
 mod routing;
@@ -15,7 +16,10 @@
 use tokio::time::{Instant, timeout_at};
 
 pub(super) use self::attempt::{AttemptGuard, UpstreamResponse};
-use self::routing::{choose_service, host_of};
+use self::{
+    digest::digest_of,
+    routing::{choose_service, host_of},
+};
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
@@ -29,7 +33,7 @@
         traffic::{PromptPart, SendEnd},
     },
     core::{
-        Code, Millis, Organisation, Service, UpstreamName, Version,
+        Code, Millis, Organisation, RequestDigest, Service, UpstreamName, Version,
         configuration::{Configuration, Route, RouteKind},
     },
     protocol::fleet::StreamOrigin,
@@ -46,6 +50,8 @@
     pub(super) gateway: Rc<Gateway<E>>,
     caller: Caller,
     request_id: Option<String>,
+    /// The same over all attempts of the caller.
+    digest: RequestDigest,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -118,6 +124,7 @@
             return Err(Code::UnknownToken);
         }
         let organisation = holder.cloned();
+        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body);
         let request_id = decoded.request_id.as_deref().unwrap_or_default();
         let service = choose_service(&route, request_id).clone();
         let plan = configuration.services.get(&service);
@@ -135,6 +142,7 @@
         let target = route.target_latency.min(timeout);
         Ok(ProxiedRequest {
             request_id: decoded.request_id,
+            digest,
             method: head.method,
             uri: head.uri,
             headers: head.headers,
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -68,6 +68,7 @@
     ) -> FailureLine<'a> {
         FailureLine {
             request: self.request_id.as_deref(),
+            digest: Some(self.digest),
             code: code.number(),
             route: Some(&self.route.name),
             organisation: self.organisation.as_ref(),
@@ -90,6 +91,7 @@
         let version = self.gateway.traffic.borrow().configuration().map_or(0, |c| c.version);
         self.gateway.decisions.placed(&PlacementLine {
             request: self.request_id.as_deref(),
+            digest: self.digest,
             route: &self.route.name,
             organisation: self.organisation.as_ref(),
             upstream: &grant.upstream,
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -135,6 +135,7 @@
     pub(super) fn demand(&self, no: RequestNo) -> Demand {
         Demand {
             no,
+            digest: self.digest,
             service: self.service.clone(),
             route: self.route_name.clone(),
             organisation: self.organisation.clone().unwrap_or_else(|| Organisation::from("-")),
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -208,6 +208,7 @@
             io::ErrorKind::ConnectionRefused
             | io::ErrorKind::HostUnreachable
             | io::ErrorKind::NetworkUnreachable => AttemptEnd::NotSent,
+            _ if is_disconnect(err) => AttemptEnd::Disconnected,
             _ => AttemptEnd::Broken,
         },
         ureq::Error::Timeout(ureq::Timeout::Global) => AttemptEnd::TimedOut,
@@ -215,6 +216,22 @@
     }
 }
 
+/// Returns whether an error means that the upstream has closed the connection.
+fn is_disconnect(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::UnexpectedEof
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe
+    )
+}
+
+/// Returns how an attempt ended whose response could not be read to its end.
+pub fn end_of_read(err: &io::Error) -> AttemptEnd {
+    if is_disconnect(err) { AttemptEnd::Disconnected } else { AttemptEnd::Broken }
+}
+
 /// Reads the body of a response to the end.
 ///
 /// # Errors
--- a/tests/testsuite/entry.rs
+++ b/tests/testsuite/entry.rs
@@ -6,7 +6,7 @@
         notices::UpstreamNotice,
         view::View,
     },
-    core::{Code, Document, Instance, Millis},
+    core::{Code, Document, Instance, Millis, RequestDigest},
     protocol::{
         Pool,
         dispatch::{DispatchBody, DispatchMessage, Grant, GrantId, Session},
@@ -41,6 +41,7 @@
     fn arrive(&mut self, id: RequestId, needs_claim: bool, out: &mut Vec<EntryOutput>) {
         let arrival = Arrival {
             id,
+            digest: RequestDigest(id),
             service: "orders".into(),
             organisation: "alder".into(),
             bytes: 2,
--- a/tests/testsuite/model_nodes/simulation.rs
+++ b/tests/testsuite/model_nodes/simulation.rs
@@ -10,7 +10,8 @@
         node::{Input, Node, Output},
     },
     core::{
-        Instance, Millis, Organisation, OrganisationTag, Service, Settings, UpstreamName,
+        Instance, Millis, Organisation, OrganisationTag, RequestDigest, Service, Settings,
+        UpstreamName,
         settings::{Peer, Role},
     },
     protocol::{
@@ -426,6 +427,7 @@
         let organisation = ORGANISATIONS[self.random_below(2) as usize];
         let arrival = Arrival {
             id,
+            digest: RequestDigest(id),
             service: "tutor".into(),
             organisation: organisation.into(),
             bytes: 1,
