--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -106,6 +106,7 @@
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
     DelayInvalid = 4004, NotRun, 503, "The delay that an upstream asked for is not valid.";
+    RequestBarred = 4005, Unknown, 502, "The request crashes upstreams; earlier attempts of its caller may have run.";
 
     DocumentInvalid = 5001, NotRun, 400, "The document is not valid.";
     RevisionConflict = 5002, NotRun, 409, "The document has moved on since the revision the change was made from.";
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod configuration_pull;
 mod connections;
 mod crashing_parts;
+mod crashing_requests;
 mod deposits;
 mod disconnects;
 mod disk;
