Keep a request from upstreams once three have ended under it, over all attempts of its caller

Callers saw one request sent on after three upstreams had ended under it, at every try of its caller, at any entry. Cause: what a request met was forgotten with the attempt; only parts of prompts that others may share were kept, never the last one, nothing of plain requests, and nothing once an answer had begun. Class: a failure that is charged to who failed and forgotten for what it was asked to do.

coordination/crashes (was traffic/crashing_parts) now knows two kinds of causes in one path: parts of prompts, and requests by their digest. Ends count against a request if they follow each other, so that identical requests of several callers that are at upstreams at the same time don't add up; a whole answer clears it. A blamed request is refused at once with K4005 (502: earlier attempts may have run) and the time until one entry tries it again. Crashes are told within 50 ms in messages of their own, which collectors pass on at their next tick with the time that they waited; load reports have none any more.

Ruled out: barring the session or the caller (sound requests share them); 503 (promises that nothing has run); load reports (0.8 s behind in a large fleet).

The simulated fleets' test of news asks for the ages now, too.

--- a/src/kingcupgrade/coordination/fleet/io.rs
+++ b/src/kingcupgrade/coordination/fleet/io.rs
@@ -7,6 +7,7 @@
     core::{Instance, Millis, code::CodedError},
     protocol::{
         Message,
+        crash::CrashNews,
         fleet::{BegunStreams, FleetEntry, ListingUpdate, LoadReport, OriginRequest, StreamOrigin},
         record::{Command, Reply},
         rollout::RolloutReport,
@@ -27,6 +28,8 @@
     Command(Ticket, Command, Millis),
     /// This entry's load report is to be sent to the other entries.
     ShareLoad(LoadReport),
+    /// The other entries are to be told of crashes.
+    ShareCrashes(CrashNews),
     /// What this entry has seen of the running rollouts is to be sent to the control instances.
     ReportRollouts(Vec<RolloutReport>),
     /// This entry read the platform's list of upstreams; the change is to be sent to the entries
@@ -74,6 +77,8 @@
     Entries(Vec<FleetEntry>),
     /// Another entry's load report arrived.
     LoadReceived(Instance, LoadReport),
+    /// Other entries tell of crashes.
+    CrashesReceived(CrashNews),
     /// A change of the platform's list of upstreams, or the whole list, arrived from another entry.
     ListingReceived(Instance, ListingUpdate),
     /// Another entry requested the platform's list of upstreams.
--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -15,10 +15,7 @@
     core::{FailureDomain, Instance, Millis, Organisation, UpstreamName},
     protocol::{
         Message,
-        fleet::{
-            BarredPart, BegunStreams, CachedParts, Crash, FleetEntry, FleetLoad, FleetMessage,
-            Load, LoadReport,
-        },
+        fleet::{BegunStreams, CachedParts, FleetEntry, FleetLoad, FleetMessage, Load, LoadReport},
     },
     util::rendezvous,
 };
@@ -46,9 +43,6 @@
 /// The number of own reports that are remembered, to be subtracted from totals: more than are sent
 /// while a total is on its way.
 const MAX_OWN_REPORTS: usize = 32;
-/// The crashes that a collector passes on at a time: of many upstreams that end together, some tell as
-/// much as all.
-const MAX_PASSED_CRASHES: usize = 64;
 /// The name under which the total of all other entries is delivered, in place of the sender of a
 /// report.
 const TOTAL_SENDER: &str = "total";
@@ -147,10 +141,11 @@
     members: BTreeMap<Instance, (Millis, LoadReport)>,
     /// The sums of the other failure domains.
     domains: BTreeMap<FailureDomain, (Millis, LoadReport)>,
-    /// What entries of this failure domain announced, and was not passed on yet.
-    local_announcements: Announcements,
+    /// The cached parts that entries of this failure domain announced, and that were not passed on
+    /// yet.
+    local_parts: Vec<CachedParts>,
     /// The same that collectors of other failure domains announced.
-    remote_announcements: Announcements,
+    remote_parts: Vec<CachedParts>,
 }
 
 impl LoadExchange {
@@ -182,7 +177,7 @@
         }
         report.begun = Vec::new();
         if self.topology.members.is_some() {
-            self.local_announcements.merge(Announcements::taken_from(&mut report));
+            add_unknown(&mut self.local_parts, std::mem::take(&mut report.kept));
         }
         self.own.push_back(report);
         if self.own.len() > MAX_OWN_REPORTS {
@@ -214,8 +209,8 @@
             sum.add(report, 1);
             parts.push((own.clone(), report.number));
         }
-        let local = std::mem::take(&mut self.local_announcements);
-        let domain_sum = local.clone().added_to(sum.to_report());
+        let local = std::mem::take(&mut self.local_parts);
+        let domain_sum = LoadReport { kept: local.clone(), ..sum.to_report() };
         let message = FleetMessage::DomainLoad(domain.clone(), domain_sum);
         out.push(LoadExchangeOutput::SendToAll(
             self.topology.remote_collectors.clone(),
@@ -224,9 +219,9 @@
         for (_, report) in self.domains.values() {
             sum.add(report, 1);
         }
-        let mut announced = std::mem::take(&mut self.remote_announcements);
-        announced.merge(local);
-        let total = FleetLoad { report: announced.added_to(sum.to_report()), parts };
+        let mut kept = std::mem::take(&mut self.remote_parts);
+        add_unknown(&mut kept, local);
+        let total = FleetLoad { report: LoadReport { kept, ..sum.to_report() }, parts };
         out.extend(self.on_total(own, &total));
         out.push(LoadExchangeOutput::SendToAll(
             members,
@@ -245,13 +240,33 @@
             return Some(LoadExchangeOutput::LoadReceived(from.clone(), report));
         }
         if self.topology.members.is_some() {
-            self.local_announcements.merge(Announcements::taken_from(&mut report));
+            add_unknown(&mut self.local_parts, std::mem::take(&mut report.kept));
         }
         let begun = std::mem::take(&mut report.begun);
         self.members.insert(from.clone(), (now, report));
         (!begun.is_empty()).then_some(LoadExchangeOutput::StreamsBegun(begun))
     }
 
+    /// Returns whether each entry sends to all others.
+    pub(super) fn is_mesh(&self) -> bool {
+        self.topology.is_mesh()
+    }
+
+    /// Returns the entries that this entry sends to.
+    pub(super) fn receivers(&self) -> Vec<Instance> {
+        self.topology.receivers.clone()
+    }
+
+    /// Returns the other entries of this failure domain, if this entry is a collector.
+    pub(super) fn members(&self) -> Option<&[Instance]> {
+        self.topology.members.as_deref()
+    }
+
+    /// Returns the collectors of the other failure domains.
+    pub(super) fn remote_collectors(&self) -> Vec<Instance> {
+        self.topology.remote_collectors.clone()
+    }
+
     /// Returns the entries that may know which streams others began.
     pub(super) fn origin_keepers(&self, own: &Instance) -> Vec<Instance> {
         self.topology.keepers().filter(|keeper| *keeper != own).cloned().collect()
@@ -265,7 +280,7 @@
         mut sum: LoadReport,
     ) {
         if self.topology.members.is_some() {
-            self.remote_announcements.merge(Announcements::taken_from(&mut sum));
+            add_unknown(&mut self.remote_parts, std::mem::take(&mut sum.kept));
         }
         self.domains.insert(domain, (now, sum));
     }
@@ -279,64 +294,16 @@
         if let Some(report) = part {
             sum.add(report, -1);
         }
-        let report = Announcements::of(&total.report).added_to(sum.to_report());
+        let report = LoadReport { kept: total.report.kept.clone(), ..sum.to_report() };
         Some(LoadExchangeOutput::LoadReceived(Instance::from(TOTAL_SENDER), report))
     }
 }
 
-/// What reports tell of single things, which sums don't add up but pass on.
-#[derive(Clone, Debug, Default)]
-struct Announcements {
-    kept: Vec<CachedParts>,
-    crashes: Vec<Crash>,
-    sound: Vec<u64>,
-    barred: Vec<BarredPart>,
-}
-
-impl Announcements {
-    /// Returns those of a report.
-    fn of(report: &LoadReport) -> Announcements {
-        Announcements {
-            kept: report.kept.clone(),
-            crashes: report.crashes.clone(),
-            sound: report.sound.clone(),
-            barred: report.barred.clone(),
-        }
-    }
-
-    /// Returns those of a report, which has none any more.
-    fn taken_from(report: &mut LoadReport) -> Announcements {
-        Announcements {
-            kept: std::mem::take(&mut report.kept),
-            crashes: std::mem::take(&mut report.crashes),
-            sound: std::mem::take(&mut report.sound),
-            barred: std::mem::take(&mut report.barred),
-        }
-    }
-
-    /// Adds others, once where both collectors of a failure domain send the same.
-    fn merge(&mut self, others: Announcements) {
-        add_unknown(&mut self.kept, others.kept);
-        add_unknown(&mut self.crashes, others.crashes);
-        self.crashes.truncate(MAX_PASSED_CRASHES);
-        add_unknown(&mut self.sound, others.sound);
-        for barred in others.barred {
-            if !self.barred.iter().any(|known| known.part == barred.part) {
-                self.barred.push(barred);
-            }
-        }
-    }
-
-    fn added_to(self, report: LoadReport) -> LoadReport {
-        let Announcements { kept, crashes, sound, barred } = self;
-        LoadReport { kept, crashes, sound, barred, ..report }
-    }
-}
-
-fn add_unknown<T: PartialEq>(known: &mut Vec<T>, announced: Vec<T>) {
-    for item in announced {
-        if !known.contains(&item) {
-            known.push(item);
+/// Adds announced parts, once where both collectors of a failure domain send the same.
+fn add_unknown(known: &mut Vec<CachedParts>, announced: Vec<CachedParts>) {
+    for parts in announced {
+        if !known.contains(&parts) {
+            known.push(parts);
         }
     }
 }
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! configured with the whole fleet: each announces itself to the control instances that it knows,
 //! and learns of the others from them.
 
+mod crash_exchange;
 mod discovery;
 mod io;
 mod listing;
@@ -19,15 +20,16 @@
     sync::Arc,
 };
 
-pub use self::{
-    io::{ConfigurationSource, FleetInput, FleetOutput, RecordStatus, Ticket},
-    load_exchange::{report_age, report_ttl, share_interval},
-};
 use self::{
+    crash_exchange::CrashExchange,
     load_exchange::{LoadExchange, LoadExchangeOutput},
     origins::OriginQuestions,
     roster::{Announcement, Roster, RosterUpdate},
 };
+pub use self::{
+    io::{ConfigurationSource, FleetInput, FleetOutput, RecordStatus, Ticket},
+    load_exchange::{report_age, report_ttl, share_interval},
+};
 use super::{
     client::RecordClient,
     control::{ControlMachine, ControlOutput},
@@ -69,6 +71,7 @@
     client: RecordClient,
     roster: Roster,
     load_exchange: LoadExchange,
+    crash_exchange: CrashExchange,
     origin_questions: OriginQuestions,
     awaited: BTreeMap<u64, Ticket>,
     /// Messages from this instance to itself.
@@ -93,6 +96,7 @@
             client,
             roster: Roster::new(seeds),
             load_exchange: LoadExchange::default(),
+            crash_exchange: CrashExchange::default(),
             origin_questions: OriginQuestions::default(),
             awaited: BTreeMap::new(),
             own_messages: VecDeque::new(),
@@ -140,6 +144,7 @@
                 self.awaited.insert(id, ticket);
             }
             FleetInput::ShareLoad(report) => self.share(now, report, out),
+            FleetInput::ShareCrashes(news) => self.share_crashes(now, news, out),
             FleetInput::ReportRollouts(reports) => {
                 let controls = self.roster.controls();
                 for report in reports {
@@ -217,6 +222,7 @@
         for (id, reply) in self.client.expire_proposals(now) {
             self.on_answer(id, reply, out);
         }
+        self.pass_crashes_on(now, out);
         self.roster.expire(now, self.control.is_some());
         self.publish_entries(out);
         self.report_source(now, out);
@@ -298,6 +304,7 @@
                 out.push(FleetOutput::OriginRequested(from.clone(), request));
             }
             FleetMessage::Origin(number, origin) => self.on_origin(from, number, origin, out),
+            FleetMessage::Crashes(reach, news) => self.on_crash_news(now, reach, news, out),
         }
     }
 
--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod consensus;
 pub mod control;
+pub mod crashes;
 pub mod decision;
 pub mod dispatcher;
 pub mod entry;
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -8,10 +8,9 @@
 //! hold while the entries can't reach each other.
 
 mod backlog;
-mod barred_parts;
+mod barred;
 mod budget;
 mod cold;
-mod crashing_parts;
 mod decaying_sum;
 mod demand;
 mod engine;
@@ -42,18 +41,15 @@
     placement::PlacementError,
     shares::{ShareStatus, Shares},
     upstream::Upstream,
-    verdict::{Basis, Disconnect, Grant, PartChange, SendEnd, Verdict},
+    verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share,
-    crashing_parts::{CrashingParts, PartNews},
-    origins::Origins,
-    peer_reports::PeerReports,
-    rollouts::Rollouts,
+    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
     sent::SentRequest,
 };
 use crate::{
     coordination::{
+        crashes::CrashCauses,
         fleet::report_age,
         notices::{NoticeState, Notices, UpstreamNotice},
         rollout::{ExposureLimit, Senders},
@@ -90,9 +86,9 @@
     shares: Shares,
     rollouts: Rollouts,
     origins: Origins,
-    crashing_parts: CrashingParts,
-    /// Changes of the parts that are kept from upstreams, for the log.
-    part_changes: Vec<PartChange>,
+    crash_causes: CrashCauses,
+    /// Changes of the causes that are kept from upstreams, for the log.
+    cause_changes: Vec<CauseChange>,
     /// Prompt parts that upstreams cache and that have not been reported to the other entries.
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
@@ -119,8 +115,8 @@
             shares: Shares::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
-            crashing_parts: CrashingParts::default(),
-            part_changes: Vec::new(),
+            crash_causes: CrashCauses::default(),
+            cause_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
         }
@@ -267,13 +263,13 @@
 
     /// Returns whether a request that was granted an upstream may still be sent to it. The grant may
     /// have waited for a connection or for the processor, and the upstream may have asked for no
-    /// requests or have restarted meanwhile, or a part of the prompt may have crashed others.
+    /// requests or have restarted meanwhile, or the request may have been found to crash upstreams.
     pub fn may_send(&self, now: Millis, no: RequestNo) -> bool {
         let Some(sent) = self.sent.get(&no) else { return false };
         let listed = self.upstreams.get(&sent.upstream).map(|upstream| &upstream.listed);
         let is_out = listed.is_some_and(|listed| self.domains_out.contains(&listed.domain));
         let has_restarted = listed.is_some_and(|listed| listed.started_unix_ms != sent.incarnation);
-        let is_barred = !sent.is_trial && self.barred_for(now, &sent.parts).is_some();
+        let is_barred = !sent.is_trial && self.barred(now, sent.digest, &sent.parts).is_some();
         !is_out
             && !has_restarted
             && !is_barred
@@ -289,7 +285,6 @@
     /// Applies another entry's load report.
     pub fn on_report(&mut self, now: Millis, from: Instance, mut report: LoadReport) {
         self.origins.on_reported(now, std::mem::take(&mut report.begun));
-        self.on_part_news(now, &mut report);
         for CachedParts(name, parts) in std::mem::take(&mut report.kept) {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
                 upstream.on_announced_parts(now, &parts);
@@ -310,8 +305,7 @@
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
         let begun = self.origins.take_unreported();
-        let PartNews { crashes, sound, barred } = self.crashing_parts.take_news(now);
-        LoadReport { kept, begun, crashes, sound, barred, ..self.report(now) }
+        LoadReport { kept, begun, ..self.report(now) }
     }
 
     /// Returns this entry's load, without what is told only once.
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -7,7 +7,9 @@
 
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
 use crate::{
-    coordination::{notices::slot_share, required_version::RequiredVersion, rollout::Use},
+    coordination::{
+        crashes::Barred, notices::slot_share, required_version::RequiredVersion, rollout::Use,
+    },
     core::{FailureDomain, Millis, Service, UpstreamName},
     protocol::fleet::ListedUpstream,
 };
@@ -55,8 +57,8 @@
     /// The service has no upstream that may serve the request, or all of them are out of service,
     /// leaving or avoided by it.
     NoUpstream,
-    /// A part of the prompt crashes upstreams; the time until it is tried again.
-    Barred(Millis),
+    /// The request, or a part of its prompt, crashes upstreams.
+    Barred(Barred),
     /// All upstreams have asked for no requests; the time until the first takes them again.
     BackingOff(Millis),
     /// All upstreams are full or would answer too late.
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -67,7 +67,7 @@
             Ok(verdict) => Some(verdict),
             Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
             Err(PlacementError::BackingOff(left)) => Some(refuse(Code::UpstreamsBackingOff, left)),
-            Err(PlacementError::Barred(left)) => Some(refuse(Code::PartBarred, left)),
+            Err(PlacementError::Barred(barred)) => Some(refuse(barred.code(), barred.left)),
             Err(PlacementError::Full) if status == ShareStatus::Over => {
                 Some(self.refuse_until_capacity(now, Code::OverShare, &demand))
             }
@@ -106,8 +106,8 @@
         demand: &Demand,
         status: ShareStatus,
     ) -> Result<Verdict, PlacementError> {
-        if let Some(left) = self.barred_for(now, &demand.prompt) {
-            return Err(PlacementError::Barred(left));
+        if let Some(barred) = self.barred(now, demand.digest, &demand.prompt) {
+            return Err(PlacementError::Barred(barred));
         }
         let terms = match status {
             ShareStatus::Within => PlacementTerms { time_fraction: 1.0, may_reread: true },
@@ -174,8 +174,8 @@
                 Err(PlacementError::BackingOff(left)) => {
                     out.push((no, refuse(Code::UpstreamsBackingOff, left)));
                 }
-                Err(PlacementError::Barred(left)) => {
-                    out.push((no, refuse(Code::PartBarred, left)));
+                Err(PlacementError::Barred(barred)) => {
+                    out.push((no, refuse(barred.code(), barred.left)));
                 }
                 Err(PlacementError::Full) if now >= waiting.wait_until => {
                     out.push((
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic,
-    crashing_parts::BEGUN_EVENTS, demand::shared_parts,
+    barred::BEGUN_EVENTS, demand::shared_parts,
 };
 use crate::{
     coordination::rollout::Use,
@@ -33,7 +33,7 @@
     pub(super) memory: u64,
     pub(super) prompt: u64,
     pub(super) parts: Arc<[PromptPart]>,
-    /// Whether it tries a part that is kept from upstreams.
+    /// Whether it tries a cause that is kept from upstreams.
     pub(super) is_trial: bool,
     pub(super) expected_output: u32,
     /// The work charged to its organisation's share, in tokens.
@@ -81,6 +81,7 @@
         name: &UpstreamName,
     ) -> Option<Grant> {
         let plan = self.plan(&demand.service)?;
+        let is_trial = self.on_causes_sent(now, demand);
         let entries = self.entry_count() as f64;
         let cold_rate = self.cold_rate(&plan, name);
         let upstream = self.upstreams.get_mut(name)?;
@@ -123,7 +124,7 @@
             memory,
             prompt,
             parts: demand.prompt.clone(),
-            is_trial: self.crashing_parts.on_sent(now, shared_parts(&demand.prompt)),
+            is_trial,
             expected_output: demand.expected_output,
             work: demand.work(),
             has_begun: false,
@@ -227,8 +228,13 @@
             self.shares.on_served(now, &sent.organisation, -sent.work);
         }
         self.update_output_average(now, &sent, end);
-        if end == SendEnd::Answered {
-            self.on_answer_begun(now, &sent.parts);
+        match end {
+            SendEnd::Answered => {
+                self.on_answer_begun(now, &sent.parts);
+                self.on_answered(now, sent.digest);
+            }
+            SendEnd::Failed => self.on_answered(now, sent.digest),
+            _ => {}
         }
         let disconnect = (end == SendEnd::Disconnected).then(|| sent.disconnect(now))?;
         self.on_disconnect(now, &disconnect);
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -4,7 +4,10 @@
 
 use serde::Serialize;
 
-use crate::core::{Code, Millis, RequestDigest, UpstreamName, Version};
+use crate::{
+    core::{Code, Millis, RequestDigest, UpstreamName, Version},
+    protocol::crash::CrashCause,
+};
 
 /// Permission to send a request to an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,14 +60,14 @@
     },
 }
 
-/// A change of the parts of prompts that are kept from upstreams.
+/// A change of the causes that are kept from upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum PartChange {
-    /// Upstreams kept ending under this part, and it is kept from them.
-    Barred(u64),
-    /// An answer on this part has begun, and it is let through again.
-    Freed(u64),
+pub enum CauseChange {
+    /// Upstreams kept ending under this cause, and it is kept from them.
+    Barred(CrashCause),
+    /// An upstream has written an answer on this cause, and it is let through again.
+    Freed(CrashCause),
 }
 
 /// How far an attempt was when its upstream closed the connection.
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crash::{CrashNews, Reach};
 use crate::core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, Version};
 
 /// An entry and its failure domain, as listed in a roster.
@@ -166,37 +167,6 @@
     pub service: Option<Service>,
 }
 
-/// An upstream that closed the connection of a request before its answer had begun.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// The upstream.
-    #[serde(rename = "u")]
-    pub upstream: UpstreamName,
-    /// Its incarnation.
-    #[serde(rename = "n")]
-    pub incarnation: u64,
-    /// The time since then.
-    #[serde(rename = "g")]
-    pub age: Millis,
-    /// Whether the head of the answer had arrived.
-    #[serde(rename = "h")]
-    pub had_head: bool,
-    /// The parts of the request's prompt that other requests may share, in order.
-    #[serde(rename = "p")]
-    pub shared_parts: Vec<u64>,
-}
-
-/// A part of prompts that is kept from upstreams because it crashes them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BarredPart {
-    /// The id of the part.
-    #[serde(rename = "p")]
-    pub part: u64,
-    /// The time since it was blamed.
-    #[serde(rename = "g")]
-    pub age: Millis,
-}
-
 /// The load of one entry, as reported to other entries, or a sum of such reports.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -221,16 +191,6 @@
     /// Streams that the sender began since the previous report; empty in sums.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub begun: Vec<BegunStreams>,
-    /// Crashes that were seen since the previous report.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<Crash>,
-    /// Parts of prompts that may be suspected elsewhere, and of which answers have begun since the
-    /// previous report.
-    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
-    pub sound: Vec<u64>,
-    /// All parts of prompts that are kept from upstreams.
-    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    pub barred: Vec<BarredPart>,
 }
 
 /// The load of all entries of the fleet.
@@ -302,4 +262,7 @@
     /// Answers the question with this number.
     #[serde(rename = "b")]
     Origin(u64, StreamOrigin),
+    /// Tells of crashes, to be passed on so far.
+    #[serde(rename = "k")]
+    Crashes(Reach, CrashNews),
 }
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -4,6 +4,7 @@
 //! because control traffic is limited to 26 KB per second and instance.
 
 pub mod consensus;
+pub mod crash;
 pub mod dispatch;
 pub mod fleet;
 pub mod frame;
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -27,6 +27,7 @@
     core::{Instance, Millis, clock::Clock, fleet::FleetSettings, settings::Role},
     protocol::{
         Message,
+        crash::CrashNews,
         fleet::{BegunStreams, FleetEntry, ListingUpdate, LoadReport, OriginRequest, StreamOrigin},
         record::{Command, Reply},
     },
@@ -67,6 +68,8 @@
     Entries(Vec<FleetEntry>),
     /// Another entry has reported its load.
     LoadReceived(Instance, LoadReport),
+    /// Other entries tell of crashes.
+    CrashesReceived(CrashNews),
     /// Another entry has sent the platform's list of upstreams, or a change of it.
     ListingReceived(Instance, ListingUpdate),
     /// Another entry has requested the platform's list of upstreams.
@@ -339,6 +342,7 @@
             FleetOutput::LoadReceived(from, report) => {
                 (self.sink)(FleetUpdate::LoadReceived(from, report))
             }
+            FleetOutput::CrashesReceived(news) => (self.sink)(FleetUpdate::CrashesReceived(news)),
             FleetOutput::ListingReceived(from, update) => {
                 (self.sink)(FleetUpdate::ListingReceived(from, update))
             }
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -59,7 +59,7 @@
         notices::UpstreamNotice,
         overload::Overload,
         shutdown::{DrainStage, Shutdown},
-        traffic::{Grant, PartChange, RequestNo, Traffic, Verdict},
+        traffic::{CauseChange, Grant, RequestNo, Traffic, Verdict},
     },
     core::{Code, Millis, clock::Clock, fleet::FleetSettings},
     util::{log, random},
@@ -67,6 +67,8 @@
 
 /// How often queued requests are polled: a small fraction of any latency target.
 const POLL: Duration = Duration::from_millis(10);
+/// The least time between two messages that tell other entries of crashes.
+const CRASH_NEWS_INTERVAL: Millis = Millis(50);
 /// How often idle connections are checked, metrics are set and log limits are reset.
 const SWEEP: Millis = Millis(1_000);
 
@@ -189,15 +191,25 @@
         }
     }
 
-    /// Logs which parts of prompts are kept from upstreams from now on, and which no longer.
-    fn log_part_changes(&self) {
-        for change in self.traffic.borrow_mut().take_part_changes() {
-            let kind = if matches!(change, PartChange::Barred(_)) { "barred" } else { "freed" };
-            counter!("kingcup_prompt_parts", "change" => kind).increment(1);
-            log::event("prompt-part", &change);
+    /// Logs which causes of crashes are kept from upstreams from now on, and which no longer.
+    fn log_cause_changes(&self) {
+        for change in self.traffic.borrow_mut().take_cause_changes() {
+            let kind = if matches!(change, CauseChange::Barred(_)) { "barred" } else { "freed" };
+            counter!("kingcup_crash_causes", "change" => kind).increment(1);
+            log::event("crash-cause", &change);
         }
     }
 
+    /// Tells the other entries of crashes; returns whether there was anything to tell.
+    fn share_crashes(&self, now: Millis) -> bool {
+        let news = self.traffic.borrow_mut().take_crash_news(now);
+        let has_news = !news.is_empty();
+        if has_news {
+            self.fleet.send(FleetInput::ShareCrashes(news));
+        }
+        has_news
+    }
+
     /// Records what an upstream asks for on an answer, and logs it.
     fn on_notice(&self, grant: &Grant, notice: UpstreamNotice) {
         if notice.is_empty() {
@@ -309,6 +321,7 @@
     let mut ticks = time::interval(POLL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut next_share = Millis::ZERO;
+    let mut next_crash_news = Millis::ZERO;
     let mut next_sweep = Millis::ZERO;
     let mut next_rollout_report = Millis::ZERO;
     loop {
@@ -318,12 +331,16 @@
         }
         let now = gateway.now();
         gateway.poll_waiting();
-        gateway.log_part_changes();
+        gateway.log_cause_changes();
+        if now >= next_crash_news && gateway.share_crashes(now) {
+            next_crash_news = now + CRASH_NEWS_INTERVAL;
+        }
         gateway.link.borrow_mut().update(now, gateway.overload.get().scheduling_delay());
         if now >= next_share {
             let report = {
                 let mut traffic = gateway.traffic.borrow_mut();
                 traffic.expire_reports(now);
+                traffic.repeat_bars();
                 next_share = now + share_interval(traffic.entry_count());
                 traffic.take_report(now)
             };
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -285,7 +285,10 @@
                     drop(connection);
                     match self.retry().await {
                         Some(again) => response = again,
-                        None => return self.refuse(Code::AnswerBroken, Millis::ZERO),
+                        None => {
+                            let (code, retry_after) = self.broken();
+                            return self.refuse(code, retry_after);
+                        }
                     }
                 }
                 Err(_) => {
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -10,8 +10,11 @@
 
 use super::{AttemptGuard, ProxiedRequest, UpstreamResponse, exchange::SendResult};
 use crate::{
-    coordination::traffic::{Demand, RequestNo, Verdict},
-    core::{Code, Millis, Organisation},
+    coordination::{
+        crashes::Barred,
+        traffic::{Demand, RequestNo, Verdict},
+    },
+    core::{Code, Millis, Organisation, Outcome},
     transport::gateway::adapter::PlatformAdapter,
 };
 
@@ -43,9 +46,23 @@
         self.route.kind.is_idempotent()
             && attempts < self.route.max_attempts
             && Instant::now() < self.deadline
+            && self.barred().is_none()
             && self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
     }
 
+    /// Returns what keeps the request from all upstreams, if anything does.
+    fn barred(&self) -> Option<Barred> {
+        let traffic = self.gateway.traffic.borrow();
+        traffic.barred(self.gateway.now(), self.digest, &self.prompt)
+    }
+
+    /// Returns the code for a request whose answer broke off and that is not sent again, and the
+    /// retry delay.
+    pub(super) fn broken(&self) -> (Code, Millis) {
+        let barred = self.barred().filter(|barred| barred.code().outcome() == Outcome::Unknown);
+        barred.map_or((Code::AnswerBroken, Millis::ZERO), |barred| (barred.code(), barred.left))
+    }
+
     /// Queues and sends the request, retrying as far as permitted, until the head of a response
     /// arrives.
     ///
@@ -62,7 +79,8 @@
             let attempt = AttemptGuard::new(self.gateway.clone(), self.request_id.clone());
             let error = |code: Code, retry_after| {
                 // `code` states that the request did not run; that may not be true any more.
-                if may_have_run { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
+                let is_false = may_have_run && code.outcome() == Outcome::NotRun;
+                if is_false { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
             };
             let grant = match self.await_verdict(&attempt).await {
                 Verdict::Start(grant) => grant,
@@ -100,7 +118,7 @@
                 SendResult::Unknown => {
                     self.progress.borrow_mut().avoid.push(grant.upstream);
                     if !self.may_repeat() {
-                        return Err((Code::AnswerBroken, Millis::ZERO));
+                        return Err(self.broken());
                     }
                     may_have_run = true;
                 }
--- a/src/kingcupgrade/transport/gateway/updates.rs
+++ b/src/kingcupgrade/transport/gateway/updates.rs
@@ -33,6 +33,9 @@
                 self.answer_origin_request(from, &request);
             }
             FleetUpdate::OriginFound(number, origin) => self.on_origin_found(number, origin),
+            FleetUpdate::CrashesReceived(news) => {
+                self.traffic.borrow_mut().on_crash_news(self.now(), news);
+            }
             FleetUpdate::LoadReceived(from, report) => {
                 self.traffic.borrow_mut().on_report(self.now(), from, report);
             }
--- a/tests/testsuite/crashing_parts.rs
+++ b/tests/testsuite/crashing_parts.rs
@@ -2,7 +2,7 @@
 
 use kingcupgrade::{
     coordination::traffic::{Demand, PromptPart, SendEnd, Traffic, Verdict},
-    core::{Code, Instance, Millis},
+    core::{Code, Millis},
 };
 
 use crate::traffic::{demand, entry_names, traffic, traffic_for_entry};
@@ -96,7 +96,7 @@
     let mut now = Millis(100);
     for place in 0..5 {
         crash(&mut entries[place], now, fatal(place as u64, now));
-        exchange(&mut entries, &names, now);
+        exchange(&mut entries, now);
         now = now + INTERVAL;
     }
     for (entry, name) in entries.iter_mut().zip(&names) {
@@ -105,13 +105,12 @@
     }
 }
 
-/// Delivers the reports of all entries to each other.
-fn exchange(entries: &mut [Traffic], names: &[Instance], now: Millis) {
-    let reports: Vec<_> = entries.iter_mut().map(|entry| entry.take_report(now)).collect();
+/// Delivers what all entries tell of crashes to each other.
+fn exchange(entries: &mut [Traffic], now: Millis) {
+    let news: Vec<_> = entries.iter_mut().map(|entry| entry.take_crash_news(now)).collect();
     for (receiver, entry) in entries.iter_mut().enumerate() {
-        for (sender, report) in reports.iter().enumerate().filter(|(sender, _)| *sender != receiver)
-        {
-            entry.on_report(now, names[sender].clone(), report.clone());
+        for (_, news) in news.iter().enumerate().filter(|(sender, _)| *sender != receiver) {
+            entry.on_crash_news(now, news.clone());
         }
     }
 }
@@ -169,7 +168,7 @@
     let names = entry_names(5);
     entries.iter_mut().for_each(|entry| entry.set_entries(names.clone()));
     let (barred, _) = crash_until_barred(&mut entries[0], Millis(100));
-    exchange(&mut entries, &names, barred);
+    exchange(&mut entries, barred);
     let now = barred + TRIAL_AFTER;
     let mut tried = Vec::new();
     for (place, entry) in entries.iter_mut().enumerate() {
@@ -183,7 +182,7 @@
     entries[place].on_head(no);
     entries[place].on_first_event(now, no);
     entries[place].on_tokens(now, no, 24);
-    exchange(&mut entries, &names, now);
+    exchange(&mut entries, now);
     for (entry, name) in entries.iter_mut().zip(&names) {
         assert!(is_started(entry.admit(now, fatal(600, now)).as_ref()), "{name}");
     }
@@ -209,9 +208,10 @@
 fn an_entry_that_starts_learns_which_parts_are_barred() {
     let (mut first, mut second) = (traffic(1e9, ENGINES), traffic(1e9, ENGINES));
     let (now, _) = crash_until_barred(&mut first, Millis(100));
-    first.take_report(now);
-    let report = first.take_report(now + Millis(100));
-    second.on_report(Millis(100), "e-127.0.0.9".into(), report);
+    first.take_crash_news(now);
+    first.repeat_bars();
+    let news = first.take_crash_news(now + Millis(100));
+    second.on_crash_news(Millis(100), news);
     let refused = refusal(second.admit(Millis(200), fatal(1, Millis(200))));
     assert_eq!(refused.map(|(code, _)| code), Some(Code::PartBarred));
 }
@@ -239,6 +239,6 @@
             traffic.on_end(now, no, SendEnd::Disconnected);
         }
     }
-    let told = traffic.take_report(now).crashes.len();
+    let told = traffic.take_crash_news(now).crashes.len();
     assert!((1..=16).contains(&told), "{told} crashes in one report");
 }
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -6,15 +6,16 @@
 use kingcupgrade::{
     coordination::fleet::{FleetInput, FleetNode, FleetOutput, share_interval},
     core::{
-        Instance, Millis,
+        Instance, Millis, RequestDigest,
         fleet::{FleetSettings, instance_name},
         settings::Role,
     },
     protocol::{
         Message,
+        crash::{BarredCause, Crash, CrashCause, CrashNews},
         fleet::{
-            BarredPart, BegunStreams, CachedParts, Crash, FleetEntry, FleetMessage, Load,
-            LoadReport, OriginRequest, StreamKey, StreamOrigin,
+            BegunStreams, CachedParts, FleetEntry, FleetMessage, Load, LoadReport, OriginRequest,
+            StreamKey, StreamOrigin,
         },
     },
 };
@@ -34,9 +35,8 @@
     begun: BTreeMap<Instance, Vec<BegunStreams>>,
     /// The origins that entries have asked for.
     origins: BTreeMap<Instance, StreamOrigin>,
-    /// The crashes and the barred parts that each entry was told of.
-    crashes: BTreeMap<Instance, Vec<Crash>>,
-    barred: BTreeMap<Instance, Vec<BarredPart>>,
+    /// What each entry was told of crashes, and when.
+    crash_news: BTreeMap<Instance, Vec<(Millis, CrashNews)>>,
     failed: Vec<Instance>,
 }
 
@@ -66,8 +66,7 @@
             cached_parts: BTreeMap::new(),
             begun: BTreeMap::new(),
             origins: BTreeMap::new(),
-            crashes: BTreeMap::new(),
-            barred: BTreeMap::new(),
+            crash_news: BTreeMap::new(),
             failed: Vec::new(),
         };
         let entries = fleet.entries.clone();
@@ -110,13 +109,14 @@
                     let answer = FleetInput::SendOrigin(from, request.number, self.known(entry));
                     self.handle(now, entry, answer);
                 }
+                FleetOutput::CrashesReceived(news) => {
+                    self.crash_news.entry(entry.clone()).or_default().push((now, news));
+                }
                 FleetOutput::OriginFound(_, origin) => {
                     self.origins.insert(entry.clone(), origin);
                 }
                 FleetOutput::LoadReceived(from, report) => {
                     self.begun.entry(entry.clone()).or_default().extend(report.begun.clone());
-                    self.crashes.entry(entry.clone()).or_default().extend(report.crashes.clone());
-                    self.barred.entry(entry.clone()).or_default().extend(report.barred.clone());
                     self.cached_parts.entry(entry.clone()).or_default().extend(report.kept.clone());
                     self.reports.entry(entry.clone()).or_default().insert(from, report);
                 }
@@ -263,32 +263,44 @@
     }
 }
 
-/// Guards against crashes of upstreams, and parts of prompts that cause them, that are known at one
-/// entry only.
+/// Guards against crashes of upstreams, and what causes them, that are known at one entry only, or
+/// so late that a request has ended more upstreams meanwhile, or as if they had happened later.
 #[test]
-fn every_entry_hears_of_crashes_and_barred_parts() {
+fn every_entry_hears_of_crashes_and_barred_causes_at_once() {
+    /// The time between two ticks of an entry; they don't tick at the same time.
+    const TICK: u64 = 40;
+    const CRASHED: Millis = Millis(1_000);
     for count in [3, 16, 17, 84] {
         let mut fleet = Fleet::start(count);
-        fleet.share_load(Millis::ZERO, |_| 1);
         let sender = fleet.names().pop().expect("an entry");
         let crash = Crash {
             upstream: "engine".into(),
             incarnation: 1,
             age: Millis::ZERO,
+            after: Millis(30),
             had_head: true,
+            request: RequestDigest(5),
             shared_parts: vec![1, 2],
         };
-        let barred = vec![BarredPart { part: 2, age: Millis(10) }];
-        let report = LoadReport { crashes: vec![crash], barred, ..LoadReport::default() };
-        fleet.handle(Millis(200), &sender, FleetInput::ShareLoad(report));
-        for round in 2..5_u64 {
-            fleet.share_load(Millis(round * 200), |_| 1);
+        let barred = vec![BarredCause { cause: CrashCause::Part(2), age: Millis(10) }];
+        let news = CrashNews { crashes: vec![crash], sound: Vec::new(), barred };
+        fleet.handle(CRASHED, &sender, FleetInput::ShareCrashes(news));
+        for step in 1..=2 * TICK {
+            let is_due = |number: usize| (step + number as u64).is_multiple_of(TICK);
+            let names = fleet.names().into_iter().enumerate();
+            for (_, entry) in names.filter(|(number, _)| is_due(*number)) {
+                fleet.handle(CRASHED + Millis(step), &entry, FleetInput::Tick);
+            }
         }
         for entry in fleet.names().iter().filter(|entry| **entry != sender) {
-            let crashes = fleet.crashes.get(entry).map_or(0, Vec::len);
-            let barred = fleet.barred.get(entry).map_or(0, Vec::len);
-            assert!((1..=4).contains(&crashes), "{entry} of {count} heard of {crashes} crashes");
-            assert!((1..=4).contains(&barred), "{entry} of {count} heard of {barred} parts");
+            let told = fleet.crash_news.get(entry).cloned().unwrap_or_default();
+            assert!((1..=4).contains(&told.len()), "{entry} of {count} was told {told:?}");
+            for (at, news) in told {
+                let [crash] = &news.crashes[..] else { panic!("{entry} of {count}: {news:?}") };
+                let [barred] = &news.barred[..] else { panic!("{entry} of {count}: {news:?}") };
+                let passed = at.since(CRASHED);
+                assert_eq!((crash.age, barred.age), (passed, passed + Millis(10)), "{entry}");
+            }
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cached_parts;
 mod configuration_pull;
 mod connections;
+mod crash_causes;
 mod crashing_parts;
 mod crashing_requests;
 mod deposits;
