Blame a part of prompts only if several requests are needed to explain its crashes

Sound requests were refused with K3013 because they shared a new part of their prompts with one or two requests that crash upstreams by what no other request has: three crashes under one and the same request sufficed, though they tell nothing about what it shares. Each crash now keeps the requests that broke off there, and a part is blamed only if no two requests were at all of the upstreams that ended.

The tests of parts pass unchanged: no two of their fatal requests are alike.

--- a/src/kingcupgrade/coordination/crashes/mod.rs
+++ b/src/kingcupgrade/coordination/crashes/mod.rs
@@ -122,8 +122,10 @@
                 at,
                 sent_at: at.since(crash.after),
                 had_head: false,
+                requests: BTreeSet::new(),
             });
             seen.had_head |= crash.had_head;
+            seen.requests.insert(crash.request);
         }
         let is_together = |at| self.ends.is_together(at);
         let is_to_blame = |cause: &CrashCause| match cause {
@@ -178,6 +180,11 @@
         was_barred
     }
 
+    /// Returns whether no cause is kept from upstreams.
+    pub fn bars_nothing(&self) -> bool {
+        self.bars.is_empty()
+    }
+
     /// Returns the first of these causes that keeps a request from all upstreams; `own` is one of the
     /// `entries`, which try barred causes in turn.
     pub fn barred(
@@ -187,9 +194,6 @@
         own: &Instance,
         entries: &[Instance],
     ) -> Option<Barred> {
-        if self.bars.is_empty() {
-            return None;
-        }
         causes.find_map(|cause| {
             let left = self.bars.get(&cause)?.time_to_trial(now, cause, own, entries)?;
             Some(Barred { cause, left })
--- a/src/kingcupgrade/coordination/crashes/suspect.rs
+++ b/src/kingcupgrade/coordination/crashes/suspect.rs
@@ -1,9 +1,9 @@
 //! The crashes that speak against one cause.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Incarnation;
-use crate::core::Millis;
+use crate::core::{Millis, RequestDigest};
 
 /// The upstreams that have to end under a cause before it is blamed: one by one under a request; under
 /// a part with the answer begun.
@@ -14,6 +14,9 @@
 const MIN_SPAN_OF_SOUND_REQUEST: Millis = Millis(1_000);
 /// By how much the end of an upstream elsewhere may seem later than it was: the word of it takes time.
 const MAX_REPORT_DELAY: Millis = Millis(150);
+/// The requests without which the crashes under a part can't be explained: what crashes upstreams may
+/// also be in one request, or in two by chance.
+const MIN_REQUESTS: usize = 3;
 /// The occasions that suffice against a part if upstreams ended together or before an answer had
 /// begun.
 const MIN_OCCASIONS: usize = 3;
@@ -30,6 +33,8 @@
     pub(super) sent_at: Millis,
     /// Whether the answer to one of them had begun to arrive.
     pub(super) had_head: bool,
+    /// The requests with the cause that broke off there.
+    pub(super) requests: BTreeSet<RequestDigest>,
 }
 
 /// A cause under which upstreams have ended since the last answer on it.
@@ -81,7 +86,9 @@
         }
         let is_alone = |seen: &&Seen| seen.had_head && !is_together(seen.at);
         let alone = || self.crashes.values().filter(is_alone).count();
-        self.occasions() >= MIN_OCCASIONS || !self.was_sound && alone() >= MIN_CRASHES
+        let is_suspicious =
+            self.occasions() >= MIN_OCCASIONS || !self.was_sound && alone() >= MIN_CRASHES;
+        is_suspicious && self.explaining_requests() >= MIN_REQUESTS
     }
 
     fn occasions(&self) -> usize {
@@ -98,6 +105,24 @@
         count
     }
 
+    /// Returns how many requests it takes, about the fewest, so that one of them was at each of the
+    /// upstreams that ended.
+    fn explaining_requests(&self) -> usize {
+        let mut unexplained: Vec<&Seen> = self.crashes.values().collect();
+        let mut count = 0;
+        while !unexplained.is_empty() {
+            let mut crashes: BTreeMap<RequestDigest, usize> = BTreeMap::new();
+            for request in unexplained.iter().flat_map(|seen| &seen.requests) {
+                *crashes.entry(*request).or_default() += 1;
+            }
+            let most = crashes.into_iter().max_by_key(|(_, count)| *count);
+            let Some((request, _)) = most else { return count };
+            unexplained.retain(|seen| !seen.requests.contains(&request));
+            count += 1;
+        }
+        count
+    }
+
     fn span(&self) -> Millis {
         let times = || self.crashes.values().map(|seen| seen.at);
         let (first, last) = (times().min(), times().max());
--- a/src/kingcupgrade/coordination/traffic/barred.rs
+++ b/src/kingcupgrade/coordination/traffic/barred.rs
@@ -25,6 +25,9 @@
         request: RequestDigest,
         prompt: &[PromptPart],
     ) -> Option<Barred> {
+        if self.crash_causes.bars_nothing() {
+            return None;
+        }
         let own = self.settings.instance();
         self.crash_causes.barred(now, causes_of(request, prompt), &own, &self.entries)
     }
