Keep a request from engines at kingcupd's entries once three have ended under it

Callers of kingcupd ended up to four engines at each try of one request, at any entry. The entries now keep the state machine of coordination/crashes, count ends by the digest of organisation, service, method, path, idempotency key and body, tell all other entries of the fleet at once, and refuse such a request with K4005 and the time left: on arrival, while it waits for a slot, after its key was claimed (the claim is released), and in place of a retry.

Ruled out: telling the dispatchers, which know no requests and reach other failure domains about once a second.

--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -227,7 +227,7 @@
     let document = tutor_document(&names);
     let view = View::default();
     let holder: Instance = "entry-01".into();
-    let mut entry_machine = EntryMachine::new("north".into(), 1);
+    let mut entry_machine = EntryMachine::new("entry-1".into(), "north".into(), 1, Vec::new());
     let mut out = Vec::new();
     let mut now = Millis(1_000);
     entry_machine.ensure_session(now, pool(), &holder, 1, None, &mut out);
--- a/src/kingcupgrade/coordination/decision.rs
+++ b/src/kingcupgrade/coordination/decision.rs
@@ -3,8 +3,11 @@
 use serde::Serialize;
 
 use super::rollout::watch::StageDecision;
-use crate::core::{
-    Code, FailureDomain, Instance, Millis, Organisation, RequestDigest, Service, UpstreamName,
+use crate::{
+    core::{
+        Code, FailureDomain, Instance, Millis, Organisation, RequestDigest, Service, UpstreamName,
+    },
+    protocol::crash::CrashCause,
 };
 
 /// A routing or placement decision and the reason for it.
@@ -79,6 +82,13 @@
         /// Whether its answer had begun.
         has_begun: bool,
     },
+    /// A request, or a part of prompts, is kept from upstreams because it crashes them, or no longer.
+    CrashCause {
+        /// What crashes upstreams.
+        cause: CrashCause,
+        /// Whether it is kept from them from now on.
+        barred: bool,
+    },
     /// An entry will retry a request.
     Retry {
         /// The request.
--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -9,6 +9,7 @@
     core::{Code, Millis, UpstreamName},
     protocol::{
         Pool,
+        crash::Crash,
         dispatch::{BegunAnswer, FinishedGrant, Grant, GrantId, GrantOutcome},
     },
 };
@@ -106,6 +107,8 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Sent { pool: pool.clone(), grant: grant.id };
+        request.sent_at = now;
+        let digest = request.digest;
         let waited = now.since(request.arrived);
         out.push(EntryOutput::Decided(Decision::Send {
             request: id,
@@ -119,6 +122,7 @@
         request.attempts += 1;
         let state = self.services.entry(pool.0.clone()).or_default();
         state.average_wait = Millis((state.average_wait.0 * 7 + waited.0) / 8);
+        self.on_crash_cause_sent(now, digest);
         let upstream = grant.upstream.clone();
         out.push(EntryOutput::Start { id, upstream, address: grant.address });
     }
@@ -134,6 +138,7 @@
         result: Result<(), Code>,
         out: &mut Vec<EntryOutput>,
     ) -> bool {
+        let barred = self.requests.get(&id).and_then(|request| self.barred(now, request.digest));
         let Some(request) = self.requests.get_mut(&id) else { return result.is_ok() };
         let Stage::Claiming { pool, grant } = request.stage.clone() else { return false };
         match result {
@@ -144,6 +149,11 @@
                 self.give_up(id, Code::DeadlineQueued, out);
                 return true;
             }
+            Ok(()) if barred.is_some() => {
+                self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                barred.into_iter().for_each(|barred| self.refuse_barred(id, barred, out));
+                return true;
+            }
             Ok(()) => {
                 request.claimed = true;
                 if self.may_use(now, &pool, &grant.upstream, grant.incarnation) {
@@ -203,7 +213,7 @@
     ) {
         let Some(request) = self.requests.get(&id) else { return };
         let Stage::Sent { pool, grant } = request.stage.clone() else { return };
-        let digest = request.digest;
+        let (digest, sent_at) = (request.digest, request.sent_at);
         let held = self.held.get(&(pool.clone(), grant)).cloned();
         // Only answers that are forwarded event by event cost something before they are complete.
         let has_begun = first_byte_ms.is_some() && cost > 0;
@@ -216,6 +226,16 @@
                 incarnation: held.incarnation,
                 has_begun,
             }));
+            let crash = Crash {
+                upstream: held.upstream.clone(),
+                incarnation: held.incarnation,
+                age: Millis::ZERO,
+                after: now.since(sent_at),
+                had_head: first_byte_ms.is_some(),
+                request: digest,
+                shared_parts: Vec::new(),
+            };
+            self.on_crash(now, crash, out);
         }
         let (upstream, version) = held.map(|held| (held.upstream, held.version)).unzip();
         let version = version.flatten();
@@ -231,7 +251,12 @@
         };
         self.end_grant(&pool, grant, outcome, cost, first_byte_ms);
         let code = match end {
-            AttemptEnd::Completed | AttemptEnd::HungUp => {
+            AttemptEnd::Completed => {
+                self.remove(id);
+                self.on_answered(now, digest, out);
+                return;
+            }
+            AttemptEnd::HungUp => {
                 self.remove(id);
                 return;
             }
@@ -244,7 +269,9 @@
         if has_begun && let Some(request) = self.requests.get_mut(&id) {
             request.version = RequiredVersion::Exactly(version);
         }
-        if self.may_retry(now, id, end) {
+        if let Some(barred) = self.barred(now, digest) {
+            self.refuse_barred(id, barred, out);
+        } else if self.may_retry(now, id, end) {
             self.requeue(now, id, upstream, out);
         } else {
             self.give_up(id, code, out);
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod backoff;
 mod budget;
+mod crashes;
 mod io;
 mod pool_session;
 mod queue;
@@ -16,7 +17,10 @@
 
 pub use self::io::{Arrival, AttemptEnd, EntryOutput, RequestId};
 use self::{budget::RetryBudget, pool_session::PoolSession, queue::Queues};
-use super::{decision::Decision, notices::Notices, required_version::RequiredVersion, view::View};
+use super::{
+    crashes::CrashCauses, decision::Decision, notices::Notices, required_version::RequiredVersion,
+    view::View,
+};
 use crate::{
     core::{
         Code, Document, FailureDomain, Instance, Millis, Organisation, RequestDigest, Service,
@@ -66,6 +70,8 @@
     arrived: Millis,
     deadline: Millis,
     attempts: u32,
+    /// When it was last sent to an upstream.
+    sent_at: Millis,
     avoid: Option<(UpstreamName, Millis)>,
     /// The versions that may serve it: the one that began its answer, once it has begun.
     version: RequiredVersion,
@@ -97,6 +103,7 @@
 /// The state of one entry.
 #[derive(Clone, Debug)]
 pub struct EntryMachine {
+    instance: Instance,
     domain: FailureDomain,
     /// Distinguishes this process from earlier ones of the same instance.
     incarnation: u64,
@@ -108,6 +115,11 @@
     held: BTreeMap<(Pool, GrantId), HeldGrant>,
     /// What upstreams have asked this entry for on their answers.
     notices: Notices,
+    /// All entries of the fleet, this one included.
+    entries: Vec<Instance>,
+    crash_causes: CrashCauses,
+    /// When the requests that are kept from upstreams are told again.
+    next_bars: Millis,
     services: BTreeMap<Service, ServiceState>,
     /// Number of open requests per service, cached because every tick needs it.
     open_by_service: BTreeMap<Service, usize>,
@@ -115,9 +127,16 @@
 }
 
 impl EntryMachine {
-    /// Creates the state of an entry; `incarnation` increases with every start of the instance.
-    pub fn new(domain: FailureDomain, incarnation: u64) -> EntryMachine {
+    /// Creates the state of an entry; `incarnation` increases with every start of the instance, and
+    /// `entries` are all of the fleet.
+    pub fn new(
+        instance: Instance,
+        domain: FailureDomain,
+        incarnation: u64,
+        entries: Vec<Instance>,
+    ) -> EntryMachine {
         EntryMachine {
+            instance,
             domain,
             incarnation,
             next_session: 1,
@@ -127,6 +146,9 @@
             sessions: BTreeMap::new(),
             held: BTreeMap::new(),
             notices: Notices::default(),
+            entries,
+            crash_causes: CrashCauses::default(),
+            next_bars: Millis::ZERO,
             services: BTreeMap::new(),
             open_by_service: BTreeMap::new(),
             draining: false,
@@ -193,6 +215,7 @@
             arrived: now,
             deadline: now + Millis(limits.deadline_ms),
             attempts: 0,
+            sent_at: Millis::ZERO,
             avoid: None,
             version: RequiredVersion::Any,
             declined: 0,
@@ -203,6 +226,10 @@
             self.refuse(id, &request, code, out);
             return;
         }
+        if let Some(barred) = self.barred(now, digest) {
+            self.refuse_until(id, &request, barred.code(), barred.left, out);
+            return;
+        }
         let backoff_left = self.backoff_left(now, &service);
         if backoff_left > Millis::ZERO {
             self.refuse_until(id, &request, Code::UpstreamsBackingOff, backoff_left, out);
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -255,8 +255,8 @@
             }
             Message::Record(message) => self.on_record(now, unix_ms, from, message, out),
             Message::Fleet(message) => self.on_fleet(now, unix_ms, from, message, out),
-            // These belong to fleets without discovery, whose pools have dispatchers.
-            Message::Lease(_) | Message::Dispatch(_) => {}
+            // These belong to fleets without discovery, whose instances are in their settings.
+            Message::Lease(_) | Message::Dispatch(_) | Message::Crashes(_) => {}
         }
     }
 
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -110,7 +110,10 @@
         let neighbours = domain_entries.iter().filter(|i| **i != instance).cloned().collect();
         let controls = settings.with_role(Role::Control).map(|p| p.instance.clone());
         let client = RecordClient::new(&instance, controls, neighbours);
-        let entry = is_entry.then(|| EntryMachine::new(domain.clone(), incarnation));
+        let entries: Vec<Instance> =
+            settings.with_role(Role::Entry).map(|peer| peer.instance.clone()).collect();
+        let entry = is_entry
+            .then(|| EntryMachine::new(instance.clone(), domain.clone(), incarnation, entries));
         let leases = (is_entry && !settings.static_shares)
             .then(|| LeaseManager::new(now, incarnation, instance, &domain, domain_entries));
         Node {
@@ -218,6 +221,7 @@
     pub fn flush(&mut self, now: Millis, unix_ms: u64, out: &mut Vec<Output>) {
         self.run_control(out, |control, outputs| control.flush(now, outputs));
         self.run_entry(now, out, |entry, _, outputs| entry.report(now, outputs));
+        self.send_crash_news(now, out);
         self.send_proposals(now, out);
         self.deliver_loopback(now, unix_ms, out);
     }
@@ -257,6 +261,7 @@
             // Used only by fleets with automatic discovery; a `Node` has all instances in its
             // settings.
             Message::Fleet(_) => {}
+            Message::Crashes(news) => self.on_crash_news(now, news, out),
         }
     }
 
--- a/src/kingcupgrade/coordination/node/requests.rs
+++ b/src/kingcupgrade/coordination/node/requests.rs
@@ -11,9 +11,10 @@
         lease::LEASE_DURATION,
         view::View,
     },
-    core::{Code, Millis, Service},
+    core::{Code, Millis, Service, settings::Role},
     protocol::{
         Message, Pool,
+        crash::CrashNews,
         record::{ClaimId, Command, Reply, Settlement, StoredAnswer},
     },
 };
@@ -131,6 +132,28 @@
         }
     }
 
+    pub(super) fn on_crash_news(&mut self, now: Millis, news: &CrashNews, out: &mut Vec<Output>) {
+        let first = out.len();
+        self.run_entry(now, out, |entry, _, outputs| {
+            entry.on_crash_news(now, news.clone(), outputs);
+        });
+        self.release_unsent(now, &out[first..]);
+    }
+
+    /// Tells the other entries what this one has seen of crashes since.
+    pub(super) fn send_crash_news(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let Some(entry) = &mut self.entry else { return };
+        let news = entry.take_crash_news(now);
+        if news.is_empty() {
+            return;
+        }
+        let own = self.settings.instance.clone();
+        let entries = self.settings.with_role(Role::Entry).map(|peer| peer.instance.clone());
+        for other in entries.filter(|entry| *entry != own).collect::<Vec<_>>() {
+            self.send(other, Message::Crashes(news.clone()), out);
+        }
+    }
+
     pub(super) fn claim(&mut self, now: Millis, id: RequestId) {
         let Some(claim) = self.claims.get(&id) else { return };
         let deadline = self.deadline_of(&claim.keyed.key.service);
@@ -237,6 +260,8 @@
         } else if !is_open {
             self.claims.remove(&id);
         }
+        // Requests that wait may be refused with it.
+        self.release_unsent(now, &entry_outputs);
         if !is_open && entry_outputs.is_empty() {
             out.push(Output::Finished(id));
         }
--- a/src/kingcupgrade/protocol/mod.rs
+++ b/src/kingcupgrade/protocol/mod.rs
@@ -51,6 +51,9 @@
     /// A message between instances of a fleet with dynamic membership.
     #[serde(rename = "f")]
     Fleet(fleet::FleetMessage),
+    /// What an entry of a fleet without discovery tells the others of crashes.
+    #[serde(rename = "k")]
+    Crashes(crash::CrashNews),
 }
 
 impl Message {
@@ -62,6 +65,7 @@
             Message::Consensus(_) => "consensus",
             Message::Record(_) => "record",
             Message::Fleet(_) => "fleet",
+            Message::Crashes(_) => "crashes",
         }
     }
 }
--- a/src/kingcupgrade/transport/callers/admit.rs
+++ b/src/kingcupgrade/transport/callers/admit.rs
@@ -74,6 +74,7 @@
         organisation.as_str().as_bytes(),
         method.as_bytes(),
         path.as_bytes(),
+        keyed.as_ref().map_or("", |keyed| keyed.key.key.as_str()).as_bytes(),
         &body,
     ]);
     let upstream = UpstreamRequest {
--- a/tests/testsuite/entry.rs
+++ b/tests/testsuite/entry.rs
@@ -9,6 +9,7 @@
     core::{Code, Document, Instance, Millis, RequestDigest},
     protocol::{
         Pool,
+        crash::{BarredCause, CrashCause, CrashNews},
         dispatch::{DispatchBody, DispatchMessage, Grant, GrantId, Session},
     },
 };
@@ -28,7 +29,7 @@
         let document = Document::parse(&orders_document()).expect("a valid document");
         let pool = Pool("orders".into(), "north".into());
         let holder = Instance::from("entry-1");
-        let mut entry = EntryMachine::new("north".into(), 1);
+        let mut entry = EntryMachine::new("entry-1".into(), "north".into(), 1, Vec::new());
         let mut out = Vec::new();
         entry.ensure_session(Millis(0), pool.clone(), &holder, 1, None, &mut out);
         let mut claiming = ClaimingEntry { entry, document, pool, holder };
@@ -111,3 +112,44 @@
     assert!(out.iter().any(given_up), "{out:?}");
     assert!(!out.iter().any(|output| matches!(output, EntryOutput::Start { .. })), "{out:?}");
 }
+
+/// Guards against sending a deposit whose claim took a moment after another entry has found that it
+/// crashes upstreams, and against keeping its key claimed though it was not sent.
+#[test]
+fn a_claim_that_comes_after_the_request_was_blamed_sends_nothing() {
+    let mut claiming = ClaimingEntry::start();
+    let mut out = Vec::new();
+    let cause = CrashCause::Request(RequestDigest(7));
+    let barred = vec![BarredCause { cause, age: Millis::ZERO }];
+    let news = CrashNews { barred, ..CrashNews::default() };
+    claiming.entry.on_crash_news(Millis(20), news, &mut out);
+    assert!(
+        claiming.entry.on_claimed(Millis(40), 7, Ok(()), &mut out),
+        "the claim is not released"
+    );
+    let given_up =
+        |o: &EntryOutput| matches!(o, EntryOutput::GiveUp { id: 7, code: Code::RequestBarred, .. });
+    assert!(out.iter().any(given_up), "{out:?}");
+    assert!(!out.iter().any(|output| matches!(output, EntryOutput::Start { .. })), "{out:?}");
+}
+
+/// Guards against a request that waits for a slot after it was found to crash upstreams: its caller
+/// would wait for nothing, until the deadline.
+#[test]
+fn a_request_that_waits_is_refused_once_it_is_blamed() {
+    let mut claiming = ClaimingEntry::start();
+    let mut out = Vec::new();
+    claiming.arrive(8, false, &mut out);
+    let cause = CrashCause::Request(RequestDigest(8));
+    let barred = vec![BarredCause { cause, age: Millis::ZERO }];
+    let news = CrashNews { barred, ..CrashNews::default() };
+    claiming.entry.on_crash_news(Millis(20), news, &mut out);
+    let given_up = |o: &EntryOutput| match o {
+        EntryOutput::GiveUp { id: 8, code, retry_after } => {
+            *code == Code::RequestBarred && *retry_after > Millis::ZERO
+        }
+        _ => false,
+    };
+    assert!(out.iter().any(given_up), "{out:?}");
+    assert!(!claiming.entry.is_open(8));
+}
