--- a/src/kingcupgrade/coordination/crashes/mod.rs
+++ b/src/kingcupgrade/coordination/crashes/mod.rs
@@ -17,12 +17,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use self::{
-    bar::Bar,
-    ends::Ends,
-    sound::SoundCauses,
-    suspect::{Seen, Suspect},
-};
+use self::{bar::Bar, ends::Ends, sound::SoundCauses, suspect::Suspect};
 use crate::{
     core::{Code, Instance, Millis, UpstreamName},
     protocol::crash::{BarredCause, Crash, CrashCause, CrashNews, SoundCause},
@@ -91,11 +86,12 @@
         if is_known || self.untold_crashes.len() >= MAX_UNTOLD_CRASHES {
             return blamed;
         }
+        // The second and third end under a request are the most urgent to be known.
         let suspect = self.suspects.get(&CrashCause::Request(crash.request));
-        let is_repeated = suspect.is_none_or(|suspect| suspect.crashes.len() > 1);
-        match is_repeated {
-            true => self.untold_crashes.push_front((now, crash)),
-            false => self.untold_crashes.push_back((now, crash)),
+        if suspect.is_none_or(|suspect| suspect.crashes.len() > 1) {
+            self.untold_crashes.push_front((now, crash));
+        } else {
+            self.untold_crashes.push_back((now, crash));
         }
         blamed
     }
@@ -108,7 +104,7 @@
         upstreams: usize,
     ) -> Option<CrashCause> {
         let incarnation = (crash.upstream.clone(), crash.incarnation);
-        self.ends.insert(at, incarnation.clone(), upstreams);
+        self.ends.insert(at, incarnation, upstreams);
         // A blamed cause explains the crash by itself.
         if causes_of(crash).any(|cause| self.bars.contains_key(&cause)) {
             return None;
@@ -116,27 +112,21 @@
         for cause in causes_of(crash) {
             let was_sound = self.is_sound(now, cause, SOUND_TTL);
             let new = || Suspect { was_sound, ..Suspect::default() };
-            let suspect = self.suspects.entry(cause).or_insert_with(new);
-            suspect.crashes.retain(|_, seen| now.since(seen.at) <= CRASH_TTL);
-            let seen = suspect.crashes.entry(incarnation.clone()).or_insert(Seen {
-                at,
-                sent_at: at.since(crash.after),
-                had_head: false,
-                requests: BTreeSet::new(),
-            });
-            seen.had_head |= crash.had_head;
-            seen.requests.insert(crash.request);
+            self.suspects.entry(cause).or_insert_with(new).add(now, at, crash);
         }
-        let is_together = |at| self.ends.is_together(at);
-        let is_to_blame = |cause: &CrashCause| match cause {
-            CrashCause::Request(_) => self.suspects[cause].is_blamed_request(),
-            CrashCause::Part(_) => self.suspects[cause].is_blamed_part(is_together),
-        };
-        let blamed = causes_of(crash).find(is_to_blame)?;
+        let blamed = causes_of(crash).find(|cause| self.is_to_blame(*cause))?;
         self.bar(blamed, now);
         Some(blamed)
     }
 
+    fn is_to_blame(&self, cause: CrashCause) -> bool {
+        let Some(suspect) = self.suspects.get(&cause) else { return false };
+        match cause {
+            CrashCause::Request(_) => suspect.is_blamed_request(),
+            CrashCause::Part(_) => suspect.is_blamed_part(|at| self.ends.is_together(at)),
+        }
+    }
+
     fn bar(&mut self, cause: CrashCause, since: Millis) {
         self.must_tell_bars = true;
         self.bars.entry(cause).or_insert(Bar::new(since));
@@ -283,8 +273,10 @@
             return;
         }
         self.next_prune = now + PRUNE_INTERVAL;
-        let is_recent = |seen: &Seen| now.since(seen.at) <= CRASH_TTL;
-        self.suspects.retain(|_, suspect| suspect.crashes.values().any(is_recent));
+        self.suspects.retain(|_, suspect| {
+            suspect.forget_old(now);
+            !suspect.crashes.is_empty()
+        });
     }
 
     /// Returns whether an upstream has written an answer on a cause within the last `span`.
--- a/src/kingcupgrade/coordination/crashes/suspect.rs
+++ b/src/kingcupgrade/coordination/crashes/suspect.rs
@@ -2,8 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Incarnation;
-use crate::core::{Millis, RequestDigest};
+use super::{CRASH_TTL, Incarnation};
+use crate::{
+    core::{Millis, RequestDigest},
+    protocol::crash::Crash,
+};
 
 /// The upstreams that have to end under a cause before it is blamed: one by one under a request; under
 /// a part with the answer begun.
@@ -46,6 +49,25 @@
 }
 
 impl Suspect {
+    /// Records the end of an upstream.
+    pub(super) fn add(&mut self, now: Millis, at: Millis, crash: &Crash) {
+        self.forget_old(now);
+        let incarnation = (crash.upstream.clone(), crash.incarnation);
+        let seen = self.crashes.entry(incarnation).or_insert_with(|| Seen {
+            at,
+            sent_at: at.since(crash.after),
+            had_head: false,
+            requests: BTreeSet::new(),
+        });
+        seen.had_head |= crash.had_head;
+        seen.requests.insert(crash.request);
+    }
+
+    /// Drops what is too old to lead to blame.
+    pub(super) fn forget_old(&mut self, now: Millis) {
+        self.crashes.retain(|_, seen| now.since(seen.at) <= CRASH_TTL);
+    }
+
     /// Returns whether a request is to blame.
     pub(super) fn is_blamed_request(&self) -> bool {
         match self.was_sound {
--- a/src/kingcupgrade/coordination/fleet/crash_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/crash_exchange.rs
@@ -7,7 +7,7 @@
 
 use super::{FleetNode, FleetOutput};
 use crate::{
-    core::Millis,
+    core::{Instance, Millis},
     protocol::{
         Message,
         crash::{CrashNews, Reach},
@@ -63,22 +63,18 @@
 
     /// Passes on the news that has arrived, if this entry is a collector.
     pub(super) fn pass_crashes_on(&mut self, now: Millis, out: &mut Vec<FleetOutput>) {
-        let local = merged(now, std::mem::take(&mut self.crash_exchange.local));
-        let mut all = merged(now, std::mem::take(&mut self.crash_exchange.remote));
-        all.merge(local.clone(), MAX_PASSED_CRASHES);
+        let CrashExchange { local, remote } = std::mem::take(&mut self.crash_exchange);
         let Some(members) = self.load_exchange.members().map(<[_]>::to_vec) else { return };
+        let local = merged(now, local);
+        let mut all = merged(now, remote);
+        all.merge(local.clone(), MAX_PASSED_CRASHES);
         let remote_collectors = self.load_exchange.remote_collectors();
         send_news(remote_collectors, Reach::Domain, local, out);
         send_news(members, Reach::Receiver, all, out);
     }
 }
 
-fn send_news(
-    to: Vec<crate::core::Instance>,
-    reach: Reach,
-    news: CrashNews,
-    out: &mut Vec<FleetOutput>,
-) {
+fn send_news(to: Vec<Instance>, reach: Reach, news: CrashNews, out: &mut Vec<FleetOutput>) {
     if !to.is_empty() && !news.is_empty() {
         let message = Message::Fleet(FleetMessage::Crashes(reach, news));
         out.push(FleetOutput::SendToAll(to, message));
--- a/tests/testsuite/crash_causes.rs
+++ b/tests/testsuite/crash_causes.rs
@@ -2,16 +2,18 @@
 //! callers.
 
 use kingcupgrade::{
-    coordination::traffic::{Demand, SendEnd, Traffic, Verdict},
+    coordination::traffic::{Demand, SendEnd, Traffic},
     core::{Code, Millis, RequestDigest},
+    protocol::fleet::ListedUpstream,
 };
 
-use crate::traffic::{assigned_upstream, demand, entry_names, plain, traffic, traffic_for_entry};
+use crate::{
+    crashing_parts::{ENGINES, crash, exchange, is_started, refusal, serve},
+    traffic::{assigned_upstream, demand, entry_names, plain, traffic, traffic_for_entry},
+};
 
-const ENGINES: usize = 12;
 const FATAL: RequestDigest = RequestDigest(u64::MAX);
-/// The time from sending a request to the end of its engine, and to the caller's next try.
-const CRASH_AFTER: Millis = Millis(40);
+/// The time between two tries of a caller.
 const TRY_INTERVAL: Millis = Millis(350);
 /// Longer than the time after which a request is tried again for the first time.
 const TRIAL_AFTER: Millis = Millis(61_000);
@@ -21,31 +23,6 @@
     Demand { digest: FATAL, ..demand(no, now, "alder", 7, 100) }
 }
 
-fn is_started(verdict: Option<&Verdict>) -> bool {
-    matches!(verdict, Some(Verdict::Start(_)))
-}
-
-fn refusal(verdict: Option<Verdict>) -> Option<(Code, Millis)> {
-    match verdict {
-        Some(Verdict::Refuse { code, retry_after }) => Some((code, retry_after)),
-        _ => None,
-    }
-}
-
-/// Sends a request to one of the engines, another one for each number, which ends under it; returns
-/// whether it was sent.
-fn crash(traffic: &mut Traffic, now: Millis, demand: Demand) -> bool {
-    let no = demand.no;
-    let engine = no as usize % ENGINES;
-    let others = (0..ENGINES).filter(|other| *other != engine);
-    let avoid = others.map(|other| format!("engine-{other}").as_str().into()).collect();
-    if !is_started(traffic.admit(now, Demand { avoid, ..demand }).as_ref()) {
-        return false;
-    }
-    traffic.on_end(now + CRASH_AFTER, no, SendEnd::Disconnected);
-    true
-}
-
 /// Lets the same request end engine after engine until it is refused; returns when that was and how
 /// many have ended.
 fn crash_until_barred(traffic: &mut Traffic, from: Millis) -> (Millis, u64) {
@@ -59,22 +36,6 @@
     panic!("the request is never blamed");
 }
 
-fn serve(traffic: &mut Traffic, now: Millis, demand: Demand) {
-    let no = demand.no;
-    assert!(is_started(traffic.admit(now, demand).as_ref()), "request {no}");
-    traffic.on_first_event(now, no);
-    traffic.on_end(now, no, SendEnd::Answered);
-}
-
-fn exchange(entries: &mut [Traffic], now: Millis) {
-    let news: Vec<_> = entries.iter_mut().map(|entry| entry.take_crash_news(now)).collect();
-    for (receiver, entry) in entries.iter_mut().enumerate() {
-        for (_, news) in news.iter().enumerate().filter(|(sender, _)| *sender != receiver) {
-            entry.on_crash_news(now, news.clone());
-        }
-    }
-}
-
 /// Guards against a request that goes on to another engine after three have ended under it, and
 /// against others that are refused for it.
 #[test]
@@ -95,7 +56,7 @@
     let mut now = Millis(100);
     for no in 0..3 {
         assert!(crash(&mut traffic, now, same(no, now)), "try {no}");
-        now = now + CRASH_AFTER;
+        now = now + Millis(40);
     }
     assert!(!crash(&mut traffic, now, same(3, now)), "sent to a fourth engine");
 }
@@ -107,7 +68,7 @@
     let mut now = Millis(100);
     for place in 0..3 {
         assert!(crash(&mut entries[place], now, same(place as u64, now)));
-        exchange(&mut entries, now + CRASH_AFTER);
+        exchange(&mut entries, now);
         now = now + TRY_INTERVAL;
     }
     for entry in &mut entries {
@@ -126,7 +87,7 @@
         assert!(assigned_upstream(traffic.admit(now, demand)).is_some(), "try {no}");
         traffic.on_end(now, no, SendEnd::Disconnected);
         // The list shows the next incarnation.
-        let incarnation = |listed: &mut kingcupgrade::protocol::fleet::ListedUpstream| {
+        let incarnation = |listed: &mut ListedUpstream| {
             listed.started_unix_ms = no + 2;
         };
         let mut listing: Vec<_> = traffic.upstreams().values().map(|u| u.listed.clone()).collect();
@@ -169,7 +130,7 @@
     for round in 0..20 {
         assert!(crash(&mut entries[0], now, same(round * 10, now)), "round {round}");
         assert!(crash(&mut entries[0], now, same(round * 10 + 1, now)), "round {round}");
-        exchange(&mut entries, now + CRASH_AFTER);
+        exchange(&mut entries, now);
         now = now + TRY_INTERVAL;
         serve(&mut entries[1], now, same(round * 10 + 2, now));
         exchange(&mut entries, now);
--- a/tests/testsuite/crashing_parts.rs
+++ b/tests/testsuite/crashing_parts.rs
@@ -7,7 +7,7 @@
 
 use crate::traffic::{demand, entry_names, traffic, traffic_for_entry};
 
-const ENGINES: usize = 12;
+pub(crate) const ENGINES: usize = 12;
 /// A part of all prompts, one that crashes engines, and the part of another session.
 const FATAL: u64 = 666;
 const SOUND: u64 = 7;
@@ -24,11 +24,11 @@
     demand(no, now, "alder", SOUND, 100)
 }
 
-fn is_started(verdict: Option<&Verdict>) -> bool {
+pub(crate) fn is_started(verdict: Option<&Verdict>) -> bool {
     matches!(verdict, Some(Verdict::Start(_)))
 }
 
-fn refusal(verdict: Option<Verdict>) -> Option<(Code, Millis)> {
+pub(crate) fn refusal(verdict: Option<Verdict>) -> Option<(Code, Millis)> {
     match verdict {
         Some(Verdict::Refuse { code, retry_after }) => Some((code, retry_after)),
         _ => None,
@@ -36,7 +36,7 @@
 }
 
 /// Serves a request whole.
-fn serve(traffic: &mut Traffic, now: Millis, demand: Demand) {
+pub(crate) fn serve(traffic: &mut Traffic, now: Millis, demand: Demand) {
     let no = demand.no;
     assert!(is_started(traffic.admit(now, demand).as_ref()), "request {no}");
     traffic.on_head(no);
@@ -47,7 +47,7 @@
 
 /// Lets one of the engines, another one each time, end as it begins to write an answer; returns
 /// whether the request was sent.
-fn crash(traffic: &mut Traffic, now: Millis, demand: Demand) -> bool {
+pub(crate) fn crash(traffic: &mut Traffic, now: Millis, demand: Demand) -> bool {
     let no = demand.no;
     let engine = no as usize % ENGINES;
     let others = (0..ENGINES).filter(|other| *other != engine);
@@ -120,7 +120,7 @@
 }
 
 /// Delivers what all entries tell of crashes to each other.
-fn exchange(entries: &mut [Traffic], now: Millis) {
+pub(crate) fn exchange(entries: &mut [Traffic], now: Millis) {
     let news: Vec<_> = entries.iter_mut().map(|entry| entry.take_crash_news(now)).collect();
     for (receiver, entry) in entries.iter_mut().enumerate() {
         for (_, news) in news.iter().enumerate().filter(|(sender, _)| *sender != receiver) {
