Record the end of an engine in a function of its own, and match a claim's result with what bars it

Read once more: on_attempt_end had grown by the two records of a disconnect, and on_claimed looked twice at the same option.

--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -9,7 +9,6 @@
     core::{Code, Millis, UpstreamName},
     protocol::{
         Pool,
-        crash::Crash,
         dispatch::{BegunAnswer, FinishedGrant, Grant, GrantId, GrantOutcome},
     },
 };
@@ -138,24 +137,24 @@
         result: Result<(), Code>,
         out: &mut Vec<EntryOutput>,
     ) -> bool {
-        let barred = self.requests.get(&id).and_then(|request| self.barred(now, request.digest));
         let Some(request) = self.requests.get_mut(&id) else { return result.is_ok() };
         let Stage::Claiming { pool, grant } = request.stage.clone() else { return false };
-        match result {
-            Ok(()) if now >= request.deadline => {
+        let (digest, deadline) = (request.digest, request.deadline);
+        request.claimed = result.is_ok();
+        match (result, self.barred(now, digest)) {
+            (Ok(()), _) if now >= deadline => {
                 // If it were sent now, it would time out, and its outcome would needlessly be
                 // unknown.
                 self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
                 self.give_up(id, Code::DeadlineQueued, out);
                 return true;
             }
-            Ok(()) if barred.is_some() => {
+            (Ok(()), Some(barred)) => {
                 self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
-                barred.into_iter().for_each(|barred| self.refuse_barred(id, barred, out));
+                self.refuse_barred(id, barred, out);
                 return true;
             }
-            Ok(()) => {
-                request.claimed = true;
+            (Ok(()), None) => {
                 if self.may_use(now, &pool, &grant.upstream, grant.incarnation) {
                     self.start(now, id, &pool, &grant, out);
                 } else {
@@ -163,7 +162,7 @@
                     self.requeue(now, id, None, out);
                 }
             }
-            Err(code) => {
+            (Err(code), _) => {
                 self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
                 self.give_up(id, code, out);
             }
@@ -213,29 +212,12 @@
     ) {
         let Some(request) = self.requests.get(&id) else { return };
         let Stage::Sent { pool, grant } = request.stage.clone() else { return };
-        let (digest, sent_at) = (request.digest, request.sent_at);
+        let digest = request.digest;
         let held = self.held.get(&(pool.clone(), grant)).cloned();
         // Only answers that are forwarded event by event cost something before they are complete.
         let has_begun = first_byte_ms.is_some() && cost > 0;
         if let (AttemptEnd::Disconnected, Some(held)) = (end, &held) {
-            out.push(EntryOutput::Decided(Decision::Disconnected {
-                request: id,
-                digest,
-                service: pool.0.clone(),
-                upstream: held.upstream.clone(),
-                incarnation: held.incarnation,
-                has_begun,
-            }));
-            let crash = Crash {
-                upstream: held.upstream.clone(),
-                incarnation: held.incarnation,
-                age: Millis::ZERO,
-                after: now.since(sent_at),
-                had_head: first_byte_ms.is_some(),
-                request: digest,
-                shared_parts: Vec::new(),
-            };
-            self.on_crash(now, crash, out);
+            self.on_disconnect(now, id, held, has_begun, out);
         }
         let (upstream, version) = held.map(|held| (held.upstream, held.version)).unzip();
         let version = version.flatten();
--- a/src/kingcupgrade/coordination/entry/crashes.rs
+++ b/src/kingcupgrade/coordination/entry/crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that crash upstreams, which this entry keeps from all of them.
 
-use super::{EntryMachine, EntryOutput, Request, RequestId, Stage};
+use super::{EntryMachine, EntryOutput, HeldGrant, Request, RequestId, Stage};
 use crate::{
     coordination::{crashes::Barred, decision::Decision},
     core::{Millis, RequestDigest},
@@ -48,8 +48,34 @@
         }
     }
 
-    /// Records an upstream that closed the connection of a request.
-    pub(super) fn on_crash(&mut self, now: Millis, crash: Crash, out: &mut Vec<EntryOutput>) {
+    /// Records an upstream that closed the connection of a request, whether or not its answer had
+    /// begun.
+    pub(super) fn on_disconnect(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        held: &HeldGrant,
+        has_begun: bool,
+        out: &mut Vec<EntryOutput>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        out.push(EntryOutput::Decided(Decision::Disconnected {
+            request: id,
+            digest: request.digest,
+            service: request.service.clone(),
+            upstream: held.upstream.clone(),
+            incarnation: held.incarnation,
+            has_begun,
+        }));
+        let crash = Crash {
+            upstream: held.upstream.clone(),
+            incarnation: held.incarnation,
+            age: Millis::ZERO,
+            after: now.since(request.sent_at),
+            had_head: has_begun,
+            request: request.digest,
+            shared_parts: Vec::new(),
+        };
         // Only parts of prompts are judged by how many upstreams end together.
         let blamed = self.crash_causes.on_crash(now, crash, 0);
         self.refuse_blamed(now, blamed, out);
