Forget a cause that was kept from upstreams for an hour

Found by reading: a barred part or request that never comes again was kept, and told to all entries with each load report's interval, for as long as the fleet runs; nothing but an answer on it freed it. An hour after it was blamed all entries drop it now, by the same age; one that still crashes upstreams is blamed again after three. a_barred_request_is_forgotten_after_an_hour failed before ('left: 1' after 60 min).

--- a/src/kingcupgrade/coordination/crashes/mod.rs
+++ b/src/kingcupgrade/coordination/crashes/mod.rs
@@ -30,12 +30,15 @@
 const SOUND_AGAINST_REPORT: Millis = Millis(5_000);
 /// A crash that has led to no blame for this long is forgotten.
 const CRASH_TTL: Millis = Millis(120_000);
+/// A cause is kept from upstreams for this long at most: one that still crashes them is soon blamed
+/// again, and others would be kept and told for ever.
+const BAR_TTL: Millis = Millis(3_600_000);
 /// The crashes that are told at a time, so that news of many upstreams that end together stays
 /// short; the others follow.
 const MAX_TOLD_CRASHES: usize = 16;
 /// The limit of crashes that are still to be told.
 const MAX_UNTOLD_CRASHES: usize = 128;
-/// How often what is known of old crashes is dropped.
+/// How often old crashes and bars are dropped.
 const PRUNE_INTERVAL: Millis = Millis(10_000);
 
 /// An upstream's name and the Unix millisecond of its start.
@@ -235,7 +238,7 @@
         for BarredCause { cause, age } in news.barred {
             if self.is_sound(now, cause, SOUND_AGAINST_REPORT) {
                 self.untold_sound.insert(cause);
-            } else if !self.bars.contains_key(&cause) {
+            } else if age < BAR_TTL && !self.bars.contains_key(&cause) {
                 self.bar(cause, now.since(age));
                 blamed.push(cause);
             }
@@ -250,7 +253,6 @@
 
     /// Returns what the other entries are to be told.
     pub fn take_news(&mut self, now: Millis) -> CrashNews {
-        self.prune(now);
         let count = self.untold_crashes.len().min(MAX_TOLD_CRASHES);
         let crashes = self.untold_crashes.drain(..count);
         let crashes = crashes.map(|(at, crash)| Crash { age: now.since(at), ..crash }).collect();
@@ -268,15 +270,18 @@
         CrashNews { crashes, sound, barred }
     }
 
-    fn prune(&mut self, now: Millis) {
+    /// Drops what is too old; returns the causes that are not kept from upstreams any more.
+    pub fn expire(&mut self, now: Millis) -> Vec<CrashCause> {
         if now < self.next_prune {
-            return;
+            return Vec::new();
         }
         self.next_prune = now + PRUNE_INTERVAL;
         self.suspects.retain(|_, suspect| {
             suspect.forget_old(now);
             !suspect.crashes.is_empty()
         });
+        let old = self.bars.extract_if(.., |_, bar| now.since(bar.since()) >= BAR_TTL);
+        old.map(|(cause, _)| cause).collect()
     }
 
     /// Returns whether an upstream has written an answer on a cause within the last `span`.
--- a/src/kingcupgrade/coordination/entry/crashes.rs
+++ b/src/kingcupgrade/coordination/entry/crashes.rs
@@ -88,7 +88,10 @@
     }
 
     /// Returns what the other entries are to be told of crashes.
-    pub fn take_crash_news(&mut self, now: Millis) -> CrashNews {
+    pub fn take_crash_news(&mut self, now: Millis, out: &mut Vec<EntryOutput>) -> CrashNews {
+        for cause in self.crash_causes.expire(now) {
+            out.push(EntryOutput::Decided(Decision::CrashCause { cause, barred: false }));
+        }
         if now >= self.next_bars {
             self.next_bars = now + REPEAT_INTERVAL;
             self.crash_causes.repeat_bars();
--- a/src/kingcupgrade/coordination/node/requests.rs
+++ b/src/kingcupgrade/coordination/node/requests.rs
@@ -142,8 +142,8 @@
 
     /// Tells the other entries what this one has seen of crashes since.
     pub(super) fn send_crash_news(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let Some(entry) = &mut self.entry else { return };
-        let news = entry.take_crash_news(now);
+        let mut news = CrashNews::default();
+        self.run_entry(now, out, |entry, _, outputs| news = entry.take_crash_news(now, outputs));
         if news.is_empty() {
             return;
         }
--- a/src/kingcupgrade/coordination/traffic/barred.rs
+++ b/src/kingcupgrade/coordination/traffic/barred.rs
@@ -82,6 +82,8 @@
 
     /// Returns what the other entries are to be told of crashes at once.
     pub fn take_crash_news(&mut self, now: Millis) -> CrashNews {
+        let expired = self.crash_causes.expire(now);
+        self.cause_changes.extend(expired.into_iter().map(CauseChange::Freed));
         self.crash_causes.take_news(now)
     }
 
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -66,7 +66,8 @@
 pub enum CauseChange {
     /// Upstreams kept ending under this cause, and it is kept from them.
     Barred(CrashCause),
-    /// An upstream has written an answer on this cause, and it is let through again.
+    /// An upstream has written an answer on this cause, or it has long been kept from them, and it is
+    /// let through again.
     Freed(CrashCause),
 }
 
--- a/tests/testsuite/crash_causes.rs
+++ b/tests/testsuite/crash_causes.rs
@@ -180,3 +180,25 @@
     let (now, _) = crash_until_barred(&mut traffic, now);
     assert!(!traffic.may_send(now, 90));
 }
+
+/// Guards against causes that are kept, and told in each message, for as long as the fleet runs
+/// although nobody asks for them any more.
+#[test]
+fn a_barred_request_is_forgotten_after_an_hour() {
+    const HOUR: Millis = Millis(3_600_000);
+    let mut entries: Vec<Traffic> = (0..2).map(|n| traffic_for_entry(n, 1e9, ENGINES)).collect();
+    let (barred, _) = crash_until_barred(&mut entries[0], Millis(100));
+    exchange(&mut entries, barred);
+    for minute in 1..=61 {
+        let now = barred + Millis(minute * 60_000);
+        entries.iter_mut().for_each(Traffic::repeat_bars);
+        let told = entries[0].take_crash_news(now).barred.len();
+        assert_eq!(told, usize::from(now < barred + HOUR), "after {minute} min");
+        entries.iter_mut().for_each(Traffic::repeat_bars);
+        exchange(&mut entries, now);
+    }
+    let now = barred + HOUR + TRIAL_AFTER;
+    for entry in &mut entries {
+        assert!(is_started(entry.admit(now, same(900, now)).as_ref()));
+    }
+}
