Refuse the requests that wait in one function, and take the first bytes of a hash in one

Read the whole change once more. kingcupd's entries refused the requests that wait for a slot by the same loop for a backoff and for a request that crashes upstreams, the second asking for each of them what is the same for all: refuse_waiting serves both. No behaviour changes.

--- a/src/kingcupgrade/coordination/entry/backoff.rs
+++ b/src/kingcupgrade/coordination/entry/backoff.rs
@@ -3,7 +3,7 @@
 //! Dispatchers are told, and grant no such slots. An entry still goes by what it was asked itself:
 //! a grant may be on its way, and a new dispatcher or a static share doesn't know.
 
-use super::{EntryMachine, EntryOutput, RequestId, Stage};
+use super::{EntryMachine, EntryOutput, Request, RequestId, Stage};
 use crate::{
     coordination::{decision::Decision, notices::UpstreamNotice},
     core::{Code, Millis, Service, UpstreamName},
@@ -88,14 +88,7 @@
         let state = self.services.entry(service.clone()).or_default();
         state.backoff_until = left.map_or(Millis::ZERO, |left| now + left);
         let Some(left) = left else { return };
-        let waiting = self.requests.iter().filter(|(_, request)| {
-            request.service == *service && matches!(request.stage, Stage::Queued)
-        });
-        let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
-        for id in waiting {
-            if let Some(request) = self.remove(id) {
-                self.refuse_until(id, &request, Code::UpstreamsBackingOff, left, out);
-            }
-        }
+        let is_meant = |request: &Request| request.service == *service;
+        self.refuse_waiting(is_meant, Code::UpstreamsBackingOff, left, out);
     }
 }
--- a/src/kingcupgrade/coordination/entry/crashes.rs
+++ b/src/kingcupgrade/coordination/entry/crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that crash upstreams, which this entry keeps from all of them.
 
-use super::{EntryMachine, EntryOutput, HeldGrant, Request, RequestId, Stage};
+use super::{EntryMachine, EntryOutput, HeldGrant, Request, RequestId};
 use crate::{
     coordination::{crashes::Barred, decision::Decision},
     core::{Millis, RequestDigest},
@@ -108,18 +108,10 @@
     ) {
         for cause in blamed {
             out.push(EntryOutput::Decided(Decision::CrashCause { cause, barred: true }));
-            let is_meant = |request: &Request| {
-                matches!(request.stage, Stage::Queued)
-                    && cause == CrashCause::Request(request.digest)
-            };
-            let waiting = self.requests.iter().filter(|(_, request)| is_meant(request));
-            let waiting: Vec<(RequestId, RequestDigest)> =
-                waiting.map(|(id, request)| (*id, request.digest)).collect();
-            for (id, request) in waiting {
-                if let Some(barred) = self.barred(now, request) {
-                    self.refuse_barred(id, barred, out);
-                }
-            }
+            let CrashCause::Request(digest) = cause else { continue };
+            let Some(barred) = self.barred(now, digest) else { continue };
+            let is_meant = |request: &Request| request.digest == digest;
+            self.refuse_waiting(is_meant, barred.code(), barred.left, out);
         }
     }
 }
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -11,6 +11,7 @@
 mod io;
 mod pool_session;
 mod queue;
+mod refusals;
 mod sessions;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,8 +19,7 @@
 pub use self::io::{Arrival, AttemptEnd, EntryOutput, RequestId};
 use self::{budget::RetryBudget, pool_session::PoolSession, queue::Queues};
 use super::{
-    crashes::CrashCauses, decision::Decision, notices::Notices, required_version::RequiredVersion,
-    view::View,
+    crashes::CrashCauses, notices::Notices, required_version::RequiredVersion, view::View,
 };
 use crate::{
     core::{
@@ -41,10 +41,6 @@
 const OFFER_TTL: Millis = Millis(2_000);
 /// A session is closed after this time without grants in use or open requests of its service.
 const SESSION_IDLE_TIMEOUT: Millis = Millis(5_000);
-/// Lower bound of the retry delay reported to a refused caller.
-const MIN_RETRY_AFTER: Millis = Millis(1_000);
-/// Upper bound of that delay.
-const MAX_RETRY_AFTER: Millis = Millis(30_000);
 /// How long a request is not sent again to the upstream that failed it.
 const UPSTREAM_AVOIDANCE: Millis = Millis(2_000);
 /// How long the pool of this failure domain may have no dispatcher before demand goes to other
@@ -250,36 +246,6 @@
         }
     }
 
-    fn refuse(&self, id: RequestId, request: &Request, code: Code, out: &mut Vec<EntryOutput>) {
-        let retry_after = self.retry_after(&request.service);
-        self.refuse_until(id, request, code, retry_after, out);
-    }
-
-    fn refuse_until(
-        &self,
-        id: RequestId,
-        request: &Request,
-        code: Code,
-        retry_after: Millis,
-        out: &mut Vec<EntryOutput>,
-    ) {
-        out.push(EntryOutput::Decided(Decision::Refuse {
-            request: id,
-            digest: request.digest,
-            service: request.service.clone(),
-            organisation: request.organisation.clone(),
-            code,
-        }));
-        out.push(EntryOutput::GiveUp { id, code, retry_after });
-    }
-
-    /// Returns how long a refused caller should wait: the moving average of the time that requests
-    /// of the service wait on this entry, within limits.
-    fn retry_after(&self, service: &Service) -> Millis {
-        let wait = self.services.get(service).map_or(Millis::ZERO, |state| state.average_wait);
-        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-    }
-
     /// Handles a message from a dispatcher.
     pub fn on_message(
         &mut self,
@@ -323,12 +289,6 @@
         }
     }
 
-    fn give_up(&mut self, id: RequestId, code: Code, out: &mut Vec<EntryOutput>) {
-        if let Some(request) = self.remove(id) {
-            self.refuse(id, &request, code, out);
-        }
-    }
-
     fn remove(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.deadlines.remove(&(request.deadline, id));
--- a/src/kingcupgrade/coordination/traffic/origins.rs
+++ b/src/kingcupgrade/coordination/traffic/origins.rs
@@ -10,7 +10,7 @@
 
 use super::Traffic;
 use crate::{
-    core::{Millis, Service, Version, configuration::Configuration},
+    core::{Millis, Service, Version, configuration::Configuration, digest::first_bytes},
     protocol::fleet::{BegunStreams, ListedUpstream, OriginRequest, StreamKey, StreamOrigin},
 };
 
@@ -22,9 +22,7 @@
 
 /// Returns the key of the stream that the caller's request with this id began.
 pub fn stream_key(request_id: &str) -> StreamKey {
-    let digest = Sha256::digest(request_id.as_bytes());
-    let (first, _) = digest.split_at(size_of::<u64>());
-    StreamKey(u64::from_be_bytes(first.try_into().expect("eight bytes")))
+    StreamKey(first_bytes(Sha256::new_with_prefix(request_id)))
 }
 
 /// The origins of recent streams, as one entry knows them.
--- a/src/kingcupgrade/core/digest.rs
+++ b/src/kingcupgrade/core/digest.rs
@@ -22,8 +22,13 @@
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
-        let hash: [u8; 32] = hasher.finalize().into();
-        let (first, _) = hash.split_at(size_of::<u64>());
-        RequestDigest(u64::from_be_bytes(first.try_into().expect("eight bytes")))
+        RequestDigest(first_bytes(hasher))
     }
 }
+
+/// Returns the first eight bytes of a hash as a number.
+pub fn first_bytes(hasher: Sha256) -> u64 {
+    let hash: [u8; 32] = hasher.finalize().into();
+    let (first, _) = hash.split_at(size_of::<u64>());
+    u64::from_be_bytes(first.try_into().expect("eight bytes"))
+}
