Show that a moment in which all processes stand still rolls good versions back

Hypotheses: (1) the late answers come together: a moment in which the machine is busy makes seven answers in a row late, and the cumulative sum takes each for evidence of its own, against the old version's rate over the whole rollout; the old version's answers of the same moment count as a few among thousands. (2) The requests of the new version wait longer at the entry than those of the old one. (3) The limit of a late answer is a bucket too low at times of 1 to 3 ms. Ruled out: (2), it would show in the rate of all its answers; (3) alone, both versions have the same limit and rate.

--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -51,6 +51,8 @@
             optional --count count: u64
             /// A mechanism to turn off: routes or steps.
             optional --without mechanism: String
+            /// All processes of a fleet stand still together now and then.
+            optional --stalls
             /// Prints each good version that was rolled back for its answers, and each bad one that
             /// was promoted.
             optional --verbose
--- a/crates/kingcup-load/src/rollouts.rs
+++ b/crates/kingcup-load/src/rollouts.rs
@@ -21,7 +21,8 @@
     };
     let mut summary = Summary::default();
     for seed in 0..args.count.unwrap_or(DEFAULT_COUNT) {
-        let result = run(&Plan::draw(seed), ablation);
+        let plan = if args.stalls { Plan::draw_with_stalls(seed) } else { Plan::draw(seed) };
+        let result = run(&plan, ablation);
         summary.add(&result);
         if args.verbose && is_wrong(&result) {
             eprintln!("{result:?}");
--- a/crates/kingcup-support/src/rollouts/draw.rs
+++ b/crates/kingcup-support/src/rollouts/draw.rs
@@ -6,6 +6,8 @@
 pub(super) const FRACTION: f64 = 0.1;
 /// The requests that it may get in addition.
 pub(super) const SLACK: f64 = 50.0;
+/// There are fewer moments than this in which a drawn fleet stands still.
+const MOST_STALLS: usize = 20;
 
 /// How a bad version is bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,6 +75,17 @@
     pub lost_ms: u64,
     /// What is bad, if anything is.
     pub fault: Option<Fault>,
+    /// Moments in which all processes of the fleet stand still, of both versions alike.
+    pub stalls: Vec<Stall>,
+}
+
+/// A moment in which processes stand still.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    /// When it begins, in milliseconds after the order.
+    pub from_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub duration_ms: u64,
 }
 
 impl Plan {
@@ -108,8 +121,34 @@
             lost: random.pick(&[0.0, 0.0, 0.1, 0.34]),
             lost_ms: random.between(0.0, duration_ms as f64) as u64,
             fault,
+            stalls: Vec::new(),
         }
     }
+
+    /// Draws the same rollout in a fleet whose machines are now and then too busy to run it: all
+    /// its processes stand still together, up to nineteen times in a rollout.
+    pub fn draw_with_stalls(seed: u64) -> Plan {
+        let plan = Plan::draw(seed);
+        let mut random = Random::new(seed ^ 0x57a1);
+        let count = random.below(MOST_STALLS);
+        let stalls = (0..count).map(|_| Stall {
+            from_ms: random.between(0.0, plan.duration_ms as f64) as u64,
+            duration_ms: random.between(20.0, 400.0) as u64,
+        });
+        Plan { stalls: stalls.collect(), ..plan }
+    }
+
+    /// Returns how long an answer takes that comes `took` ms after a request at `at` if no process
+    /// stands still meanwhile.
+    pub(super) fn with_stalls(&self, at: u64, took: f64) -> f64 {
+        let mut stalls = self.stalls.clone();
+        stalls.sort_unstable_by_key(|stall| stall.from_ms);
+        stalls.iter().fold(took, |took, stall| {
+            let end = stall.from_ms + stall.duration_ms;
+            let is_met = at < end && at as f64 + took > stall.from_ms as f64;
+            took + if is_met { (end - at.max(stall.from_ms)) as f64 } else { 0.0 }
+        })
+    }
 }
 
 fn draw_fault(random: &mut Random, duration_ms: u64, routes: usize) -> Fault {
--- a/crates/kingcup-support/src/rollouts/simulation.rs
+++ b/crates/kingcup-support/src/rollouts/simulation.rs
@@ -296,6 +296,7 @@
                 FaultKind::Slow(factor) => took *= factor,
             }
         }
+        let took = self.plan.with_stalls(now, took);
         Sent { at: now, entry, route, is_new, is_bad, failed, took }
     }
 
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -69,6 +69,21 @@
     assert!(summary.longest_after_50 <= ROLLBACK, "{summary}");
 }
 
+/// Guards against good versions that are rolled back because the whole fleet stood still for a
+/// moment: answers of both versions come late then, but only in that moment.
+#[test]
+fn moments_in_which_both_versions_answer_late_reject_no_good_version() {
+    let mut summary = Summary::default();
+    for seed in 0..DRAWN {
+        summary.add(&run(&Plan::draw_with_stalls(seed), Ablation::None));
+    }
+    let [good, promoted, rejected, _] = summary.good;
+    assert!(good > 0 && promoted > 0);
+    assert_eq!(rejected, 0, "{summary}");
+    assert_eq!(summary.bad[1..], [0, 0], "{summary}");
+    assert!(summary.longest_after_50 <= ROLLBACK, "{summary}");
+}
+
 /// Guards against a version that turns bad shortly before it is promoted and stays in use, because
 /// the rollout was complete before its first bad answers to the whole traffic were counted.
 #[test]
