Judge a new version moment by moment, beside the old one's answers of the same moment

Cause: the cumulative sum that rejects a version took each late answer for evidence of its own and held it against the old version's rate over the whole rollout. On a busy machine answers of both versions are late together for a moment; seven of the new version in a row rejected it, while ten times as many of the old one were a small part of thousands.

Change: answers are judged by moments of 0.7 s. Late answers of a moment add 6 at most. A version that does worse in the last two moments at its deadline is rolled back instead of completed.

--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -51,8 +51,9 @@
             optional --count count: u64
             /// A mechanism to turn off: routes or steps.
             optional --without mechanism: String
-            /// All processes of a fleet stand still together now and then.
-            optional --stalls
+            /// All processes of a fleet stand still together now and then, fewer than this many
+            /// times in a rollout.
+            optional --stalls most: usize
             /// Prints each good version that was rolled back for its answers, and each bad one that
             /// was promoted.
             optional --verbose
--- a/crates/kingcup-load/src/rollouts.rs
+++ b/crates/kingcup-load/src/rollouts.rs
@@ -21,7 +21,10 @@
     };
     let mut summary = Summary::default();
     for seed in 0..args.count.unwrap_or(DEFAULT_COUNT) {
-        let plan = if args.stalls { Plan::draw_with_stalls(seed) } else { Plan::draw(seed) };
+        let plan = match args.stalls {
+            Some(most) => Plan::draw_with_stalls(seed, most),
+            None => Plan::draw(seed),
+        };
         let result = run(&plan, ablation);
         summary.add(&result);
         if args.verbose && is_wrong(&result) {
--- a/crates/kingcup-support/src/rollouts/draw.rs
+++ b/crates/kingcup-support/src/rollouts/draw.rs
@@ -6,8 +6,6 @@
 pub(super) const FRACTION: f64 = 0.1;
 /// The requests that it may get in addition.
 pub(super) const SLACK: f64 = 50.0;
-/// There are fewer moments than this in which a drawn fleet stands still.
-const MOST_STALLS: usize = 20;
 
 /// How a bad version is bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,11 +124,11 @@
     }
 
     /// Draws the same rollout in a fleet whose machines are now and then too busy to run it: all
-    /// its processes stand still together, up to nineteen times in a rollout.
-    pub fn draw_with_stalls(seed: u64) -> Plan {
+    /// its processes stand still together, fewer than `most` times in a rollout.
+    pub fn draw_with_stalls(seed: u64, most: usize) -> Plan {
         let plan = Plan::draw(seed);
         let mut random = Random::new(seed ^ 0x57a1);
-        let count = random.below(MOST_STALLS);
+        let count = random.below(most);
         let stalls = (0..count).map(|_| Stall {
             from_ms: random.between(0.0, plan.duration_ms as f64) as u64,
             duration_ms: random.between(20.0, 400.0) as u64,
--- a/src/kingcupgrade/coordination/rollout/schedule.rs
+++ b/src/kingcupgrade/coordination/rollout/schedule.rs
@@ -95,7 +95,11 @@
             // rollout is complete: its answers to the whole traffic have to be sound as well.
             let is_done = situation.is_old_idle && situation.assessment == Assessment::Sound;
             let is_due = is_done || situation.time_left() <= END_MARGIN;
-            is_due.then_some(RolloutStage::Complete)
+            let stage = match situation.assessment {
+                Assessment::Doubtful(reason, _) => RolloutStage::RolledBack(reason),
+                _ => RolloutStage::Complete,
+            };
+            is_due.then_some(stage)
         }
         RolloutStage::Complete | RolloutStage::RolledBack(_) => None,
     }
--- a/src/kingcupgrade/coordination/rollout/watch.rs
+++ b/src/kingcupgrade/coordination/rollout/watch.rs
@@ -116,7 +116,7 @@
     }
 
     /// Judges what has been reported since the last call.
-    fn update_judge(&mut self) {
+    fn update_judge(&mut self, now: Millis) {
         if !std::mem::take(&mut self.is_changed) {
             return;
         }
@@ -124,7 +124,7 @@
         for (route, waits) in self.reports.values().flat_map(|known| &known.report.open) {
             open.entry(route.clone()).or_default().add(waits);
         }
-        self.judge.update(&self.routes, &open);
+        self.judge.update(now, &self.routes, &open);
     }
 
     fn situation(&self, now: Millis, rollout: &Rollout) -> Situation {
@@ -187,7 +187,7 @@
                 .watched
                 .entry(service.clone())
                 .or_insert_with(|| Watched::new(now, unix_ms, rollout));
-            watched.update_judge();
+            watched.update_judge(now);
             watched.set_stage(rollout.stage);
         }
     }
@@ -228,9 +228,9 @@
                 exposed: watched.exposed(),
                 slots: (situation.old_slots, situation.new_slots),
                 comparison: match situation.assessment {
-                    Assessment::Degraded(_, comparison) | Assessment::Undecided(comparison) => {
-                        Some(comparison)
-                    }
+                    Assessment::Degraded(_, comparison)
+                    | Assessment::Doubtful(_, comparison)
+                    | Assessment::Undecided(comparison) => Some(comparison),
                     Assessment::Sound => None,
                 },
             });
