Let a cut-off entry use its static share in the test of an upstream that leaves

Seen once before, its logs were not kept.

Timeline, by the logs of the second part (entry-north-0 is cut off): the dispatcher is entry-north-1, which grants both upstreams to entry-north-0; the connections fall silent; from 8 s later on entry-north-0 serves from its static share, in which its log ("withheld") has orders-north alone; 2,700 grants there, none of orders-second in 30 s.

Cause: the test. Static shares assign each upstream to one entry, orders-second to the one that was not cut off. The test passed only while entry-north-0 held the lease when it was cut off, as it usually does, and used the upstream with what was left of it; the static share, which it means to test, never had the upstream that left. Ruled out: an upstream that is lost in the product (the share is computed from the names, and was as computed).

Change: three upstreams, so that one entry has the second and another in its static share; that entry is cut off, and the upstream says that it leaves only once the entry says that it uses its static share. All assertions stay. Before: passes by the lease, or waits 30 s and fails.

--- a/tests/testsuite/upstream_notices.rs
+++ b/tests/testsuite/upstream_notices.rs
@@ -14,6 +14,10 @@
     platform::FakeUpstream,
     wait_until,
 };
+use kingcupgrade::{
+    core::{Instance, UpstreamName},
+    util::rendezvous::static_shares,
+};
 
 use crate::support::{Harness, TIMEOUT, start};
 
@@ -27,18 +31,51 @@
 /// The concurrent callers.
 const CALLERS: usize = 6;
 
+/// The upstream of the plain service that each fleet has.
+const FIRST: &str = "orders-north";
+/// The upstreams that tests add.
+const SECOND: &str = "orders-second";
+const THIRD: &str = "orders-third";
+const ENTRIES: [&str; 2] = ["entry-north-0", "entry-north-1"];
+
 /// Starts a fleet with two upstreams of the plain service, and returns the second.
 fn start_with_two() -> (Harness, PlainService) {
     let harness = start(&["north"], 2, &EngineConfig::default());
-    let second = PlainService::start(Duration::from_millis(20));
-    let fake = FakeUpstream::Plain(second.clone());
-    harness.platform.add("orders-second", "orders", "north", second.address(), fake);
+    let second = add(&harness, SECOND);
+    (harness.with_documents(), second)
+}
+
+/// Starts a fleet with three upstreams of the plain service, and returns the second.
+fn start_with_three() -> (Harness, PlainService) {
+    let harness = start(&["north"], 2, &EngineConfig::default());
+    let second = add(&harness, SECOND);
+    add(&harness, THIRD);
     (harness.with_documents(), second)
 }
 
+fn add(harness: &Harness, name: &str) -> PlainService {
+    let upstream = PlainService::start(Duration::from_millis(20));
+    let fake = FakeUpstream::Plain(upstream.clone());
+    harness.platform.add(name, "orders", "north", upstream.address(), fake);
+    upstream
+}
+
+/// Returns the entry that has the second of three upstreams in its static share, beside another.
+fn entry_with_second() -> Instance {
+    let entries = ENTRIES.map(Instance::from);
+    let mut owners = static_shares([FIRST, SECOND, THIRD].map(UpstreamName::from), &entries);
+    let owner = owners.remove(&UpstreamName::from(SECOND)).expect("an owner");
+    assert!(owners.values().any(|other| *other == owner), "{owner} has no other upstream");
+    owner
+}
+
 /// Lets callers of one entry send requests for some time, and returns their answers.
 fn send_for(harness: &Harness, span: Duration) -> Vec<Response> {
-    let address = harness.fleet.entry("entry-north-0");
+    send_to(harness, ENTRIES[0], span)
+}
+
+fn send_to(harness: &Harness, entry: &str, span: Duration) -> Vec<Response> {
+    let address = harness.fleet.entry(entry);
     let call = || {
         let caller = Caller::new(&token("alder"));
         let started = Instant::now();
@@ -59,8 +96,12 @@
 }
 
 fn is_used(harness: &Harness, upstream: &PlainService) -> bool {
+    is_used_by(harness, ENTRIES[0], upstream)
+}
+
+fn is_used_by(harness: &Harness, entry: &str, upstream: &PlainService) -> bool {
     let before = upstream.arrivals().len();
-    send_for(harness, Duration::from_millis(200));
+    send_to(harness, entry, Duration::from_millis(200));
     upstream.arrivals().len() > before
 }
 
@@ -121,22 +162,34 @@
 #[test]
 fn an_upstream_that_says_that_it_leaves_gets_nothing_more_also_without_a_dispatcher() {
     for is_cut_off in [false, true] {
-        let (harness, second) = start_with_two();
-        assert!(wait_until(TIMEOUT, || is_used(&harness, &second)));
+        let entry = entry_with_second();
+        let entry = entry.as_str();
+        let (harness, second) = start_with_three();
+        assert!(wait_until(TIMEOUT, || is_used_by(&harness, entry, &second)));
         if is_cut_off {
-            harness.fleet.isolate("entry-north-0", true);
+            harness.fleet.isolate(entry, true);
+            assert!(wait_until(TIMEOUT, || has_static_share(&harness, entry)));
         }
         second.set_leaves(true);
-        assert!(wait_until(TIMEOUT, || is_used(&harness, &second)));
+        assert!(wait_until(TIMEOUT, || is_used_by(&harness, entry, &second)));
         thread::sleep(ON_THEIR_WAY);
         let told = second.arrivals().len();
-        let answers = send_for(&harness, Duration::from_secs(6));
+        let answers = send_to(&harness, entry, Duration::from_secs(6));
         assert!(answers.iter().any(|answer| answer.outcome == "done"), "nothing is served");
         let later = second.arrivals().len() - told;
         assert_eq!(later, 0, "cut off: {is_cut_off}: requests after it said that it leaves");
     }
 }
 
+/// Returns whether an entry says that it uses its static share of the plain service.
+fn has_static_share(harness: &Harness, entry: &str) -> bool {
+    let log = harness.fleet.log(entry);
+    let mut fallbacks = log.lines().filter(|line| {
+        line.contains(r#""decision":"fallback""#) && line.contains(r#""service":"orders""#)
+    });
+    fallbacks.next_back().is_some_and(|line| line.contains(r#""active":true"#))
+}
+
 // Guards against an upstream that is lost, or a request, by a delay that is no number, negative or
 // absurdly long. Each is logged with its code.
 #[test]
