Hash the body of a keyed request once

kingcupd read the whole body of a keyed request twice, for the digest under which its answer is kept and for the one by which its attempts are recognised. The second is taken from the first now, which covers the method, the path and the body. The digest kept in the record is as it was; which requests are taken for the same is, too.

--- a/src/kingcupgrade/transport/callers/admit.rs
+++ b/src/kingcupgrade/transport/callers/admit.rs
@@ -69,14 +69,18 @@
     } else {
         Some(read_key(request, &service, &organisation, &method, &path, &body)?)
     };
-    let digest = RequestDigest::of([
-        service.as_str().as_bytes(),
-        organisation.as_str().as_bytes(),
-        method.as_bytes(),
-        path.as_bytes(),
-        keyed.as_ref().map_or("", |keyed| keyed.key.key.as_str()).as_bytes(),
-        &body,
-    ]);
+    let caller = [service.as_str().as_bytes(), organisation.as_str().as_bytes()];
+    let digest = match &keyed {
+        // Its own digest covers the method, the path and the body.
+        Some(KeyedRequest { key, digest }) => {
+            let asked = [key.key.as_bytes(), &digest.to_be_bytes()];
+            RequestDigest::of(caller.into_iter().chain(asked))
+        }
+        None => {
+            let asked = [method.as_bytes(), path.as_bytes(), &body];
+            RequestDigest::of(caller.into_iter().chain(asked))
+        }
+    };
     let upstream = UpstreamRequest {
         method,
         path,
