Compute a moment's ratios once, sort drawn stalls once, and play drawn rollouts in one place

Of the last moment only the old version's answers were used; only they are kept. The fleets with two and three upstreams start in one function.

--- a/crates/kingcup-support/src/rollouts/draw.rs
+++ b/crates/kingcup-support/src/rollouts/draw.rs
@@ -73,7 +73,8 @@
     pub lost_ms: u64,
     /// What is bad, if anything is.
     pub fault: Option<Fault>,
-    /// Moments in which all processes of the fleet stand still, of both versions alike.
+    /// Moments in which all processes of the fleet stand still, of both versions alike, by their
+    /// beginnings.
     pub stalls: Vec<Stall>,
 }
 
@@ -133,15 +134,15 @@
             from_ms: random.between(0.0, plan.duration_ms as f64) as u64,
             duration_ms: random.between(20.0, 400.0) as u64,
         });
-        Plan { stalls: stalls.collect(), ..plan }
+        let mut stalls: Vec<Stall> = stalls.collect();
+        stalls.sort_by_key(|stall| stall.from_ms);
+        Plan { stalls, ..plan }
     }
 
     /// Returns how long an answer takes that comes `took` ms after a request at `at` if no process
     /// stands still meanwhile.
     pub(super) fn with_stalls(&self, at: u64, took: f64) -> f64 {
-        let mut stalls = self.stalls.clone();
-        stalls.sort_unstable_by_key(|stall| stall.from_ms);
-        stalls.iter().fold(took, |took, stall| {
+        self.stalls.iter().fold(took, |took, stall| {
             let end = stall.from_ms + stall.duration_ms;
             let is_met = at < end && at as f64 + took > stall.from_ms as f64;
             took + if is_met { (end - at.max(stall.from_ms)) as f64 } else { 0.0 }
--- a/src/kingcupgrade/coordination/rollout/sequential.rs
+++ b/src/kingcupgrade/coordination/rollout/sequential.rs
@@ -120,15 +120,15 @@
         self.old.add(other.old);
     }
 
-    /// Returns the old version's answers, of the worse of this moment and the last one, that those of
-    /// the new one may be held against.
+    /// Returns the old version's answers, of the worse of this moment and the `last` one, that those
+    /// of the new one may be held against.
     ///
     /// Fewer than the new version's are no measure: while the old version gets nothing new, what
     /// still comes of it are its latest answers.
-    fn comparable_old(&self, last: &Moment) -> Sample {
+    fn comparable_old(&self, last: Sample) -> Sample {
         let comparable =
             |old: Sample| if old.all >= self.new.all { old } else { Sample::default() };
-        let (current, last) = (comparable(self.old), comparable(last.old));
+        let (current, last) = (comparable(self.old), comparable(last));
         if current.bad_fraction() > last.bad_fraction() { current } else { last }
     }
 }
@@ -140,8 +140,8 @@
     /// The sums over the moments that are over.
     sums: [f64; REJECT_SCALES.len()],
     answers: f64,
-    /// The last moment that is over, and its log-likelihood ratios.
-    last: Moment,
+    /// The old version's answers of the last moment that is over, and its log-likelihood ratios.
+    last_old: Sample,
     last_ratios: [f64; REJECT_SCALES.len()],
     /// The moment that lasts.
     current: Moment,
@@ -163,25 +163,25 @@
     /// Begins the next moment. The answers of the one that is over are judged against those of the
     /// old version so far.
     pub fn begin_moment(&mut self, baseline: Sample) {
-        self.sums = self.with_current(baseline);
-        self.answers += f64::from(self.current.new.all);
         self.last_ratios = self.current_ratios(baseline);
-        self.last = std::mem::take(&mut self.current);
+        self.sums = self.with_ratios(self.last_ratios);
+        let over = std::mem::take(&mut self.current);
+        self.answers += f64::from(over.new.all);
+        self.last_old = over.old;
     }
 
     /// Returns the log-likelihood ratios of the moment that lasts. The old version's late answers
     /// may have come in just before the new one's.
     fn current_ratios(&self, baseline: Sample) -> [f64; REJECT_SCALES.len()] {
-        let old = self.current.comparable_old(&self.last);
+        let old = self.current.comparable_old(self.last_old);
         REJECT_SCALES
             .map(|scale| Hypotheses::to_reject(baseline, old, scale).log_ratio(self.current.new))
     }
 
-    /// Returns the sums with the moment that lasts.
-    fn with_current(&self, baseline: Sample) -> [f64; REJECT_SCALES.len()] {
+    /// Returns the sums with a moment of these log-likelihood ratios.
+    fn with_ratios(&self, ratios: [f64; REJECT_SCALES.len()]) -> [f64; REJECT_SCALES.len()] {
         let most = if self.is_limited { MAX_OF_MOMENT } else { f64::INFINITY };
-        let ratios = self.current_ratios(baseline).map(|ratio| ratio.min(most));
-        std::array::from_fn(|scale| (self.sums[scale] + ratios[scale]).max(0.0))
+        std::array::from_fn(|scale| (self.sums[scale] + ratios[scale].min(most)).max(0.0))
     }
 
     /// Returns whether the version does worse in the moment that lasts and in the one before it,
@@ -198,7 +198,7 @@
         let answers = self.answers + f64::from(self.current.new.all);
         let restarts = 1.0 + answers / ANSWERS_PER_RESTART;
         let limit = (restarts * self.sums.len() as f64 / error).ln();
-        self.with_current(baseline).iter().any(|sum| *sum >= limit)
+        self.with_ratios(self.current_ratios(baseline)).iter().any(|sum| *sum >= limit)
     }
 }
 
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -53,14 +53,20 @@
     }
 }
 
+/// Plays the drawn rollouts and sums up what became of them.
+fn play(draw: impl Fn(u64) -> Plan) -> Summary {
+    let mut summary = Summary::default();
+    for seed in 0..DRAWN {
+        summary.add(&run(&draw(seed), Ablation::None));
+    }
+    summary
+}
+
 /// Guards against bad versions that are promoted, good ones that are rolled back, and bad versions
 /// that reach too many callers, over versions that are bad in many ways and at many loads.
 #[test]
 fn drawn_rollouts_end_right_and_within_their_exposure() {
-    let mut summary = Summary::default();
-    for seed in 0..DRAWN {
-        summary.add(&run(&Plan::draw(seed), Ablation::None));
-    }
+    let summary = play(Plan::draw);
     let [good, _, rejected, _] = summary.good;
     let [bad, promoted, hidden] = summary.bad;
     assert!(good > 0 && bad > 0);
@@ -71,10 +77,7 @@
 
 /// Plays drawn rollouts in fleets that stand still fewer than `most` times in each.
 fn play_with_stalls(most: usize) {
-    let mut summary = Summary::default();
-    for seed in 0..DRAWN {
-        summary.add(&run(&Plan::draw_with_stalls(seed, most), Ablation::None));
-    }
+    let summary = play(|seed| Plan::draw_with_stalls(seed, most));
     let [good, promoted, rejected, _] = summary.good;
     assert!(good > 0 && promoted > 0);
     assert_eq!(rejected, 0, "{summary}");
--- a/tests/testsuite/upstream_notices.rs
+++ b/tests/testsuite/upstream_notices.rs
@@ -40,16 +40,16 @@
 
 /// Starts a fleet with two upstreams of the plain service, and returns the second.
 fn start_with_two() -> (Harness, PlainService) {
-    let harness = start(&["north"], 2, &EngineConfig::default());
-    let second = add(&harness, SECOND);
-    (harness.with_documents(), second)
+    start_with(&[])
 }
 
-/// Starts a fleet with three upstreams of the plain service, and returns the second.
-fn start_with_three() -> (Harness, PlainService) {
+/// Starts a fleet with two upstreams of the plain service and these, and returns the second.
+fn start_with(others: &[&str]) -> (Harness, PlainService) {
     let harness = start(&["north"], 2, &EngineConfig::default());
     let second = add(&harness, SECOND);
-    add(&harness, THIRD);
+    for name in others {
+        add(&harness, name);
+    }
     (harness.with_documents(), second)
 }
 
@@ -164,7 +164,7 @@
     for is_cut_off in [false, true] {
         let entry = entry_with_second();
         let entry = entry.as_str();
-        let (harness, second) = start_with_three();
+        let (harness, second) = start_with(&[THIRD]);
         assert!(wait_until(TIMEOUT, || is_used_by(&harness, entry, &second)));
         if is_cut_off {
             harness.fleet.isolate(entry, true);
