Count no end of an upstream that goes on running and closes all connections

Cause: a closed connection was taken for the end of its upstream, and three in a row blamed the request. Ruled out: evidence of life before (each of the three still counts once), other requests (all were the same), the time until the close (a fatal request may end its upstream at once).

Change: once an upstream has closed a request's connection, the entry connects again and asks for its health. If it accepts and closes without an answer, twice, the attempt ends as closed-by-running: charged to the upstream, not to the request or its parts. A refused connection is an end as before.

--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -103,7 +103,10 @@
         let Some(answers) = participant.answers(&sent.route, sent.version.as_ref()) else { return };
         match end {
             SendEnd::Answered => answers.answered += 1,
-            SendEnd::Failed | SendEnd::Disconnected | SendEnd::Broken => answers.failed += 1,
+            SendEnd::Failed
+            | SendEnd::Disconnected
+            | SendEnd::ClosedByRunning
+            | SendEnd::Broken => answers.failed += 1,
             SendEnd::Cancelled => {}
             // None of these was an answer of the version.
             SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced => return,
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -1,6 +1,6 @@
 //! Requests that were sent to an upstream, from the grant to their end.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use super::{
     Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic,
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Returns the address of the upstream that a request was sent to, and the path that it answers
+    /// health checks on.
+    pub fn health_check_of(&self, no: RequestNo) -> Option<(SocketAddr, Option<String>)> {
+        let sent = self.sent.get(&no)?;
+        let address = self.upstreams.get(&sent.upstream)?.listed.address;
+        let plan = self.plan(&sent.service);
+        Some((address, plan.and_then(|plan| plan.health_path)))
+    }
+
     /// Records the load that an upstream reported on an answer.
     pub fn on_load(&mut self, now: Millis, name: &UpstreamName, running: u32, waiting: u32) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
@@ -213,7 +222,9 @@
                 SendEnd::Failed | SendEnd::Disconnected | SendEnd::Broken => {
                     upstream.health.on_failure(now, service_rate)
                 }
-                SendEnd::Unreachable => upstream.health.on_unreachable(now),
+                SendEnd::Unreachable | SendEnd::ClosedByRunning => {
+                    upstream.health.on_unreachable(now)
+                }
                 SendEnd::Replaced => upstream.listed.is_ready = false,
                 SendEnd::Rejected => {
                     let slots = upstream.listed.slots;
@@ -236,9 +247,15 @@
             SendEnd::Failed => self.on_answered(now, sent.digest),
             _ => {}
         }
-        let disconnect = (end == SendEnd::Disconnected).then(|| sent.disconnect(now))?;
-        self.on_disconnect(now, &disconnect);
-        Some(disconnect)
+        match end {
+            SendEnd::Disconnected => {
+                let disconnect = sent.disconnect(now);
+                self.on_disconnect(now, &disconnect);
+                Some(disconnect)
+            }
+            SendEnd::ClosedByRunning => Some(sent.disconnect(now)),
+            _ => None,
+        }
     }
 
     fn median_failure_rate(&self, service: &Service) -> f64 {
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -99,6 +99,9 @@
     Failed,
     /// The upstream closed or reset the connection before the end of the answer.
     Disconnected,
+    /// The same, but the upstream goes on running: it accepts connections, and closes each of them
+    /// without an answer.
+    ClosedByRunning,
     /// The answer was invalid, or the upstream fell silent.
     Broken,
     /// No connection could be made to send the request on.
@@ -118,6 +121,7 @@
             SendEnd::Answered => "answered",
             SendEnd::Failed => "failed",
             SendEnd::Disconnected => "disconnected",
+            SendEnd::ClosedByRunning => "closed-by-running",
             SendEnd::Broken => "broken",
             SendEnd::Unreachable => "unreachable",
             SendEnd::Rejected => "rejected",
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -118,6 +118,8 @@
 #[derive(Serialize)]
 pub(super) struct DisconnectLine<'a> {
     pub(super) request: Option<&'a str>,
+    /// Whether the upstream seems to have ended.
+    pub(super) end: &'a str,
     pub(super) disconnect: Disconnect,
 }
 
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -54,6 +54,18 @@
     }
 }
 
+impl<E: PlatformAdapter> Source<E> {
+    /// Closes the connection, and reports how the attempt ended; returns the attempt if the upstream
+    /// closed the connection, which remains to be reported.
+    fn end(self, end: SendEnd) -> Option<AttemptGuard<E>> {
+        if end == SendEnd::Disconnected {
+            return Some(self.attempt);
+        }
+        self.attempt.end(end);
+        None
+    }
+}
+
 /// Obtains a response from another upstream; `None` if the stream can't be resumed.
 type Resuming<E> = Pin<Box<dyn Future<Output = Option<UpstreamResponse<E>>>>>;
 
@@ -208,12 +220,16 @@
             return false;
         }
         self.splitter = EventSplitter::default();
-        if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
-            source.attempt.end(end);
-        }
+        let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) else {
+            return false;
+        };
+        let closed = source.end(end);
         let request = self.request.clone();
         let last_id = self.last_id;
         self.state = State::Resuming(Box::pin(async move {
+            if let Some(attempt) = closed {
+                attempt.end_closed().await;
+            }
             let response = request.fetch_response(last_id).await.ok()?;
             response.head.status.is_success().then_some(response)
         }));
@@ -241,7 +257,8 @@
         let code = if is_overdue { Code::AnswerTimeout } else { Code::AnswerBroken };
         self.request.report_truncated(code);
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
-            source.attempt.end(end);
+            let closed = source.end(end);
+            closed.map(|attempt| tokio::task::spawn_local(attempt.end_closed()));
         }
         Poll::Ready(Some(Err(TruncatedResponse)))
     }
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -9,7 +9,8 @@
     coordination::traffic::{RequestNo, SendEnd},
     core::Version,
     transport::gateway::{
-        Gateway, adapter::PlatformAdapter, decisions::DisconnectLine, pool::Connection,
+        Gateway, adapter::PlatformAdapter, decisions::DisconnectLine, end_check::end_of_closed,
+        pool::Connection,
     },
 };
 
@@ -20,13 +21,15 @@
     request_id: Option<String>,
     pub(super) no: RequestNo,
     is_open: bool,
+    /// How the attempt ends if the guard is dropped.
+    end_on_drop: SendEnd,
 }
 
 impl<E: PlatformAdapter> AttemptGuard<E> {
     pub(super) fn new(gateway: Rc<Gateway<E>>, request_id: Option<String>) -> AttemptGuard<E> {
         let no = gateway.next_request.get();
         gateway.next_request.set(no + 1);
-        AttemptGuard { gateway, request_id, no, is_open: true }
+        AttemptGuard { gateway, request_id, no, is_open: true, end_on_drop: SendEnd::Cancelled }
     }
 
     /// Reports how the attempt ended.
@@ -34,6 +37,18 @@
         self.close(end);
     }
 
+    /// Reports that the upstream closed the connection, once it is known whether it has ended.
+    pub(in crate::transport::gateway) async fn end_closed(mut self) {
+        // The upstream closed it first, also if the caller leaves meanwhile.
+        self.end_on_drop = SendEnd::Disconnected;
+        let check = self.gateway.traffic.borrow().health_check_of(self.no);
+        let end = match check {
+            Some((address, path)) => end_of_closed(address, path.as_deref()).await,
+            None => SendEnd::Disconnected,
+        };
+        self.end(end);
+    }
+
     fn close(&mut self, end: SendEnd) {
         if std::mem::take(&mut self.is_open) {
             counter!("kingcup_attempts", "end" => end.as_str()).increment(1);
@@ -41,7 +56,11 @@
             let disconnect = self.gateway.traffic.borrow_mut().on_end(now, self.no, end);
             if let Some(disconnect) = disconnect {
                 let request = self.request_id.as_deref();
-                self.gateway.decisions.disconnected(&DisconnectLine { request, disconnect });
+                self.gateway.decisions.disconnected(&DisconnectLine {
+                    request,
+                    end: end.as_str(),
+                    disconnect,
+                });
             }
             self.gateway.poll_waiting();
         }
@@ -66,7 +85,7 @@
         if self.is_open {
             self.gateway.traffic.borrow_mut().cancel_waiting(self.no);
             self.gateway.waiting.borrow_mut().remove(&self.no);
-            self.close(SendEnd::Cancelled);
+            self.close(self.end_on_drop);
         }
     }
 }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -108,7 +108,7 @@
                 }
                 ExchangeResult::Broken => {
                     self.progress.borrow_mut().attempts += 1;
-                    attempt.end(SendEnd::Disconnected);
+                    attempt.end_closed().await;
                     return SendResult::Unknown;
                 }
                 ExchangeResult::TimedOut => {
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -280,9 +280,11 @@
                     }
                 }
                 Ok(Err(err)) => {
-                    let is_too_long = err.is::<LengthLimitError>();
-                    attempt.end(if is_too_long { SendEnd::Broken } else { SendEnd::Disconnected });
                     drop(connection);
+                    match err.is::<LengthLimitError>() {
+                        true => attempt.end(SendEnd::Broken),
+                        false => attempt.end_closed().await,
+                    }
                     match self.retry().await {
                         Some(again) => response = again,
                         None => {
--- a/tests/testsuite/crash_causes.rs
+++ b/tests/testsuite/crash_causes.rs
@@ -202,3 +202,18 @@
         assert!(is_started(entry.admit(now, same(900, now)).as_ref()));
     }
 }
+
+/// Guards against a request that is barred because upstreams go on running and close all connections.
+#[test]
+fn upstreams_that_close_connections_and_go_on_running_blame_nothing() {
+    let mut traffic = traffic(1e9, ENGINES);
+    let mut now = Millis(100);
+    for no in 0..20 {
+        if is_started(traffic.admit(now, same(no, now)).as_ref()) {
+            traffic.on_end(now, no, SendEnd::ClosedByRunning);
+        }
+        now = now + TRY_INTERVAL;
+    }
+    assert!(traffic.barred(now, FATAL, &[]).is_none());
+    assert!(is_started(traffic.admit(now, same(30, now)).as_ref()));
+}
