Tell an upstream that goes on running by its accepted connections alone

The check connects twice, 20 ms apart, and sends nothing. An upstream that accepts both has not ended.

--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -42,7 +42,6 @@
         max_connections: 100,
         cold_duration: Millis(3_000),
         cold_per_s: 20.0,
-        health_path: None,
         engine: Some(EngineLimits {
             slots: ENGINE_SLOTS,
             kv_capacity: 800_000,
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -188,13 +188,11 @@
         }
     }
 
-    /// Returns the address of the upstream that a request was sent to, and the path that it answers
-    /// health checks on.
-    pub fn health_check_of(&self, no: RequestNo) -> Option<(SocketAddr, Option<String>)> {
+    /// Returns the address of the upstream that a request was sent to, unless that is no longer
+    /// listed.
+    pub fn address_of_sent(&self, no: RequestNo) -> Option<SocketAddr> {
         let sent = self.sent.get(&no)?;
-        let address = self.upstreams.get(&sent.upstream)?.listed.address;
-        let plan = self.plan(&sent.service);
-        Some((address, plan.and_then(|plan| plan.health_path)))
+        Some(self.upstreams.get(&sent.upstream)?.listed.address)
     }
 
     /// Records the load that an upstream reported on an answer.
@@ -219,12 +217,11 @@
             }
             match end {
                 SendEnd::Answered => upstream.health.on_answer(),
-                SendEnd::Failed | SendEnd::Disconnected | SendEnd::Broken => {
-                    upstream.health.on_failure(now, service_rate)
-                }
-                SendEnd::Unreachable | SendEnd::ClosedByRunning => {
-                    upstream.health.on_unreachable(now)
-                }
+                SendEnd::Failed
+                | SendEnd::Disconnected
+                | SendEnd::ClosedByRunning
+                | SendEnd::Broken => upstream.health.on_failure(now, service_rate),
+                SendEnd::Unreachable => upstream.health.on_unreachable(now),
                 SendEnd::Replaced => upstream.listed.is_ready = false,
                 SendEnd::Rejected => {
                     let slots = upstream.listed.slots;
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -99,8 +99,7 @@
     Failed,
     /// The upstream closed or reset the connection before the end of the answer.
     Disconnected,
-    /// The same, but the upstream goes on running: it accepts connections, and closes each of them
-    /// without an answer.
+    /// The same, but the upstream goes on running: it still accepts connections.
     ClosedByRunning,
     /// The answer was invalid, or the upstream fell silent.
     Broken,
--- a/src/kingcupgrade/core/configuration.rs
+++ b/src/kingcupgrade/core/configuration.rs
@@ -87,8 +87,6 @@
     pub cold_duration: Millis,
     /// The rate of requests that a cold upstream can serve, per second.
     pub cold_per_s: f64,
-    /// The path that its upstreams answer health checks on, if there is one.
-    pub health_path: Option<String>,
     /// The capacity of its engines, if its upstreams are model engines.
     pub engine: Option<EngineLimits>,
 }
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -41,9 +41,9 @@
     pub(in crate::transport::gateway) async fn end_closed(mut self) {
         // The upstream closed it first, also if the caller leaves meanwhile.
         self.end_on_drop = SendEnd::Disconnected;
-        let check = self.gateway.traffic.borrow().health_check_of(self.no);
-        let end = match check {
-            Some((address, path)) => end_of_closed(address, path.as_deref()).await,
+        let address = self.gateway.traffic.borrow().address_of_sent(self.no);
+        let end = match address {
+            Some(address) => end_of_closed(address).await,
             None => SendEnd::Disconnected,
         };
         self.end(end);
