--- a/crates/kingcup-load/src/decisions.rs
+++ b/crates/kingcup-load/src/decisions.rs
@@ -75,7 +75,7 @@
 /// Returns the time in microseconds to process a report with the total load of all other entries.
 fn time_reports(traffic: &mut Traffic) -> f64 {
     let loads = (0..UPSTREAMS).map(|n| {
-        let load = Load { running: 8, unread: 2_000, memory: 90_000 };
+        let load = Load { running: 8, unread: 2_000, memory: 90_000, ..Load::default() };
         (upstream(n), load)
     });
     let tokens = |amount: f32| -> Vec<(Organisation, f32)> {
--- a/crates/kingcup-support/src/settings.rs
+++ b/crates/kingcup-support/src/settings.rs
@@ -31,5 +31,7 @@
         exposed_fraction: 0.1,
         exposed_slack: 50.0,
         max_sockets: 100,
+        memory_limit: None,
+        ends_beyond_memory: false,
     }
 }
--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -12,10 +12,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
-    core::{FailureDomain, Instance, Millis, Organisation, UpstreamName},
+    core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName},
     protocol::{
         Message,
-        fleet::{BegunStreams, CachedParts, FleetEntry, FleetLoad, FleetMessage, Load, LoadReport},
+        fleet::{
+            BegunStreams, CachedParts, DomainRoom, FleetEntry, FleetLoad, FleetMessage, Load,
+            LoadReport, Observed, PlainLoad,
+        },
     },
     util::rendezvous,
 };
@@ -311,10 +314,29 @@
 /// A sum of reports.
 #[derive(Debug, Default)]
 struct Sum {
-    loads: BTreeMap<UpstreamName, [i64; 3]>,
+    loads: BTreeMap<UpstreamName, LoadSum>,
     served: BTreeMap<Organisation, f64>,
     requested: BTreeMap<Organisation, f64>,
     refused: BTreeMap<Organisation, f64>,
+    /// Entries, and those of them with room.
+    room: BTreeMap<FailureDomain, [i64; 2]>,
+    /// Requests that were made, completed and turned away.
+    plain: BTreeMap<Service, [f64; 3]>,
+}
+
+/// The sum of the loads of one upstream.
+#[derive(Debug, Default)]
+struct LoadSum {
+    /// Running requests, unread tokens and memory.
+    amounts: [i64; 3],
+    observed: Observed,
+}
+
+impl LoadSum {
+    fn to_load(&self) -> Load {
+        let [running, unread, memory] = self.amounts.map(|sum| sum.max(0) as u64);
+        Load { running: running as u32, unread, memory, observed: self.observed }
+    }
 }
 
 impl Sum {
@@ -322,8 +344,12 @@
     fn add(&mut self, report: &LoadReport, sign: i64) {
         for (name, load) in &report.loads {
             let amounts = [i64::from(load.running), load.unread as i64, load.memory as i64];
-            let sums = self.loads.entry(name.clone()).or_default();
-            sums.iter_mut().zip(amounts).for_each(|(sum, amount)| *sum += sign * amount);
+            let sum = self.loads.entry(name.clone()).or_default();
+            sum.amounts.iter_mut().zip(amounts).for_each(|(sum, amount)| *sum += sign * amount);
+            match sign {
+                1 => sum.observed.add(&load.observed),
+                _ => sum.observed.subtract(&load.observed),
+            }
         }
         let all = [
             (&mut self.served, &report.served),
@@ -335,23 +361,42 @@
                 *sums.entry(organisation.clone()).or_default() += sign as f64 * f64::from(*tokens);
             }
         }
+        for room in &report.room {
+            let sums = self.room.entry(room.domain.clone()).or_default();
+            sums[0] += sign * i64::from(room.entries);
+            sums[1] += sign * i64::from(room.with_room);
+        }
+        for load in &report.plain {
+            let amounts = [load.requested, load.completed, load.turned_away];
+            let sums = self.plain.entry(load.service.clone()).or_default();
+            let pairs = sums.iter_mut().zip(amounts);
+            pairs.for_each(|(sum, amount)| *sum += sign as f64 * f64::from(amount));
+        }
     }
 
     fn to_report(&self) -> LoadReport {
-        let loads = self.loads.iter().filter(|(_, sums)| **sums != [0; 3]);
-        let loads = loads.map(|(name, sums)| {
-            let [running, unread, memory] = sums.map(|sum| sum.max(0) as u64);
-            (name.clone(), Load { running: running as u32, unread, memory })
-        });
+        let loads = self.loads.iter().map(|(name, sum)| (name.clone(), sum.to_load()));
+        let loads = loads.filter(|(_, load)| *load != Load::default());
         let tokens = |sums: &BTreeMap<Organisation, f64>| {
             let sums = sums.iter().filter(|(_, tokens)| **tokens >= 1.0);
             sums.map(|(organisation, tokens)| (organisation.clone(), *tokens as f32)).collect()
         };
+        let room = self.room.iter().filter(|(_, [entries, _])| *entries > 0);
+        let room = room.map(|(domain, sums)| {
+            let [entries, with_room] = sums.map(|sum| sum.max(0) as u32);
+            DomainRoom { domain: domain.clone(), entries, with_room }
+        });
+        let plain = self.plain.iter().map(|(service, sums)| {
+            let [requested, completed, turned_away] = sums.map(|sum| sum.max(0.0) as f32);
+            PlainLoad { service: service.clone(), requested, completed, turned_away }
+        });
         LoadReport {
             loads: loads.collect(),
             served: tokens(&self.served),
             requested: tokens(&self.requested),
             refused: tokens(&self.refused),
+            room: room.collect(),
+            plain: plain.collect(),
             ..LoadReport::default()
         }
     }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -40,7 +40,7 @@
     origins::stream_key,
     placement::PlacementError,
     shares::{ShareStatus, Shares},
-    upstream::Upstream,
+    upstream::{ReportedLoad, Upstream},
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use super::{
-    Basis, Demand, Disconnect, Grant, PromptPart, RequestNo, SendEnd, Traffic,
+    Basis, Demand, Disconnect, Grant, PromptPart, ReportedLoad, RequestNo, SendEnd, Traffic,
     barred::BEGUN_EVENTS, demand::shared_parts,
 };
 use crate::{
@@ -196,9 +196,9 @@
     }
 
     /// Records the load that an upstream reported on an answer.
-    pub fn on_load(&mut self, now: Millis, name: &UpstreamName, running: u32, waiting: u32) {
+    pub fn on_load(&mut self, now: Millis, name: &UpstreamName, load: ReportedLoad) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.on_report(now, running, waiting);
+            upstream.on_report(now, load.running, load.waiting);
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// The load that an upstream reports on an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReportedLoad {
+    /// The number of running requests.
+    pub running: u32,
+    /// The number of requests that wait at the upstream.
+    pub waiting: u32,
+    /// The present duration of work on its machine, where 1 is the usual one; `None` if not stated.
+    pub slowdown: Option<f32>,
+}
+
 /// The state of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
--- a/src/kingcupgrade/core/fleet.rs
+++ b/src/kingcupgrade/core/fleet.rs
@@ -58,6 +58,10 @@
     pub exposed_slack: f64,
     /// The number of file descriptors available for sockets.
     pub max_sockets: usize,
+    /// The memory that the process may use, in bytes; `None` if the settings state no limit.
+    pub memory_limit: Option<u64>,
+    /// Whether an upstream ends if the requests that it holds exceed its memory.
+    pub ends_beyond_memory: bool,
 }
 
 impl FleetSettings {
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -84,6 +84,81 @@
     /// The number of tokens that the requests will hold in memory when they end.
     #[serde(rename = "m")]
     pub memory: u64,
+    /// What the entry has observed of the upstream's speed.
+    #[serde(rename = "o", default, skip_serializing_if = "Observed::is_empty")]
+    pub observed: Observed,
+}
+
+/// Observations of an upstream's speed, as decaying sums. Those of several entries add up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observed {
+    /// The weight of the answers whose duration was compared with what the mean speed of the service
+    /// lets expect, in hundredths of an answer.
+    #[serde(rename = "n", default)]
+    pub answers: u32,
+    /// The sum of the natural logarithms of duration over expectation, in thousandths.
+    #[serde(rename = "t", default)]
+    pub log_duration: i32,
+    /// The weight of the upstream's own statements of its present slowdown, in hundredths.
+    #[serde(rename = "w", default)]
+    pub statements: u32,
+    /// The sum of the natural logarithms of the stated slowdowns, in thousandths.
+    #[serde(rename = "s", default)]
+    pub log_slowdown: i32,
+}
+
+impl Observed {
+    /// Returns whether nothing was observed.
+    pub fn is_empty(&self) -> bool {
+        self.answers == 0 && self.statements == 0
+    }
+
+    /// Adds the observations of another entry.
+    pub fn add(&mut self, other: &Observed) {
+        self.answers += other.answers;
+        self.log_duration += other.log_duration;
+        self.statements += other.statements;
+        self.log_slowdown += other.log_slowdown;
+    }
+
+    /// Subtracts observations that were added before.
+    pub fn subtract(&mut self, other: &Observed) {
+        self.answers = self.answers.saturating_sub(other.answers);
+        self.log_duration -= other.log_duration;
+        self.statements = self.statements.saturating_sub(other.statements);
+        self.log_slowdown -= other.log_slowdown;
+    }
+}
+
+/// How many entries of a failure domain have room for more requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainRoom {
+    /// The failure domain.
+    #[serde(rename = "d")]
+    pub domain: FailureDomain,
+    /// The entries that report.
+    #[serde(rename = "e")]
+    pub entries: u32,
+    /// Those of them whose processors have room.
+    #[serde(rename = "r")]
+    pub with_room: u32,
+}
+
+/// The load of a service without engines, as decaying sums over a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlainLoad {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: Service,
+    /// The requests that callers made.
+    #[serde(rename = "a")]
+    pub requested: f32,
+    /// The requests that upstreams completed.
+    #[serde(rename = "c")]
+    pub completed: f32,
+    /// The requests that upstreams turned away because they were full.
+    #[serde(rename = "x")]
+    pub turned_away: f32,
 }
 
 /// The parts of prompts that an upstream has in its cache.
@@ -191,6 +266,12 @@
     /// Streams that the sender began since the previous report; empty in sums.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub begun: Vec<BegunStreams>,
+    /// Whether the entry has room for more requests, or how many entries of each failure domain have.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub room: Vec<DomainRoom>,
+    /// The loads of the services without engines.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub plain: Vec<PlainLoad>,
 }
 
 /// The load of all entries of the fleet.
--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, request, response};
 
 use crate::{
-    coordination::traffic::PromptPart,
+    coordination::traffic::{PromptPart, ReportedLoad},
     core::{
         FailureDomain, Millis, Organisation, Service, UpstreamName, code::CodedError,
         configuration::Configuration, fleet::FleetSettings,
@@ -74,8 +74,8 @@
     pub is_misdirected: bool,
     /// Whether the upstream states that it is shutting down and wants no new requests.
     pub is_leaving: bool,
-    /// The numbers of running and of waiting requests at the upstream.
-    pub load: Option<(u32, u32)>,
+    /// The load that the upstream reports.
+    pub load: Option<ReportedLoad>,
 }
 
 /// A page of the platform's list of upstreams.
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -183,10 +183,9 @@
     ) -> SendResult<E> {
         let decoded = self.gateway.adapter.decode_response_head(&head);
         connection.keep_alive = keep_alive_of(&head.headers);
-        if let Some((running, waiting)) = decoded.load {
+        if let Some(load) = decoded.load {
             let now = self.gateway.now();
-            let mut traffic = self.gateway.traffic.borrow_mut();
-            traffic.on_load(now, &grant.upstream, running, waiting);
+            self.gateway.traffic.borrow_mut().on_load(now, &grant.upstream, load);
         }
         let notice = UpstreamNotice {
             backoff: notice::backoff_of(&grant.upstream, head.status, &head.headers),
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -136,7 +136,8 @@
     /// Makes each entry report that it runs `running(entry)` requests at one upstream.
     fn share_load(&mut self, now: Millis, running: impl Fn(usize) -> u32) {
         for (place, entry) in self.names().into_iter().enumerate() {
-            let load = Load { running: running(place), unread: 100, memory: 1_000 };
+            let load =
+                Load { running: running(place), unread: 100, memory: 1_000, ..Load::default() };
             let loads = vec![("engine".into(), load)];
             let served = vec![("alder".into(), 10.0)];
             let report = LoadReport { loads, served, ..LoadReport::default() };
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -11,7 +11,7 @@
             slots::{self, Listed},
         },
         notices::{Notices, SLOW_START, UpstreamNotice, slot_share},
-        traffic::{SendEnd, Traffic, Verdict},
+        traffic::{ReportedLoad, SendEnd, Traffic, Verdict},
     },
     core::{Code, Document, Instance, Millis, UpstreamName},
     protocol::{
@@ -85,7 +85,8 @@
     let mut traffic = traffic(1e9, 1);
     let now = Millis(100);
     for n in 0..3 {
-        traffic.on_load(now, &UpstreamName::from(format!("plain-{n}").as_str()), 6, 20);
+        let load = ReportedLoad { running: 6, waiting: 20, slowdown: None };
+        traffic.on_load(now, &UpstreamName::from(format!("plain-{n}").as_str()), load);
     }
     assert_eq!(traffic.admit(now, plain(1, now, "alder")), None);
     for (n, delay) in [(0, 5_000), (1, 3_000), (2, 4_000)] {
--- a/tests/testsuite/traffic.rs
+++ b/tests/testsuite/traffic.rs
@@ -8,7 +8,8 @@
 use kingcup_support::traffic::{configuration, listed};
 use kingcupgrade::{
     coordination::traffic::{
-        Allowance, Backlog, Demand, Health, RequestNo, RetryBudget, SendEnd, Traffic, Verdict,
+        Allowance, Backlog, Demand, Health, ReportedLoad, RequestNo, RetryBudget, SendEnd, Traffic,
+        Verdict,
     },
     core::{
         Code, Instance, Millis, Organisation, Outcome, Service, UpstreamName,
@@ -335,7 +336,8 @@
 fn an_old_report_of_full_slots_does_not_close_a_plain_upstream() {
     let mut traffic = traffic(1e9, 1);
     for n in 0..3 {
-        traffic.on_load(Millis(100), &UpstreamName::from(format!("plain-{n}").as_str()), 6, 20);
+        let load = ReportedLoad { running: 6, waiting: 20, slowdown: None };
+        traffic.on_load(Millis(100), &UpstreamName::from(format!("plain-{n}").as_str()), load);
     }
     let now = Millis(120);
     assert_eq!(assigned_upstream(traffic.admit(now, plain(1, now, "alder"))), None);
