Refuse the first request of a connection without the HTTP server while an entry sheds load

The head is parsed from the first read, the rest of the body dropped, and the answer written; the server is set up only for requests that are served.

--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -13,6 +13,7 @@
     task::{Context, Poll},
 };
 
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -20,7 +21,11 @@
 };
 
 /// A caller's connection, for the server that reads and writes it.
-pub struct CallerStream(Rc<RefCell<TcpStream>>);
+pub struct CallerStream {
+    stream: Rc<RefCell<TcpStream>>,
+    /// Bytes that were read before, and that the server has not got yet.
+    pending: Bytes,
+}
 
 /// Tells whether a caller has left.
 #[derive(Clone)]
@@ -29,16 +34,21 @@
 impl CallerStream {
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> CallerStream {
-        CallerStream(Rc::new(RefCell::new(stream)))
+        CallerStream::with_pending(stream, Bytes::new())
+    }
+
+    /// Wraps a connection of which these bytes were read already.
+    pub fn with_pending(stream: TcpStream, pending: Bytes) -> CallerStream {
+        CallerStream { stream: Rc::new(RefCell::new(stream)), pending }
     }
 
     /// Returns what tells whether the caller has left.
     pub fn caller(&self) -> Caller {
-        Caller(self.0.clone())
+        Caller(self.stream.clone())
     }
 
     fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
-        poll(Pin::new(&mut *self.0.borrow_mut()))
+        poll(Pin::new(&mut *self.stream.borrow_mut()))
     }
 }
 
@@ -59,10 +69,15 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.pending.is_empty() {
+            let len = self.pending.len().min(buf.remaining());
+            buf.put_slice(&self.pending.split_to(len));
+            return Poll::Ready(Ok(()));
+        }
         self.poll(|stream| stream.poll_read(cx, buf))
     }
 }
@@ -93,6 +108,6 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 }
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod caller;
 mod decisions;
+pub mod early_refusal;
 mod end_check;
 pub mod events;
 pub mod latency;
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -16,10 +16,8 @@
 use tokio::time::{Instant, timeout_at};
 
 pub(super) use self::attempt::{AttemptGuard, UpstreamResponse};
-use self::{
-    digest::digest_of,
-    routing::{choose_service, host_of},
-};
+pub(super) use self::routing::host_of;
+use self::{digest::digest_of, routing::choose_service};
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -69,6 +69,12 @@
         refuses
     }
 
+    /// Returns whether the first request on a new connection may be refused without the HTTP server.
+    pub(super) fn refuses_early(&self) -> bool {
+        let overload = self.overload.get();
+        overload.refused_fraction() > 0.0 || overload.is_saturated()
+    }
+
     /// Returns whether new callers should be sent to other entries.
     pub(super) fn is_full(&self) -> bool {
         self.overload.get().is_full() || self.link.borrow().is_full(self.now())
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -1,6 +1,6 @@
 //! Connections from callers, and the readiness probes of the load balancer.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -16,6 +16,7 @@
     Gateway,
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
+    early_refusal::EarlyOutcome,
     request::ProxiedRequest,
     response::{ResponseBody, error_response},
 };
@@ -103,23 +104,33 @@
     }
 }
 
-async fn serve_connection<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, stream: TcpStream) {
+async fn serve_connection<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, mut stream: TcpStream) {
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
     let _ = stream.set_nodelay(true);
     let _count_guard = CountGuard::new(&gateway.open_connections);
+    let (pending, is_spared) = match gateway.refuses_early() {
+        // An error is the caller's disconnect.
+        true => match gateway.refuse_early(&mut stream).await {
+            Ok(EarlyOutcome::Served { pending, is_spared }) => (pending, is_spared),
+            Ok(EarlyOutcome::Refused) | Err(_) => return,
+        },
+        false => (Bytes::new(), false),
+    };
+    // Set while the next request is the one that load shedding has spared.
+    let is_spared = Cell::new(is_spared);
     let idle = gateway.traffic.borrow().configuration().map(|c| c.limits.idle_timeout);
     let is_closing = gateway.stage() >= DrainStage::Closing;
     let idle = match is_closing {
         true => DRAIN_HEAD_TIMEOUT,
         false => idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK,
     };
-    let stream = CallerStream::new(stream);
+    let stream = CallerStream::with_pending(stream, pending);
     let caller = stream.caller();
     let service = service_fn(|request| {
-        let (gateway, caller) = (gateway.clone(), caller.clone());
+        let (gateway, caller, is_spared) = (gateway.clone(), caller.clone(), is_spared.take());
         async move {
-            let mut response = serve_one(gateway.clone(), caller, request).await?;
+            let mut response = serve_one(gateway.clone(), caller, request, is_spared).await?;
             if !may_keep_connection(&gateway) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -167,6 +178,7 @@
     gateway: Rc<Gateway<E>>,
     caller: Caller,
     request: Request<Incoming>,
+    is_spared: bool,
 ) -> Result<Response<ResponseBody<E>>, Infallible> {
     let _count_guard = CountGuard::new(&gateway.open_requests);
     let (head, body) = request.into_parts();
@@ -189,7 +201,7 @@
         Ok(proxied) if !gateway.has_time_for(proxied.timeout()) => {
             refuse(Code::Draining, RETRY_AFTER_DRAIN)
         }
-        Ok(proxied) if gateway.must_shed() => Ok(proxied.shed()),
+        Ok(proxied) if !is_spared && gateway.must_shed() => Ok(proxied.shed()),
         Ok(mut proxied) => match proxied.find_version().await {
             Ok(()) => Ok(Rc::new(proxied).serve().await),
             Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod disk;
 mod documentation;
 mod domains;
+mod early_refusal;
 mod engine_versions;
 mod entry;
 mod events;
