Shed load by organisation, and with lower limits while other entries have room

Cause: an overloaded entry refused the same fraction of everybody's requests, so that one organisation's flood took others' requests with it. It began to refuse at a delay that is longer than the detour through another entry, told all refused callers to come back after 50 ms also where no other entry could serve them, and computed the digest of the body of each request that it refused.

Change: in fleets that exchange load through collectors, the refused fraction is taken max-min fairly from the organisations that send most. Entries tell each other whether they have room; the limits of the scheduling delay and the retry delay follow from it. Requests of organisations beyond their share are refused early while the entry sheds load. Both are decided before the digest is computed.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -50,6 +50,11 @@
 /// report.
 const TOTAL_SENDER: &str = "total";
 
+/// Returns whether the entries of a fleet of `entries` exchange load through collectors.
+pub fn has_collectors(entries: usize) -> bool {
+    entries > MAX_MESH_ENTRIES
+}
+
 /// Returns the interval at which an entry sends its report in a fleet of `entries`.
 pub fn share_interval(entries: usize) -> Millis {
     if entries <= MAX_MESH_ENTRIES {
--- a/src/kingcupgrade/coordination/overload.rs
+++ b/src/kingcupgrade/coordination/overload/mod.rs
@@ -10,17 +10,19 @@
 //! is behind, the more rarely a task is scheduled and the later a surge would be noticed, while
 //! requests are sent on whose callers have long left. So above a second limit all requests are
 //! refused until the processor has caught up.
+//!
+//! In a fleet that exchanges load through collectors, the refused fraction is taken from the
+//! organisations that send most to the entry, and the limits depend on whether other entries have
+//! room for refused callers.
+
+mod arrivals;
+mod limits;
+mod retry_delay;
 
-use crate::core::Millis;
+use self::{arrivals::Arrivals, limits::DelayLimits};
+pub use self::{limits::PeerRoom, retry_delay::RetrySpread};
+use crate::core::{Millis, Organisation};
 
-/// The scheduling delay above which the refused fraction grows: a pause that callers of streams
-/// don't notice yet. Below it a short surge is served a little late, which serves more callers than
-/// refusing a fraction.
-const DELAY_LIMIT: Millis = Millis(100);
-/// If two tasks in a row wait longer than this, all requests are refused: a request waits for two
-/// tasks to be scheduled before it is sent on, and its caller leaves after half a second or little
-/// more.
-const SATURATION_LIMIT: Millis = Millis(200);
 /// The increase of the refused fraction for one task that waits twice the limit.
 const GAIN: f64 = 0.06;
 /// The maximum increase for one task: a process that was suspended for seconds is not overloaded.
@@ -36,9 +38,19 @@
 /// another entry in its place helps them.
 const FULL_FRACTION: f64 = 0.25;
 
+/// The weight of one measurement in the mean scheduling delay. With one each 10 ms, the mean covers
+/// about as much time as passes between two load reports.
+const MEAN_WEIGHT: f64 = 1.0 / 16.0;
+/// An entry has room up to this mean scheduling delay: half of the delay from which it may shed
+/// load, since the callers that others refuse come in addition.
+const ROOM_DELAY: Millis = Millis(limits::DETOUR_COST.0 / 2);
+
 /// The load shedding state of an entry.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Overload {
+    /// Whether other entries have room for refused callers.
+    peer_room: PeerRoom,
+    arrivals: Arrivals,
     is_full: bool,
     refused_fraction: f64,
     /// The refused fraction summed up over requests; a request is refused once the sum reaches 1,
@@ -46,6 +58,8 @@
     accumulated: f64,
     /// How long the last task waited to be scheduled.
     last_delay: Millis,
+    /// The moving average of how long measuring tasks waited, in milliseconds.
+    mean_delay: f64,
     /// Whether the last two tasks both waited too long. A single one may have been caused by a
     /// suspended process.
     is_saturated: bool,
@@ -55,7 +69,8 @@
     /// Records how long a measuring task waited to be scheduled. One is started each 10 ms if the
     /// one before has run.
     pub fn on_probe_delay(&mut self, delay: Millis) {
-        let excess = delay.0 as f64 / DELAY_LIMIT.0 as f64 - 1.0;
+        self.mean_delay += (delay.0 as f64 - self.mean_delay) * MEAN_WEIGHT;
+        let excess = delay.0 as f64 / self.limits().shedding.0 as f64 - 1.0;
         let step = if excess > 0.0 { (GAIN * excess).min(MAX_STEP) } else { -RECOVERY };
         self.refused_fraction = (self.refused_fraction + step).clamp(0.0, MAX_REFUSED_FRACTION);
         if self.refused_fraction == 0.0 {
@@ -69,10 +84,34 @@
     /// Records how long a new connection waited to be scheduled; under overload there are many of
     /// them.
     pub fn on_delay(&mut self, delay: Millis) {
-        self.is_saturated = delay.min(self.last_delay) > SATURATION_LIMIT;
+        self.is_saturated = delay.min(self.last_delay) > self.limits().saturation;
         self.last_delay = delay;
     }
 
+    /// Sets whether other entries have room for refused callers.
+    pub fn set_peer_room(&mut self, room: PeerRoom) {
+        self.peer_room = room;
+    }
+
+    fn limits(&self) -> DelayLimits {
+        DelayLimits::of(self.peer_room)
+    }
+
+    /// Returns the scheduling delay from which on load is shed.
+    pub fn delay_limit(&self) -> Millis {
+        self.limits().shedding
+    }
+
+    /// Returns whether this entry has room for the callers that others refuse.
+    pub fn has_room(&self) -> bool {
+        !self.is_shedding() && self.mean_delay <= ROOM_DELAY.0 as f64
+    }
+
+    /// Returns whether any requests are refused.
+    pub fn is_shedding(&self) -> bool {
+        self.refused_fraction > 0.0 || self.is_saturated
+    }
+
     /// Returns the fraction of requests that is refused.
     pub fn refused_fraction(&self) -> f64 {
         self.refused_fraction
@@ -106,4 +145,37 @@
         }
         is_refused
     }
+
+    /// Counts a request of an organisation, for [`Overload::should_refuse_from`]. It is also called
+    /// while nothing is refused, so that the counts are known once load has to be shed.
+    pub fn on_arrival(&mut self, now: Millis, organisation: &Organisation) {
+        self.arrivals.on_arrival(now, organisation);
+    }
+
+    /// Returns whether to refuse the request of an organisation that has just arrived and was
+    /// counted. The refused fraction is taken from the organisations that send most.
+    ///
+    /// While the processor is saturated, nothing of these is served. The others are still served as
+    /// far as all of them together send no more than is served at the maximum refused fraction.
+    pub fn should_refuse_from(&mut self, now: Millis, organisation: &Organisation) -> bool {
+        if self.is_saturated {
+            return self.arrivals.sheds_all(now, organisation, 1.0 - MAX_REFUSED_FRACTION);
+        }
+        if self.refused_fraction == 0.0 {
+            return false;
+        }
+        self.arrivals.sheds(now, organisation, 1.0 - self.refused_fraction)
+    }
+
+    /// Returns the requests per second up to which an organisation's requests were last served;
+    /// infinite if none were refused by organisation.
+    pub fn level_per_s(&self) -> f64 {
+        self.arrivals.level_per_s()
+    }
+
+    /// Returns how many requests of each organisation were refused since the last call, largest
+    /// first.
+    pub fn take_shed(&mut self) -> Vec<(Organisation, u32)> {
+        self.arrivals.take_shed()
+    }
 }
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -22,6 +22,16 @@
     shared.iter().map(|part| part.id)
 }
 
+fn tokens_of(prompt: &[PromptPart]) -> u64 {
+    prompt.iter().map(|part| u64::from(part.tokens)).sum()
+}
+
+/// Returns the work that a request is for an engine, in tokens: prompt tokens count once, generated
+/// tokens twice.
+pub fn work_of(prompt: &[PromptPart], expected_output: u32) -> f64 {
+    tokens_of(prompt) as f64 + 2.0 * f64::from(expected_output)
+}
+
 /// Identifies a request within its entry.
 pub type RequestNo = u64;
 
@@ -60,7 +70,7 @@
 impl Demand {
     /// Returns the number of tokens in the prompt.
     pub fn prompt_tokens(&self) -> u64 {
-        self.prompt.iter().map(|part| u64::from(part.tokens)).sum()
+        tokens_of(&self.prompt)
     }
 
     /// Returns the id of the part by which upstreams are ranked for the request: the last part that
@@ -71,9 +81,8 @@
         shared.or(self.prompt.first()).map(|part| part.id)
     }
 
-    /// Returns the work that the request is for an engine, in tokens: prompt tokens count once,
-    /// generated tokens twice.
+    /// Returns the work that the request is for an engine, in tokens.
     pub fn work(&self) -> f64 {
-        self.prompt_tokens() as f64 + 2.0 * f64::from(self.expected_output)
+        work_of(&self.prompt, self.expected_output)
     }
 }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod queue;
 mod rollouts;
+mod room;
 mod sent;
 mod shares;
 mod upstream;
@@ -30,22 +31,24 @@
     sync::Arc,
 };
 
+pub(in crate::coordination) use self::shares::max_min_level;
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
     decaying_sum::DecayingSum,
-    demand::{Demand, PromptPart, RequestNo},
+    demand::{Demand, PromptPart, RequestNo, work_of},
     engine::EngineSpeed,
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    room::{EarlyRequest, PeersWithRoom},
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
     cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    room::RoomReports, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -77,6 +80,7 @@
     entries: Vec<Instance>,
     notices: Notices,
     peer_reports: PeerReports,
+    room: RoomReports,
     speeds: HashMap<Service, EngineSpeed>,
     budgets: HashMap<Service, RetryBudget>,
     sent: HashMap<RequestNo, SentRequest>,
@@ -107,6 +111,7 @@
             entries: Vec::new(),
             notices: Notices::default(),
             peer_reports: PeerReports::default(),
+            room: RoomReports::default(),
             speeds: HashMap::new(),
             budgets: HashMap::new(),
             sent: HashMap::new(),
@@ -285,6 +290,7 @@
     /// Applies another entry's load report.
     pub fn on_report(&mut self, now: Millis, from: Instance, mut report: LoadReport) {
         self.origins.on_reported(now, std::mem::take(&mut report.begun));
+        self.room.on_report(now, &self.settings.failure_domain, &report.room);
         for CachedParts(name, parts) in std::mem::take(&mut report.kept) {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
                 upstream.on_announced_parts(now, &parts);
@@ -316,6 +322,7 @@
             served: self.shares.served(now),
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
+            room: self.own_room(),
             ..LoadReport::default()
         }
     }
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -7,7 +7,8 @@
 //! capacity is expected.
 
 use super::{
-    Demand, PlacementError, RequestNo, ShareStatus, Traffic, Verdict, placement::PlacementTerms,
+    Demand, EarlyRequest, PlacementError, RequestNo, ShareStatus, Traffic, Verdict,
+    placement::PlacementTerms,
 };
 use crate::core::{Code, Millis};
 
@@ -33,13 +34,10 @@
 const MAX_COMPARISONS_PER_POLL: usize = 600;
 /// The minimum retry delay of a refused caller: the reason for the refusal doesn't change any
 /// sooner.
-const MIN_RETRY_DELAY: Millis = Millis(120);
+pub(super) const MIN_RETRY_DELAY: Millis = Millis(120);
 /// The maximum retry delay: a caller that retries later gets its answer too late in any case, and
 /// an estimate for a longer time is unreliable.
-const MAX_RETRY_DELAY: Millis = Millis(1_500);
-/// The retry delay after an entry refused a request because its own processor is overloaded; other
-/// entries can take the request at once.
-const RETRY_AFTER_OVERLOAD: Millis = Millis(50);
+pub(super) const MAX_RETRY_DELAY: Millis = Millis(1_500);
 /// The retry delay if no upstream is available: restarts take seconds.
 const RETRY_AFTER_NO_UPSTREAM: Millis = Millis(1_000);
 
@@ -88,13 +86,18 @@
     /// callers all use one busy entry would seem to ask for little, and would not limit the
     /// organisations that take its share at other entries.
     pub fn refuse_overloaded(&mut self, now: Millis, demand: &Demand) -> Millis {
-        let work = demand.work();
-        self.shares.on_requested(now, &demand.organisation, work);
-        self.shares.on_refused(now, &demand.organisation, work);
-        RETRY_AFTER_OVERLOAD
+        self.refuse_early(
+            now,
+            &EarlyRequest {
+                organisation: &demand.organisation,
+                work: demand.work(),
+                uses_engine: !demand.prompt.is_empty(),
+                time_left: demand.deadline.since(now),
+            },
+        )
     }
 
-    fn refresh_shares(&mut self, now: Millis) {
+    pub(super) fn refresh_shares(&mut self, now: Millis) {
         let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
         self.shares.refresh(now, capacity, self.peer_reports.usage());
     }
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -302,7 +302,7 @@
 
 /// Returns the max-min level: the amount up to which each demand is met so that all together get
 /// `capacity`; infinite if they ask for less than that.
-fn max_min_level(mut demands: Vec<f64>, capacity: f64) -> f64 {
+pub(in crate::coordination) fn max_min_level(mut demands: Vec<f64>, capacity: f64) -> f64 {
     demands.sort_by(f64::total_cmp);
     let mut capacity_left = capacity;
     let mut remaining = demands.len();
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -86,7 +86,7 @@
     pool: Rc<Pool>,
     decisions: DecisionLog,
     origin_answers: OriginAnswers,
-    overload: Cell<Overload>,
+    overload: RefCell<Overload>,
     link: RefCell<LinkLoad>,
     /// Whether a measurement of the scheduling delay is in progress.
     is_probing: Cell<bool>,
@@ -145,8 +145,7 @@
         gauge!("kingcup_open_requests").set(self.open_requests.get() as f64);
         gauge!("kingcup_open_connections").set(self.open_connections.get() as f64);
         gauge!("kingcup_waiting_requests").set(traffic.waiting() as f64);
-        gauge!("kingcup_refused_part").set(self.overload.get().refused_fraction());
-        gauge!("kingcup_turn_wait_ms").set(self.overload.get().scheduling_delay().0 as f64);
+        self.record_overload_metrics();
         let link_delay = self.link.borrow().delay();
         gauge!("kingcup_link_delay_ms").set(link_delay.0 as f64);
         gauge!("kingcup_entries").set(traffic.entry_count() as f64);
@@ -266,7 +265,7 @@
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
         origin_answers: OriginAnswers::default(),
-        overload: Cell::default(),
+        overload: RefCell::default(),
         link: RefCell::default(),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
@@ -336,12 +335,14 @@
         if now >= next_crash_news && gateway.share_crashes(now) {
             next_crash_news = now + CRASH_NEWS_INTERVAL;
         }
-        gateway.link.borrow_mut().update(now, gateway.overload.get().scheduling_delay());
+        gateway.link.borrow_mut().update(now, gateway.overload.borrow().scheduling_delay());
         if now >= next_share {
+            let has_room = gateway.has_room();
             let report = {
                 let mut traffic = gateway.traffic.borrow_mut();
                 traffic.expire_reports(now);
                 traffic.repeat_bars();
+                traffic.set_own_room(has_room);
                 next_share = now + share_interval(traffic.entry_count());
                 traffic.take_report(now)
             };
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -4,6 +4,7 @@
 mod digest;
 mod exchange;
 mod reporting;
+mod routed;
 mod routing;
 mod sending;
 
@@ -15,10 +16,10 @@
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
-pub(super) use self::attempt::{AttemptGuard, UpstreamResponse};
-use self::{
-    digest::digest_of,
-    routing::{choose_service, host_of},
+use self::digest::digest_of;
+pub(super) use self::{
+    attempt::{AttemptGuard, UpstreamResponse},
+    routed::RoutedRequest,
 };
 use super::{
     Gateway,
@@ -39,8 +40,6 @@
     protocol::fleet::StreamOrigin,
 };
 
-/// The timeout of a request whose caller states none.
-const DEFAULT_TIMEOUT: Millis = Millis(30_000);
 /// The maximum length in bytes of a response that is not streamed; a longer one is treated as
 /// broken rather than held in memory.
 const MAX_RESPONSE_LEN: usize = 16 << 20;
@@ -104,43 +103,23 @@
 }
 
 impl<E: PlatformAdapter> ProxiedRequest<E> {
-    /// Determines the route, the organisation and the service of a request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the code with which the request is to be refused.
+    /// Prepares a request for admission.
     pub(super) fn new(
         gateway: Rc<Gateway<E>>,
         caller: Caller,
         configuration: &Configuration,
+        routed: RoutedRequest,
         head: request::Parts,
         decoded: RequestHead,
         body: Bytes,
-    ) -> Result<ProxiedRequest<E>, Code> {
-        let host = host_of(&head).ok_or(Code::BadRequest)?;
-        let route = configuration.route(host, head.uri.path()).ok_or(Code::UnknownService)?.clone();
-        let holder = decoded.key.as_deref().and_then(|key| configuration.organisation_of(key));
-        if configuration.needs_keys && !route.is_public && holder.is_none() {
-            return Err(Code::UnknownToken);
-        }
-        let organisation = holder.cloned();
+    ) -> ProxiedRequest<E> {
+        let RoutedRequest { route, organisation, service, output, arrived, timeout } = routed;
         let digest = digest_of(&head, &decoded, organisation.as_ref(), &body);
-        let request_id = decoded.request_id.as_deref().unwrap_or_default();
-        let service = choose_service(&route, request_id).clone();
         let plan = configuration.services.get(&service);
         let stride =
             plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event);
-        let arrived = gateway.now();
-        let timeout = decoded.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-        let mut traffic = gateway.traffic.borrow_mut();
-        let output = match decoded.max_output {
-            0 => 0,
-            most => traffic.expected_output(&route.name, decoded.output_hint, most),
-        };
-        traffic.on_request(arrived, &service);
-        drop(traffic);
         let target = route.target_latency.min(timeout);
-        Ok(ProxiedRequest {
+        ProxiedRequest {
             request_id: decoded.request_id,
             digest,
             method: head.method,
@@ -162,7 +141,7 @@
             output,
             stride,
             arrived,
-        })
+        }
     }
 
     /// Returns whether the response is a stream.
@@ -170,11 +149,6 @@
         matches!(self.route.kind, RouteKind::Stream { .. })
     }
 
-    /// Returns the time from arrival to the deadline.
-    pub(super) fn timeout(&self) -> Millis {
-        self.deadline_at.since(self.arrived)
-    }
-
     /// Finds out which version has to serve the request, if its caller takes a stream up again.
     ///
     /// # Errors
@@ -211,15 +185,6 @@
         }
     }
 
-    /// Refuses the request because this entry is overloaded.
-    pub(super) fn shed(&self) -> Response<ResponseBody<E>> {
-        // The request isn't queued, so nothing is registered under its number.
-        let demand = self.demand(0);
-        let retry_after =
-            self.gateway.traffic.borrow_mut().refuse_overloaded(self.arrived, &demand);
-        self.refuse(Code::TooBusy, retry_after)
-    }
-
     /// Returns the response: a streamed one as soon as its head has arrived, any other one once it
     /// is complete.
     pub(super) async fn serve(self: Rc<ProxiedRequest<E>>) -> Response<ResponseBody<E>> {
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -8,13 +8,16 @@
     time::{Instant, timeout_at},
 };
 
-use super::{AttemptGuard, ProxiedRequest, UpstreamResponse, exchange::SendResult};
+use super::{
+    AttemptGuard, ProxiedRequest, UpstreamResponse, exchange::SendResult,
+    routed::charged_organisation,
+};
 use crate::{
     coordination::{
         crashes::Barred,
         traffic::{Demand, RequestNo, Verdict},
     },
-    core::{Code, Millis, Organisation, Outcome},
+    core::{Code, Millis, Outcome},
     transport::gateway::adapter::PlatformAdapter,
 };
 
@@ -156,7 +159,7 @@
             digest: self.digest,
             service: self.service.clone(),
             route: self.route_name.clone(),
-            organisation: self.organisation.clone().unwrap_or_else(|| Organisation::from("-")),
+            organisation: charged_organisation(self.organisation.as_ref()),
             arrived: self.arrived,
             target: self.target,
             deadline: self.deadline_at,
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -2,10 +2,18 @@
 
 use std::rc::Rc;
 
+use metrics::gauge;
 use serde::Serialize;
 
 use super::{Gateway, adapter::PlatformAdapter};
-use crate::{core::Millis, util::log};
+use crate::{
+    coordination::traffic::{EarlyRequest, PeersWithRoom},
+    core::{Code, Millis, Organisation},
+    util::log,
+};
+
+/// The number of organisations that the log line for shed requests names: a flood comes from a few.
+const MAX_LOGGED_ORGANISATIONS: usize = 5;
 
 /// The fields of the log line for an overloaded entry.
 #[derive(Serialize)]
@@ -24,24 +32,39 @@
     waiting: usize,
 }
 
+/// The fields of the log line for the requests that were shed by organisation in the last second.
+#[derive(Serialize)]
+struct ShedLine {
+    /// The organisations that lost most, and how many requests.
+    shed: Vec<(Organisation, u32)>,
+    /// The requests per second up to which an organisation's requests are served.
+    level_per_s: f64,
+    /// The scheduling delay from which on load is shed.
+    delay_limit_ms: Millis,
+    /// Whether other entries have room for the callers.
+    peer_room: &'static str,
+    /// The other entries of the failure domain and those with room, if they are known.
+    peers: Option<(usize, usize)>,
+}
+
 impl<E: PlatformAdapter> Gateway<E> {
     fn record_probe_delay(&self, delay: Millis) {
-        let mut overload = self.overload.get();
+        let room = self.traffic.borrow().peer_room(self.now());
+        let mut overload = self.overload.borrow_mut();
+        overload.set_peer_room(room);
         overload.on_probe_delay(delay);
-        self.overload.set(overload);
     }
 
     /// Records how long a new connection's task waited until it first ran.
     pub(super) fn record_connection_delay(&self, delay: Millis) {
-        let mut overload = self.overload.get();
-        overload.on_delay(delay);
-        self.overload.set(overload);
+        self.overload.borrow_mut().on_delay(delay);
     }
 
     /// Logs the state of the overload protection if it refuses any requests or
     /// its link is full.
     pub(super) fn log_overload(&self) {
-        let overload = self.overload.get();
+        self.log_shed();
+        let overload = self.overload.borrow();
         let part = overload.refused_fraction();
         let link = self.link.borrow();
         let is_link_full = link.is_full(self.now());
@@ -61,17 +84,73 @@
         );
     }
 
-    /// Decides whether to refuse the request that has just arrived because of overload.
-    pub(super) fn must_shed(&self) -> bool {
-        let mut overload = self.overload.get();
-        let refuses = overload.should_refuse();
-        self.overload.set(overload);
-        refuses
+    /// Logs whose requests were shed since the last call, if any were.
+    fn log_shed(&self) {
+        let mut overload = self.overload.borrow_mut();
+        let mut shed = overload.take_shed();
+        if shed.is_empty() {
+            return;
+        }
+        shed.truncate(MAX_LOGGED_ORGANISATIONS);
+        let now = self.now();
+        let traffic = self.traffic.borrow();
+        let peers = traffic.peers_with_room(now);
+        let line = ShedLine {
+            shed,
+            level_per_s: overload.level_per_s(),
+            delay_limit_ms: overload.delay_limit(),
+            peer_room: traffic.peer_room(now).as_str(),
+            peers: peers.map(|PeersWithRoom { entries, with_room }| (entries, with_room)),
+        };
+        log::event("shed", &line);
+    }
+
+    /// Sets the gauges of the overload protection.
+    pub(super) fn record_overload_metrics(&self) {
+        let overload = self.overload.borrow();
+        gauge!("kingcup_refused_part").set(overload.refused_fraction());
+        gauge!("kingcup_turn_wait_ms").set(overload.scheduling_delay().0 as f64);
+        gauge!("kingcup_shed_delay_limit_ms").set(overload.delay_limit().0 as f64);
+        let peers = self.traffic.borrow().peers_with_room(self.now()).unwrap_or_default();
+        gauge!("kingcup_peers_with_room").set(peers.with_room as f64);
+    }
+
+    /// Returns the code and the retry delay with which to refuse the request that has just arrived,
+    /// if this entry is overloaded and the request is to be shed or its organisation is beyond its
+    /// share.
+    ///
+    /// The share is checked first: it is the same at all entries, so the caller gains nothing by
+    /// trying another one at once.
+    pub(super) fn early_refusal(
+        &self,
+        now: Millis,
+        request: &EarlyRequest<'_>,
+    ) -> Option<(Code, Millis)> {
+        let mut overload = self.overload.borrow_mut();
+        let mut traffic = self.traffic.borrow_mut();
+        if !traffic.has_collectors() {
+            let is_shed = overload.should_refuse();
+            return is_shed.then(|| (Code::TooBusy, traffic.refuse_early(now, request)));
+        }
+        overload.on_arrival(now, request.organisation);
+        if !overload.is_shedding() {
+            return None;
+        }
+        if let Some(retry_after) = traffic.refuse_over_share(now, request) {
+            return Some((Code::OverShare, retry_after));
+        }
+        let is_shed = overload.should_refuse_from(now, request.organisation);
+        is_shed.then(|| (Code::TooBusy, traffic.refuse_early(now, request)))
     }
 
     /// Returns whether new callers should be sent to other entries.
     pub(super) fn is_full(&self) -> bool {
-        self.overload.get().is_full() || self.link.borrow().is_full(self.now())
+        self.overload.borrow().is_full() || self.link.borrow().is_full(self.now())
+    }
+
+    /// Returns whether this entry has room for callers that other entries refuse.
+    pub(super) fn has_room(&self) -> bool {
+        self.is_ready() && self.overload.borrow().has_room()
     }
 }
 
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -16,7 +16,7 @@
     Gateway,
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
-    request::ProxiedRequest,
+    request::{ProxiedRequest, RoutedRequest},
     response::{ResponseBody, error_response},
 };
 use crate::{
@@ -185,16 +185,23 @@
     let Some(configuration) = configuration else {
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
-    match ProxiedRequest::new(gateway.clone(), caller, &configuration, head, decoded, body) {
-        Ok(proxied) if !gateway.has_time_for(proxied.timeout()) => {
-            refuse(Code::Draining, RETRY_AFTER_DRAIN)
-        }
-        Ok(proxied) if gateway.must_shed() => Ok(proxied.shed()),
-        Ok(mut proxied) => match proxied.find_version().await {
-            Ok(()) => Ok(Rc::new(proxied).serve().await),
-            Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
-        },
-        Err(code) => refuse(code, Millis::ZERO),
+    let routed = match RoutedRequest::new(&gateway, &configuration, &head, &decoded) {
+        Ok(routed) => routed,
+        Err(code) => return refuse(code, Millis::ZERO),
+    };
+    if !gateway.has_time_for(routed.timeout) {
+        return refuse(Code::Draining, RETRY_AFTER_DRAIN);
+    }
+    // An overloaded entry refuses many times as many requests as it serves, so this is decided
+    // before anything is computed that only a request to be served needs.
+    if let Some(refusal) = routed.refuse_early(&gateway, &decoded) {
+        return Ok(refusal);
+    }
+    let mut proxied =
+        ProxiedRequest::new(gateway.clone(), caller, &configuration, routed, head, decoded, body);
+    match proxied.find_version().await {
+        Ok(()) => Ok(Rc::new(proxied).serve().await),
+        Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
     }
 }
 
--- a/src/kingcupgrade/transport/gateway/updates.rs
+++ b/src/kingcupgrade/transport/gateway/updates.rs
@@ -72,7 +72,10 @@
         if self.listing_duty.replace(duty) != duty {
             log::event("listing-duty", &duty);
         }
-        self.traffic.borrow_mut().set_entries(all);
+        let mut traffic = self.traffic.borrow_mut();
+        traffic.set_domain_entries(local.len());
+        traffic.set_entries(all);
+        drop(traffic);
         if !self.listing_plan.borrow().is_known() {
             self.fleet.send(FleetInput::RequestListing(None));
         }
