Test whose requests an overloaded entry of a large fleet sheds

Cause: shedding by organisation, the limits that follow from the room of other entries, and the spread of retries had no tests.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod listing;
 mod load;
 mod load_exchange;
+mod load_shedding;
 mod members;
 mod model_fleet;
 mod model_nodes;
