--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -33,7 +33,8 @@
 #[derive(Serialize)]
 pub(super) struct FailureLine<'a> {
     pub(super) request: Option<&'a str>,
-    /// Identifies the request among the attempts of its caller, once it has been routed.
+    /// Identifies the request among the attempts of its caller; `None` if it was refused before
+    /// admission.
     pub(super) digest: Option<RequestDigest>,
     pub(super) code: u16,
     pub(super) route: Option<&'a str>,
