Serve the others at a saturated entry as far as its processor can carry them

Cause: while a flood began, the entry was saturated at times, and an organisation was served then only if all but the flood sent less than a twentieth of the requests. In the simulated processor with a flood of 800 requests a second, two organisations of 20 and 10 requests a second lost 21 of 59 and 11 of 30 in the first three seconds.

Change: the entry counts what it serves. While it is saturated, the organisations below the level are served up to half of what it served lately.

--- a/src/kingcupgrade/coordination/overload/arrivals.rs
+++ b/src/kingcupgrade/coordination/overload/arrivals.rs
@@ -21,6 +21,21 @@
 /// out, which keeps the count of those whose requests are shed.
 const MAX_ORGANISATIONS: usize = 128;
 
+/// The part of the requests served lately that may be served while the processor is saturated.
+/// What was served shows what the processor can carry; the other half of that is left for it to
+/// catch up.
+const SATURATED_PART: f64 = 0.5;
+
+/// How much of what arrives is to be served.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Shedding {
+    /// This fraction of all requests.
+    Fraction(f64),
+    /// Only organisations below the level, for which [`SATURATED_PART`] applies, but at least this
+    /// fraction of all requests.
+    Saturated(f64),
+}
+
 /// What one organisation sends to this entry.
 #[derive(Clone, Copy, Debug, Default)]
 struct OrganisationArrivals {
@@ -38,13 +53,20 @@
     organisations: BTreeMap<Organisation, OrganisationArrivals>,
     /// The count up to which an organisation's requests are served.
     level: f64,
-    /// When the level was computed, and for which fraction of requests to be served.
-    computed: Option<(Millis, f64)>,
+    /// When the level was computed, and for what.
+    computed: Option<(Millis, Shedding)>,
+    /// The requests of all organisations that were not shed.
+    served: DecayingSum,
 }
 
 impl Default for Arrivals {
     fn default() -> Arrivals {
-        Arrivals { organisations: BTreeMap::new(), level: f64::INFINITY, computed: None }
+        Arrivals {
+            organisations: BTreeMap::new(),
+            level: f64::INFINITY,
+            computed: None,
+            served: DecayingSum::default(),
+        }
     }
 }
 
@@ -72,54 +94,47 @@
         }
     }
 
-    /// Returns the fraction of an organisation's requests that exceeds the level, where the fraction
-    /// `served` of all requests is to be served; 0 if it is below.
-    fn excess(&mut self, now: Millis, organisation: &Organisation, served: f64) -> f64 {
-        self.refresh(now, served);
-        let arrivals = self.organisations.get(organisation);
-        let count = arrivals.map_or(0.0, |arrivals| arrivals.count(now));
-        if count <= self.level { 0.0 } else { 1.0 - self.level / count }
+    /// Decides whether to shed a request that was counted. What is shed of an organisation is spread
+    /// evenly over its requests, unless the processor is saturated.
+    pub(super) fn sheds(
+        &mut self,
+        now: Millis,
+        organisation: &Organisation,
+        shedding: Shedding,
+    ) -> bool {
+        self.refresh(now, shedding);
+        let level = self.level;
+        let arrivals = self.organisations.get_mut(organisation);
+        let is_shed = arrivals.is_some_and(|arrivals| arrivals.sheds(now, level, shedding));
+        if !is_shed {
+            self.on_served(now);
+        }
+        is_shed
+    }
+
+    /// Counts a request that is not shed.
+    pub(super) fn on_served(&mut self, now: Millis) {
+        self.served.add(now, 1.0, COUNT_TIME_CONSTANT);
     }
 
-    fn refresh(&mut self, now: Millis, served: f64) {
+    fn refresh(&mut self, now: Millis, shedding: Shedding) {
         let is_current =
-            |(at, fraction): (Millis, f64)| fraction == served && now.since(at) < REFRESH_INTERVAL;
+            |(at, computed): (Millis, _)| computed == shedding && now.since(at) < REFRESH_INTERVAL;
         if self.computed.is_some_and(is_current) {
             return;
         }
-        self.computed = Some((now, served));
+        self.computed = Some((now, shedding));
         let counts = self.organisations.values().map(|arrivals| arrivals.count(now));
         let counts: Vec<f64> = counts.collect();
         let sum: f64 = counts.iter().sum();
-        self.level = max_min_level(counts, sum * served);
-    }
-
-    /// Decides whether to shed a request so that the fraction `served` of all requests is served.
-    /// What is shed of an organisation is spread evenly over its requests.
-    pub(super) fn sheds(&mut self, now: Millis, organisation: &Organisation, served: f64) -> bool {
-        let excess = self.excess(now, organisation, served);
-        let Some(arrivals) = self.organisations.get_mut(organisation) else { return false };
-        arrivals.accumulated = if excess > 0.0 { arrivals.accumulated + excess } else { 0.0 };
-        let is_shed = arrivals.accumulated >= 1.0;
-        if is_shed {
-            arrivals.accumulated -= 1.0;
-            arrivals.shed += 1;
-        }
-        is_shed
-    }
-
-    /// Decides whether to shed a request where nothing of an organisation above the level is served.
-    pub(super) fn sheds_all(
-        &mut self,
-        now: Millis,
-        organisation: &Organisation,
-        served: f64,
-    ) -> bool {
-        let is_shed = self.excess(now, organisation, served) > 0.0;
-        if let Some(arrivals) = self.organisations.get_mut(organisation) {
-            arrivals.shed += u32::from(is_shed);
-        }
-        is_shed
+        let capacity = match shedding {
+            Shedding::Fraction(fraction) => sum * fraction,
+            Shedding::Saturated(least) => {
+                let served = self.served.get(now, COUNT_TIME_CONSTANT);
+                (sum * least).max(served * SATURATED_PART)
+            }
+        };
+        self.level = max_min_level(counts, capacity);
     }
 
     /// Returns the requests per second up to which an organisation's requests are served.
@@ -141,4 +156,24 @@
     fn count(&self, now: Millis) -> f64 {
         self.requests.get(now, COUNT_TIME_CONSTANT)
     }
+
+    fn sheds(&mut self, now: Millis, level: f64, shedding: Shedding) -> bool {
+        let count = self.count(now);
+        let excess = if count <= level { 0.0 } else { 1.0 - level / count };
+        let is_shed = match shedding {
+            Shedding::Saturated(_) => excess > 0.0,
+            Shedding::Fraction(_) => self.accumulate(excess),
+        };
+        self.shed += u32::from(is_shed);
+        is_shed
+    }
+
+    fn accumulate(&mut self, excess: f64) -> bool {
+        self.accumulated = if excess > 0.0 { self.accumulated + excess } else { 0.0 };
+        let is_shed = self.accumulated >= 1.0;
+        if is_shed {
+            self.accumulated -= 1.0;
+        }
+        is_shed
+    }
 }
--- a/src/kingcupgrade/coordination/overload/mod.rs
+++ b/src/kingcupgrade/coordination/overload/mod.rs
@@ -19,7 +19,10 @@
 mod limits;
 mod retry_delay;
 
-use self::{arrivals::Arrivals, limits::DelayLimits};
+use self::{
+    arrivals::{Arrivals, Shedding},
+    limits::DelayLimits,
+};
 pub use self::{limits::PeerRoom, retry_delay::RetrySpread};
 use crate::core::{Millis, Organisation};
 
@@ -156,15 +159,17 @@
     /// counted. The refused fraction is taken from the organisations that send most.
     ///
     /// While the processor is saturated, nothing of these is served. The others are still served as
-    /// far as all of them together send no more than is served at the maximum refused fraction.
+    /// long as all of them together are a small part of what the processor can carry.
     pub fn should_refuse_from(&mut self, now: Millis, organisation: &Organisation) -> bool {
-        if self.is_saturated {
-            return self.arrivals.sheds_all(now, organisation, 1.0 - MAX_REFUSED_FRACTION);
-        }
-        if self.refused_fraction == 0.0 {
+        if !self.is_shedding() {
+            self.arrivals.on_served(now);
             return false;
         }
-        self.arrivals.sheds(now, organisation, 1.0 - self.refused_fraction)
+        let shedding = match self.is_saturated {
+            true => Shedding::Saturated(1.0 - MAX_REFUSED_FRACTION),
+            false => Shedding::Fraction(1.0 - self.refused_fraction),
+        };
+        self.arrivals.sheds(now, organisation, shedding)
     }
 
     /// Returns the requests per second up to which an organisation's requests were last served;
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -133,10 +133,9 @@
             return is_shed.then(|| (Code::TooBusy, traffic.refuse_early(now, request)));
         }
         overload.on_arrival(now, request.organisation);
-        if !overload.is_shedding() {
-            return None;
-        }
-        if let Some(retry_after) = traffic.refuse_over_share(now, request) {
+        if overload.is_shedding()
+            && let Some(retry_after) = traffic.refuse_over_share(now, request)
+        {
             return Some((Code::OverShare, retry_after));
         }
         let is_shed = overload.should_refuse_from(now, request.organisation);
--- a/tests/testsuite/load_shedding.rs
+++ b/tests/testsuite/load_shedding.rs
@@ -140,6 +140,23 @@
     assert!((600..1_900).contains(&served), "{served} of the flood served in ten seconds");
 }
 
+/// Guards against the same in the seconds in which a flood begins: the processor is saturated at
+/// times until the refused fraction fits, and everything was refused then.
+#[test]
+fn few_requests_of_others_are_lost_while_a_flood_begins() {
+    for (room, flood) in [(PeerRoom::Available, 800), (PeerRoom::Short, 1_500)] {
+        let mut processor = Processor::new(room);
+        let rates = [("flood", flood), ("first", 20), ("second", 10), ("third", 6)];
+        processor.run(2_000, &rates[1..]);
+        processor.reset_totals();
+        processor.run(3_000, &rates);
+        let others = ["first", "second", "third"].map(|name| processor.totals(name));
+        let sent: u32 = others.iter().map(|totals| totals.sent).sum();
+        let served: u32 = others.iter().map(|totals| totals.served).sum();
+        assert!(served * 10 >= sent * 9, "{served} of {sent} served beside {flood} per second");
+    }
+}
+
 /// Guards against taking from those who send little while those who send most keep what exceeds an
 /// even part: two that send a lot must end at the same level.
 #[test]
