Decide on early refusals without I/O

Cause: the order of the checks, and what small fleets do, was decided in the gateway, where no test without a network reaches it.

Change: move the decision to coordination/overload/refusal.rs, and test it in small and large fleets.

--- a/src/kingcupgrade/coordination/overload/mod.rs
+++ b/src/kingcupgrade/coordination/overload/mod.rs
@@ -17,13 +17,14 @@
 
 mod arrivals;
 mod limits;
+mod refusal;
 mod retry_delay;
 
 use self::{
     arrivals::{Arrivals, Shedding},
     limits::DelayLimits,
 };
-pub use self::{limits::PeerRoom, retry_delay::RetrySpread};
+pub use self::{limits::PeerRoom, refusal::early_refusal, retry_delay::RetrySpread};
 use crate::core::{Millis, Organisation};
 
 /// The increase of the refused fraction for one task that waits twice the limit.
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -7,7 +7,10 @@
 
 use super::{Gateway, adapter::PlatformAdapter};
 use crate::{
-    coordination::traffic::{EarlyRequest, PeersWithRoom},
+    coordination::{
+        overload,
+        traffic::{EarlyRequest, PeersWithRoom},
+    },
     core::{Code, Millis, Organisation},
     util::log,
 };
@@ -116,11 +119,7 @@
     }
 
     /// Returns the code and the retry delay with which to refuse the request that has just arrived,
-    /// if this entry is overloaded and the request is to be shed or its organisation is beyond its
-    /// share.
-    ///
-    /// The share is checked first: it is the same at all entries, so the caller gains nothing by
-    /// trying another one at once.
+    /// if this entry is overloaded and refuses it before admission.
     pub(super) fn early_refusal(
         &self,
         now: Millis,
@@ -128,18 +127,7 @@
     ) -> Option<(Code, Millis)> {
         let mut overload = self.overload.borrow_mut();
         let mut traffic = self.traffic.borrow_mut();
-        if !traffic.has_collectors() {
-            let is_shed = overload.should_refuse();
-            return is_shed.then(|| (Code::TooBusy, traffic.refuse_early(now, request)));
-        }
-        overload.on_arrival(now, request.organisation);
-        if overload.is_shedding()
-            && let Some(retry_after) = traffic.refuse_over_share(now, request)
-        {
-            return Some((Code::OverShare, retry_after));
-        }
-        let is_shed = overload.should_refuse_from(now, request.organisation);
-        is_shed.then(|| (Code::TooBusy, traffic.refuse_early(now, request)))
+        overload::early_refusal(now, &mut overload, &mut traffic, request)
     }
 
     /// Returns whether new callers should be sent to other entries.
--- a/tests/testsuite/load_shedding.rs
+++ b/tests/testsuite/load_shedding.rs
@@ -6,7 +6,7 @@
 use kingcupgrade::{
     coordination::{
         fleet::report_ttl,
-        overload::{Overload, PeerRoom, RetrySpread},
+        overload::{Overload, PeerRoom, RetrySpread, early_refusal},
         traffic::{EarlyRequest, Traffic, Verdict},
     },
     core::{Code, Millis, Organisation},
@@ -333,11 +333,9 @@
     assert!(paused.has_room(), "a single short pause is no lack of room");
 }
 
-/// Guards against an early refusal of requests that admission would take, and against one that is
-/// not counted as requested and refused.
-#[test]
-fn early_refusals_for_the_share_are_those_of_admission() {
-    let mut entry = entry(LARGE_FLEET, 9);
+/// Creates an entry that knows by a report that `ahead` is beyond its share and `least` is not.
+fn entry_with_backlog(fleet: usize) -> Traffic {
+    let mut entry = entry(fleet, 9);
     let tokens = |amounts: [(&str, f32); 2]| {
         amounts.map(|(name, tokens)| (Organisation::from(name), tokens)).to_vec()
     };
@@ -348,13 +346,19 @@
         ..LoadReport::default()
     };
     entry.on_report(Millis(100), "total".into(), report);
+    entry
+}
+
+fn early(organisation: &Organisation, uses_engine: bool) -> EarlyRequest<'_> {
+    EarlyRequest { organisation, work: 1_000.0, uses_engine, time_left: Millis(12_000) }
+}
+
+/// Guards against an early refusal of requests that admission would take, and against one that is
+/// not counted as requested and refused.
+#[test]
+fn early_refusals_for_the_share_are_those_of_admission() {
+    let mut entry = entry_with_backlog(LARGE_FLEET);
     let now = Millis(110);
-    let early = |organisation, uses_engine| EarlyRequest {
-        organisation,
-        work: 1_000.0,
-        uses_engine,
-        time_left: Millis(12_000),
-    };
     let [least, ahead] = ["least", "ahead"].map(Organisation::from);
     assert_eq!(entry.refuse_over_share(now, &early(&least, true)), None);
     assert_eq!(entry.refuse_over_share(now, &early(&ahead, false)), None);
@@ -367,3 +371,36 @@
         verdict => panic!("{verdict:?}"),
     }
 }
+
+/// Guards against two faults: an entry with room that refuses by shares before admission, and small
+/// fleets that shed by organisation or share.
+#[test]
+fn requests_are_refused_early_only_by_overloaded_entries_and_by_share_only_in_large_fleets() {
+    let now = Millis(110);
+    let [least, ahead] = ["least", "ahead"].map(Organisation::from);
+    let refused = |fleet: usize, is_overloaded: bool, organisation: &Organisation| {
+        let mut entry = entry_with_backlog(fleet);
+        let mut overload = Overload::default();
+        if is_overloaded {
+            (0..5).for_each(|_| overload.on_probe_delay(Millis(300)));
+            overload.on_probe_delay(Millis(1));
+            overload.on_probe_delay(Millis(1));
+        }
+        for _ in 0..100 {
+            overload.on_arrival(now, &ahead);
+        }
+        let refusals = (0..10).filter_map(|_| {
+            early_refusal(now, &mut overload, &mut entry, &early(organisation, true))
+        });
+        let codes = refusals.map(|(code, _)| code).collect::<Vec<Code>>();
+        let count = |code| codes.iter().filter(|refused| **refused == code).count();
+        (count(Code::OverShare), count(Code::TooBusy))
+    };
+    assert_eq!(refused(LARGE_FLEET, false, &ahead), (0, 0));
+    assert_eq!(refused(LARGE_FLEET, true, &ahead), (10, 0));
+    assert_eq!(refused(LARGE_FLEET, true, &least), (0, 0));
+    assert_eq!(refused(SMALL_FLEET, false, &ahead), (0, 0));
+    let small = refused(SMALL_FLEET, true, &ahead);
+    assert!(small.0 == 0 && (1..10).contains(&small.1), "{small:?}");
+    assert_eq!(small, refused(SMALL_FLEET, true, &least));
+}
