--- a/src/kingcupgrade/transport/gateway/early_refusal.rs
+++ b/src/kingcupgrade/transport/gateway/early_refusal.rs
@@ -8,7 +8,7 @@
 use std::io;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header, request};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, header, request};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -18,14 +18,10 @@
 use super::{
     Gateway,
     adapter::{PlatformAdapter, RequestHead},
-    decisions::FailureLine,
-    request::host_of,
+    request::RoutedRequest,
     response::error_response,
 };
-use crate::{
-    coordination::{required_version::RequiredVersion, traffic::Demand},
-    core::{Code, Millis, Organisation, RequestDigest, configuration::Configuration},
-};
+use crate::core::{Code, Millis};
 
 /// The size of the buffer for a request head, in bytes. Longer ones are left to the server.
 const BUF_LEN: usize = 8 << 10;
@@ -96,14 +92,6 @@
     },
 }
 
-/// A request that is refused.
-struct Refusal {
-    code: Code,
-    retry_after: Millis,
-    organisation: Option<Organisation>,
-    route: Option<String>,
-}
-
 impl<E: PlatformAdapter> Gateway<E> {
     /// Reads the first request on a connection, and refuses it if this entry has to shed it.
     ///
@@ -117,85 +105,40 @@
             return Ok(EarlyOutcome::Served { pending: bytes.into(), is_spared: false });
         };
         let decoded = self.adapter.decode_request_head(&head);
-        let Some(refusal) = self.refusal_of(&head, &decoded) else {
+        let Some((code, retry_after)) = self.refusal_of(&head, &decoded) else {
             return Ok(EarlyOutcome::Served { pending: bytes.into(), is_spared: true });
         };
         drop(bytes);
         // A connection that is closed with unread bytes is reset, and its answer lost.
         timeout(READ_TIMEOUT.as_duration(), discard(stream, body_left)).await??;
-        self.decisions.refused(refusal.code, &self.line_of(&refusal, &decoded));
-        let answer = self.encode(&refusal, decoded.request_id.as_deref());
-        stream.write_all(&answer).await?;
+        let response =
+            error_response(&*self.adapter, code, retry_after, decoded.request_id.as_deref());
+        stream.write_all(&encode(&response, &format!("{code}\n"))).await?;
         Ok(EarlyOutcome::Refused)
     }
 
     /// Decides whether to refuse a request now.
-    fn refusal_of(&self, head: &request::Parts, decoded: &RequestHead) -> Option<Refusal> {
+    fn refusal_of(&self, head: &request::Parts, decoded: &RequestHead) -> Option<(Code, Millis)> {
         let configuration = self.traffic.borrow().configuration().cloned()?;
-        let route = configuration.route(host_of(head)?, head.uri.path())?;
-        let organisation = organisation_of(&configuration, decoded);
-        if organisation.is_none() && configuration.needs_keys && !route.is_public {
-            return None;
-        }
-        let now = self.now();
-        let limit = decoded.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let demand = Demand {
-            no: 0,
-            digest: RequestDigest(0),
-            service: route.services.first()?.0.clone(),
-            route: route.name.as_str().into(),
-            organisation: organisation.clone().unwrap_or_else(|| Organisation::from("-")),
-            arrived: now,
-            target: now + route.target_latency.min(limit),
-            deadline: now + limit,
-            prompt: decoded.prompt.as_slice().into(),
-            expected_output: decoded.output_hint.unwrap_or(decoded.max_output / 2),
-            avoid: Vec::new(),
-            is_repeat: false,
-            version: RequiredVersion::Any,
-        };
-        let mut traffic = self.traffic.borrow_mut();
-        let (code, retry_after) = match self.must_shed() {
-            true => (Code::TooBusy, traffic.refuse_overloaded(now, &demand)),
-            false => (Code::OverShare, traffic.refuse_over_share(now, &demand)?),
-        };
-        Some(Refusal { code, retry_after, organisation, route: Some(route.name.clone()) })
-    }
-
-    fn line_of<'a>(&self, refusal: &'a Refusal, decoded: &'a RequestHead) -> FailureLine<'a> {
-        FailureLine {
-            request: decoded.request_id.as_deref(),
-            digest: None,
-            code: refusal.code.number(),
-            route: refusal.route.as_deref(),
-            organisation: refusal.organisation.as_ref(),
-            retry_after_ms: refusal.retry_after,
-            after_ms: Millis::ZERO,
-            attempts: 0,
-            tried: &[],
-        }
-    }
-
-    /// Encodes the answer, after which the connection is closed.
-    fn encode(&self, refusal: &Refusal, request_id: Option<&str>) -> Vec<u8> {
-        let code = refusal.code;
-        let response = error_response(&*self.adapter, code, refusal.retry_after, request_id);
-        let text = format!("{code}\n");
-        let mut bytes = format!("HTTP/1.1 {}\r\n", response.status()).into_bytes();
-        for (name, value) in response.headers() {
-            bytes.extend_from_slice(name.as_str().as_bytes());
-            bytes.extend_from_slice(b": ");
-            bytes.extend_from_slice(value.as_bytes());
-            bytes.extend_from_slice(b"\r\n");
-        }
-        let rest = format!("connection: close\r\ncontent-length: {}\r\n\r\n{text}", text.len());
-        bytes.extend_from_slice(rest.as_bytes());
-        bytes
+        let routed = RoutedRequest::new(self, &configuration, head, decoded).ok()?;
+        let refusal = routed.refuse_early(self, decoded)?;
+        routed.count(self);
+        Some(refusal)
     }
 }
 
-fn organisation_of(configuration: &Configuration, decoded: &RequestHead) -> Option<Organisation> {
-    configuration.organisation_of(decoded.key.as_deref()?).cloned()
+/// Encodes an answer after which the connection is closed.
+fn encode<T>(response: &Response<T>, text: &str) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {}\r\n", response.status()).into_bytes();
+    for (name, value) in response.headers() {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let rest = format!("connection: close\r\ncontent-length: {}\r\n\r\n{text}", text.len());
+    bytes.extend_from_slice(rest.as_bytes());
+    bytes
 }
 
 /// Reads and drops this many bytes.
