Give each refused caller its own retry time in large fleets

Cause: callers refused in one moment were told the same delay, came back together and were refused again; others waited for half of their target though it was known that they could not start.

Change: in fleets of more than 16 entries, retry times follow one another at the learned rate of starts, or at that of an organisation's share, up to a third of the time left. A request is refused once its expected start is too late. Organisations of one status take turns in the queue.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -24,7 +24,7 @@
 };
 
 /// Up to this size of a fleet each entry sends to all others: some hundred messages per second.
-const MAX_MESH_ENTRIES: usize = 16;
+pub const MAX_MESH_ENTRIES: usize = 16;
 /// The number of collectors in a failure domain.
 const COLLECTORS: usize = 2;
 /// The key of the rendezvous hash that selects the collectors.
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -28,7 +28,7 @@
 };
 pub use self::{
     io::{ConfigurationSource, FleetInput, FleetOutput, RecordStatus, Ticket},
-    load_exchange::{report_age, report_ttl, share_interval},
+    load_exchange::{MAX_MESH_ENTRIES, report_age, report_ttl, share_interval},
 };
 use super::{
     client::RecordClient,
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -19,9 +19,11 @@
 mod peer_reports;
 mod placement;
 mod queue;
+mod returns;
 mod rollouts;
 mod sent;
 mod shares;
+mod turns;
 mod upstream;
 mod verdict;
 
@@ -39,13 +41,14 @@
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    returns::{RefusalCounts, RetryWindow, Returns},
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
     cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    sent::SentRequest, turns::Turns,
 };
 use crate::{
     coordination::{
@@ -83,6 +86,8 @@
     waiting: Vec<queue::WaitingRequest>,
     /// When the waiting requests were last polled.
     last_poll: Millis,
+    turns: Turns,
+    returns: Returns,
     shares: Shares,
     rollouts: Rollouts,
     origins: Origins,
@@ -112,6 +117,8 @@
             sent: HashMap::new(),
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
+            turns: Turns::default(),
+            returns: Returns::default(),
             shares: Shares::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod request;
 mod response;
+mod returns;
 mod rollouts;
 mod scheduling_delay;
 mod serve;
@@ -353,6 +354,7 @@
         }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
+            gateway.report_refusals(now);
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
