--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -19,10 +19,12 @@
 mod peer_reports;
 mod placement;
 mod queue;
+mod returns;
 mod rollouts;
 mod room;
 mod sent;
 mod shares;
+mod turns;
 mod upstream;
 mod verdict;
 
@@ -41,6 +43,7 @@
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    returns::{RefusalCounts, RetryWindow, Returns},
     room::{EarlyRequest, PeersWithRoom},
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
@@ -48,7 +51,7 @@
 };
 use self::{
     cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    room::RoomReports, sent::SentRequest,
+    room::RoomReports, sent::SentRequest, turns::Turns,
 };
 use crate::{
     coordination::{
@@ -87,6 +90,8 @@
     waiting: Vec<queue::WaitingRequest>,
     /// When the waiting requests were last polled.
     last_poll: Millis,
+    turns: Turns,
+    returns: Returns,
     shares: Shares,
     rollouts: Rollouts,
     origins: Origins,
@@ -117,6 +122,8 @@
             sent: HashMap::new(),
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
+            turns: Turns::default(),
+            returns: Returns::default(),
             shares: Shares::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
