Divide what a plain service completes among the entries while it is short

Cause: each entry sent a plain service all that its callers requested, to the upstream that the reports of some hundred milliseconds ago made look least loaded. All entries chose the same one; it turned most of it away while others had idle slots.

While upstreams turn requests away or hold waiting ones, each entry sends its part of what is completed, in proportion to its requests. The rest waits while it can meet its target; otherwise it is refused at once (K3014) with the time until room is expected. Loads that were reported longer ago than a request takes no longer decide between upstreams; near ties are spread by a hash.

Tests: the eight of plain_services pass. The whole suite has not been run yet.

--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -102,6 +102,7 @@
         expected_output: 200,
         avoid: Vec::new(),
         is_repeat: false,
+        may_repeat: true,
         version: RequiredVersion::Any,
     }
 }
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -53,6 +53,8 @@
     pub avoid: Vec<UpstreamName>,
     /// Whether the request was sent to an upstream before.
     pub is_repeat: bool,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
     /// The versions that may serve it.
     pub version: RequiredVersion,
 }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod origins;
 mod peer_reports;
 mod placement;
+mod plain;
 mod queue;
 mod rollouts;
 mod sent;
@@ -39,13 +40,14 @@
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    plain::PlainStatus,
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, plain::PlainServices,
+    rollouts::Rollouts, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -84,6 +86,7 @@
     /// When the waiting requests were last polled.
     last_poll: Millis,
     shares: Shares,
+    plain: PlainServices,
     rollouts: Rollouts,
     origins: Origins,
     crash_causes: CrashCauses,
@@ -113,6 +116,7 @@
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
             shares: Shares::default(),
+            plain: PlainServices::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
             crash_causes: CrashCauses::default(),
@@ -316,6 +320,7 @@
             served: self.shares.served(now),
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
+            plain: self.plain_loads(now),
             ..LoadReport::default()
         }
     }
--- a/src/kingcupgrade/coordination/traffic/peer_reports.rs
+++ b/src/kingcupgrade/coordination/traffic/peer_reports.rs
@@ -6,10 +6,10 @@
 
 use std::collections::BTreeMap;
 
-use super::upstream::Upstream;
+use super::{plain::PlainSums, upstream::Upstream};
 use crate::{
     coordination::fleet::report_ttl,
-    core::{Instance, Millis, Organisation, UpstreamName},
+    core::{Instance, Millis, Organisation, Service, UpstreamName},
     protocol::fleet::LoadReport,
 };
 
@@ -32,6 +32,7 @@
 pub struct PeerReports {
     reports: BTreeMap<Instance, (Millis, LoadReport)>,
     usage: BTreeMap<Organisation, PeerUsage>,
+    plain: BTreeMap<Service, PlainSums>,
 }
 
 impl PeerReports {
@@ -64,6 +65,7 @@
         if self.reports.is_empty() {
             // With no report left the sums are exactly zero, so rounding errors are dropped too.
             self.usage.clear();
+            self.plain.clear();
         }
     }
 
@@ -82,6 +84,12 @@
         &self.usage
     }
 
+    /// Returns the loads of the plain services at the other entries; `None` if no entry's report is
+    /// known.
+    pub fn plain(&self) -> Option<&BTreeMap<Service, PlainSums>> {
+        (!self.reports.is_empty()).then_some(&self.plain)
+    }
+
     fn count(&mut self, report: &LoadReport, sign: f64) {
         for (organisation, requested) in &report.requested {
             self.usage_mut(organisation).requested += sign * f64::from(*requested);
@@ -92,6 +100,9 @@
         for (organisation, refused) in &report.refused {
             self.usage_mut(organisation).refused += sign * f64::from(*refused);
         }
+        for load in &report.plain {
+            self.plain.entry(load.service.clone()).or_default().add(load, sign);
+        }
     }
 
     fn usage_mut(&mut self, organisation: &Organisation) -> &mut PeerUsage {
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -5,7 +5,7 @@
 //! upstreams by a hash of the shared part and the upstream's name, so they agree on its preferred
 //! upstream without exchanging messages. In addition each entry knows where it sent a part itself.
 
-use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
+use super::{Traffic, demand::Demand, engine::EngineSpeed, plain::PlainSpread, upstream::Upstream};
 use crate::{
     coordination::{
         crashes::Barred, notices::slot_share, required_version::RequiredVersion, rollout::Use,
@@ -37,14 +37,14 @@
 /// avoid a busy preferred upstream go to the same next one.
 const RANK_WEIGHT: f64 = 10.0;
 /// Time reserved before the target for the response to reach the caller, in milliseconds.
-const RETURN_MARGIN_MS: f64 = 40.0;
+pub(super) const RETURN_MARGIN_MS: f64 = 40.0;
 /// The limit of requests under way at a plain upstream, as a multiple of its slots. Those beyond
 /// its slots wait at the upstream for a fraction of one request's duration, which is less than the
 /// age of the other entries' reports.
 const PLAIN_LIMIT_FACTOR: u32 = 2;
 /// The cost of a plain upstream in another failure domain, in requests under way: traffic between
 /// failure domains takes time and is paid for by the byte.
-const REMOTE_DOMAIN_COST: f64 = 0.4;
+pub(super) const REMOTE_DOMAIN_COST: f64 = 0.4;
 
 /// The number of upstreams that are compared before the best of them is taken, in the order of
 /// their ranking. Those behind cost about a quarter of a second more by their position alone, and
@@ -144,6 +144,7 @@
         let is_canary = matches!(eligible, Eligible::UsedAs(Use::Canary));
         let load_target = (is_canary && self.rollouts.is_last_step(&demand.service))
             .then(|| self.mean_running(now, demand));
+        let spread = if plan.engine.is_none() { self.plain_spread(now, demand) } else { None };
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -167,7 +168,7 @@
                     let fit = EngineFit { kv_capacity, speed, ms_to_target, position, terms };
                     engine_cost(now, upstream, demand, fit)
                 }
-                None => plain_cost(now, upstream, &self.settings.failure_domain),
+                None => plain_cost(now, upstream, &self.settings.failure_domain, spread.as_ref()),
             };
             // A cold upstream takes no position in the ranking: it can't take all requests for the
             // parts that prefer it.
@@ -331,12 +332,21 @@
     Some(first_event + reread_cost + unsafe_cost + f64::from(running) * RUNNING_WEIGHT + rank)
 }
 
-/// Returns the cost of a plain upstream, in requests under way, or `None` if it is full.
-fn plain_cost(now: Millis, upstream: &Upstream, domain: &FailureDomain) -> Option<f64> {
+/// Returns the cost of a plain upstream, in requests under way, or `None` if it is full. With a
+/// `spread`, the cost is the expected time.
+fn plain_cost(
+    now: Millis,
+    upstream: &Upstream,
+    domain: &FailureDomain,
+    spread: Option<&PlainSpread>,
+) -> Option<f64> {
     let running = upstream.running(now);
     if running >= upstream.listed.slots * PLAIN_LIMIT_FACTOR {
         return None;
     }
+    if let Some(spread) = spread {
+        return Some(spread.cost(now, upstream, domain));
+    }
     let domain_cost = if upstream.listed.domain == *domain { 0.0 } else { REMOTE_DOMAIN_COST };
     Some(f64::from(running) + domain_cost + 2.0 * upstream.health.failure_rate())
 }
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Demand, PlacementError, RequestNo, ShareStatus, Traffic, Verdict, placement::PlacementTerms,
+    plain::PlainWait,
 };
 use crate::core::{Code, Millis};
 
@@ -50,6 +51,8 @@
     status: ShareStatus,
     /// The time until which the request may wait.
     wait_until: Millis,
+    /// Whether it goes before others with the same target.
+    goes_first: bool,
 }
 
 impl Traffic {
@@ -63,6 +66,7 @@
             false => self.shares.status(now, &demand.organisation, work),
         };
         self.shares.on_requested(now, &demand.organisation, work);
+        self.on_plain_requested(now, &demand);
         match self.start(now, &demand, status) {
             Ok(verdict) => Some(verdict),
             Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
@@ -74,10 +78,7 @@
             Err(PlacementError::Full) if self.waiting.len() >= MAX_WAITING => {
                 Some(self.refuse_until_capacity(now, Code::QueueFull, &demand))
             }
-            Err(PlacementError::Full) => {
-                self.enqueue(demand, status);
-                None
-            }
+            Err(PlacementError::Full) => self.enqueue(now, demand, status),
         }
     }
 
@@ -119,6 +120,9 @@
             ShareStatus::Over => return Err(PlacementError::Full),
         };
         let name = self.place(now, demand, terms)?;
+        if !self.take_from_ration(now, demand) {
+            return Err(PlacementError::Full);
+        }
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse_without_upstream(demand), Verdict::Start))
     }
@@ -134,12 +138,23 @@
         refuse(code, time_to_capacity.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
     }
 
-    fn enqueue(&mut self, demand: Demand, status: ShareStatus) {
+    /// Puts a request in the queue, or refuses it if it is known that it can't meet its target.
+    fn enqueue(&mut self, now: Millis, demand: Demand, status: ShareStatus) -> Option<Verdict> {
         let fraction =
             if status == ShareStatus::Within { WAIT_FRACTION } else { WAIT_FRACTION_OVER_SHARE };
         let span = demand.target.since(demand.arrived).0 as f64 * fraction;
-        let wait_until = demand.arrived + Millis(span as u64);
-        self.waiting.push(WaitingRequest { demand, status, wait_until });
+        let plain_wait = self.plain_wait(now, &demand);
+        let wait_until = match plain_wait {
+            None => demand.arrived + Millis(span as u64),
+            Some(PlainWait::Until(latest)) => latest,
+            Some(PlainWait::TooLate(left)) => {
+                let retry_after = left.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+                return Some(refuse(Code::ServiceShort, retry_after));
+            }
+        };
+        let goes_first = plain_wait.is_some() && !demand.may_repeat;
+        self.waiting.push(WaitingRequest { demand, status, wait_until, goes_first });
+        None
     }
 
     /// Removes a waiting request whose caller has left.
@@ -155,7 +170,7 @@
         }
         self.last_poll = now;
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target));
+        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target, !waiting.goes_first));
         let max_tries =
             (MAX_COMPARISONS_PER_POLL / self.upstreams.len().max(1)).clamp(1, MAX_TRIES_PER_POLL);
         let mut tries = 0;
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -230,6 +230,7 @@
                 SendEnd::Cancelled => {}
             }
         }
+        self.on_plain_end(now, &sent, end);
         if !sent.has_begun && end != SendEnd::Answered {
             // The request never ran, so its charge is refunded. Without that, an organisation whose
             // upstreams crash would get less than the others while they do.
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -102,6 +102,8 @@
 
     PartBarred = 3013, NotRun, 503, "A part of the prompt crashes upstreams.";
 
+    ServiceShort = 3014, NotRun, 503, "The service is short of capacity and could not answer the request in time.";
+
     UpstreamRefused = 4001, NotRun, 503, "The upstream refused the request before it ran.";
     AnswerBroken = 4002, Unknown, 502, "The request was sent and its answer broke off.";
     AnswerTimeout = 4003, Unknown, 504, "The request was sent and no answer came within the deadline.";
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod latency;
 mod listing;
 mod origins;
+mod plain;
 pub mod pool;
 mod relay;
 mod request;
@@ -353,6 +354,7 @@
         }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
+            gateway.report_plain(now);
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -164,6 +164,7 @@
             expected_output: self.output,
             avoid: self.progress.borrow().avoid.clone(),
             is_repeat: self.progress.borrow().attempts > 0,
+            may_repeat: self.route.kind.is_idempotent(),
             version: self.progress.borrow().version.clone(),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod orders;
 mod overload;
 mod peers;
+mod plain_services;
 mod pools;
 mod process;
 mod queue_turns;
