Begin and end the limits on a plain service gradually, and place by what is still known

Cause: all entries began to limit at once and sent nothing for some 200 ms, and at the end of a shortage they sent everything that had waited at once. An upstream that was full in outdated reports was left out by all entries. Entries with a full upstream in their own failure domain kept to it.

Change: when a service becomes short, the fraction of the entries that is decided may send one request at once; requests that still wait at the end are sent at a limited rate. The limit of requests at an upstream applies to its expected load. Retry-After is at most a third of the time left.

Tests: the nine of plain_services pass. The whole suite has not been run yet.

--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -41,7 +41,7 @@
 /// The limit of requests under way at a plain upstream, as a multiple of its slots. Those beyond
 /// its slots wait at the upstream for a fraction of one request's duration, which is less than the
 /// age of the other entries' reports.
-const PLAIN_LIMIT_FACTOR: u32 = 2;
+pub(super) const PLAIN_LIMIT_FACTOR: u32 = 2;
 /// The cost of a plain upstream in another failure domain, in requests under way: traffic between
 /// failure domains takes time and is paid for by the byte.
 pub(super) const REMOTE_DOMAIN_COST: f64 = 0.4;
@@ -340,13 +340,13 @@
     domain: &FailureDomain,
     spread: Option<&PlainSpread>,
 ) -> Option<f64> {
+    if let Some(spread) = spread {
+        return spread.cost(now, upstream, domain);
+    }
     let running = upstream.running(now);
     if running >= upstream.listed.slots * PLAIN_LIMIT_FACTOR {
         return None;
     }
-    if let Some(spread) = spread {
-        return Some(spread.cost(now, upstream, domain));
-    }
     let domain_cost = if upstream.listed.domain == *domain { 0.0 } else { REMOTE_DOMAIN_COST };
     Some(f64::from(running) + domain_cost + 2.0 * upstream.health.failure_rate())
 }
--- a/src/kingcupgrade/coordination/traffic/plain/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/mod.rs
@@ -36,6 +36,8 @@
 /// How long an upstream's statement that requests wait there counts. An entry with few requests gets
 /// an answer no more often than about once a second.
 const WAITING_TTL: Millis = Millis(1_000);
+/// Callers wait for a retry for at most the time they have left, divided by this.
+const USEFUL_DELAY_DIVISOR: u64 = 3;
 /// A sum below this has decayed and is not reported.
 const MIN_REPORTED_SUM: f64 = 0.01;
 
@@ -48,7 +50,8 @@
 pub(super) enum PlainWait {
     /// It can be sent by this time and still meet its target.
     Until(Millis),
-    /// It can't meet its target; the time until the entry may send one more request.
+    /// It can't meet its target; the time until the entry may send one more request, but not longer
+    /// than its caller would wait.
     TooLate(Millis),
 }
 
@@ -108,6 +111,9 @@
     /// Takes a request from what this entry may send; returns whether it may be sent now.
     pub(super) fn take_from_ration(&mut self, now: Millis, demand: &Demand) -> bool {
         self.refresh_ration(now, &demand.service);
+        if self.plain.0.get(&demand.service).is_none_or(|service| service.ration.is_none()) {
+            return true;
+        }
         let ahead = self.plain_ahead(demand);
         let service = self.plain.0.get_mut(&demand.service);
         service.is_none_or(|service| service.take(now, ahead))
@@ -125,8 +131,11 @@
         let reserved = Millis((service.duration.usual_ms() + RETURN_MARGIN_MS) as u64);
         let latest = demand.arrived + demand.target.since(demand.arrived + reserved);
         let left = service.time_to_room(now, ahead);
-        let is_late = now + left > latest;
-        Some(if is_late { PlainWait::TooLate(left) } else { PlainWait::Until(latest) })
+        if now + left <= latest {
+            return Some(PlainWait::Until(latest));
+        }
+        let useful = Millis(demand.deadline.since(now).0 / USEFUL_DELAY_DIVISOR);
+        Some(PlainWait::TooLate(left.min(useful)))
     }
 
     /// Returns the number of waiting requests for the same service that go before a request.
@@ -162,6 +171,8 @@
         let phase = unit_hash((self.settings.instance().as_str(), service.as_str()));
         let state = self.plain.0.get_mut(service).expect("the service is in the map");
         state.others = situation.others;
+        state.mean_load = situation.occupancy.map_or(0.0, Occupancy::per_slot);
+        state.is_short = situation.is_short();
         state.decide(now, fraction, phase);
     }
 
@@ -182,17 +193,20 @@
 
     /// Returns how a request chooses among plain upstreams; `None` in a fleet that is small enough
     /// for their loads to be known.
-    pub(super) fn plain_spread(&self, now: Millis, demand: &Demand) -> Option<PlainSpread> {
+    pub(super) fn plain_spread(&mut self, now: Millis, demand: &Demand) -> Option<PlainSpread> {
         if !self.rations_plain() {
             return None;
         }
-        let duration = self.plain.0.get(&demand.service).map_or(0.0, |s| s.duration.mean_ms);
+        self.refresh_ration(now, &demand.service);
+        let state = self.plain.0.get(&demand.service);
+        let duration = state.map_or(0.0, |state| state.duration.mean_ms);
         let age = report_age(self.entry_count()).0 as f64;
         Some(PlainSpread {
             no: demand.no,
             entry: self.settings.instance(),
             staleness: 1.0 - (-age / duration.max(1.0)).exp(),
-            mean_load: self.plain_occupancy(now, &demand.service).per_slot(),
+            is_short: state.is_some_and(|state| state.is_short),
+            mean_load: state.map_or(0.0, |state| state.mean_load),
         })
     }
 
--- a/src/kingcupgrade/coordination/traffic/plain/service.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/service.rs
@@ -9,6 +9,12 @@
 /// The limit of requests that may be sent at once after a pause. With less than two, an entry that
 /// may send a fraction of its requests would lose what remains of each one.
 const MAX_SAVED: f64 = 2.0;
+/// The requests that are sent after a shortage while some still wait, as a fraction of those that
+/// callers make. If all that wait at all entries were sent at once, the service would be short again.
+const DRAIN_FRACTION: f64 = 1.5;
+/// Requests are assumed to wait if one was held back within this time, in which they are tried several
+/// times.
+const DRAIN_TTL: Millis = Millis(50);
 /// The weight of one answer in the moving averages of the duration and its deviation.
 const DURATION_SAMPLE_WEIGHT: f64 = 0.1;
 
@@ -60,6 +66,12 @@
     pub(super) waiting_at: Option<Millis>,
     pub(super) duration: DurationEstimate,
     pub(super) decided_at: Option<Millis>,
+    /// When a request was last held back.
+    denied_at: Option<Millis>,
+    /// The requests of all entries under way for each slot at the last decision; 0 if unknown.
+    pub(super) mean_load: f64,
+    /// Whether the service was short of capacity at the last decision.
+    pub(super) is_short: bool,
     /// `None` while nothing is limited.
     pub(super) ration: Option<Ration>,
 }
@@ -113,18 +125,22 @@
         }
     }
 
-    /// Applies a decision; `phase` is what may be sent at once when the service becomes short. It
-    /// differs among entries, so that they don't all send their first request at the same moment.
+    /// Applies a decision; `phase`, from 0 up to 1, differs among entries. When the service becomes
+    /// short, the entries at which one more request may be sent at once are the fraction that is
+    /// decided, so that the service gets neither nothing nor everything at that moment.
     pub(super) fn decide(&mut self, now: Millis, fraction: Option<f64>, phase: f64) {
         self.decided_at = Some(now);
         self.update_saved(now);
+        let is_draining = self.denied_at.is_some_and(|at| now.since(at) <= DRAIN_TTL);
+        let fraction =
+            fraction.or((self.ration.is_some() && is_draining).then_some(DRAIN_FRACTION));
         let Some(fraction) = fraction else {
             self.ration = None;
             return;
         };
         let counted = self.requested.get(now, SUM_TIME_CONSTANT);
-        let ration = self.ration.get_or_insert(Ration { fraction, saved: phase, counted });
-        ration.fraction = fraction;
+        let start = Ration { fraction, saved: phase + fraction, counted };
+        self.ration.get_or_insert(start).fraction = fraction;
     }
 
     /// Takes one request from what may be sent, if it suffices for it and the `ahead` requests that
@@ -133,6 +149,7 @@
         self.update_saved(now);
         let Some(ration) = &mut self.ration else { return true };
         if ration.saved < ahead as f64 + 1.0 {
+            self.denied_at = Some(now);
             return false;
         }
         ration.saved -= 1.0;
--- a/src/kingcupgrade/coordination/traffic/plain/shortage.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/shortage.rs
@@ -101,7 +101,7 @@
     }
 
     /// Returns whether upstreams turn requests away, or requests wait at them.
-    fn is_short(&self) -> bool {
+    pub(super) fn is_short(&self) -> bool {
         let is_waiting = match self.occupancy {
             None => self.has_waiting,
             Some(occupancy) => {
--- a/src/kingcupgrade/coordination/traffic/plain/spread.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/spread.rs
@@ -3,7 +3,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::{
-    coordination::traffic::{RequestNo, Upstream, placement::REMOTE_DOMAIN_COST},
+    coordination::traffic::{
+        RequestNo, Upstream,
+        placement::{PLAIN_LIMIT_FACTOR, REMOTE_DOMAIN_COST},
+    },
     core::{FailureDomain, Instance, Millis},
 };
 
@@ -29,19 +32,25 @@
     pub(super) staleness: f64,
     /// The requests under way for each slot of the service.
     pub(super) mean_load: f64,
+    /// Whether the service is short of capacity.
+    pub(super) is_short: bool,
 }
 
 impl PlainSpread {
     /// Returns the cost of an upstream: the expected time of the request, where 1 is that of one
-    /// request for each slot at an upstream of the usual speed.
+    /// request for each slot at an upstream of the usual speed; `None` if the upstream is full.
     pub(in crate::coordination::traffic) fn cost(
         &self,
         now: Millis,
         upstream: &Upstream,
         domain: &FailureDomain,
-    ) -> f64 {
+    ) -> Option<f64> {
         let slots = f64::from(upstream.listed.slots.max(1));
-        let load = self.expected_load(now, upstream, slots) + 1.0 / slots;
+        let under_way = self.expected_load(now, upstream, slots);
+        if under_way >= f64::from(PLAIN_LIMIT_FACTOR) {
+            return None;
+        }
+        let load = under_way + 1.0 / slots;
         let success_rate = 1.0 - upstream.health.failure_rate().min(MAX_FAILURE_RATE);
         let expected = load * duration_factor(now, upstream) / success_rate;
         let spread = (MAX_SPREAD * self.staleness).max(MIN_SPREAD);
@@ -51,7 +60,7 @@
             true => 0.0,
             false => (spread + REMOTE_DOMAIN_COST / slots) * self.locality(),
         };
-        expected + place_in_spread * spread + domain_cost
+        Some(expected + place_in_spread * spread + domain_cost)
     }
 
     /// Returns the expected requests under way for each slot. Those of other entries that have ended
@@ -67,7 +76,8 @@
 
     /// Returns how much failure domains count, from 0 to 1.
     fn locality(&self) -> f64 {
-        1.0 - self.staleness * (self.mean_load / MAX_LOCAL_OCCUPANCY).min(1.0)
+        let busy = if self.is_short { 1.0 } else { self.mean_load / MAX_LOCAL_OCCUPANCY };
+        1.0 - self.staleness * busy.min(1.0)
     }
 }
 
