Test how entries with the same information choose among plain upstreams

Cause: nothing guarded against entries that all choose the same upstream, or that leave their failure domain while its upstreams are idle.

--- a/src/kingcupgrade/coordination/traffic/plain/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/mod.rs
@@ -15,6 +15,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
+
 pub use self::shortage::PlainSums;
 pub(super) use self::spread::PlainSpread;
 use self::{
@@ -56,7 +58,7 @@
 }
 
 /// What an entry sends to a service that is short of capacity, for logs and metrics.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct PlainStatus {
     /// The service.
     pub service: Service,
--- a/tests/testsuite/plain_services.rs
+++ b/tests/testsuite/plain_services.rs
@@ -6,10 +6,10 @@
 use kingcupgrade::{
     coordination::traffic::{Demand, ReportedLoad, RequestNo, SendEnd, Traffic, Verdict},
     core::{Code, Millis, Service, UpstreamName},
-    protocol::fleet::{Load, LoadReport, PlainLoad},
+    protocol::fleet::{ListedUpstream, Load, LoadReport, PlainLoad},
 };
 
-use crate::traffic::{entry_names, plain, traffic_for_entry};
+use crate::traffic::{assigned_upstream, entry_names, plain, traffic_for_entry};
 
 /// Enough entries for load reports to pass through collectors.
 const ENTRIES: usize = 24;
@@ -239,9 +239,7 @@
     let mut plain = PlainLoad { service, requested: 0.0, completed: 0.0, turned_away: 0.0 };
     for report in reports {
         for (name, load) in &report.loads {
-            let sum = loads
-                .entry(name.clone())
-                .or_insert_with(kingcupgrade::protocol::fleet::Load::default);
+            let sum = loads.entry(name.clone()).or_default();
             sum.running += load.running;
             sum.memory += load.memory;
         }
@@ -389,6 +387,39 @@
     assert_eq!(started.collect::<Vec<_>>(), [(unsafe_no, true)]);
 }
 
+/// Returns the upstream that each of [`ENTRIES`] entries with the same information chooses.
+fn first_choices(listing: &[ListedUpstream]) -> Vec<UpstreamName> {
+    let choices = (0..ENTRIES).map(|entry| {
+        let mut traffic = traffic_for_entry(entry, 1e9, 0);
+        traffic.set_entries(entry_names(ENTRIES));
+        traffic.set_listing(Millis::ZERO, listing.to_vec());
+        let now = Millis(1_000);
+        assigned_upstream(traffic.admit(now, plain(1, now, "alder"))).expect("an upstream")
+    });
+    choices.collect()
+}
+
+/// Guards against entries with the same information that all choose the same upstream.
+#[test]
+fn entries_with_the_same_information_choose_different_upstreams() {
+    let listing = ["a", "b", "c"].map(|name| listed("plain", name, Millis::ZERO));
+    let choices = first_choices(&listing);
+    for ListedUpstream { name, .. } in &listing {
+        let count = choices.iter().filter(|choice| *choice == name).count();
+        assert!((ENTRIES / 9..=ENTRIES * 2 / 3).contains(&count), "{choices:?}");
+    }
+}
+
+/// Guards against requests that leave their failure domain while its upstreams are idle.
+#[test]
+fn idle_upstreams_of_the_own_failure_domain_come_first() {
+    let local = listed("plain", "local", Millis::ZERO);
+    let remote =
+        |name| ListedUpstream { domain: "south".into(), ..listed("plain", name, Millis::ZERO) };
+    let choices = first_choices(&[remote("a"), remote("b"), local.clone(), remote("z")]);
+    assert!(choices.iter().all(|choice| *choice == local.name), "{choices:?}");
+}
+
 /// Guards against a change in small fleets, whose entries know each other's loads: they report no
 /// loads of plain services, and refuse nothing that may wait.
 #[test]
