--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod origins;
 mod peer_reports;
 mod placement;
+mod plain;
 mod queue;
 mod returns;
 mod rollouts;
@@ -43,6 +44,7 @@
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    plain::PlainStatus,
     returns::{RefusalCounts, RetryWindow, Returns},
     room::{EarlyRequest, PeersWithRoom},
     shares::{ShareStatus, Shares},
@@ -50,8 +52,8 @@
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    room::RoomReports, sent::SentRequest, turns::Turns,
+    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, plain::PlainServices,
+    rollouts::Rollouts, room::RoomReports, sent::SentRequest, turns::Turns,
 };
 use crate::{
     coordination::{
@@ -93,6 +95,7 @@
     turns: Turns,
     returns: Returns,
     shares: Shares,
+    plain: PlainServices,
     rollouts: Rollouts,
     origins: Origins,
     crash_causes: CrashCauses,
@@ -125,6 +128,7 @@
             turns: Turns::default(),
             returns: Returns::default(),
             shares: Shares::default(),
+            plain: PlainServices::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
             crash_causes: CrashCauses::default(),
@@ -330,6 +334,7 @@
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
             room: self.own_room(),
+            plain: self.plain_loads(now),
             ..LoadReport::default()
         }
     }
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -15,6 +15,7 @@
 use super::{
     Demand, EarlyRequest, PlacementError, RequestNo, ShareStatus, Traffic, Verdict,
     placement::PlacementTerms,
+    plain::PlainWait,
     returns::{LeftBehind, RefusalCounts, RetryWindow, expected_wait},
     turns::Turn,
 };
@@ -59,6 +60,10 @@
     pub(super) status: ShareStatus,
     /// The time until which the request may wait.
     wait_until: Millis,
+    /// Whether it waits for a service without engines whose capacity is divided among the entries.
+    is_plain: bool,
+    /// Whether it goes before others with the same target.
+    pub(super) goes_first: bool,
 }
 
 impl Traffic {
@@ -72,6 +77,7 @@
             false => self.shares.status(now, &demand.organisation, work),
         };
         self.shares.on_requested(now, &demand.organisation, work);
+        self.on_plain_requested(now, &demand);
         match self.start(now, &demand, status) {
             Ok(verdict) => Some(verdict),
             Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
@@ -117,7 +123,11 @@
         if placed == Err(PlacementError::Full) {
             self.returns.on_full(now, &demand.service);
         }
-        let granted = self.grant(now, demand, &placed?);
+        let name = placed?;
+        if !self.take_from_ration(now, demand) {
+            return Err(PlacementError::Full);
+        }
+        let granted = self.grant(now, demand, &name);
         if granted.is_some() {
             self.returns.on_started(now, &demand.service);
         }
@@ -183,9 +193,19 @@
     /// Puts a request in the queue, or refuses it if it is expected to wait there for too long.
     fn enqueue(&mut self, now: Millis, demand: Demand, status: ShareStatus) -> Option<Verdict> {
         let no = demand.no;
-        let wait_until = self.wait_until(&demand, status);
-        self.waiting.push(WaitingRequest { demand, status, wait_until });
-        if !self.spreads_returns() {
+        let plain_wait = self.plain_wait(now, &demand);
+        let wait_until = match plain_wait {
+            None => self.wait_until(&demand, status),
+            Some(PlainWait::Until(latest)) => latest,
+            Some(PlainWait::TooLate(left)) => {
+                let retry_after = left.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+                return Some(refuse(Code::ServiceShort, retry_after));
+            }
+        };
+        let is_plain = plain_wait.is_some();
+        let goes_first = is_plain && !demand.may_repeat;
+        self.waiting.push(WaitingRequest { demand, status, wait_until, is_plain, goes_first });
+        if is_plain || !self.spreads_returns() {
             return None;
         }
         let refused = self.take_if_hopeless(now, no)?;
@@ -299,7 +319,7 @@
         waiting: &WaitingRequest,
         left_behind: &mut LeftBehind,
     ) -> bool {
-        if !self.spreads_returns() {
+        if waiting.is_plain || !self.spreads_returns() {
             return now >= waiting.wait_until;
         }
         let service = &waiting.demand.service;
--- a/src/kingcupgrade/coordination/traffic/turns.rs
+++ b/src/kingcupgrade/coordination/traffic/turns.rs
@@ -50,7 +50,7 @@
     /// Sorts requests by status and target, and returns the order in which they are to be tried.
     pub(super) fn order(&self, waiting: &mut [WaitingRequest]) -> Vec<Turn> {
         // The requests that were there before are still sorted, so this takes little time.
-        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target));
+        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target, !waiting.goes_first));
         let mut next_turns = HashMap::new();
         let mut order: Vec<_> = waiting
             .iter()
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod latency;
 mod listing;
 mod origins;
+mod plain;
 pub mod pool;
 mod relay;
 mod request;
@@ -357,6 +358,7 @@
         if now >= next_sweep {
             next_sweep = now + SWEEP;
             gateway.report_refusals(now);
+            gateway.report_plain(now);
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
