Bound the memory of buffers, and charge unread answers to their callers

A process that buffers bodies and answers beyond its memory limit is killed, and an upstream that cuts off an answer which its caller does not read was blamed for it. Where engines end beyond their memory, placement leaves room for what other entries have not reported yet, and an end beyond the bound blames nothing.

--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod link;
 pub mod listing;
+pub mod memory;
 pub mod node;
 pub mod notices;
 pub mod orders;
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod origins;
 mod peer_reports;
 mod placement;
+mod pressure;
 mod queue;
 mod rollouts;
 mod sent;
@@ -93,6 +94,8 @@
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
     output_averages: HashMap<Arc<str>, f64>,
+    /// Moving average of the time for which a request is in an engine's memory, in milliseconds.
+    memory_times: HashMap<Service, f64>,
 }
 
 impl Traffic {
@@ -119,6 +122,7 @@
             cause_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
+            memory_times: HashMap::new(),
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -8,7 +8,8 @@
 use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
 use crate::{
     coordination::{
-        crashes::Barred, notices::slot_share, required_version::RequiredVersion, rollout::Use,
+        crashes::Barred, memory::UnreportedMemory, notices::slot_share,
+        required_version::RequiredVersion, rollout::Use,
     },
     core::{FailureDomain, Millis, Service, UpstreamName},
     protocol::fleet::ListedUpstream,
@@ -16,7 +17,7 @@
 
 /// The fraction of an engine's memory that is filled; the rest is left for generations that run
 /// over their estimates.
-const MEMORY_FRACTION: f64 = 0.9;
+pub(super) const MEMORY_FRACTION: f64 = 0.9;
 /// The weight of the time to re-read a shared part, against an earlier first event for this one
 /// request. Re-reading takes engine time from all requests and memory from other cached parts. With
 /// this weight a shared part of some thousand tokens stays at its preferred upstream as long as
@@ -144,6 +145,7 @@
         let is_canary = matches!(eligible, Eligible::UsedAs(Use::Canary));
         let load_target = (is_canary && self.rollouts.is_last_step(&demand.service))
             .then(|| self.mean_running(now, demand));
+        let unreported = self.unreported_memory(&demand.service);
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -164,7 +166,8 @@
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
-                    let fit = EngineFit { kv_capacity, speed, ms_to_target, position, terms };
+                    let fit =
+                        EngineFit { kv_capacity, unreported, speed, ms_to_target, position, terms };
                     engine_cost(now, upstream, demand, fit)
                 }
                 None => plain_cost(now, upstream, &self.settings.failure_domain),
@@ -286,6 +289,7 @@
 #[derive(Clone, Copy)]
 struct EngineFit {
     kv_capacity: u64,
+    unreported: UnreportedMemory,
     speed: EngineSpeed,
     /// The time left until the first event is due, in milliseconds.
     ms_to_target: f64,
@@ -315,7 +319,8 @@
         return None;
     }
     let time_limit = fit.ms_to_target * fit.terms.time_fraction;
-    let needed = upstream.memory() + unread + u64::from(demand.expected_output);
+    let present = upstream.memory() + fit.unreported.at(upstream.peers.memory);
+    let needed = present + unread + u64::from(demand.expected_output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_FRACTION {
         return None;
     }
--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -108,8 +108,10 @@
             | SendEnd::ClosedByRunning
             | SendEnd::Broken => answers.failed += 1,
             SendEnd::Cancelled => {}
-            // None of these was an answer of the version.
-            SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced => return,
+            // None of these was an answer of the version, or its caller did not read it.
+            SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced | SendEnd::Unread => {
+                return;
+            }
         }
         if !sent.was_cold {
             record_times(answers, now, sent, end);
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -60,7 +60,7 @@
         self.generated / self.tokens_per_event.max(1)
     }
 
-    fn disconnect(&self, now: Millis) -> Disconnect {
+    fn disconnect(&self, now: Millis, beyond_memory: bool) -> Disconnect {
         Disconnect {
             upstream: self.upstream.clone(),
             incarnation: self.incarnation,
@@ -69,6 +69,7 @@
             events: self.events(),
             shared_parts: shared_parts(&self.parts).collect(),
             after_ms: now.since(self.sent_at),
+            beyond_memory,
         }
     }
 }
@@ -207,6 +208,7 @@
     pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) -> Option<Disconnect> {
         let sent = self.sent.remove(&no)?;
         self.rollouts.on_end(now, &sent, end);
+        let beyond_memory = self.note_memory_at_end(now, &sent, end);
         let service_rate = self.median_failure_rate(&sent.service);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
             upstream.own.running = upstream.own.running.saturating_sub(1);
@@ -227,7 +229,7 @@
                     let slots = upstream.listed.slots;
                     upstream.on_report(now, slots, 1);
                 }
-                SendEnd::Cancelled => {}
+                SendEnd::Unread | SendEnd::Cancelled => {}
             }
         }
         if !sent.has_begun && end != SendEnd::Answered {
@@ -246,11 +248,13 @@
         }
         match end {
             SendEnd::Disconnected => {
-                let disconnect = sent.disconnect(now);
-                self.on_disconnect(now, &disconnect);
+                let disconnect = sent.disconnect(now, beyond_memory);
+                if !beyond_memory {
+                    self.on_disconnect(now, &disconnect);
+                }
                 Some(disconnect)
             }
-            SendEnd::ClosedByRunning => Some(sent.disconnect(now)),
+            SendEnd::ClosedByRunning => Some(sent.disconnect(now, beyond_memory)),
             _ => None,
         }
     }
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -74,6 +74,8 @@
     pub backlog: Backlog,
     /// The upstream's health.
     pub health: Health,
+    /// Whether it has ended while the requests at it may have exceeded its memory.
+    pub(super) ended_beyond_memory: bool,
     cold_bucket: ColdBucket,
     /// The running and waiting requests that the upstream last reported, and when it did.
     reported: Option<(u32, u32, Millis)>,
@@ -93,6 +95,7 @@
             peers: Load::default(),
             backlog: Backlog::default(),
             health: Health::default(),
+            ended_beyond_memory: false,
             reported: None,
             cached: HashMap::new(),
         }
@@ -106,6 +109,7 @@
         if has_restarted {
             self.cached.clear();
             self.health = Health::default();
+            self.ended_beyond_memory = false;
             self.reported = None;
         }
         if listed.cold > Millis::ZERO {
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -88,6 +88,9 @@
     pub shared_parts: Vec<u64>,
     /// The time since the request was sent.
     pub after_ms: Millis,
+    /// Whether the requests at the upstream may have exceeded its memory, so that neither the request
+    /// nor its parts are blamed.
+    pub beyond_memory: bool,
 }
 
 /// How a request that was sent ended.
@@ -109,6 +112,8 @@
     Rejected,
     /// Another upstream now has the address.
     Replaced,
+    /// The upstream cut off the answer after its caller had not read it for long.
+    Unread,
     /// This entry abandoned the request, for example because its caller disconnected.
     Cancelled,
 }
@@ -125,6 +130,7 @@
             SendEnd::Unreachable => "unreachable",
             SendEnd::Rejected => "rejected",
             SendEnd::Replaced => "replaced",
+            SendEnd::Unread => "unread",
             SendEnd::Cancelled => "cancelled",
         }
     }
--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -13,32 +13,61 @@
     task::{Context, Poll},
 };
 
+use super::memory::AnswerBuffer;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+/// The size of the kernel's send buffer where the process's memory is limited; callers at a round trip
+/// of 10 ms still get more than 6 MB a second.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// A caller's connection, for the server that reads and writes it.
-pub struct CallerStream(Rc<RefCell<TcpStream>>);
+pub struct CallerStream {
+    stream: Rc<RefCell<TcpStream>>,
+    /// Counts what is not written yet, if the process's memory is limited.
+    buffer: Option<Rc<AnswerBuffer>>,
+}
 
 /// Tells whether a caller has left.
 #[derive(Clone)]
-pub struct Caller(Rc<RefCell<TcpStream>>);
+pub struct Caller {
+    stream: Rc<RefCell<TcpStream>>,
+    buffer: Option<Rc<AnswerBuffer>>,
+}
 
 impl CallerStream {
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> CallerStream {
-        CallerStream(Rc::new(RefCell::new(stream)))
+        CallerStream { stream: Rc::new(RefCell::new(stream)), buffer: None }
+    }
+
+    /// Wraps a connection for which what is buffered is counted.
+    pub(super) fn with_buffer(stream: TcpStream, buffer: Option<Rc<AnswerBuffer>>) -> CallerStream {
+        if buffer.is_some() {
+            // The kernel would buffer some megabytes for each caller that does not read. A failure
+            // costs memory only.
+            let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+        }
+        CallerStream { buffer, ..CallerStream::new(stream) }
     }
 
     /// Returns what tells whether the caller has left.
     pub fn caller(&self) -> Caller {
-        Caller(self.0.clone())
+        Caller { stream: self.stream.clone(), buffer: self.buffer.clone() }
     }
 
     fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
-        poll(Pin::new(&mut *self.0.borrow_mut()))
+        poll(Pin::new(&mut *self.stream.borrow_mut()))
+    }
+
+    fn on_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let (Some(buffer), Poll::Ready(Ok(len))) = (&self.buffer, &written) {
+            buffer.on_written(*len);
+        }
+        written
     }
 }
 
@@ -48,13 +77,25 @@
     /// If it has sent more requests before, that can't be told.
     pub fn has_left(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0.borrow()).peek(&mut byte) {
+        match SockRef::from(&*self.stream.borrow()).peek(&mut byte) {
             Ok(count) => count == 0,
             Err(err) => {
                 matches!(err.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             }
         }
     }
+
+    /// Returns what is buffered for the caller; `None` if that is not counted.
+    pub(super) fn buffer(&self) -> Option<&Rc<AnswerBuffer>> {
+        self.buffer.as_ref()
+    }
+
+    /// Has the connection reset when it is closed, so that the kernel drops what the caller has not
+    /// read.
+    pub(super) fn reset_on_close(&self) {
+        // If it fails, the kernel keeps the bytes until the caller reads or leaves.
+        let _ = self.stream.borrow().set_zero_linger();
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -73,10 +114,14 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll(|stream| stream.poll_write(cx, buf))
+        self.on_written(self.poll(|stream| stream.poll_write(cx, buf)))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(buffer) = &self.buffer {
+            // The server flushes only when it has written all it had.
+            buffer.on_flushed();
+        }
         self.poll(|stream| stream.poll_flush(cx))
     }
 
@@ -89,10 +134,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll(|stream| stream.poll_write_vectored(cx, bufs))
+        self.on_written(self.poll(|stream| stream.poll_write_vectored(cx, bufs)))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 }
--- /dev/null
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -0,0 +1,356 @@
+//! Counts what is buffered for callers, and ends answers that are not read while memory is short.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    error::Error,
+    fmt,
+    future::Future,
+    pin::Pin,
+    rc::{Rc, Weak},
+    task::{Context, Poll, Waker, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use metrics::{counter, gauge};
+use serde::Serialize;
+use tokio::{
+    sync::Notify,
+    time::{Sleep, sleep},
+};
+
+use crate::{
+    coordination::memory::{BufferedAnswer, MemoryBudget},
+    core::{Millis, clock::Clock},
+    util::log,
+};
+
+/// How often an answer that waits for memory looks for room.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The buffers of one process, and the budget for them.
+pub(super) struct Memory {
+    clock: Clock,
+    budget: RefCell<MemoryBudget>,
+    connections: RefCell<BTreeMap<u64, Weak<AnswerBuffer>>>,
+    next_connection: Cell<u64>,
+    decided: Cell<Decided>,
+}
+
+/// What was decided since the last log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+struct Decided {
+    /// Bodies that were not taken into memory.
+    refused_bodies: u32,
+    /// Answers that were ended because they were not read.
+    ended_answers: u32,
+    /// Upstreams that cut off an answer that was not read.
+    cut_off: u32,
+}
+
+/// The fields of the log line for short memory and unread answers.
+#[derive(Serialize)]
+struct MemoryLine {
+    buffered_bytes: u64,
+    budget_bytes: u64,
+    is_short: bool,
+    #[serde(flatten)]
+    decided: Decided,
+}
+
+impl Memory {
+    pub(super) fn new(clock: Clock, memory_limit: Option<u64>, max_sockets: usize) -> Rc<Memory> {
+        Rc::new(Memory {
+            clock,
+            budget: RefCell::new(MemoryBudget::new(memory_limit, max_sockets)),
+            connections: RefCell::default(),
+            next_connection: Cell::new(0),
+            decided: Cell::default(),
+        })
+    }
+
+    /// Returns the buffer of a new connection from a caller; `None` if there is no limit.
+    pub(super) fn open_buffer(self: &Rc<Memory>) -> Option<Rc<AnswerBuffer>> {
+        if !self.budget.borrow().is_limited() {
+            return None;
+        }
+        let connection = self.next_connection.get();
+        self.next_connection.set(connection + 1);
+        let buffer = Rc::new(AnswerBuffer {
+            memory: self.clone(),
+            connection,
+            bytes: Cell::new(0),
+            unread_since: Cell::new(Millis::ZERO),
+            waker: RefCell::default(),
+            ended: Notify::new(),
+        });
+        self.connections.borrow_mut().insert(connection, Rc::downgrade(&buffer));
+        Some(buffer)
+    }
+
+    /// Reserves room for a body of this length, or of an unknown one; `None` if memory is short.
+    pub(super) fn reserve_body(self: &Rc<Memory>, len: Option<u64>) -> Option<Rc<Reservation>> {
+        let has_room = len == Some(0) || {
+            let budget = self.budget.borrow();
+            budget.has_room_for_body(len.unwrap_or(1))
+        };
+        if !has_room {
+            self.on_refused_body();
+            return None;
+        }
+        Some(self.reserve(len.unwrap_or(0)))
+    }
+
+    pub(super) fn reserve(self: &Rc<Memory>, bytes: u64) -> Rc<Reservation> {
+        self.budget.borrow_mut().take(bytes);
+        Rc::new(Reservation { memory: self.clone(), bytes: Cell::new(bytes) })
+    }
+
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.budget.borrow().is_exhausted()
+    }
+
+    /// Counts a body that is not taken into memory.
+    pub(super) fn on_refused_body(&self) {
+        self.on_decided("refused-body", |decided| decided.refused_bodies += 1);
+    }
+
+    /// Counts an answer that its upstream cut off because the caller did not read it.
+    pub(super) fn on_cut_off(&self) {
+        self.on_decided("cut-off", |decided| decided.cut_off += 1);
+    }
+
+    fn on_decided(&self, decision: &'static str, count: impl FnOnce(&mut Decided)) {
+        counter!("kingcup_memory_decisions", "decision" => decision).increment(1);
+        let mut decided = self.decided.get();
+        count(&mut decided);
+        self.decided.set(decided);
+    }
+
+    /// Ends an unread answer if memory stays short.
+    pub(super) fn relieve(&self) {
+        let connections = self.connections.borrow();
+        let open = connections.values().filter_map(Weak::upgrade);
+        let answers = open.map(|buffer| buffer.buffered());
+        let ended = self.budget.borrow_mut().answer_to_end(self.clock.now(), answers);
+        let buffer = ended.and_then(|number| connections.get(&number)).and_then(Weak::upgrade);
+        drop(connections);
+        if let Some(buffer) = buffer {
+            self.connections.borrow_mut().remove(&buffer.connection);
+            buffer.ended.notify_one();
+            self.on_decided("ended-answer", |decided| decided.ended_answers += 1);
+        }
+    }
+
+    /// Sets the metrics, and logs what was decided since the last call and whether memory is short.
+    pub(super) fn report(&self) {
+        let budget = self.budget.borrow();
+        let Some(budget_bytes) = budget.budget() else { return };
+        gauge!("kingcup_buffered_bytes").set(budget.taken() as f64);
+        let decided = self.decided.take();
+        if budget.is_short() || decided != Decided::default() {
+            log::event(
+                "memory",
+                &MemoryLine {
+                    buffered_bytes: budget.taken(),
+                    budget_bytes,
+                    is_short: budget.is_short(),
+                    decided,
+                },
+            );
+        }
+    }
+}
+
+/// Bytes of a body in memory, given back when the value is dropped.
+pub(super) struct Reservation {
+    memory: Rc<Memory>,
+    bytes: Cell<u64>,
+}
+
+impl Reservation {
+    fn extend_to(&self, bytes: u64) {
+        let more = bytes.saturating_sub(self.bytes.get());
+        self.bytes.set(self.bytes.get() + more);
+        self.memory.budget.borrow_mut().take(more);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.budget.borrow_mut().give_back(self.bytes.get());
+    }
+}
+
+/// A request's body in memory.
+pub(super) struct HeldBody {
+    pub(super) bytes: Bytes,
+    /// Held for as long as the body is.
+    pub(super) _reservation: Rc<Reservation>,
+}
+
+/// What is buffered for the caller of one connection.
+pub(super) struct AnswerBuffer {
+    memory: Rc<Memory>,
+    connection: u64,
+    /// Bytes of answers that were handed to the HTTP server and not written to the socket.
+    bytes: Cell<u64>,
+    unread_since: Cell<Millis>,
+    /// The task that waits until the caller has read.
+    waker: RefCell<Option<Waker>>,
+    ended: Notify,
+}
+
+impl AnswerBuffer {
+    fn buffered(&self) -> BufferedAnswer {
+        BufferedAnswer {
+            connection: self.connection,
+            bytes: self.bytes.get(),
+            unread_since: self.unread_since.get(),
+        }
+    }
+
+    /// Counts bytes that are handed to the HTTP server.
+    pub(super) fn on_handed_over(&self, len: usize) {
+        if self.bytes.get() == 0 {
+            self.unread_since.set(self.memory.clock.now());
+        }
+        self.bytes.set(self.bytes.get() + len as u64);
+        self.memory.budget.borrow_mut().take(len as u64);
+    }
+
+    /// Counts bytes that were written to the socket: those of heads and framing are among them, so
+    /// that slightly too little is counted until the rest is written.
+    pub(super) fn on_written(&self, len: usize) {
+        let written = self.bytes.get().min(len as u64);
+        if written == 0 {
+            return;
+        }
+        self.bytes.set(self.bytes.get() - written);
+        self.memory.budget.borrow_mut().give_back(written);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Records that the HTTP server has written all it had.
+    pub(super) fn on_flushed(&self) {
+        self.on_written(usize::MAX);
+    }
+
+    /// Waits until less than the bound of one answer is buffered.
+    pub(super) fn poll_below_bound(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let bound = self.memory.budget.borrow().answer_bound();
+        self.poll_at_most(bound.saturating_sub(1), cx)
+    }
+
+    /// Waits until nothing is buffered.
+    pub(super) fn poll_empty(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.poll_at_most(0, cx)
+    }
+
+    fn poll_at_most(&self, bytes: u64, cx: &mut Context<'_>) -> Poll<()> {
+        if self.bytes.get() <= bytes {
+            return Poll::Ready(());
+        }
+        *self.waker.borrow_mut() = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Waits until the answer is to be ended because memory is short.
+    pub(super) async fn ended(&self) {
+        self.ended.notified().await;
+    }
+}
+
+impl Drop for AnswerBuffer {
+    fn drop(&mut self) {
+        self.memory.budget.borrow_mut().give_back(self.bytes.get());
+        self.memory.connections.borrow_mut().remove(&self.connection);
+    }
+}
+
+/// What happens to a body for which there is no more memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WhenExhausted {
+    /// It fails.
+    Fail,
+    /// Its sender is not read until there is memory.
+    Wait,
+}
+
+/// The error of a body for which there is no more memory.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MemoryExhausted;
+
+impl fmt::Display for MemoryExhausted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no memory is left for the body")
+    }
+}
+
+impl Error for MemoryExhausted {}
+
+/// A body that is read into memory, counted as it arrives.
+pub(super) struct CountedBody<B> {
+    body: B,
+    counted: u64,
+    reservation: Rc<Reservation>,
+    when_exhausted: WhenExhausted,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<B> CountedBody<B> {
+    pub(super) fn new(
+        body: B,
+        reservation: Rc<Reservation>,
+        when_exhausted: WhenExhausted,
+    ) -> CountedBody<B> {
+        CountedBody { body, counted: 0, reservation, when_exhausted, timer: None }
+    }
+
+    /// Waits until there is memory for more than what was reserved.
+    fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), MemoryExhausted>> {
+        while self.counted >= self.reservation.bytes.get() && self.reservation.memory.is_exhausted()
+        {
+            if self.when_exhausted == WhenExhausted::Fail {
+                return Poll::Ready(Err(MemoryExhausted));
+            }
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(RETRY_INTERVAL)));
+            ready!(timer.as_mut().poll(cx));
+            self.timer = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<B: Body<Data = Bytes, Error = hyper::Error> + Unpin> Body for CountedBody<B> {
+    type Data = Bytes;
+    type Error = Box<dyn Error + Send + Sync>;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let this = self.get_mut();
+        if let Err(err) = ready!(this.poll_room(cx)) {
+            return Poll::Ready(Some(Err(err.into())));
+        }
+        let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            this.counted += frame.data_ref().map_or(0, Bytes::len) as u64;
+            this.reservation.extend_to(this.counted);
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod latency;
 mod listing;
+mod memory;
 mod origins;
 pub mod pool;
 mod relay;
@@ -41,6 +42,7 @@
 use self::{
     adapter::PlatformAdapter,
     decisions::{DecisionLog, FailureLine, NoticeLine},
+    memory::Memory,
     origins::OriginAnswers,
     pool::Pool,
     scheduling_delay::probe_scheduling_delay,
@@ -88,6 +90,7 @@
     origin_answers: OriginAnswers,
     overload: Cell<Overload>,
     link: RefCell<LinkLoad>,
+    memory: Rc<Memory>,
     /// Whether a measurement of the scheduling delay is in progress.
     is_probing: Cell<bool>,
     listing_plan: RefCell<ListingPlan>,
@@ -257,10 +260,11 @@
         let _ = update_tx.send(update);
     };
     let fleet = FleetHandle::start(settings.clone(), Box::new(sink))?;
+    let clock = Clock::start();
     let gateway = Rc::new(Gateway {
         traffic: RefCell::new(Traffic::new(settings.clone())),
         adapter,
-        clock: Clock::start(),
+        clock,
         process: random::number()?,
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
@@ -268,6 +272,7 @@
         origin_answers: OriginAnswers::default(),
         overload: Cell::default(),
         link: RefCell::default(),
+        memory: Memory::new(clock, settings.memory_limit, settings.max_sockets),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
         listing_duty: Cell::default(),
@@ -333,6 +338,7 @@
         let now = gateway.now();
         gateway.poll_waiting();
         gateway.log_cause_changes();
+        gateway.memory.relieve();
         if now >= next_crash_news && gateway.share_crashes(now) {
             next_crash_news = now + CRASH_NEWS_INTERVAL;
         }
@@ -356,6 +362,7 @@
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
+            gateway.memory.report();
             gateway.decisions.next_second();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -16,12 +16,13 @@
 use super::{
     adapter::PlatformAdapter,
     events::EventSplitter,
+    memory::AnswerBuffer,
     pool::Connection,
     request::{AttemptGuard, ProxiedRequest, UpstreamResponse},
     response::TruncatedResponse,
 };
 use crate::{
-    coordination::traffic::SendEnd,
+    coordination::{memory::UnreadUpstream, traffic::SendEnd},
     core::{Code, Millis, Version, configuration::RouteKind},
 };
 
@@ -72,6 +73,9 @@
 enum State<E: PlatformAdapter> {
     Reading(Source<E>),
     Resuming(Resuming<E>),
+    /// The upstream cut the answer off because the caller did not read; it is resumed once the caller
+    /// has read what it was sent.
+    CutOff,
     Ended,
 }
 
@@ -85,6 +89,10 @@
     /// When the last event arrived.
     last_event: Option<Instant>,
     longest_pause: Duration,
+    /// What is buffered for the caller, if that is counted, and how long the upstream has not been
+    /// read for it.
+    buffer: Option<Rc<AnswerBuffer>>,
+    unread: UnreadUpstream,
     /// When the stream is aborted.
     abort_at: Instant,
     /// When the upstream is taken for hung unless it sends something.
@@ -101,6 +109,8 @@
             last_id: None,
             last_event: None,
             longest_pause: Duration::ZERO,
+            buffer: request.answer_buffer(),
+            unread: UnreadUpstream::default(),
             abort_at: request.deadline + ABORT_SLACK,
             timer: Box::pin(sleep_until(silent_until)),
             silent_until,
@@ -119,9 +129,22 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
+        if self.poll_caller(cx).is_pending() {
+            return Poll::Pending;
+        }
         loop {
             let polled = match &mut self.state {
                 State::Ended => return Poll::Ready(None),
+                State::CutOff => {
+                    if self.buffer.as_ref().is_some_and(|buffer| buffer.poll_empty(cx).is_pending())
+                    {
+                        return self.poll_timer(cx);
+                    }
+                    if !self.resume_cut_off() {
+                        return self.abort(SendEnd::Unread);
+                    }
+                    continue;
+                }
                 State::Resuming(resuming) => match resuming.as_mut().poll(cx) {
                     Poll::Ready(Some(response)) => {
                         self.on_resumed(response);
@@ -138,6 +161,7 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     if let Some(events) = self.on_data(&data) {
+                        self.on_handed_over(events.len());
                         return Poll::Ready(Some(Ok(Frame::data(events))));
                     }
                 }
@@ -145,12 +169,14 @@
                     self.finish();
                     return Poll::Ready(None);
                 }
+                Poll::Ready(Some(Err(_)) | None) if self.is_callers_doing() => self.cut_off(),
                 Poll::Ready(Some(Err(_)) | None) => {
                     if !self.resume(SendEnd::Disconnected) {
                         return self.abort(SendEnd::Disconnected);
                     }
                 }
                 Poll::Pending => {
+                    self.unread.on_drained();
                     if let Poll::Ready(ended) = self.poll_timer(cx) {
                         return Poll::Ready(ended);
                     }
@@ -162,6 +188,43 @@
         }
     }
 
+    /// Waits until the caller has read enough for more to be read from the upstream.
+    fn poll_caller(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(buffer) = &self.buffer else { return Poll::Ready(()) };
+        let now = self.request.now();
+        if buffer.poll_below_bound(cx).is_pending() {
+            self.unread.on_paused(now);
+            return Poll::Pending;
+        }
+        if self.unread.on_continued(now) {
+            // The upstream could not send meanwhile.
+            self.silent_until = self.silent_until.max(self.silence_deadline());
+        }
+        Poll::Ready(())
+    }
+
+    /// Records that events are handed over. The HTTP server asks for more only once it can buffer
+    /// more for the caller.
+    fn on_handed_over(&mut self, len: usize) {
+        if let Some(buffer) = &self.buffer {
+            buffer.on_handed_over(len);
+            self.unread.on_paused(self.request.now());
+        }
+    }
+
+    /// Returns whether the end of the upstream's connection is due to a caller that did not read.
+    fn is_callers_doing(&self) -> bool {
+        self.buffer.is_some() && self.unread.is_callers_doing(self.request.now())
+    }
+
+    /// Records that the upstream cut the answer off because the caller did not read.
+    fn cut_off(&mut self) {
+        if let State::Reading(source) = std::mem::replace(&mut self.state, State::CutOff) {
+            source.attempt.end(SendEnd::Unread);
+            self.request.gateway.memory.on_cut_off();
+        }
+    }
+
     /// Processes bytes from the upstream, and returns the events that are complete with them.
     fn on_data(&mut self, data: &Bytes) -> Option<Bytes> {
         let events = self.splitter.push(data)?;
@@ -174,10 +237,15 @@
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
             None => self.on_first_event(),
         }
+        self.silent_until = self.silence_deadline();
+        Some(events.bytes)
+    }
+
+    /// Returns when an upstream that sends nothing from now on is taken for hung.
+    fn silence_deadline(&self) -> Instant {
         let gap = self.request.route.max_event_gap.0 * MAX_SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE_MS));
-        self.silent_until = self.abort_at.min(now + silence);
-        Some(events.bytes)
+        self.abort_at.min(Instant::now() + silence)
     }
 
     fn on_first_event(&self) {
@@ -219,11 +287,26 @@
         if !self.request.may_repeat() {
             return false;
         }
-        self.splitter = EventSplitter::default();
         let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) else {
             return false;
         };
         let closed = source.end(end);
+        self.begin_resuming(closed);
+        true
+    }
+
+    /// Starts to resume a stream that was cut off; returns whether that is permitted.
+    fn resume_cut_off(&mut self) -> bool {
+        let is_permitted = self.request.may_repeat();
+        if is_permitted {
+            self.begin_resuming(None);
+        }
+        is_permitted
+    }
+
+    fn begin_resuming(&mut self, closed: Option<AttemptGuard<E>>) {
+        self.splitter = EventSplitter::default();
+        self.unread = UnreadUpstream::default();
         let request = self.request.clone();
         let last_id = self.last_id;
         self.state = State::Resuming(Box::pin(async move {
@@ -233,7 +316,6 @@
             let response = request.fetch_response(last_id).await.ok()?;
             response.head.status.is_success().then_some(response)
         }));
-        true
     }
 
     fn on_resumed(&mut self, response: UpstreamResponse<E>) {
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -165,7 +165,7 @@
         };
         self.gateway.adapter.prepare_request(&mut headers, &context);
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::try_from(path).unwrap_or_else(|_| self.uri.clone());
         *request.headers_mut() = headers;
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -24,6 +24,7 @@
     Gateway,
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
     caller::Caller,
+    memory::{AnswerBuffer, CountedBody, HeldBody, WhenExhausted},
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
 };
@@ -55,7 +56,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBody,
     pub(super) route: Arc<Route>,
     route_name: Arc<str>,
     service: Service,
@@ -115,7 +116,7 @@
         configuration: &Configuration,
         head: request::Parts,
         decoded: RequestHead,
-        body: Bytes,
+        body: HeldBody,
     ) -> Result<ProxiedRequest<E>, Code> {
         let host = host_of(&head).ok_or(Code::BadRequest)?;
         let route = configuration.route(host, head.uri.path()).ok_or(Code::UnknownService)?.clone();
@@ -124,7 +125,7 @@
             return Err(Code::UnknownToken);
         }
         let organisation = holder.cloned();
-        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body);
+        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body.bytes);
         let request_id = decoded.request_id.as_deref().unwrap_or_default();
         let service = choose_service(&route, request_id).clone();
         let plan = configuration.services.get(&service);
@@ -170,6 +171,15 @@
         matches!(self.route.kind, RouteKind::Stream { .. })
     }
 
+    pub(super) fn now(&self) -> Millis {
+        self.gateway.now()
+    }
+
+    /// Returns what is buffered for the caller; `None` if that is not counted.
+    pub(super) fn answer_buffer(&self) -> Option<Rc<AnswerBuffer>> {
+        self.caller.buffer().cloned()
+    }
+
     /// Returns the time from arrival to the deadline.
     pub(super) fn timeout(&self) -> Millis {
         self.deadline_at.since(self.arrived)
@@ -257,6 +267,8 @@
         let mut response = first;
         loop {
             let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
+            let reservation = self.gateway.memory.reserve(0);
+            let body = CountedBody::new(body, reservation, WhenExhausted::Wait);
             let reading = connection.drive(Limited::new(body, MAX_RESPONSE_LEN).collect());
             let read = timeout_at(self.deadline, reading).await;
             let may_repeat = self.route.kind.is_idempotent();
@@ -269,14 +281,14 @@
                     }
                     attempt.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
                     self.gateway.pool.checkin(connection);
-                    return complete_response(head, body.to_bytes());
+                    return self.complete(head, body.to_bytes());
                 }
                 Ok(Ok(body)) => {
                     attempt.end(SendEnd::Failed);
                     self.gateway.pool.checkin(connection);
                     match self.retry().await {
                         Some(again) => response = again,
-                        None => return complete_response(head, body.to_bytes()),
+                        None => return self.complete(head, body.to_bytes()),
                     }
                 }
                 Ok(Err(err)) => {
@@ -294,12 +306,21 @@
                     }
                 }
                 Err(_) => {
-                    attempt.end(SendEnd::Broken);
+                    // While memory is exhausted, it is this entry that doesn't read.
+                    let is_unread = self.gateway.memory.is_exhausted();
+                    attempt.end(if is_unread { SendEnd::Cancelled } else { SendEnd::Broken });
                     return self.refuse(Code::AnswerTimeout, Millis::ZERO);
                 }
             }
         }
     }
+
+    fn complete(&self, head: http::response::Parts, body: Bytes) -> Response<ResponseBody<E>> {
+        if let Some(buffer) = self.answer_buffer() {
+            buffer.on_handed_over(body.len());
+        }
+        complete_response(head, body)
+    }
 }
 
 fn complete_response<E: PlatformAdapter>(
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -16,6 +20,7 @@
     Gateway,
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
+    memory::{AnswerBuffer, CountedBody, HeldBody, MemoryExhausted, WhenExhausted},
     request::ProxiedRequest,
     response::{ResponseBody, error_response},
 };
@@ -57,6 +62,13 @@
 /// of new streams several times a second.
 const RETRY_AFTER_UNKNOWN_ORIGIN: Millis = Millis(500);
 
+/// The retry delay sent when there is no memory for a request's body; another entry can take it
+/// immediately.
+const RETRY_AFTER_MEMORY: Millis = Millis(50);
+/// How long a refused body is read and dropped. If the connection were closed before, the caller
+/// might not receive the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Increments a counter for as long as the value lives.
 struct CountGuard<'a>(&'a std::cell::Cell<usize>);
 
@@ -114,8 +126,15 @@
         true => DRAIN_HEAD_TIMEOUT,
         false => idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK,
     };
-    let stream = CallerStream::new(stream);
+    let buffer = gateway.memory.open_buffer();
+    let stream = CallerStream::with_buffer(stream, buffer.clone());
     let caller = stream.caller();
+    let closing_caller = caller.clone();
+    let ended = async move {
+        answer_ended(buffer).await;
+        closing_caller.reset_on_close();
+    };
+    let mut ended = std::pin::pin!(ended);
     let service = service_fn(|request| {
         let (gateway, caller) = (gateway.clone(), caller.clone());
         async move {
@@ -135,7 +154,10 @@
     let mut connection = std::pin::pin!(connection);
     if is_closing {
         // A graceful shutdown would make hyper close the connection before it reads the request.
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = ended => {}
+        }
         return;
     }
     let mut drain = gateway.drain.subscribe();
@@ -143,11 +165,23 @@
     tokio::select! {
         // A disconnect is recorded where the request is handled, which cancels its attempt.
         _ = connection.as_mut() => return,
+        () = ended.as_mut() => return,
         _ = closing => {}
     }
     connection.as_mut().graceful_shutdown();
-    // Errors are ignored for the same reason as above.
-    let _ = connection.await;
+    tokio::select! {
+        // Errors are ignored for the same reason as above.
+        _ = connection => {}
+        () = ended => {}
+    }
+}
+
+/// Waits until the answer on a connection is to be ended because memory is short.
+async fn answer_ended(buffer: Option<Rc<AnswerBuffer>>) {
+    match buffer {
+        Some(buffer) => buffer.ended().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Returns whether a caller may keep its connection open after a response.
@@ -178,8 +212,9 @@
     };
     let configuration = gateway.traffic.borrow().configuration().cloned();
     let limits = configuration.as_ref().map(|configuration| &configuration.limits);
-    let body = match read_body(body, limits).await {
+    let body = match read_body(&gateway, body, limits).await {
         Ok(body) => body,
+        Err(Code::TooBusy) => return refuse(Code::TooBusy, RETRY_AFTER_MEMORY),
         Err(code) => return refuse(code, Millis::ZERO),
     };
     let Some(configuration) = configuration else {
@@ -199,18 +234,39 @@
 }
 
 /// Reads a request's body into memory, because it may have to be sent more than once.
-async fn read_body(body: Incoming, limits: Option<&Limits>) -> Result<Bytes, Code> {
+async fn read_body<E: PlatformAdapter>(
+    gateway: &Gateway<E>,
+    body: Incoming,
+    limits: Option<&Limits>,
+) -> Result<HeldBody, Code> {
     let max_len = limits.map_or(DEFAULT_MAX_BODY_LEN, |limits| limits.max_body_len);
     let read_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let reading = Limited::new(body, max_len).collect();
+    let len = body.size_hint().exact().map(|len| len.min(max_len as u64));
+    let Some(reservation) = gateway.memory.reserve_body(len) else {
+        discard(body).await;
+        return Err(Code::TooBusy);
+    };
+    let counted = CountedBody::new(body, reservation.clone(), WhenExhausted::Fail);
+    let reading = Limited::new(counted, max_len).collect();
     match timeout(read_timeout.as_duration(), reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(HeldBody { bytes: body.to_bytes(), _reservation: reservation }),
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
+        Ok(Err(err)) if err.is::<MemoryExhausted>() => {
+            gateway.memory.on_refused_body();
+            Err(Code::TooBusy)
+        }
         Ok(Err(_)) => Err(Code::BadRequest),
         Err(_) => Err(Code::BodyTimeout),
     }
 }
 
+/// Reads a refused body without keeping it.
+async fn discard(mut body: Incoming) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // What is left after the timeout is lost with the connection.
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 /// Serves the load balancer's readiness probes for as long as the process runs.
 pub(super) async fn accept_probes<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
