Test memory limits and slow readers, and leave room for the spread of unreported requests

Bounds that grew with free memory did not add up to the budget, and the mean of unreported requests alone let an engine in a model of 24 entries hold 852,000 tokens of 800,000. Each answer has a fixed part of the budget now, and the estimate includes two standard deviations: the model holds 720,000 at most (924,000 without the estimate). All 13 tests of the module pass, and so does a test with real processes whose caller pauses (10 s).

--- a/src/kingcupgrade/coordination/memory.rs
+++ b/src/kingcupgrade/coordination/memory.rs
@@ -16,14 +16,16 @@
 /// The fraction of the process's memory limit that buffers may take. The program itself, the state
 /// of its connections and the sockets' buffers need the rest.
 const BUFFER_FRACTION: f64 = 0.5;
-/// The fraction of the budget up to which bodies are taken into memory and answers may be buffered
-/// up to [`MAX_ANSWER_BYTES`]; the rest is for answers under way.
+/// The fraction of the budget up to which bodies are taken into memory, and which the bounds of all
+/// answers add up to; the rest is for what arrives with the event that reaches a bound.
 const SHORT_FRACTION: f64 = 0.75;
-/// What is buffered for one answer at most while there is room: as much as the HTTP server buffers.
+/// The bound of one answer at most: the HTTP server buffers no more.
 const MAX_ANSWER_BYTES: u64 = 64 << 10;
 /// The least that is buffered for one answer before its upstream is no longer read: two reads of the
 /// usual size from a socket.
 const MIN_ANSWER_BYTES: u64 = 16 << 10;
+/// The sockets that each answer takes: its caller's and its upstream's.
+const SOCKETS_PER_ANSWER: u64 = 2;
 /// Answers are ended if the budget stays short for this long: bodies and answers under way are
 /// gone by then, and only callers that don't read still have theirs.
 const MAX_SHORT_SPAN: Millis = Millis(1_000);
@@ -52,8 +54,9 @@
 pub struct MemoryBudget {
     /// `None` if there is no limit.
     budget: Option<u64>,
-    /// An equal part of the budget for each answer, if every socket has one.
-    answer_share: u64,
+    /// How many bytes of one answer are buffered before its upstream is no longer read: an equal part
+    /// for each answer that there are sockets for.
+    answer_bound: u64,
     taken: u64,
     short_since: Option<Millis>,
 }
@@ -62,9 +65,11 @@
     /// Creates the budget of a process with this memory limit and number of sockets.
     pub fn new(memory_limit: Option<u64>, max_sockets: usize) -> MemoryBudget {
         let budget = memory_limit.map(|limit| (limit as f64 * BUFFER_FRACTION) as u64);
-        let share = budget.unwrap_or(0) / max_sockets.max(1) as u64;
-        let answer_share = share.clamp(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES);
-        MemoryBudget { budget, answer_share, taken: 0, short_since: None }
+        let answers = (max_sockets as u64 / SOCKETS_PER_ANSWER).max(1);
+        let answer_bound = budget.map_or(u64::MAX, |budget| {
+            (short_level(budget) / answers).clamp(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES)
+        });
+        MemoryBudget { budget, answer_bound, taken: 0, short_since: None }
     }
 
     /// Returns whether there is a limit.
@@ -109,15 +114,11 @@
 
     /// Returns how many bytes of one answer are buffered before its upstream is no longer read.
     pub fn answer_bound(&self) -> u64 {
-        match self.budget {
-            None => u64::MAX,
-            Some(_) if self.is_short() => self.answer_share,
-            Some(_) => MAX_ANSWER_BYTES,
-        }
+        self.answer_bound
     }
 
-    /// Returns the connection whose answer is to be ended because memory stays short: of those that
-    /// hold at least an equal part of the budget, the one that has been unread longest.
+    /// Returns the connection whose answer is to be ended because memory stays short: of those
+    /// that have reached their bound, the one that has been unread longest.
     pub fn answer_to_end(
         &mut self,
         now: Millis,
@@ -132,7 +133,7 @@
             return None;
         }
         let ended = answers
-            .filter(|answer| answer.bytes >= self.answer_share)
+            .filter(|answer| answer.bytes >= self.answer_bound)
             .filter(|answer| now.since(answer.unread_since) >= UNREAD_SPAN)
             .min_by_key(|answer| (answer.unread_since, Reverse(answer.bytes)))?;
         // Whether its end suffices shows only later.
@@ -184,35 +185,55 @@
     }
 }
 
+/// The standard deviations by which arrivals may exceed their mean: independent ones exceed it by
+/// more in one of forty cases, and the engine has some memory left then.
+const DEVIATIONS: f64 = 2.0;
+
 /// What other entries have sent to an engine since their last reports, in tokens of memory.
 ///
-/// In the time for which a request is in memory, the others send what they have in memory; in the
-/// age of their reports, the corresponding part of that.
+/// In the time for which a request is in memory, the others send as many requests as they have there;
+/// in the age of their reports, the corresponding part of that, with the variation of independent
+/// arrivals.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UnreportedMemory {
-    /// What the others have in memory at an engine on average.
-    mean: f64,
+    /// The requests of the others at an engine, on average, and their memory.
+    mean_running: f64,
+    mean_memory: f64,
     /// The age of the reports relative to the time for which a request is in memory.
     relative_age: f64,
 }
 
 impl UnreportedMemory {
-    /// Creates the estimate from the others' reports on each engine of a service; `held_for` is the
+    /// Creates the estimate from the requests that the others report at each engine of a service and
+    /// their memory; `held_for` is the
     /// time for which a request is in memory, if known.
     pub fn new(
-        reported: impl Iterator<Item = u64>,
+        reported: impl Iterator<Item = (u32, u64)>,
         report_age: Millis,
         held_for: Option<Millis>,
     ) -> UnreportedMemory {
-        let (sum, count) = reported.fold((0, 0), |(sum, count), memory| (sum + memory, count + 1));
+        let (mut engines, mut running, mut memory) = (0.0, 0.0, 0.0);
+        for at_engine in reported {
+            engines += 1.0;
+            running += f64::from(at_engine.0);
+            memory += at_engine.1 as f64;
+        }
+        let engines = f64::max(engines, 1.0);
         let held_for = held_for.unwrap_or(report_age).max(Millis(1));
         let relative_age = (report_age.0 as f64 / held_for.0 as f64).min(1.0);
-        UnreportedMemory { mean: sum as f64 / f64::from(count.max(1)), relative_age }
+        let (mean_running, mean_memory) = (running / engines, memory / engines);
+        UnreportedMemory { mean_running, mean_memory, relative_age }
     }
 
-    /// Returns the estimate for an engine at which the others report this much. One where they had
-    /// little may have become everybody's choice since.
-    pub fn at(&self, reported: u64) -> u64 {
-        ((reported as f64).max(self.mean) * self.relative_age) as u64
+    /// Returns the estimate for an engine at which the others report these requests and their memory.
+    /// One where they had few may have become everybody's choice since.
+    pub fn at(&self, running: u32, memory: u64) -> u64 {
+        let running = f64::from(running).max(self.mean_running);
+        if running == 0.0 {
+            return 0;
+        }
+        let each = (memory as f64).max(self.mean_memory) / running;
+        let sent = running * self.relative_age;
+        ((sent + DEVIATIONS * sent.sqrt()) * each) as u64
     }
 }
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -319,8 +319,9 @@
         return None;
     }
     let time_limit = fit.ms_to_target * fit.terms.time_fraction;
-    let present = upstream.memory() + fit.unreported.at(upstream.peers.memory);
-    let needed = present + unread + u64::from(demand.expected_output);
+    let peers = &upstream.peers;
+    let unreported = fit.unreported.at(peers.running, peers.memory);
+    let needed = upstream.memory() + unreported + unread + u64::from(demand.expected_output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_FRACTION {
         return None;
     }
--- a/src/kingcupgrade/coordination/traffic/pressure.rs
+++ b/src/kingcupgrade/coordination/traffic/pressure.rs
@@ -17,7 +17,8 @@
             return UnreportedMemory::default();
         }
         let names = self.by_service.get(service).into_iter().flatten();
-        let reported = names.filter_map(|name| Some(self.upstreams.get(name)?.peers.memory));
+        let peers = names.filter_map(|name| Some(&self.upstreams.get(name)?.peers));
+        let reported = peers.map(|load| (load.running, load.memory));
         let held_for = self.memory_times.get(service).map(|time| Millis(*time as u64));
         UnreportedMemory::new(reported, report_age(self.entry_count()), held_for)
     }
@@ -58,7 +59,8 @@
         if upstream.listed.started_unix_ms != sent.incarnation {
             return false;
         }
-        let held = upstream.memory() + unreported.at(upstream.peers.memory);
+        let peers = &upstream.peers;
+        let held = upstream.memory() + unreported.at(peers.running, peers.memory);
         upstream.ended_beyond_memory |= held as f64 > bound;
         upstream.ended_beyond_memory
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod load;
 mod load_exchange;
 mod members;
+mod memory;
 mod model_fleet;
 mod model_nodes;
 mod model_record;
