--- a/src/kingcupgrade/coordination/memory.rs
+++ b/src/kingcupgrade/coordination/memory.rs
@@ -58,6 +58,8 @@
     /// for each answer that there are sockets for.
     answer_bound: u64,
     taken: u64,
+    /// When a body was last refused.
+    last_refusal: Option<Millis>,
     short_since: Option<Millis>,
 }
 
@@ -69,7 +71,7 @@
         let answer_bound = budget.map_or(u64::MAX, |budget| {
             (short_level(budget) / answers).clamp(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES)
         });
-        MemoryBudget { budget, answer_bound, taken: 0, short_since: None }
+        MemoryBudget { budget, answer_bound, taken: 0, last_refusal: None, short_since: None }
     }
 
     /// Returns whether there is a limit.
@@ -102,6 +104,11 @@
         self.budget.is_none_or(|budget| self.taken + bytes <= short_level(budget))
     }
 
+    /// Records that a body is refused because there is no room for it.
+    pub fn on_refused(&mut self, now: Millis) {
+        self.last_refusal = Some(now);
+    }
+
     /// Returns whether memory is short: no more bodies are taken in.
     pub fn is_short(&self) -> bool {
         self.budget.is_some_and(|budget| self.taken >= short_level(budget))
@@ -118,13 +125,15 @@
     }
 
     /// Returns the connection whose answer is to be ended because memory stays short: of those
-    /// that have reached their bound, the one that has been unread longest.
+    /// that hold at least half of their bound, the one that has been unread longest.
     pub fn answer_to_end(
         &mut self,
         now: Millis,
         answers: impl Iterator<Item = BufferedAnswer>,
     ) -> Option<u64> {
-        if !self.is_short() {
+        // Without room for the bodies that callers send, memory is short as well.
+        let has_refused = |at: Millis| now.since(at) < MAX_SHORT_SPAN;
+        if !self.is_short() && !self.last_refusal.is_some_and(has_refused) {
             self.short_since = None;
             return None;
         }
@@ -133,7 +142,7 @@
             return None;
         }
         let ended = answers
-            .filter(|answer| answer.bytes >= self.answer_bound)
+            .filter(|answer| answer.bytes >= self.answer_bound / 2)
             .filter(|answer| now.since(answer.unread_since) >= UNREAD_SPAN)
             .min_by_key(|answer| (answer.unread_since, Reverse(answer.bytes)))?;
         // Whether its end suffices shows only later.
--- a/src/kingcupgrade/transport/gateway/memory.rs
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -114,6 +114,7 @@
 
     /// Counts a body that is not taken into memory.
     pub(super) fn on_refused_body(&self) {
+        self.budget.borrow_mut().on_refused(self.clock.now());
         self.on_decided("refused-body", |decided| decided.refused_bodies += 1);
     }
 
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -106,6 +106,27 @@
     assert_eq!(budget.answer_to_end(Millis(20_000), rest()), None);
 }
 
+/// Guards against unread answers that keep bodies out for good, because those find no room although
+/// memory isn't short yet.
+#[test]
+fn unread_answers_give_way_to_bodies_that_find_no_room() {
+    let mut budget = budget();
+    while budget.has_room_for_body(2 * MIB) {
+        budget.take(MIB / 2);
+    }
+    assert!(!budget.is_short());
+    let answers = || [answer(1, MIB, 0)].into_iter();
+    let mut ended = None;
+    for step in 0..30 {
+        let now = Millis(10_000 + step * 100);
+        assert!(!budget.has_room_for_body(2 * MIB));
+        budget.on_refused(now);
+        ended = ended.or(budget.answer_to_end(now, answers()).map(|_| step * 100));
+    }
+    assert_eq!(ended, Some(1_000));
+    assert_eq!(budget.answer_to_end(Millis(60_000), answers()), None, "long after the refusals");
+}
+
 /// Guards against an answer that is ended in spite of a caller that reads, since bodies or other
 /// answers take the memory.
 #[test]
