--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -14,7 +14,10 @@
         traffic::{Demand, RequestNo, SendEnd, Traffic, Verdict},
     },
     core::{Millis, RequestDigest, fleet::FleetSettings},
-    protocol::fleet::{ListedUpstream, LoadReport},
+    protocol::{
+        fleet::{ListedUpstream, LoadReport},
+        rollout::{Rollout, RolloutOrder, RolloutStage},
+    },
 };
 
 use crate::{
@@ -199,6 +202,38 @@
     assert!(idle, "a request is still counted");
 }
 
+/// Ends a request to the old version of a rollout under way; returns the answers that are reported,
+/// as whole and failed ones.
+fn answers_reported_after(end: SendEnd) -> (u32, u32) {
+    let mut traffic = traffic(1e9, ENGINES);
+    let now = Millis(100);
+    let mut listing: Vec<_> = traffic.upstreams().values().map(|u| u.listed.clone()).collect();
+    listing.iter_mut().for_each(|listed| listed.version = Some("v1".into()));
+    traffic.set_listing(now, listing);
+    let order =
+        RolloutOrder { service: "engine".into(), to: "v2".into(), duration: Millis(12_000) };
+    let stage = RolloutStage::Canary(0);
+    let rollout = Rollout { order, id: 7, started_unix_ms: 0, stage, index: 7 };
+    let rollouts = BTreeMap::from([("engine".into(), BTreeMap::from([(7, rollout)]))]);
+    traffic.set_rollouts(now, &rollouts);
+    assert!(is_started(traffic.admit(now, demand(1, now, "alder", 7, 100)).as_ref()));
+    traffic.on_first_event(now, 1);
+    traffic.on_end(now, 1, end);
+    let reports = traffic.rollout_reports(now, 1);
+    let evidence = reports.iter().flat_map(|report| &report.routes);
+    let old = evidence.map(|(_, evidence)| &evidence.baseline);
+    old.fold((0, 0), |(whole, failed), old| (whole + old.answered, failed + old.failed))
+}
+
+/// Guards against a version that is rolled back, or one that is kept, because of callers that don't
+/// read.
+#[test]
+fn an_unread_answer_is_no_evidence_in_a_rollout() {
+    assert_eq!(answers_reported_after(SendEnd::Answered), (1, 0));
+    assert_eq!(answers_reported_after(SendEnd::ClosedByRunning), (0, 1));
+    assert_eq!(answers_reported_after(SendEnd::Unread), (0, 0));
+}
+
 /// The memory of an engine in [`configuration`], in tokens.
 const CAPACITY: u64 = 800_000;
 /// The memory that each request takes.
