Count bodies as they arrive, not as they are announced

A caller that announces a long body and sends it slowly held the announced length of the budget, so a few such callers kept all other bodies out. Bodies are counted as they arrive; their announced length decides only whether they are admitted, and one that arrives when the budget is exhausted fails with K3006. Trial: with the charge to the caller switched off, slow_readers fails as it should (closed-by-running 1 instead of unread 1).

--- a/src/kingcupgrade/transport/gateway/memory.rs
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -90,7 +90,8 @@
         Some(buffer)
     }
 
-    /// Reserves room for a body of this length, or of an unknown one; `None` if memory is short.
+    /// Returns what counts a body of this length, or of an unknown one, as it arrives; `None` if memory
+    /// is short. A length that is only announced takes no memory from others.
     pub(super) fn reserve_body(self: &Rc<Memory>, len: Option<u64>) -> Option<Rc<Reservation>> {
         let has_room = len == Some(0) || {
             let budget = self.budget.borrow();
@@ -100,12 +101,11 @@
             self.on_refused_body();
             return None;
         }
-        Some(self.reserve(len.unwrap_or(0)))
+        Some(self.reserve())
     }
 
-    pub(super) fn reserve(self: &Rc<Memory>, bytes: u64) -> Rc<Reservation> {
-        self.budget.borrow_mut().take(bytes);
-        Rc::new(Reservation { memory: self.clone(), bytes: Cell::new(bytes) })
+    pub(super) fn reserve(self: &Rc<Memory>) -> Rc<Reservation> {
+        Rc::new(Reservation { memory: self.clone(), bytes: Cell::new(0) })
     }
 
     pub(super) fn is_exhausted(&self) -> bool {
@@ -172,10 +172,9 @@
 }
 
 impl Reservation {
-    fn extend_to(&self, bytes: u64) {
-        let more = bytes.saturating_sub(self.bytes.get());
-        self.bytes.set(self.bytes.get() + more);
-        self.memory.budget.borrow_mut().take(more);
+    fn extend(&self, bytes: u64) {
+        self.bytes.set(self.bytes.get() + bytes);
+        self.memory.budget.borrow_mut().take(bytes);
     }
 }
 
@@ -297,7 +296,6 @@
 /// A body that is read into memory, counted as it arrives.
 pub(super) struct CountedBody<B> {
     body: B,
-    counted: u64,
     reservation: Rc<Reservation>,
     when_exhausted: WhenExhausted,
     timer: Option<Pin<Box<Sleep>>>,
@@ -309,13 +307,12 @@
         reservation: Rc<Reservation>,
         when_exhausted: WhenExhausted,
     ) -> CountedBody<B> {
-        CountedBody { body, counted: 0, reservation, when_exhausted, timer: None }
+        CountedBody { body, reservation, when_exhausted, timer: None }
     }
 
-    /// Waits until there is memory for more than what was reserved.
+    /// Waits until there is memory for more.
     fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), MemoryExhausted>> {
-        while self.counted >= self.reservation.bytes.get() && self.reservation.memory.is_exhausted()
-        {
+        while self.reservation.memory.is_exhausted() {
             if self.when_exhausted == WhenExhausted::Fail {
                 return Poll::Ready(Err(MemoryExhausted));
             }
@@ -341,8 +338,7 @@
         }
         let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
         if let Some(Ok(frame)) = &frame {
-            this.counted += frame.data_ref().map_or(0, Bytes::len) as u64;
-            this.reservation.extend_to(this.counted);
+            this.reservation.extend(frame.data_ref().map_or(0, Bytes::len) as u64);
         }
         Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
     }
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -267,7 +267,7 @@
         let mut response = first;
         loop {
             let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
-            let reservation = self.gateway.memory.reserve(0);
+            let reservation = self.gateway.memory.reserve();
             let body = CountedBody::new(body, reservation, WhenExhausted::Wait);
             let reading = connection.drive(Limited::new(body, MAX_RESPONSE_LEN).collect());
             let read = timeout_at(self.deadline, reading).await;
