--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod peer_reports;
 mod placement;
 mod plain;
+mod pressure;
 mod queue;
 mod returns;
 mod rollouts;
@@ -105,6 +106,8 @@
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
     output_averages: HashMap<Arc<str>, f64>,
+    /// Moving average of the time for which a request is in an engine's memory, in milliseconds.
+    memory_times: HashMap<Service, f64>,
 }
 
 impl Traffic {
@@ -135,6 +138,7 @@
             cause_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
+            memory_times: HashMap::new(),
         }
     }
 
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -25,6 +25,7 @@
     Gateway,
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
     caller::Caller,
+    memory::{AnswerBuffer, CountedBody, HeldBody, WhenExhausted},
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
 };
@@ -54,7 +55,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBody,
     pub(super) route: Arc<Route>,
     route_name: Arc<str>,
     service: Service,
@@ -111,10 +112,10 @@
         routed: RoutedRequest,
         head: request::Parts,
         decoded: RequestHead,
-        body: Bytes,
+        body: HeldBody,
     ) -> ProxiedRequest<E> {
         let RoutedRequest { route, organisation, service, output, arrived, timeout } = routed;
-        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body);
+        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body.bytes);
         let plan = configuration.services.get(&service);
         let stride =
             plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event);
@@ -149,6 +150,15 @@
         matches!(self.route.kind, RouteKind::Stream { .. })
     }
 
+    pub(super) fn now(&self) -> Millis {
+        self.gateway.now()
+    }
+
+    /// Returns what is buffered for the caller; `None` if that is not counted.
+    pub(super) fn answer_buffer(&self) -> Option<Rc<AnswerBuffer>> {
+        self.caller.buffer().cloned()
+    }
+
     /// Finds out which version has to serve the request, if its caller takes a stream up again.
     ///
     /// # Errors
@@ -222,6 +232,8 @@
         let mut response = first;
         loop {
             let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
+            let reservation = self.gateway.memory.reserve();
+            let body = CountedBody::new(body, reservation, WhenExhausted::Wait);
             let reading = connection.drive(Limited::new(body, MAX_RESPONSE_LEN).collect());
             let read = timeout_at(self.deadline, reading).await;
             let may_repeat = self.route.kind.is_idempotent();
@@ -234,14 +246,14 @@
                     }
                     attempt.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
                     self.gateway.pool.checkin(connection);
-                    return complete_response(head, body.to_bytes());
+                    return self.complete(head, body.to_bytes());
                 }
                 Ok(Ok(body)) => {
                     attempt.end(SendEnd::Failed);
                     self.gateway.pool.checkin(connection);
                     match self.retry().await {
                         Some(again) => response = again,
-                        None => return complete_response(head, body.to_bytes()),
+                        None => return self.complete(head, body.to_bytes()),
                     }
                 }
                 Ok(Err(err)) => {
@@ -259,12 +271,21 @@
                     }
                 }
                 Err(_) => {
-                    attempt.end(SendEnd::Broken);
+                    // While memory is exhausted, it is this entry that doesn't read.
+                    let is_unread = self.gateway.memory.is_exhausted();
+                    attempt.end(if is_unread { SendEnd::Cancelled } else { SendEnd::Broken });
                     return self.refuse(Code::AnswerTimeout, Millis::ZERO);
                 }
             }
         }
     }
+
+    fn complete(&self, head: http::response::Parts, body: Bytes) -> Response<ResponseBody<E>> {
+        if let Some(buffer) = self.answer_buffer() {
+            buffer.on_handed_over(body.len());
+        }
+        complete_response(head, body)
+    }
 }
 
 fn complete_response<E: PlatformAdapter>(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod load_exchange;
 mod load_shedding;
 mod members;
+mod memory;
 mod model_fleet;
 mod model_nodes;
 mod model_record;
