Learn how fast each upstream works and how much load it takes

Cause: an entry takes all upstreams of a service for equally fast. Where they differ by a third and slow down for fractions of a second, requests go to the slow ones and their callers wait.

Change: each entry compares answers with what the mean speed of the service lets expect, takes the fourth figure of the reported load as the present slowdown, and shares both as additive sums in its load reports, also for upstreams without requests. The result scales the expected times, the advance of unread prompts, the time to capacity and the ranks of engines for prompt parts. An upstream that answers late while it has free slots gets a limit on its requests under way. Nothing changes for a service whose upstreams state no slowdown.

--- a/src/kingcupgrade/coordination/traffic/engine.rs
+++ b/src/kingcupgrade/coordination/traffic/engine.rs
@@ -25,11 +25,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct EngineSpeed {
     read_rate: f64,
+    /// How long work takes on the engine in question, where 1 is the mean of the service.
+    duration_factor: f64,
 }
 
 impl Default for EngineSpeed {
     fn default() -> EngineSpeed {
-        EngineSpeed { read_rate: INITIAL_READ_RATE }
+        EngineSpeed { read_rate: INITIAL_READ_RATE, duration_factor: 1.0 }
     }
 }
 
@@ -52,11 +54,17 @@
     /// Returns the expected time to a first event before which `tokens` have to be read, in
     /// milliseconds.
     pub fn first_event_ms(&self, tokens: u64) -> f64 {
-        FIRST_EVENT_BASE_MS + tokens as f64 / self.read_rate
+        (FIRST_EVENT_BASE_MS + tokens as f64 / self.read_rate) * self.duration_factor
     }
 
     /// Returns the estimated read rate, in tokens per millisecond.
     pub fn read_rate(&self) -> f64 {
-        self.read_rate
+        self.read_rate / self.duration_factor
+    }
+
+    /// Returns the speed of an engine on which work takes `factor` times as long as the mean of the
+    /// service.
+    pub fn slowed_by(self, factor: f64) -> EngineSpeed {
+        EngineSpeed { duration_factor: self.duration_factor * factor, ..self }
     }
 }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod backlog;
 mod barred;
 mod budget;
+mod capability;
 mod cold;
 mod decaying_sum;
 mod demand;
@@ -33,6 +34,7 @@
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
+    capability::{CapabilityChange, CapabilityChanges},
     decaying_sum::DecayingSum,
     demand::{Demand, PromptPart, RequestNo},
     engine::EngineSpeed,
@@ -44,8 +46,8 @@
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
+    rollouts::Rollouts, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -78,6 +80,7 @@
     notices: Notices,
     peer_reports: PeerReports,
     speeds: HashMap<Service, EngineSpeed>,
+    capabilities: Capabilities,
     budgets: HashMap<Service, RetryBudget>,
     sent: HashMap<RequestNo, SentRequest>,
     waiting: Vec<queue::WaitingRequest>,
@@ -108,6 +111,7 @@
             notices: Notices::default(),
             peer_reports: PeerReports::default(),
             speeds: HashMap::new(),
+            capabilities: Capabilities::default(),
             budgets: HashMap::new(),
             sent: HashMap::new(),
             waiting: Vec::new(),
@@ -290,6 +294,7 @@
                 upstream.on_announced_parts(now, &parts);
             }
         }
+        self.on_reported_observations(now, &report);
         self.peer_reports.on_report(now, from, report, &mut self.upstreams);
     }
 
@@ -302,6 +307,7 @@
     /// Returns the load report to send to the other entries, with the prompt parts and the
     /// begun streams that they were not told of yet.
     pub fn take_report(&mut self, now: Millis) -> LoadReport {
+        self.refresh_capabilities(now);
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
         let begun = self.origins.take_unreported();
@@ -310,9 +316,8 @@
 
     /// Returns this entry's load, without what is told only once.
     pub fn report(&self, now: Millis) -> LoadReport {
-        let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.own.running > 0);
         LoadReport {
-            loads: busy.map(|(name, upstream)| (name.clone(), upstream.own.clone())).collect(),
+            loads: self.reported_loads(now),
             served: self.shares.served(now),
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
--- a/src/kingcupgrade/coordination/traffic/peer_reports.rs
+++ b/src/kingcupgrade/coordination/traffic/peer_reports.rs
@@ -108,6 +108,7 @@
             upstream.peers.running += load.running;
             upstream.peers.unread += load.unread;
             upstream.peers.memory += load.memory;
+            upstream.peers.observed.add(&load.observed);
         }
     }
 }
@@ -119,6 +120,7 @@
             peers.running = peers.running.saturating_sub(load.running);
             peers.unread = peers.unread.saturating_sub(load.unread);
             peers.memory = peers.memory.saturating_sub(load.memory);
+            peers.observed.subtract(&load.observed);
         }
     }
 }
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -85,6 +85,15 @@
     hash ^ (hash >> 33)
 }
 
+/// Returns the order of an upstream for a shared part among upstreams of different speeds, the first
+/// being the least: each ranks first for as many parts as corresponds to its weight, and only those
+/// parts move for which its rank has changed.
+fn weighted_order(part: u64, name: &UpstreamName, weight: f64) -> u64 {
+    let fraction = (rank(part, name) as f64 + 0.5) / u64::MAX as f64;
+    // The bits of floats that are not negative are ordered like the floats.
+    (-fraction.ln() / weight).max(0.0).to_bits()
+}
+
 /// Which upstreams of a service a request may go to, by their versions.
 #[derive(Clone, Copy, Debug)]
 enum Eligible<'a> {
@@ -137,8 +146,9 @@
             return Err(left.map_or(PlacementError::NoUpstream, PlacementError::BackingOff));
         }
         if let Some(part) = demand.affinity() {
-            names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
+            self.sort_by_rank(&mut names, part, &demand.service);
         }
+        let entries = self.entry_count();
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let ms_to_target = (demand.target.since(now).0 as f64 - RETURN_MARGIN_MS).max(0.0);
         let is_canary = matches!(eligible, Eligible::UsedAs(Use::Canary));
@@ -154,6 +164,7 @@
             let cold_rate = upstream.is_cold(now).then(|| self.cold_rate(&plan, &name));
             let max_running = self.slow_start_limit(now, upstream);
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
+            let speed = speed.slowed_by(upstream.duration_factor(now));
             upstream.advance_reading(now, speed.read_rate());
             if cold_rate.is_some_and(|rate| !upstream.allows_cold_request(now, rate)) {
                 continue;
@@ -161,6 +172,10 @@
             if max_running.is_some_and(|max| upstream.own.running >= max) {
                 continue;
             }
+            if !is_canary && upstream.is_at_load_limit(now, entries) {
+                position += usize::from(!upstream.is_cold(now));
+                continue;
+            }
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
@@ -186,6 +201,19 @@
         best.map(|(_, name)| name).ok_or(PlacementError::Full)
     }
 
+    /// Sorts upstreams by their ranks for a shared part.
+    fn sort_by_rank(&self, names: &mut [UpstreamName], part: u64, service: &Service) {
+        if !self.capabilities.is_in_force(service) {
+            names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
+            return;
+        }
+        names.sort_by_cached_key(|name| {
+            let upstream = self.upstreams.get(name);
+            let weight = upstream.map_or(1.0, |upstream| upstream.capability.rank_weight());
+            weighted_order(part, name, weight)
+        });
+    }
+
     /// Returns how many requests this entry may have under way at an upstream that has backed off
     /// shortly before; `None` if there is no limit.
     fn slow_start_limit(&self, now: Millis, upstream: &Upstream) -> Option<u32> {
@@ -198,13 +226,13 @@
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let names = self.usable(now, demand, Eligible::of(&demand.version));
-        let unread = names.iter().filter_map(|name| {
+        let times = names.iter().filter_map(|name| {
             let upstream = self.upstreams.get_mut(name)?;
+            let speed = speed.slowed_by(upstream.duration_factor(now));
             upstream.advance_reading(now, speed.read_rate());
-            Some(upstream.unread())
+            Some(upstream.unread() as f64 / speed.read_rate())
         });
-        let least = unread.min().unwrap_or(0);
-        Millis((least as f64 / speed.read_rate()) as u64)
+        Millis(times.min_by(f64::total_cmp).unwrap_or(0.0) as u64)
     }
 
     /// Returns the mean number of requests under way at upstreams that serve: the load that a
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use super::{
-    Basis, Demand, Disconnect, Grant, PromptPart, ReportedLoad, RequestNo, SendEnd, Traffic,
-    barred::BEGUN_EVENTS, demand::shared_parts,
+    Basis, Demand, Disconnect, EngineSpeed, Grant, PromptPart, ReportedLoad, RequestNo, SendEnd,
+    Traffic, barred::BEGUN_EVENTS, demand::shared_parts,
 };
 use crate::{
     coordination::rollout::Use,
@@ -28,6 +28,10 @@
     pub(super) organisation: Organisation,
     pub(super) route: Arc<str>,
     pub(super) sent_at: Millis,
+    /// When the first byte of the answer should reach the caller.
+    pub(super) target: Millis,
+    /// The requests of all entries under way at the upstream, including this one.
+    pub(super) running: u32,
     /// Prompt tokens to be read at the upstream before its first event, its own included.
     pub(super) tokens_ahead: u64,
     pub(super) memory: u64,
@@ -47,7 +51,8 @@
     pub(super) version_use: Use,
     /// Whether the upstream's times say nothing of its version, as it was cold.
     pub(super) was_cold: bool,
-    /// The expected time to the first event; zero for a plain upstream.
+    /// The time to the first event that the mean speed of the service lets expect, since a rollout
+    /// judges a version by it; zero for a plain upstream.
     pub(super) expected: Millis,
     pub(super) first_event_at: Option<Millis>,
     /// The tokens in one event of the answer; 1 for a plain upstream.
@@ -91,8 +96,13 @@
         let unread = upstream.uncached_tokens(now, demand);
         let tokens_ahead = upstream.unread() + unread;
         let prompt = demand.prompt_tokens();
-        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let is_engine = plan.engine.is_some();
+        let mean_speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
+        let speed = mean_speed.slowed_by(upstream.duration_factor(now));
+        let expected = |speed: EngineSpeed| match plan.engine {
+            Some(_) => speed.first_event_ms(tokens_ahead) as u64,
+            None => 0,
+        };
+        let running = upstream.running(now) + 1;
         let basis = Basis {
             running: (upstream.own.running, upstream.peers.running),
             unread: upstream.unread(),
@@ -100,7 +110,7 @@
             memory: upstream.memory(),
             failures: upstream.health.failure_rate(),
             is_cold: upstream.is_cold(now),
-            expected_ms: if is_engine { speed.first_event_ms(tokens_ahead) as u64 } else { 0 },
+            expected_ms: expected(speed),
         };
         // Prompt parts that the upstream has cached take no more memory for another request.
         let memory = unread + u64::from(demand.expected_output);
@@ -120,6 +130,8 @@
             organisation: demand.organisation.clone(),
             route: demand.route.clone(),
             sent_at: now,
+            target: demand.target,
+            running,
             tokens_ahead,
             memory,
             prompt,
@@ -133,7 +145,7 @@
             version: upstream.listed.version.clone(),
             version_use: upstream.version_use,
             was_cold: upstream.is_cold(now),
-            expected: Millis(basis.expected_ms),
+            expected: Millis(expected(mean_speed)),
             first_event_at: None,
             tokens_per_event: plan.engine.as_ref().map_or(1, |engine| engine.tokens_per_event),
         };
@@ -168,6 +180,10 @@
             let speed = self.speeds.entry(sent.service.clone()).or_default();
             speed.on_first_event(sent.tokens_ahead, now.since(sent.sent_at));
         }
+        if self.capabilities.is_in_force(&sent.service) {
+            let sent = sent.clone();
+            self.on_engine_duration(now, &sent);
+        }
     }
 
     /// Records that the head of an answer has arrived.
@@ -200,6 +216,7 @@
         if let Some(upstream) = self.upstreams.get_mut(name) {
             upstream.on_report(now, load.running, load.waiting);
         }
+        self.on_slowdown(now, name, load.slowdown);
     }
 
     /// Records the end of a request that was sent; returns how far it was if its upstream closed the
@@ -207,6 +224,9 @@
     pub fn on_end(&mut self, now: Millis, no: RequestNo, end: SendEnd) -> Option<Disconnect> {
         let sent = self.sent.remove(&no)?;
         self.rollouts.on_end(now, &sent, end);
+        if end == SendEnd::Answered {
+            self.on_plain_duration(now, &sent);
+        }
         let service_rate = self.median_failure_rate(&sent.service);
         if let Some(upstream) = self.upstreams.get_mut(&sent.upstream) {
             upstream.own.running = upstream.own.running.saturating_sub(1);
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::{backlog::Backlog, demand::Demand, health::Health};
+use super::{backlog::Backlog, capability::Capability, demand::Demand, health::Health};
 use crate::{
     coordination::{notices::NoticeState, rollout::Use},
     core::Millis,
@@ -74,6 +74,8 @@
     pub backlog: Backlog,
     /// The upstream's health.
     pub health: Health,
+    /// How fast it works and how much load it takes.
+    pub(super) capability: Capability,
     cold_bucket: ColdBucket,
     /// The running and waiting requests that the upstream last reported, and when it did.
     reported: Option<(u32, u32, Millis)>,
@@ -93,19 +95,21 @@
             peers: Load::default(),
             backlog: Backlog::default(),
             health: Health::default(),
+            capability: Capability::default(),
             reported: None,
             cached: HashMap::new(),
         }
     }
 
-    /// Applies a newer listing. If the upstream has restarted since, its cache, health and reported
-    /// load are reset.
+    /// Applies a newer listing. If the upstream has restarted since, its cache, health, capability
+    /// and reported load are reset.
     pub fn relist(&mut self, now: Millis, listed: ListedUpstream) {
         let has_restarted = listed.started_unix_ms != self.listed.started_unix_ms
             || listed.address != self.listed.address;
         if has_restarted {
             self.cached.clear();
             self.health = Health::default();
+            self.capability = Capability::after_restart(now);
             self.reported = None;
         }
         if listed.cold > Millis::ZERO {
@@ -139,6 +143,31 @@
         }
     }
 
+    /// Returns how long work takes there at present, where 1 is the mean of its service; 1 if nothing
+    /// is known.
+    pub fn duration_factor(&self, now: Millis) -> f64 {
+        self.capability.duration_factor(now, &self.peers.observed)
+    }
+
+    /// Returns the limit on the requests of all entries under way, if the upstream was found to
+    /// answer late before it was full.
+    pub fn load_limit(&self) -> Option<u32> {
+        self.capability.load_limit()
+    }
+
+    /// Returns the weight of the answers of all entries from which its lasting speed is known.
+    pub fn speed_answers(&self, now: Millis) -> f64 {
+        self.capability.answers(now, &self.peers.observed)
+    }
+
+    /// Returns whether the upstream has as many requests under way as it answers in time, or as many
+    /// of this entry, one of `entries`, as that one may send.
+    pub(super) fn is_at_load_limit(&self, now: Millis, entries: usize) -> bool {
+        let share = self.capability.limit_share(now, &self.peers.observed, entries);
+        share.is_some_and(|share| self.own.running >= share)
+            || self.load_limit().is_some_and(|limit| self.running(now) >= limit)
+    }
+
     /// Advances the estimate of unread prompts; the read rate, in tokens per millisecond, is
     /// divided between the entries in proportion to their unread prompts.
     pub fn advance_reading(&mut self, now: Millis, rate: f64) {
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -158,8 +158,14 @@
             let label = name.as_str().to_owned();
             gauge!("kingcup_upstream_running", "upstream" => label.clone())
                 .set(f64::from(upstream.running(now)));
-            gauge!("kingcup_upstream_memory_tokens", "upstream" => label)
+            gauge!("kingcup_upstream_memory_tokens", "upstream" => label.clone())
                 .set(upstream.memory() as f64);
+            gauge!("kingcup_upstream_duration_factor", "upstream" => label.clone())
+                .set(upstream.duration_factor(now));
+            gauge!("kingcup_upstream_speed_answers", "upstream" => label.clone())
+                .set(upstream.speed_answers(now));
+            let limit = upstream.load_limit().unwrap_or(upstream.listed.slots);
+            gauge!("kingcup_upstream_load_limit", "upstream" => label).set(f64::from(limit));
         }
     }
 
@@ -201,6 +207,16 @@
         }
     }
 
+    /// Logs and counts the changes of the limits and ranks of upstreams since the last call.
+    fn log_capability_changes(&self) {
+        let changes = self.traffic.borrow_mut().take_capability_changes();
+        if !changes.is_empty() {
+            let count = changes.changes.len() as u64 + changes.untold;
+            counter!("kingcup_capability_changes").increment(count);
+            log::event("upstream-capability", &changes);
+        }
+    }
+
     /// Tells the other entries of crashes; returns whether there was anything to tell.
     fn share_crashes(&self, now: Millis) -> bool {
         let news = self.traffic.borrow_mut().take_crash_news(now);
@@ -353,6 +369,7 @@
         }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
+            gateway.log_capability_changes();
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod cached_parts;
+mod capability;
 mod configuration_pull;
 mod connections;
 mod crash_causes;
