Lower an upstream's load only for answers that are late there and not elsewhere

Cause: a limit that followed single late answers fell with every shortage of this entry's own processor, which delays the answers of all upstreams alike. The confidence in an upstream with few answers pulled it towards what was expected instead of towards the mean of its service.

Change: the limit falls once the share of late answers exceeds that of the service's other upstreams by more than the part of the load that is given up. Lasting speeds are relative to the mean of the service, weighted by confidence, and cancel out.

--- a/src/kingcupgrade/coordination/traffic/capability/learning.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/learning.rs
@@ -82,12 +82,12 @@
         }
         let took_ms = now.since(sent.sent_at).0 as f64;
         let Some(log_ratio) = plausible_log(took_ms / expected_ms.max(1.0)) else { return };
-        upstream.capability.on_duration(now, log_ratio, weight, &upstream.peers.observed);
+        let relative = log_ratio - means.excess;
+        upstream.capability.on_duration(now, relative, weight, &upstream.peers.observed);
         // A rollout limits the exposure of a canary and judges its answers.
         if sent.version_use != Use::Serving {
             return;
         }
-        let excess = means.excess.max(0.0);
         means.on_excess(log_ratio);
         let slack = sent.target.since(sent.sent_at).0 as f64 / expected_ms.max(1.0);
         if slack <= 1.0 {
@@ -95,11 +95,11 @@
         }
         means.on_slack(slack.ln());
         let outcome = Outcome {
-            is_late: log_ratio - excess > slack.ln(),
+            is_late: log_ratio > slack.ln(),
             running: sent.running.max(upstream.running(now)),
             slots: upstream.listed.slots,
         };
-        let step = upstream.capability.limit.observe(now, outcome);
+        let step = upstream.capability.limit.on_answer(now, outcome, &mut means.late);
         self.log_limit(now, &sent.upstream, step);
     }
 
@@ -117,20 +117,24 @@
         }
     }
 
+    /// Returns the mean over the upstreams that serve, each weighted by the confidence in it, so that
+    /// the lasting parts relative to it cancel out.
     fn mean_estimate(&self, now: Millis, names: &[UpstreamName]) -> f64 {
         let serving = names.iter().filter_map(|name| self.upstreams.get(name));
         let serving = serving.filter(|upstream| upstream.version_use == Use::Serving);
-        let estimates: Vec<f64> = serving
-            .map(|upstream| upstream.capability.estimate(now, &upstream.peers.observed).0)
-            .collect();
-        estimates.iter().sum::<f64>() / estimates.len().max(1) as f64
+        let (mut sum, mut weight) = (0.0, 0.0);
+        for upstream in serving {
+            let estimate = upstream.capability.estimate(now, &upstream.peers.observed);
+            sum += estimate.mean * estimate.confidence();
+            weight += estimate.confidence();
+        }
+        if weight > 0.0 { sum / weight } else { 0.0 }
     }
 
     fn refresh_lasting(&mut self, now: Millis, name: &UpstreamName, mean: f64) {
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
-        let (estimate, answers) = upstream.capability.estimate(now, &upstream.peers.observed);
-        // Without answers, nothing is known but that the service has a mean.
-        let lasting = if answers > 0.0 { estimate - mean } else { 0.0 };
+        let estimate = upstream.capability.estimate(now, &upstream.peers.observed);
+        let lasting = (estimate.mean - mean) * estimate.confidence();
         let before = upstream.capability.rank_weight();
         if upstream.capability.set_lasting(lasting).is_some() {
             let rank_weight = Some((before, upstream.capability.rank_weight()));
@@ -141,8 +145,8 @@
 
     /// Judges whether answers of an upstream would be late at its present slowdown.
     fn judge_load(&mut self, now: Millis, service: &Service, name: &UpstreamName) {
-        let means = self.capabilities.services.get(service);
-        let Some(slack) = means.and_then(|means| means.slack) else { return };
+        let Some(means) = self.capabilities.services.get_mut(service) else { return };
+        let Some(slack) = means.slack else { return };
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
         let running = upstream.running(now);
         let (_, statements) = upstream.capability.stated(now, &upstream.peers.observed);
@@ -154,7 +158,7 @@
             running,
             slots: upstream.listed.slots,
         };
-        let step = upstream.capability.limit.observe(now, outcome);
+        let step = upstream.capability.limit.on_slowdown(now, outcome, &mut means.late);
         self.log_limit(now, name, step);
     }
 
--- a/src/kingcupgrade/coordination/traffic/capability/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/mod.rs
@@ -56,6 +56,22 @@
     age: Millis,
 }
 
+/// An estimate of the lasting duration of work.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    /// The mean logarithm of duration over expectation.
+    mean: f64,
+    /// The weight of the answers that it follows from.
+    answers: f64,
+}
+
+impl Estimate {
+    /// Returns the confidence in the estimate, against the mean of the service.
+    fn confidence(&self) -> f64 {
+        self.answers / (self.answers + PRIOR_ANSWERS)
+    }
+}
+
 /// The capability of one incarnation of an upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Capability {
@@ -130,9 +146,8 @@
         Observed { answers, log_duration, statements, log_slowdown }
     }
 
-    /// Returns the logarithm of the lasting duration of work relative to what was expected, and the
-    /// weight of the answers that it follows from; `peers` are the observations of other entries.
-    fn estimate(&self, now: Millis, peers: &Observed) -> (f64, f64) {
+    /// Estimates the lasting duration of work; `peers` are the observations of other entries.
+    fn estimate(&self, now: Millis, peers: &Observed) -> Estimate {
         let own = self.durations.weight(now, DURATION_TIME_CONSTANT);
         let sum = self.durations.sum(now, DURATION_TIME_CONSTANT);
         let (others, mean) = match now >= self.reports_from && peers.answers > 0 {
@@ -144,7 +159,7 @@
             false => (0.0, 0.0),
         };
         let answers = own + others;
-        ((sum + mean * others) / (answers + PRIOR_ANSWERS), answers)
+        Estimate { mean: (sum + mean * others) / answers.max(f64::MIN_POSITIVE), answers }
     }
 
     /// Sets the lasting duration of work relative to the mean of the service, a logarithm; returns
@@ -196,7 +211,7 @@
 
     /// Returns the weight of the answers of all entries that the lasting part follows from.
     pub(super) fn answers(&self, now: Millis, peers: &Observed) -> f64 {
-        self.estimate(now, peers).1
+        self.estimate(now, peers).answers
     }
 
     /// Returns the limit on requests under way, if the upstream was found to answer late.
--- a/src/kingcupgrade/coordination/traffic/capability/service.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/service.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::limit::LimitStep;
+use super::limit::{LateAnswers, LimitStep};
 use crate::core::{Service, UpstreamName};
 
 /// The weight of one answer in the moving averages of a service.
@@ -17,12 +17,14 @@
 pub(super) struct ServiceMeans {
     /// The duration of requests that found a free slot, in milliseconds; only of plain services.
     pub(super) plain_ms: Option<f64>,
-    /// The logarithm of duration over expectation. What all upstreams share is no fault of one: this
-    /// entry's processor may be short, or the whole service overloaded.
+    /// The logarithm of duration over expectation. What all upstreams share is not the speed of one:
+    /// this entry's processor may be short, or the whole service overloaded.
     pub(super) excess: f64,
     /// The logarithm of the time left to the target over the expected duration: by how much work may
     /// slow down until answers are late. `None` before the first request.
     pub(super) slack: Option<f64>,
+    /// The answers of all upstreams, late or in time.
+    pub(super) late: LateAnswers,
 }
 
 impl ServiceMeans {
@@ -63,7 +65,7 @@
     pub rank_weight: Option<(f64, f64)>,
 }
 
-/// The changes since the last call of [`take_capability_changes`](crate::coordination::traffic::Traffic::take_capability_changes).
+/// Changes to log; beyond a few they are only counted.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct CapabilityChanges {
     /// The first of them.
--- a/tests/testsuite/capability.rs
+++ b/tests/testsuite/capability.rs
@@ -5,7 +5,7 @@
 
 use kingcup_support::traffic::listed;
 use kingcupgrade::{
-    coordination::traffic::{Demand, ReportedLoad, RequestNo, SendEnd, Traffic, Verdict},
+    coordination::traffic::{Demand, ReportedLoad, RequestNo, SendEnd, Traffic},
     core::{Millis, UpstreamName},
     protocol::{
         Message,
@@ -180,53 +180,86 @@
     assert!(bytes * 2 * 4 < 26_000, "a report of {bytes} bytes");
 }
 
-/// A plain upstream on which requests take longer the more of them run.
-struct CrowdedUpstream {
-    running: BTreeMap<RequestNo, (UpstreamName, Millis)>,
-    /// The most requests that ran at once since the last look.
-    most: usize,
+/// Entries that send plain requests to upstreams of which `plain-0` takes less than it has slots.
+struct Crowd {
+    fleet: Vec<Traffic>,
+    /// The entry, the upstream and the end of each request under way.
+    running: BTreeMap<RequestNo, (usize, UpstreamName, Millis)>,
+    /// The number of requests at `plain-0` in each step since the last look.
+    loads: Vec<usize>,
 }
 
-impl CrowdedUpstream {
+impl Crowd {
+    fn new(entries: usize) -> Crowd {
+        let names = entry_names(entries);
+        let mut fleet: Vec<Traffic> =
+            (0..entries).map(|entry| traffic_for_entry(entry, 1e9, 0)).collect();
+        for traffic in &mut fleet {
+            traffic.set_entries(names.clone());
+            traffic.on_load(Millis(900), &name("plain-0"), stated(1.0));
+        }
+        Crowd { fleet, running: BTreeMap::new(), loads: Vec::new() }
+    }
+
+    fn load(&self) -> usize {
+        self.running.values().filter(|(_, upstream, _)| upstream.as_str() == "plain-0").count()
+    }
+
     /// Starts a request; those beyond `good_load` on `plain-0` take beyond their target.
-    fn start(&mut self, now: Millis, no: RequestNo, upstream: UpstreamName, good_load: usize) {
-        let is_crowded = upstream.as_str() == "plain-0";
-        let there = self.running.values().filter(|(name, _)| *name == upstream).count() + 1;
-        let took = if is_crowded && there > good_load { 900 } else { 60 };
-        if is_crowded {
-            self.most = self.most.max(there);
+    fn start(&mut self, now: Millis, no: RequestNo, entry: usize, good_load: usize) {
+        let verdict = self.fleet[entry].admit(now, plain(no, now, "alder"));
+        let Some(upstream) = assigned_upstream(verdict) else {
+            self.fleet[entry].cancel_waiting(no);
+            return;
+        };
+        let is_crowded = upstream.as_str() == "plain-0" && self.load() >= good_load;
+        let took = if is_crowded { 900 } else { 60 };
+        self.running.insert(no, (entry, upstream, now + Millis(took)));
+    }
+
+    fn end_due(&mut self, now: Millis) {
+        for (no, (entry, upstream, _)) in
+            self.running.extract_if(.., |_, (_, _, ends)| *ends <= now)
+        {
+            self.fleet[entry].on_load(now, &upstream, stated(1.0));
+            self.fleet[entry].on_end(now, no, SendEnd::Answered);
         }
-        self.running.insert(no, (upstream, now + Millis(took)));
     }
 
-    fn end_due(&mut self, now: Millis, traffic: &mut Traffic) {
-        for (no, (upstream, _)) in self.running.extract_if(.., |_, (_, ends)| *ends <= now) {
-            traffic.on_load(now, &upstream, stated(1.0));
-            traffic.on_end(now, no, SendEnd::Answered);
+    fn exchange_reports(&mut self, now: Millis) {
+        let names = entry_names(self.fleet.len());
+        let reports: Vec<LoadReport> =
+            self.fleet.iter_mut().map(|traffic| traffic.take_report(now)).collect();
+        for (entry, traffic) in self.fleet.iter_mut().enumerate() {
+            for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != entry) {
+                traffic.on_report(now, names[from].clone(), report.clone());
+            }
         }
     }
 
-    /// Sends two plain requests every 5 ms from `from` to `until`, up to 16 at once.
-    fn run(&mut self, traffic: &mut Traffic, from: u64, until: u64, good_load: usize) {
+    /// Makes two plain requests every 5 ms from `from` to `until`, up to 16 at once, at one entry
+    /// after the other.
+    fn run(&mut self, from: u64, until: u64, good_load: usize) {
         for at in (from..until).step_by(5) {
             let now = Millis(at);
-            self.end_due(now, traffic);
+            self.end_due(now);
             if at % REPORT_INTERVAL == 0 {
-                traffic.take_report(now);
+                self.exchange_reports(now);
             }
             for no in at..at + 2 {
-                if self.running.len() >= 16 {
-                    break;
-                }
-                match traffic.admit(now, plain(no, now, "alder")) {
-                    Some(Verdict::Start(grant)) => {
-                        self.start(now, no, grant.upstream, good_load);
-                    }
-                    _ => traffic.cancel_waiting(no),
+                if self.running.len() < 16 {
+                    self.start(now, no, no as usize % self.fleet.len(), good_load);
                 }
             }
+            self.loads.push(self.load());
         }
     }
+
+    /// Returns the mean number of requests at `plain-0` since the last look.
+    fn take_mean_load(&mut self) -> f64 {
+        let loads = std::mem::take(&mut self.loads);
+        loads.iter().sum::<usize>() as f64 / loads.len() as f64
+    }
 }
 
 /// Guards against an upstream that goes on getting as many requests as it has slots though it
@@ -234,17 +267,32 @@
 /// has recovered.
 #[test]
 fn an_upstream_that_answers_late_gets_less_and_is_tried_again_step_by_step() {
-    let mut traffic = traffic(1e9, 0);
-    let mut upstreams = CrowdedUpstream { running: BTreeMap::new(), most: 0 };
-    traffic.on_load(Millis(900), &name("plain-0"), stated(1.0));
-    upstreams.run(&mut traffic, 1_000, 20_000, 2);
-    let limited = limit(&traffic, "plain-0");
+    let mut crowd = Crowd::new(1);
+    crowd.run(1_000, 20_000, 2);
+    let limited = limit(&crowd.fleet[0], "plain-0");
     assert!(limited.is_some_and(|limit| (1..=4).contains(&limit)), "{limited:?}");
-    assert_eq!(limit(&traffic, "plain-1"), None, "an upstream that answers in time is limited");
-    upstreams.most = 0;
-    upstreams.run(&mut traffic, 20_000, 40_000, usize::MAX);
-    assert!(upstreams.most > 0, "the upstream gets nothing");
-    assert_eq!(limit(&traffic, "plain-0"), None, "the upstream has recovered");
+    let other = limit(&crowd.fleet[0], "plain-1");
+    assert_eq!(other, None, "an upstream that answers in time is limited");
+    let load = crowd.take_mean_load();
+    assert!(load < 4.0, "{load} requests on average");
+    crowd.run(20_000, 40_000, usize::MAX);
+    assert!(crowd.take_mean_load() > 4.0, "the upstream gets little though it has recovered");
+    assert_eq!(limit(&crowd.fleet[0], "plain-0"), None, "the limit stays after the recovery");
+}
+
+/// Guards against a limit that each entry takes for its own: together they would send many times
+/// what the upstream answers in time.
+#[test]
+fn entries_together_keep_to_the_limit_of_an_upstream() {
+    let mut crowd = Crowd::new(5);
+    crowd.run(1_000, 10_000, 2);
+    crowd.take_mean_load();
+    crowd.run(10_000, 30_000, 2);
+    let load = crowd.take_mean_load();
+    let limits: Vec<_> = crowd.fleet.iter().map(|traffic| limit(traffic, "plain-0")).collect();
+    // One request more than it answers in time is tried now and then.
+    assert!(load <= 3.0, "{load} requests on average, with limits {limits:?}");
+    assert!(load > 0.5, "{load} requests on average: the upstream gets next to nothing");
 }
 
 /// Guards against limiting all upstreams because their answers are late here alone, as when this
@@ -257,9 +305,7 @@
         let now = Millis(at);
         let granted: Vec<Demand> = (0..6).map(|n| plain(at + n, now, "alder")).collect();
         for request in &granted {
-            let no = request.no;
             assigned_upstream(traffic.admit(now, request.clone())).expect("a plain upstream");
-            assert!(no >= at);
         }
         granted.iter().for_each(|request| {
             traffic.on_end(now + Millis(took), request.no, SendEnd::Answered);
@@ -267,9 +313,10 @@
         traffic.take_report(now + Millis(took));
     };
     (1..20).for_each(|n| serve(&mut traffic, 1_000 * n, 60));
-    (20..40).for_each(|n| serve(&mut traffic, 1_000 * n, 560));
-    for upstream in ["plain-0", "plain-1", "plain-2"] {
-        let limited = limit(&traffic, upstream);
-        assert!(limited.is_none_or(|limit| limit >= 3), "{upstream} is limited to {limited:?}");
+    for n in 20..40 {
+        serve(&mut traffic, 1_000 * n, 560);
+        for upstream in ["plain-0", "plain-1", "plain-2"] {
+            assert_eq!(limit(&traffic, upstream), None, "{upstream} after {n} s");
+        }
     }
 }
