Count an upstream's first stated slowdown as present, not as its usual one

Cause: the first statement counted in the mean of the usual slowdown as if it had held for a second, so that a stated 2.5 lengthened expected times by less than 1.8.

Change: a statement counts there with the time since the previous one, the first one with none. A test covers the time for which a stated slowdown counts and that requests go elsewhere meanwhile.

--- a/src/kingcupgrade/coordination/traffic/capability/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/mod.rs
@@ -82,7 +82,7 @@
     /// The same over a longer time, with those of other entries: the usual slowdown.
     usual: DecayingMean,
     /// When a slowdown was last counted there.
-    usual_at: Millis,
+    usual_at: Option<Millis>,
     reported: Option<Reported>,
     /// Reports before this time may be about the previous incarnation.
     reports_from: Millis,
@@ -130,9 +130,9 @@
     /// Counts a slowdown with the time since the previous one: statements that come close together
     /// are about the same moment, and must not make a short slowdown the usual one.
     fn count_as_usual(&mut self, now: Millis, log_slowdown: f64) {
-        let elapsed = now.since(self.usual_at).min(MAX_USUAL_SPAN);
+        let previous = self.usual_at.replace(now).unwrap_or(now);
+        let elapsed = now.since(previous).min(MAX_USUAL_SPAN);
         let weight = elapsed.0 as f64 / MAX_USUAL_SPAN.0 as f64;
-        self.usual_at = now;
         self.usual.add(now, log_slowdown, weight, DURATION_TIME_CONSTANT);
     }
 
--- a/tests/testsuite/capability.rs
+++ b/tests/testsuite/capability.rs
@@ -5,7 +5,7 @@
 
 use kingcup_support::traffic::listed;
 use kingcupgrade::{
-    coordination::traffic::{Demand, ReportedLoad, RequestNo, SendEnd, Traffic},
+    coordination::traffic::{Demand, ReportedLoad, RequestNo, SendEnd, Traffic, Verdict},
     core::{Millis, UpstreamName},
     protocol::{
         Message,
@@ -81,6 +81,31 @@
     assert!(slow_served > 0, "the slow engine gets nothing: {served:?}");
 }
 
+/// Guards against sending requests to an engine that has just said that it is slow, when they would
+/// miss their target there and not elsewhere, and against telling a wrong expected time in the log.
+#[test]
+fn a_stated_slowdown_counts_at_once_for_a_short_time() {
+    let admitted = |slowdown: f32, at: u64| {
+        let mut traffic = traffic(1e9, 1);
+        traffic.on_load(Millis(1_000), &name("engine-0"), stated(slowdown));
+        match traffic.admit(Millis(at), demand(1, Millis(at), "alder", 1, OWN_TOKENS)) {
+            Some(Verdict::Start(grant)) => grant.basis.expected_ms as f64,
+            other => panic!("an idle engine takes the request: {other:?}"),
+        }
+    };
+    let usual = admitted(1.0, 1_010);
+    assert!(admitted(2.5, 1_010) > usual * 1.8, "the slowdown does not count");
+    assert!(admitted(2.5, 2_000) < usual * 1.1, "the slowdown counts for too long");
+
+    let mut traffic = traffic(1e9, ENGINES);
+    let request = |no: RequestNo| demand(no, Millis(1_010), "alder", 7, OWN_TOKENS);
+    let home = assigned_upstream(traffic.admit(Millis(1_010), request(1))).expect("an engine");
+    finish(&mut traffic, Millis(1_010), 1);
+    traffic.on_load(Millis(1_010), &home, stated(8.0));
+    let next = assigned_upstream(traffic.admit(Millis(1_010), request(2))).expect("an engine");
+    assert_ne!(next, home, "the part's preferred engine is too slow at present");
+}
+
 /// Guards against moving prompt parts between engines with each short slowdown: the other engine
 /// has to read the part again, which takes longer than the slowdown lasts.
 #[test]
@@ -175,9 +200,10 @@
     }
     let idle = report.loads.iter().filter(|(_, load)| load.running == 0);
     assert!(idle.count() > 5, "{report:?}");
+    let listed = report.loads.len();
     let bytes = Payload::new(&Message::Fleet(FleetMessage::Load(report))).bytes().len();
     // At 125 entries, an entry sends a report to two collectors every 250 ms.
-    assert!(bytes * 2 * 4 < 26_000, "a report of {bytes} bytes");
+    assert!(bytes * 2 * 4 < 26_000, "a report of {bytes} bytes, {listed} upstreams");
 }
 
 /// Entries that send plain requests to upstreams of which `plain-0` takes less than it has slots.
