--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod backlog;
 mod barred;
 mod budget;
+mod capability;
 mod cold;
 mod decaying_sum;
 mod demand;
@@ -39,6 +40,7 @@
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
+    capability::{CapabilityChange, CapabilityChanges},
     decaying_sum::DecayingSum,
     demand::{Demand, PromptPart, RequestNo, work_of},
     engine::EngineSpeed,
@@ -53,8 +55,8 @@
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, plain::PlainServices,
-    rollouts::Rollouts, room::RoomReports, sent::SentRequest, turns::Turns,
+    capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
+    plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest, turns::Turns,
 };
 use crate::{
     coordination::{
@@ -88,6 +90,7 @@
     peer_reports: PeerReports,
     room: RoomReports,
     speeds: HashMap<Service, EngineSpeed>,
+    capabilities: Capabilities,
     budgets: HashMap<Service, RetryBudget>,
     sent: HashMap<RequestNo, SentRequest>,
     waiting: Vec<queue::WaitingRequest>,
@@ -124,6 +127,7 @@
             peer_reports: PeerReports::default(),
             room: RoomReports::default(),
             speeds: HashMap::new(),
+            capabilities: Capabilities::default(),
             budgets: HashMap::new(),
             sent: HashMap::new(),
             waiting: Vec::new(),
@@ -311,6 +315,7 @@
                 upstream.on_announced_parts(now, &parts);
             }
         }
+        self.on_reported_observations(now, &report);
         self.peer_reports.on_report(now, from, report, &mut self.upstreams);
     }
 
@@ -323,6 +328,7 @@
     /// Returns the load report to send to the other entries, with the prompt parts and the
     /// begun streams that they were not told of yet.
     pub fn take_report(&mut self, now: Millis) -> LoadReport {
+        self.refresh_capabilities(now);
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
         let begun = self.origins.take_unreported();
@@ -331,9 +337,8 @@
 
     /// Returns this entry's load, without what is told only once.
     pub fn report(&self, now: Millis) -> LoadReport {
-        let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.own.running > 0);
         LoadReport {
-            loads: busy.map(|(name, upstream)| (name.clone(), upstream.own.clone())).collect(),
+            loads: self.reported_loads(now),
             served: self.shares.served(now),
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
--- a/src/kingcupgrade/coordination/traffic/plain/spread.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/spread.rs
@@ -52,7 +52,7 @@
         }
         let load = under_way + 1.0 / slots;
         let success_rate = 1.0 - upstream.health.failure_rate().min(MAX_FAILURE_RATE);
-        let expected = load * duration_factor(now, upstream) / success_rate;
+        let expected = load * upstream.duration_factor(now) / success_rate;
         let spread = (MAX_SPREAD * self.staleness).max(MIN_SPREAD);
         let place_in_spread =
             unit_hash((self.no, self.entry.as_str(), upstream.listed.name.as_str()));
@@ -81,12 +81,6 @@
     }
 }
 
-/// Returns the duration of a request at an upstream, as a multiple of that at the mean upstream of
-/// its service.
-fn duration_factor(_now: Millis, _upstream: &Upstream) -> f64 {
-    1.0
-}
-
 /// Returns a number from 0 up to 1 that is different for each key.
 pub(super) fn unit_hash(key: impl Hash) -> f64 {
     let mut hasher = DefaultHasher::new();
