Revert retry times of their own for refused callers, and turns in the queue

Callers were told times up to a third of what they had left, since one entry's rate of starts stands for what falls to it, while its refused callers return to all others. Told to come back at once they are served within their target more often.

--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -22,12 +22,10 @@
 mod plain;
 mod pressure;
 mod queue;
-mod returns;
 mod rollouts;
 mod room;
 mod sent;
 mod shares;
-mod turns;
 mod upstream;
 mod verdict;
 
@@ -48,7 +46,6 @@
     origins::stream_key,
     placement::PlacementError,
     plain::PlainStatus,
-    returns::{RefusalCounts, RetryWindow, Returns},
     room::{EarlyRequest, PeersWithRoom},
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
@@ -56,7 +53,7 @@
 };
 use self::{
     capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
-    plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest, turns::Turns,
+    plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -96,8 +93,6 @@
     waiting: Vec<queue::WaitingRequest>,
     /// When the waiting requests were last polled.
     last_poll: Millis,
-    turns: Turns,
-    returns: Returns,
     shares: Shares,
     plain: PlainServices,
     rollouts: Rollouts,
@@ -132,8 +127,6 @@
             sent: HashMap::new(),
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
-            turns: Turns::default(),
-            returns: Returns::default(),
             shares: Shares::default(),
             plain: PlainServices::default(),
             rollouts: Rollouts::default(),
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -239,28 +239,6 @@
         Millis(times.min_by(f64::total_cmp).unwrap_or(0.0) as u64)
     }
 
-    /// Returns the time until the least loaded usable upstream has read so much that it could answer
-    /// a request like this within its target.
-    pub(super) fn time_to_fit(&mut self, now: Millis, demand: &Demand) -> Millis {
-        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let time_to_read_all = self.time_to_capacity(now, demand).0 as f64;
-        let first_event = time_to_read_all + speed.first_event_ms(own_tokens(demand));
-        let span = demand.target.since(demand.arrived).0 as f64 - RETURN_MARGIN_MS;
-        Millis((first_event - span).clamp(0.0, time_to_read_all) as u64)
-    }
-
-    /// Returns the latest time at which an engine that has nothing else to read could begin a
-    /// request and meet its target; `None` for a plain service, for which there is no estimate.
-    pub(super) fn latest_start(&self, demand: &Demand, terms: PlacementTerms) -> Option<Millis> {
-        if demand.prompt.is_empty() {
-            return None;
-        }
-        let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
-        let needed =
-            RETURN_MARGIN_MS + speed.first_event_ms(own_tokens(demand)) / terms.time_fraction;
-        Some(demand.target - Millis(needed as u64))
-    }
-
     /// Returns the mean number of requests under way at upstreams that serve: the load that a
     /// canary should see before its version is judged.
     fn mean_running(&self, now: Millis, demand: &Demand) -> f64 {
@@ -336,11 +314,6 @@
     }
 }
 
-/// Returns the tokens of a prompt that no other request shares.
-fn own_tokens(demand: &Demand) -> u64 {
-    demand.prompt.last().map_or(0, |part| u64::from(part.tokens))
-}
-
 /// The limits that a request has to fit at an engine.
 #[derive(Clone, Copy)]
 struct EngineFit {
@@ -362,7 +335,7 @@
     if f64::from(running) >= slots.max(1.0) {
         return None;
     }
-    let own_part = own_tokens(demand);
+    let own_part = demand.prompt.last().map_or(0, |part| u64::from(part.tokens));
     // The preferred engine is assumed to have cached the shared parts: other entries have sent them
     // to it before.
     let unread = if fit.position == 0 {
--- a/src/kingcupgrade/coordination/traffic/room.rs
+++ b/src/kingcupgrade/coordination/traffic/room.rs
@@ -1,7 +1,10 @@
 //! Refusal of requests before admission while the entry's own processor is overloaded, and which
 //! other entries have room for their callers.
 
-use super::{Demand, ShareStatus, Traffic};
+use super::{
+    ShareStatus, Traffic,
+    queue::{MAX_RETRY_DELAY, MIN_RETRY_DELAY},
+};
 use crate::{
     coordination::{
         fleet::{has_collectors, report_ttl},
@@ -24,18 +27,6 @@
     pub time_left: Millis,
 }
 
-impl<'a> EarlyRequest<'a> {
-    /// Returns what is known early of a request that is to be sent.
-    pub(super) fn of(now: Millis, demand: &'a Demand) -> EarlyRequest<'a> {
-        EarlyRequest {
-            organisation: &demand.organisation,
-            work: demand.work(),
-            uses_engine: !demand.prompt.is_empty(),
-            time_left: demand.deadline.since(now),
-        }
-    }
-}
-
 /// The other entries of the own failure domain, and those of them with room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeersWithRoom {
@@ -134,7 +125,8 @@
             return None;
         }
         self.count_refused(now, request);
-        Some(self.over_share_delay(now, request))
+        let delay = self.shares.time_to_capacity(now, request.organisation);
+        Some(delay.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
     }
 
     fn count_refused(&mut self, now: Millis, request: &EarlyRequest<'_>) {
--- a/src/kingcupgrade/coordination/traffic/shares.rs
+++ b/src/kingcupgrade/coordination/traffic/shares.rs
@@ -36,7 +36,7 @@
 const MIN_REFUSED_FRACTION: f64 = 0.1;
 
 /// The share status of an organisation if it were given one more request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShareStatus {
     /// Within its share of the promised capacity, or of the capacity that is really served if that
     /// is less.
@@ -216,17 +216,6 @@
         Millis((time_constants * SHARE_TIME_CONSTANT.0 as f64) as u64)
     }
 
-    /// Returns the work per millisecond that this entry may start for an organisation beyond its
-    /// share: what all entries may start, in proportion to what they are asked for. `None` if it is
-    /// not limited or nothing is known of it.
-    pub fn work_rate(&self, now: Millis, organisation: &Organisation) -> Option<f64> {
-        let usage = self.usage.get(organisation)?;
-        let own_requested = self.requested.get(organisation)?.get(now, SHARE_TIME_CONSTANT);
-        let own_fraction = (own_requested / usage.requested.max(1.0)).min(1.0);
-        let rate = self.spare_level / SHARE_TIME_CONSTANT.0 as f64 * own_fraction;
-        (rate.is_finite() && rate > 0.0).then_some(rate)
-    }
-
     /// Returns the tokens served to an organisation by all entries, without what was spare.
     fn charged(&self, now: Millis, organisation: &Organisation, usage: &OrganisationUsage) -> f64 {
         let spare =
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -19,7 +19,6 @@
 mod relay;
 mod request;
 mod response;
-mod returns;
 mod rollouts;
 mod scheduling_delay;
 mod serve;
@@ -379,7 +378,6 @@
         }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
-            gateway.report_refusals(now);
             gateway.report_plain(now);
             gateway.log_capability_changes();
             let traffic = gateway.traffic.borrow();
