--- a/src/kingcupgrade/coordination/memory.rs
+++ b/src/kingcupgrade/coordination/memory.rs
@@ -1,13 +1,13 @@
 //! The memory in which an entry buffers bodies and answers, and what happens when it is short.
 //!
-//! Callers may read their answers slowly or not at all. What is buffered for them counts towards the
-//! process's memory, and a process that exceeds its limit is killed, with all the answers that it
-//! relays. So an entry takes no more bodies into memory than it has room for, doesn't read an
+//! Callers may read their answers slowly or not at all. What is buffered for them counts towards
+//! the process's memory, and a process that exceeds its limit is killed, with all the answers that
+//! it relays. So an entry takes no more bodies into memory than it has room for, doesn't read an
 //! upstream whose caller does not read, and, if memory stays short, ends the answer that has been
 //! unread for the longest time.
 //!
-//! An upstream cuts off an answer that stays unread for some seconds. That end is the caller's doing
-//! and says nothing about the upstream.
+//! An upstream cuts off an answer that stays unread for some seconds. That end is the caller's
+//! doing and says nothing about the upstream.
 
 use std::cmp::Reverse;
 
@@ -21,8 +21,8 @@
 const SHORT_FRACTION: f64 = 0.75;
 /// The bound of one answer at most: the HTTP server buffers no more.
 const MAX_ANSWER_BYTES: u64 = 64 << 10;
-/// The least that is buffered for one answer before its upstream is no longer read: two reads of the
-/// usual size from a socket.
+/// The least that is buffered for one answer before its upstream is no longer read: two reads of
+/// the usual size from a socket.
 const MIN_ANSWER_BYTES: u64 = 16 << 10;
 /// The sockets that each answer takes: its caller's and its upstream's.
 const SOCKETS_PER_ANSWER: u64 = 2;
@@ -54,8 +54,8 @@
 pub struct MemoryBudget {
     /// `None` if there is no limit.
     budget: Option<u64>,
-    /// How many bytes of one answer are buffered before its upstream is no longer read: an equal part
-    /// for each answer that there are sockets for.
+    /// How many bytes of one answer are buffered before its upstream is no longer read: an equal
+    /// part for each answer that there are sockets for.
     answer_bound: u64,
     taken: u64,
     /// When a body was last refused.
@@ -200,9 +200,9 @@
 
 /// What other entries have sent to an engine since their last reports, in tokens of memory.
 ///
-/// In the time for which a request is in memory, the others send as many requests as they have there;
-/// in the age of their reports, the corresponding part of that, with the variation of independent
-/// arrivals.
+/// In the time for which a request is in memory, the others send as many requests as they have
+/// there; in the age of their reports, the corresponding part of that, with the variation of
+/// independent arrivals.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UnreportedMemory {
     /// The requests of the others at an engine, on average, and their memory.
@@ -213,9 +213,8 @@
 }
 
 impl UnreportedMemory {
-    /// Creates the estimate from the requests that the others report at each engine of a service and
-    /// their memory; `held_for` is the
-    /// time for which a request is in memory, if known.
+    /// Creates the estimate from the requests that the others report at each engine of a service
+    /// and their memory; `held_for` is the time for which a request is in memory, if known.
     pub fn new(
         reported: impl Iterator<Item = (u32, u64)>,
         report_age: Millis,
@@ -234,8 +233,9 @@
         UnreportedMemory { mean_running, mean_memory, relative_age }
     }
 
-    /// Returns the estimate for an engine at which the others report these requests and their memory.
-    /// One where they had few may have become everybody's choice since.
+    /// Returns the estimate for an engine at which the others report these requests and their
+    /// memory. At least the mean is assumed: all entries may since have chosen an engine that had
+    /// few requests.
     pub fn at(&self, running: u32, memory: u64) -> u64 {
         let running = f64::from(running).max(self.mean_running);
         if running == 0.0 {
--- a/src/kingcupgrade/coordination/overload/arrivals.rs
+++ b/src/kingcupgrade/coordination/overload/arrivals.rs
@@ -11,14 +11,14 @@
     core::{Millis, Organisation},
 };
 
-/// The time constant of the counts of requests. A longer one finds a new flood later, and callers of
-/// other organisations are shed until then; with a shorter one an organisation that sends a few
+/// The time constant of the counts of requests. A longer one finds a new flood later, and callers
+/// of other organisations are shed until then; with a shorter one an organisation that sends a few
 /// requests per second would look like a large one whenever two of them come together.
 const COUNT_TIME_CONSTANT: Millis = Millis(1_000);
 /// The interval at which the level is recomputed: as often as the refused fraction changes.
 const REFRESH_INTERVAL: Millis = Millis(10);
 /// The maximum number of organisations that are counted. Beyond it, those that send least are left
-/// out, which keeps the count of those whose requests are shed.
+/// out, since requests are shed only from the largest.
 const MAX_ORGANISATIONS: usize = 128;
 
 /// The part of the requests served lately that may be served while the processor is saturated.
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Decides whether to shed a request that was counted. What is shed of an organisation is spread
-    /// evenly over its requests, unless the processor is saturated.
+    /// Decides whether to shed a request that was counted. What is shed of an organisation is
+    /// spread evenly over its requests, unless the processor is saturated.
     pub(super) fn sheds(
         &mut self,
         now: Millis,
--- a/src/kingcupgrade/coordination/overload/limits.rs
+++ b/src/kingcupgrade/coordination/overload/limits.rs
@@ -54,8 +54,8 @@
     ///
     /// The first is a pause that callers of streams don't notice yet: below it a short surge is
     /// served a little late, which serves more callers than refusing a fraction. A request waits
-    /// for two tasks to be scheduled before it is sent on, and its caller leaves after half a second
-    /// or little more.
+    /// for two tasks to be scheduled before it is sent on, and its caller leaves after half a
+    /// second or little more.
     const DEFAULT: DelayLimits = DelayLimits { shedding: Millis(100), saturation: Millis(200) };
 
     /// The limits while others have room. From a delay as long as the detour on, a caller is served
--- a/src/kingcupgrade/coordination/overload/retry_delay.rs
+++ b/src/kingcupgrade/coordination/overload/retry_delay.rs
@@ -1,4 +1,4 @@
-//! When callers that an overloaded entry refuses should come back.
+//! The retry delays of requests that an overloaded entry refuses.
 
 use super::limits::{DETOUR_COST, PeerRoom};
 use crate::core::Millis;
--- a/src/kingcupgrade/coordination/traffic/capability/learning.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/learning.rs
@@ -117,8 +117,8 @@
         }
     }
 
-    /// Returns the mean over the upstreams that serve, each weighted by the confidence in it, so that
-    /// the lasting parts relative to it cancel out.
+    /// Returns the mean over the upstreams that serve, each weighted by the confidence in it, so
+    /// that the lasting parts relative to it cancel out.
     fn mean_estimate(&self, now: Millis, names: &[UpstreamName]) -> f64 {
         let serving = names.iter().filter_map(|name| self.upstreams.get(name));
         let serving = serving.filter(|upstream| upstream.version_use == Use::Serving);
--- a/src/kingcupgrade/coordination/traffic/capability/limit.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/limit.rs
@@ -12,8 +12,7 @@
 /// than the single requests by which it is raised, else it stays where answers are late.
 const REDUCED_PART: f64 = 0.8;
 /// By how much the share of late answers has to exceed that of the other upstreams of the service
-/// until the load is lowered. Below it, the answers that are given up
-/// by lowering it would be more than those that are late.
+/// until the load is lowered. Below it, lowering the load would cost more answers than are late.
 const MAX_EXCESS_LATE_SHARE: f64 = 1.0 - REDUCED_PART;
 /// The time constant of that share: the answers since the step before the last one.
 const LATE_TIME_CONSTANT: Millis = Millis(1_000);
@@ -27,8 +26,8 @@
         self.0.add(now, f64::from(u8::from(is_late)), 1.0, LATE_TIME_CONSTANT);
     }
 
-    /// Returns the share of late answers without those of `part`, counting a few in time in addition:
-    /// a single late one says little.
+    /// Returns the share of late answers without those of `part`, counting a few in time in
+    /// addition: a single late one says little.
     fn share_without(&self, now: Millis, part: &LateAnswers) -> f64 {
         let of = |mean: &DecayingMean| {
             (mean.sum(now, LATE_TIME_CONSTANT), mean.weight(now, LATE_TIME_CONSTANT))
@@ -100,9 +99,9 @@
         self.observe(now, outcome, service)
     }
 
-    /// Lowers the limit if more answers than elsewhere were late while slots were free, and raises it
-    /// by one after an answer in time at the limit. What makes answers late from everywhere is no
-    /// fault of one upstream: this entry's processor may be short.
+    /// Lowers the limit if more answers than elsewhere were late while slots were free, and raises
+    /// it by one after an answer in time at the limit. What makes answers late from everywhere is
+    /// no fault of one upstream: this entry's processor may be short.
     fn observe(
         &mut self,
         now: Millis,
--- a/src/kingcupgrade/coordination/traffic/capability/service.rs
+++ b/src/kingcupgrade/coordination/traffic/capability/service.rs
@@ -17,11 +17,11 @@
 pub(super) struct ServiceMeans {
     /// The duration of requests that found a free slot, in milliseconds; only of plain services.
     pub(super) plain_ms: Option<f64>,
-    /// The logarithm of duration over expectation. What all upstreams share is not the speed of one:
-    /// this entry's processor may be short, or the whole service overloaded.
+    /// The logarithm of duration over expectation. What all upstreams share is not the speed of
+    /// one: this entry's processor may be short, or the whole service overloaded.
     pub(super) excess: f64,
-    /// The logarithm of the time left to the target over the expected duration: by how much work may
-    /// slow down until answers are late. `None` before the first request.
+    /// The logarithm of the time left to the target over the expected duration: by how much work
+    /// may slow down until answers are late. `None` before the first request.
     pub(super) slack: Option<f64>,
     /// The answers of all upstreams, late or in time.
     pub(super) late: LateAnswers,
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -86,9 +86,9 @@
     hash ^ (hash >> 33)
 }
 
-/// Returns the order of an upstream for a shared part among upstreams of different speeds, the first
-/// being the least: each ranks first for as many parts as corresponds to its weight, and only those
-/// parts move for which its rank has changed.
+/// Returns the order of an upstream for a shared part among upstreams of different speeds, the
+/// first being the least: each ranks first for as many parts as corresponds to its weight, and only
+/// those parts move for which its rank has changed.
 fn weighted_order(part: u64, name: &UpstreamName, weight: f64) -> u64 {
     let fraction = (rank(part, name) as f64 + 0.5) / u64::MAX as f64;
     // The bits of floats that are not negative are ordered like the floats.
--- a/src/kingcupgrade/coordination/traffic/plain/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/mod.rs
@@ -1,13 +1,15 @@
-//! Divides what a service without engines completes among the entries while it is short of capacity.
+//! Divides what a service without engines completes among the entries while it is short of
+//! capacity.
 //!
 //! The slots of such a service are few. If each entry sent what its callers request, the upstreams
 //! would turn most of it away, and what they take would depend on chance. While the service is
 //! short, each entry sends at its part of the rate at which the service completes requests, in
-//! proportion to what is requested from it. The rest waits at the entry as long as it can still meet
-//! its target.
+//! proportion to what is requested from it. The rest waits at the entry as long as it can still
+//! meet its target.
 //!
 //! In force in fleets whose load reports pass through collectors. Other entries' sums are some
-//! hundred milliseconds old there, so that known loads alone can't keep upstreams from being overrun.
+//! hundred milliseconds old there, so that known loads alone can't keep upstreams from being
+//! overrun.
 
 mod service;
 mod shortage;
@@ -33,10 +35,10 @@
 
 /// The interval at which an entry decides anew what it may send; well below that of the reports.
 const DECISION_INTERVAL: Millis = Millis(20);
-/// How long an upstream's statement that requests wait there counts. An entry with few requests gets
-/// an answer no more often than about once a second.
+/// How long an upstream's statement that requests wait there counts. An entry with few requests
+/// gets an answer no more often than about once a second.
 const WAITING_TTL: Millis = Millis(1_000);
-/// Callers wait for a retry for at most the time they have left, divided by this.
+/// The time left to the deadline divided by this is the longest retry delay that callers accept.
 const USEFUL_DELAY_DIVISOR: u64 = 3;
 /// A sum below this has decayed and is not reported.
 const MIN_REPORTED_SUM: f64 = 0.01;
@@ -228,7 +230,8 @@
         loads.collect()
     }
 
-    /// Returns the plain services, with what this entry may send to those that are short of capacity.
+    /// Returns the plain services, with what this entry may send to those that are short of
+    /// capacity.
     pub fn plain_status(&mut self, now: Millis) -> Vec<(Service, Option<PlainStatus>)> {
         let services: Vec<Service> = self.plain.0.keys().cloned().collect();
         services.iter().for_each(|service| self.refresh_ration(now, service));
--- a/src/kingcupgrade/coordination/traffic/plain/service.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/service.rs
@@ -10,10 +10,11 @@
 /// may send a fraction of its requests would lose what remains of each one.
 const MAX_SAVED: f64 = 2.0;
 /// The requests that are sent after a shortage while some still wait, as a fraction of those that
-/// callers make. If all that wait at all entries were sent at once, the service would be short again.
+/// callers make. If all that wait at all entries were sent at once, the service would be short
+/// again.
 const DRAIN_FRACTION: f64 = 1.5;
-/// Requests are assumed to wait if one was held back within this time, in which they are tried several
-/// times.
+/// Requests are assumed to wait if one was held back within this time. Waiting requests are tried
+/// several times within it.
 const DRAIN_TTL: Millis = Millis(50);
 /// The weight of one answer in the moving averages of the duration and its deviation.
 const DURATION_SAMPLE_WEIGHT: f64 = 0.1;
@@ -113,9 +114,9 @@
 
     /// Adds what may be sent since the last update.
     ///
-    /// The rate is the fraction times the decaying sum of the requests, and the integral of that sum
-    /// over a time is what it has decayed by. So each request adds the fraction in the second after
-    /// it, and an entry without requests saves up nothing.
+    /// The rate is the fraction times the decaying sum of the requests, and the integral of that
+    /// sum over a time is what it has decayed by. So each request adds the fraction in the second
+    /// after it, and an entry without requests saves up nothing.
     fn update_saved(&mut self, now: Millis) {
         let requested = self.requested.get(now, SUM_TIME_CONSTANT);
         if let Some(ration) = &mut self.ration {
--- a/src/kingcupgrade/coordination/traffic/plain/shortage.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/shortage.rs
@@ -8,11 +8,11 @@
 /// The requests under way for each slot that are aimed at while the service is short. Above 1, so
 /// that no slot is idle until the next request arrives.
 const TARGET_OCCUPANCY: f64 = 1.2;
-/// The limits of what is sent, as a multiple of what is completed. Reports are a fraction of a second
-/// old, and a larger change would only be seen when it has gone too far.
+/// The limits of what is sent, as a multiple of what is completed. Reports are a fraction of a
+/// second old, and a larger change would only be seen when it has gone too far.
 const GROWTH_LIMITS: (f64, f64) = (0.8, 1.5);
-/// The upper limit while upstreams turn requests away and are not mostly idle: each of those requests
-/// is sent a second time.
+/// The upper limit while upstreams turn requests away and are not mostly idle: each of those
+/// requests is sent a second time.
 const MAX_GROWTH_TURNED_AWAY: f64 = 1.2;
 /// The fraction of the slots up to which requests that wait at an upstream are no shortage: others
 /// have many free slots, and requests wait by chance.
@@ -37,7 +37,7 @@
         self.turned_away += sign * f64::from(load.turned_away);
     }
 
-    /// Returns the sum of both.
+    /// Adds up both; sums of others below 0, which subtracting reports can leave, count as 0.
     pub(super) fn plus(self, other: PlainSums) -> PlainSums {
         PlainSums {
             requested: self.requested + other.requested.max(0.0),
--- a/src/kingcupgrade/coordination/traffic/plain/spread.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/spread.rs
@@ -16,8 +16,8 @@
 const MAX_SPREAD: f64 = 0.3;
 /// The spread if nothing is outdated; it only separates upstreams with equal costs.
 const MIN_SPREAD: f64 = 0.01;
-/// The fraction of a service's slots from which on failure domains make no difference if the loads of
-/// single upstreams are unknown. A domain with most of the callers would otherwise fill its own
+/// The fraction of a service's slots from which on failure domains make no difference if the loads
+/// of single upstreams are unknown. A domain with most of the callers would otherwise fill its own
 /// upstreams while others have free slots.
 const MAX_LOCAL_OCCUPANCY: f64 = 0.5;
 /// The maximum failure rate by which an upstream's expected time is extended.
@@ -63,9 +63,10 @@
         Some(expected + place_in_spread * spread + domain_cost)
     }
 
-    /// Returns the expected requests under way for each slot. Those of other entries that have ended
-    /// since the reports are assumed to have been replaced evenly over the upstreams: if entries
-    /// went by the reported ones, all of them would send to the same upstream until the next report.
+    /// Returns the expected requests under way for each slot. Those of other entries that have
+    /// ended since the reports are assumed to have been replaced evenly over the upstreams: if
+    /// entries went by the reported ones, all of them would send to the same upstream until the
+    /// next report.
     fn expected_load(&self, now: Millis, upstream: &Upstream, slots: f64) -> f64 {
         let known = upstream.running(now);
         let others = upstream.peers.running.min(known);
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -48,7 +48,8 @@
     status: ShareStatus,
     /// The time until which the request may wait.
     wait_until: Millis,
-    /// Whether it goes before others with the same target.
+    /// Whether it goes before others with the same target: a request to a plain service that must
+    /// not be repeated.
     goes_first: bool,
 }
 
@@ -82,7 +83,7 @@
     /// Counts a request that is refused before admission because this entry's processor is
     /// overloaded, and returns the caller's retry delay.
     ///
-    /// The request counts as requested and refused. If it weren't counted, an organisation whose
+    /// It counts as requested and refused. If it weren't counted, an organisation whose
     /// callers all use one busy entry would seem to ask for little, and would not limit the
     /// organisations that take its share at other entries.
     pub fn refuse_overloaded(&mut self, now: Millis, demand: &Demand) -> Millis {
@@ -140,7 +141,8 @@
         refuse(code, time_to_capacity.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
     }
 
-    /// Puts a request in the queue, or refuses it if it is known that it can't meet its target.
+    /// Puts a request in the queue. A request to a plain service that is known to miss its target
+    /// is refused instead.
     fn enqueue(&mut self, now: Millis, demand: Demand, status: ShareStatus) -> Option<Verdict> {
         let fraction =
             if status == ShareStatus::Within { WAIT_FRACTION } else { WAIT_FRACTION_OVER_SHARE };
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -147,8 +147,8 @@
         }
     }
 
-    /// Returns how long work takes there at present, where 1 is the mean of its service; 1 if nothing
-    /// is known.
+    /// Returns how long work takes there at present, where 1 is the mean of its service; 1 if
+    /// nothing is known.
     pub fn duration_factor(&self, now: Millis) -> f64 {
         self.capability.duration_factor(now, &self.peers.observed)
     }
@@ -164,8 +164,8 @@
         self.capability.answers(now, &self.peers.observed)
     }
 
-    /// Returns whether the upstream has as many requests under way as it answers in time, or as many
-    /// of this entry, one of `entries`, as that one may send.
+    /// Returns whether the upstream has as many requests under way as it answers in time, or as
+    /// many of this entry, one of `entries`, as that one may send.
     pub(super) fn is_at_load_limit(&self, now: Millis, entries: usize) -> bool {
         let share = self.capability.limit_share(now, &self.peers.observed, entries);
         share.is_some_and(|share| self.own.running >= share)
--- a/src/kingcupgrade/coordination/traffic/verdict.rs
+++ b/src/kingcupgrade/coordination/traffic/verdict.rs
@@ -88,8 +88,8 @@
     pub shared_parts: Vec<u64>,
     /// The time since the request was sent.
     pub after_ms: Millis,
-    /// Whether the requests at the upstream may have exceeded its memory, so that neither the request
-    /// nor its parts are blamed.
+    /// Whether the requests at the upstream may have exceeded its memory, so that neither the
+    /// request nor its parts are blamed.
     pub beyond_memory: bool,
 }
 
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -92,8 +92,8 @@
 /// Observations of an upstream's speed, as decaying sums. Those of several entries add up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observed {
-    /// The weight of the answers whose duration was compared with what the mean speed of the service
-    /// lets expect, in hundredths of an answer.
+    /// The weight of the answers whose duration was compared with what the mean speed of the
+    /// service lets expect, in hundredths of an answer.
     #[serde(rename = "n", default)]
     pub answers: u32,
     /// The sum of the natural logarithms of duration over expectation, in thousandths.
@@ -266,7 +266,8 @@
     /// Streams that the sender began since the previous report; empty in sums.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub begun: Vec<BegunStreams>,
-    /// Whether the entry has room for more requests, or how many entries of each failure domain have.
+    /// Whether the entry has room for more requests, or how many entries of each failure domain
+    /// have.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub room: Vec<DomainRoom>,
     /// The loads of the services without engines.
--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -22,8 +22,8 @@
 
 use super::memory::AnswerBuffer;
 
-/// The size of the kernel's send buffer where the process's memory is limited; callers at a round trip
-/// of 10 ms still get more than 6 MB a second.
+/// The size of the kernel's send buffer where the process's memory is limited; callers at a round
+/// trip of 10 ms still get more than 6 MB a second.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// A caller's connection, for the server that reads and writes it.
--- a/src/kingcupgrade/transport/gateway/end_check.rs
+++ b/src/kingcupgrade/transport/gateway/end_check.rs
@@ -1,8 +1,8 @@
 //! Finds out whether an upstream that closed the connection of a request has ended.
 //!
-//! Upstreams that end one after the other under a request speak against the request. One that goes
-//! on running and closes every connection says nothing about it: whatever is sent there fares alike.
-//! Only the latter accepts further connections.
+//! Upstreams that end one after the other under a request are evidence against the request. One
+//! that goes on running and closes every connection is none: it closes that of any request. Only
+//! the latter accepts further connections.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -13,15 +13,16 @@
 
 use crate::coordination::traffic::SendEnd;
 
-/// The timeout for connecting: the request waits for it.
+/// The timeout for connecting; short, since the request is repeated only after the check.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
-/// The time between two checks: a process that ends may close its connections before it stops to
-/// listen.
+/// The time between two checks: a process that ends may close its connections before it stops
+/// listening.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The connections that an upstream has to accept for one that goes on running.
+/// The number of connections that an upstream has to accept to count as running.
 const CHECKS: usize = 2;
 
-/// Returns how a request ended whose connection was closed by an upstream that listens on `address`.
+/// Returns how a request ended whose connection was closed by an upstream that listens on
+/// `address`.
 pub(super) async fn end_of_closed(address: SocketAddr) -> SendEnd {
     for number in 0..CHECKS {
         if number > 0 {
--- a/src/kingcupgrade/transport/gateway/memory.rs
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -90,8 +90,8 @@
         Some(buffer)
     }
 
-    /// Returns what counts a body of this length, or of an unknown one, as it arrives; `None` if memory
-    /// is short. A length that is only announced takes no memory from others.
+    /// Returns what counts a body of this length, or of an unknown one, as it arrives; `None` if
+    /// memory is short. A length that is only announced takes no memory from others.
     pub(super) fn reserve_body(self: &Rc<Memory>, len: Option<u64>) -> Option<Rc<Reservation>> {
         let has_room = len == Some(0) || {
             let budget = self.budget.borrow();
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -56,8 +56,8 @@
 }
 
 impl<E: PlatformAdapter> Source<E> {
-    /// Closes the connection, and reports how the attempt ended; returns the attempt if the upstream
-    /// closed the connection, which remains to be reported.
+    /// Closes the connection, and reports how the attempt ended; returns the attempt if the
+    /// upstream closed the connection, which remains to be reported.
     fn end(self, end: SendEnd) -> Option<AttemptGuard<E>> {
         if end == SendEnd::Disconnected {
             return Some(self.attempt);
@@ -73,8 +73,8 @@
 enum State<E: PlatformAdapter> {
     Reading(Source<E>),
     Resuming(Resuming<E>),
-    /// The upstream cut the answer off because the caller did not read; it is resumed once the caller
-    /// has read what it was sent.
+    /// The upstream cut the answer off because the caller did not read; it is resumed once the
+    /// caller has read what it was sent.
     CutOff,
     Ended,
 }
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -131,8 +131,8 @@
         overload::early_refusal(now, &mut overload, &mut traffic, request)
     }
 
-    /// Returns the same for a request whose organisation is beyond its share, while this entry refuses
-    /// many.
+    /// Returns the same for a request whose organisation is beyond its share, while this entry
+    /// refuses many.
     pub(super) fn share_refusal(
         &self,
         now: Millis,
@@ -145,7 +145,8 @@
         Some((Code::OverShare, traffic.refuse_over_share(now, request)?))
     }
 
-    /// Returns whether the first request on a new connection may be refused without the HTTP server.
+    /// Returns whether the first request on a new connection may be refused without the HTTP
+    /// server.
     pub(super) fn refuses_early(&self) -> bool {
         let is_refusing = self.overload.borrow().is_shedding() || self.decisions.refuses_many();
         is_refusing && self.stage() == DrainStage::Serving
--- a/tests/testsuite/crash_causes.rs
+++ b/tests/testsuite/crash_causes.rs
@@ -203,7 +203,8 @@
     }
 }
 
-/// Guards against a request that is barred because upstreams go on running and close all connections.
+/// Guards against a request that is barred because upstreams go on running and close all
+/// connections.
 #[test]
 fn upstreams_that_close_connections_and_go_on_running_blame_nothing() {
     let mut traffic = traffic(1e9, ENGINES);
--- a/tests/testsuite/early_refusal.rs
+++ b/tests/testsuite/early_refusal.rs
@@ -11,8 +11,8 @@
     }
 }
 
-/// Guards against a connection that is closed before the whole request was read: it is reset, and the
-/// caller never learns that its request has not run.
+/// Guards against a connection that is closed before the whole request was read: it is reset, and
+/// the caller never learns that its request has not run.
 #[test]
 fn the_rest_of_a_body_is_known() {
     let head = "POST /review/1 HTTP/1.1\r\nHost: host\r\nContent-Length: 10\r\n\r\n";
--- a/tests/testsuite/load_shedding.rs
+++ b/tests/testsuite/load_shedding.rs
@@ -1,5 +1,5 @@
-//! Tests whose requests an overloaded entry of a large fleet sheds, when it begins to, and when it
-//! asks their callers back.
+//! Tests whose requests an overloaded entry of a large fleet sheds, when it begins to, and which
+//! retry delays it sends.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -43,8 +43,9 @@
 }
 
 impl Processor {
-    /// The processor time that serving a request takes, and refusing it early.
+    /// The processor time that serving a request takes.
     const SERVE_COST_MS: f64 = 5.0;
+    /// The processor time that refusing a request early takes.
     const REFUSE_COST_MS: f64 = 0.1;
 
     fn new(room: PeerRoom) -> Processor {
@@ -122,8 +123,8 @@
     }
 }
 
-/// Guards against an organisation that loses requests because of another one's flood: the balancer
-/// brings a flood to one entry, and all organisations lost the same fraction there.
+/// Guards against an organisation that loses requests because of another one's flood: the load
+/// balancer sends a flood to one entry, where all would lose the same fraction.
 #[test]
 fn a_flood_is_taken_from_the_organisation_that_sends_it() {
     let mut processor = Processor::new(PeerRoom::Available);
@@ -140,8 +141,8 @@
     assert!((600..1_900).contains(&served), "{served} of the flood served in ten seconds");
 }
 
-/// Guards against the same in the seconds in which a flood begins: the processor is saturated at
-/// times until the refused fraction fits, and everything was refused then.
+/// Guards against refusing everyone in the first seconds of a flood: the processor is saturated at
+/// times until the refused fraction has adapted.
 #[test]
 fn few_requests_of_others_are_lost_while_a_flood_begins() {
     for (room, flood) in [(PeerRoom::Available, 800), (PeerRoom::Short, 1_500)] {
@@ -172,8 +173,8 @@
     assert!(served * 100 >= sent * 95, "{served} of {sent} served");
 }
 
-/// Guards against callers that are served late although another entry could serve them sooner: the
-/// entry waited for a delay that is twice as long as the detour.
+/// Guards against callers that are served late although another entry could serve them sooner:
+/// without room elsewhere, load is shed only from a delay twice as long as the detour.
 #[test]
 fn less_delay_is_accepted_where_others_have_room() {
     let mean_wait = |room| {
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -41,8 +41,8 @@
     BufferedAnswer { connection, bytes, unread_since: Millis(unread_since) }
 }
 
-/// Guards against a process that is killed because it takes more bodies into memory than it has room
-/// for, and against one that refuses bodies for ever afterwards.
+/// Guards against a process that is killed because it takes more bodies into memory than it has
+/// room for, and against one that refuses bodies for ever afterwards.
 #[test]
 fn bodies_are_refused_only_while_memory_is_short() {
     let mut budget = budget();
@@ -58,7 +58,8 @@
     assert!(budget.has_room_for_body(MIB));
 }
 
-/// Guards against answers that are cut, or upstreams that are not read, in a process without a limit.
+/// Guards against answers that are cut, or upstreams that are not read, in a process without a
+/// limit.
 #[test]
 fn without_a_limit_nothing_is_refused_or_ended() {
     let mut budget = MemoryBudget::new(None, SOCKETS);
@@ -69,8 +70,8 @@
     assert_eq!(budget.answer_to_end(LONG, [answer(1, MIB, 0)].into_iter()), None);
 }
 
-/// Guards against many callers that don't read and together take all memory: with each at its bound,
-/// what they hold has to fit.
+/// Guards against many callers that don't read and together take all memory: with each at its
+/// bound, what they hold has to fit.
 #[test]
 fn answers_at_their_bound_fit_into_the_budget() {
     let mut budget = budget();
@@ -89,8 +90,8 @@
     assert!(held.iter().all(|bytes| *bytes >= 16 << 10), "an answer gets next to nothing");
 }
 
-/// Guards against an end of an answer whose caller reads, or of one that holds next to nothing, while
-/// another that nobody reads keeps the memory.
+/// Guards against an end of an answer whose caller reads, or of one that holds next to nothing,
+/// while another that nobody reads keeps the memory.
 #[test]
 fn the_answer_that_is_unread_longest_is_ended_once_memory_stays_short() {
     let mut budget = budget();
@@ -142,7 +143,8 @@
     assert_eq!(budget.answer_to_end(now + Millis(500), answers()), Some(1), "exhausted");
 }
 
-/// Guards against an upstream that is blamed since it cut off an answer that its caller did not read.
+/// Guards against an upstream that is blamed since it cut off an answer that its caller did not
+/// read.
 #[test]
 fn an_end_after_a_long_pause_of_the_caller_is_the_callers_doing() {
     let mut unread = UnreadUpstream::default();
@@ -316,8 +318,8 @@
     most
 }
 
-/// Guards against an engine that ends because entries send to it what it had room for when they last
-/// heard of each other.
+/// Guards against an engine that ends because entries send to it what it had room for when they
+/// last heard of each other.
 #[test]
 fn the_entries_together_keep_an_engine_within_its_memory() {
     for seed in 1..=3 {
--- a/tests/testsuite/plain_services.rs
+++ b/tests/testsuite/plain_services.rs
@@ -191,7 +191,7 @@
         self.entries.iter_mut().for_each(|traffic| traffic.expire_reports(now));
     }
 
-    /// Plays some seconds; `rate` is the requests per second at each entry.
+    /// Simulates some seconds; `rate` is the requests per second at each entry.
     fn play(&mut self, seconds: u64, rate: impl Fn(usize) -> f64) {
         // Arrivals at the entries are independent: a linear congruential generator draws them.
         let mut state = 0x1234_5678_9abc_def0_u64 ^ self.now.0;
@@ -261,7 +261,7 @@
 }
 
 /// Guards against entries that send a short service all that their callers request: its upstreams
-/// turned most of it away, while some of their slots were idle.
+/// would turn most of it away, while some of their slots are idle.
 #[test]
 fn a_short_service_gets_what_it_can_take() {
     for total in [500.0, 1_000.0] {
@@ -289,8 +289,8 @@
     assert!(others.iter().all(|count| *count >= mean / 2), "{:?}", fleet.on_time_by_entry);
 }
 
-/// Guards against a limit that begins and ends at all entries at once: the service got nothing for a
-/// while, and then all that had waited.
+/// Guards against a limit that begins and ends at all entries at once: the service would get
+/// nothing for a while, and then all that has waited.
 #[test]
 fn many_entries_with_few_requests_each_keep_a_service_busy() {
     const MANY: usize = 125;
@@ -318,8 +318,8 @@
     }
 }
 
-/// Guards against retry delays that are too long to be useful, or so short that refused callers come
-/// back before there is room.
+/// Guards against retry delays that are too long to be useful, or so short that refused callers
+/// come back before there is room.
 #[test]
 fn refused_callers_are_told_when_room_is_expected() {
     let mut fleet = Fleet::new(ENTRIES);
@@ -333,8 +333,8 @@
     assert!(useful * 10 >= fleet.retry_delays.len() * 9, "{:?}", fleet.retry_delays);
 }
 
-/// Guards against entries that are cut off and send all that is requested from them, or nothing: each
-/// keeps to its last known part, and is not limited for good once the shortage is over.
+/// Guards against entries that are cut off and send all that is requested from them, or nothing:
+/// each keeps to its last known part, and is not limited for good once the shortage is over.
 #[test]
 fn entries_that_are_cut_off_keep_their_parts() {
     let mut fleet = Fleet::new(ENTRIES);
@@ -351,8 +351,8 @@
     assert!(quiet.refused <= quiet.requested / 10, "{quiet:?}");
 }
 
-/// Guards against a service that stays limited after its upstreams have stalled: nothing was completed,
-/// and entries that send only as much as is completed would never send again.
+/// Guards against a service that stays limited after its upstreams have stalled: nothing is
+/// completed, and entries that send only as much as is completed would never send again.
 #[test]
 fn a_service_that_has_stalled_is_used_again() {
     let mut fleet = Fleet::new(ENTRIES);
@@ -365,8 +365,8 @@
     assert!(after.on_time >= after.requested * 95 / 100, "{:?}", fleet.seconds);
 }
 
-/// Guards against a request that must not be repeated and waits longer than one that may: its caller
-/// can't be served by sending it a second time.
+/// Guards against a request that must not be repeated and waits longer than one that may: its
+/// caller can't be served by sending it a second time.
 #[test]
 fn of_two_with_the_same_target_the_one_that_must_not_be_repeated_goes_first() {
     let mut fleet = Fleet::new(ENTRIES);
