--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -157,6 +157,9 @@
             .then(|| self.mean_running(now, demand));
         let spread = if plan.engine.is_none() { self.plain_spread(now, demand) } else { None };
         let unreported = self.unreported_memory(&demand.service);
+        // Where entries divide what a plain service completes, a limit of its upstreams besides would
+        // take capacity from it while it is short.
+        let has_load_limits = spread.is_none();
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -175,7 +178,7 @@
             if max_running.is_some_and(|max| upstream.own.running >= max) {
                 continue;
             }
-            if !is_canary && upstream.is_at_load_limit(now, entries) {
+            if has_load_limits && !is_canary && upstream.is_at_load_limit(now, entries) {
                 position += usize::from(!upstream.is_cold(now));
                 continue;
             }
--- a/src/kingcupgrade/coordination/traffic/plain/spread.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/spread.rs
@@ -52,7 +52,7 @@
         }
         let load = under_way + 1.0 / slots;
         let success_rate = 1.0 - upstream.health.failure_rate().min(MAX_FAILURE_RATE);
-        let expected = load * upstream.duration_factor(now) / success_rate;
+        let expected = load / success_rate;
         let spread = (MAX_SPREAD * self.staleness).max(MIN_SPREAD);
         let place_in_spread =
             unit_hash((self.no, self.entry.as_str(), upstream.listed.name.as_str()));
