--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod backlog;
 mod barred;
 mod budget;
+mod capability;
 mod cold;
 mod decaying_sum;
 mod demand;
@@ -18,8 +19,11 @@
 mod origins;
 mod peer_reports;
 mod placement;
+mod plain;
+mod pressure;
 mod queue;
 mod rollouts;
+mod room;
 mod sent;
 mod shares;
 mod upstream;
@@ -30,22 +34,26 @@
     sync::Arc,
 };
 
+pub(in crate::coordination) use self::shares::max_min_level;
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
+    capability::{CapabilityChange, CapabilityChanges},
     decaying_sum::DecayingSum,
-    demand::{Demand, PromptPart, RequestNo},
+    demand::{Demand, PromptPart, RequestNo, work_of},
     engine::EngineSpeed,
     health::Health,
     origins::stream_key,
     placement::PlacementError,
+    plain::PlainStatus,
+    room::{EarlyRequest, PeersWithRoom},
     shares::{ShareStatus, Shares},
     upstream::{ReportedLoad, Upstream},
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    cold::cold_rate_share, origins::Origins, peer_reports::PeerReports, rollouts::Rollouts,
-    sent::SentRequest,
+    capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
+    plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest,
 };
 use crate::{
     coordination::{
@@ -77,13 +85,16 @@
     entries: Vec<Instance>,
     notices: Notices,
     peer_reports: PeerReports,
+    room: RoomReports,
     speeds: HashMap<Service, EngineSpeed>,
+    capabilities: Capabilities,
     budgets: HashMap<Service, RetryBudget>,
     sent: HashMap<RequestNo, SentRequest>,
     waiting: Vec<queue::WaitingRequest>,
     /// When the waiting requests were last polled.
     last_poll: Millis,
     shares: Shares,
+    plain: PlainServices,
     rollouts: Rollouts,
     origins: Origins,
     crash_causes: CrashCauses,
@@ -93,6 +104,8 @@
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
     output_averages: HashMap<Arc<str>, f64>,
+    /// Moving average of the time for which a request is in an engine's memory, in milliseconds.
+    memory_times: HashMap<Service, f64>,
 }
 
 impl Traffic {
@@ -107,18 +120,22 @@
             entries: Vec::new(),
             notices: Notices::default(),
             peer_reports: PeerReports::default(),
+            room: RoomReports::default(),
             speeds: HashMap::new(),
+            capabilities: Capabilities::default(),
             budgets: HashMap::new(),
             sent: HashMap::new(),
             waiting: Vec::new(),
             last_poll: Millis::ZERO,
             shares: Shares::default(),
+            plain: PlainServices::default(),
             rollouts: Rollouts::default(),
             origins: Origins::default(),
             crash_causes: CrashCauses::default(),
             cause_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
+            memory_times: HashMap::new(),
         }
     }
 
@@ -285,11 +302,13 @@
     /// Applies another entry's load report.
     pub fn on_report(&mut self, now: Millis, from: Instance, mut report: LoadReport) {
         self.origins.on_reported(now, std::mem::take(&mut report.begun));
+        self.room.on_report(now, &self.settings.failure_domain, &report.room);
         for CachedParts(name, parts) in std::mem::take(&mut report.kept) {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
                 upstream.on_announced_parts(now, &parts);
             }
         }
+        self.on_reported_observations(now, &report);
         self.peer_reports.on_report(now, from, report, &mut self.upstreams);
     }
 
@@ -302,6 +321,7 @@
     /// Returns the load report to send to the other entries, with the prompt parts and the
     /// begun streams that they were not told of yet.
     pub fn take_report(&mut self, now: Millis) -> LoadReport {
+        self.refresh_capabilities(now);
         let announcements = std::mem::take(&mut self.unannounced_parts).into_iter();
         let kept = announcements.map(|(name, parts)| CachedParts(name, parts)).collect();
         let begun = self.origins.take_unreported();
@@ -310,12 +330,13 @@
 
     /// Returns this entry's load, without what is told only once.
     pub fn report(&self, now: Millis) -> LoadReport {
-        let busy = self.upstreams.iter().filter(|(_, upstream)| upstream.own.running > 0);
         LoadReport {
-            loads: busy.map(|(name, upstream)| (name.clone(), upstream.own.clone())).collect(),
+            loads: self.reported_loads(now),
             served: self.shares.served(now),
             requested: self.shares.requested(now),
             refused: self.shares.refused(now),
+            room: self.own_room(),
+            plain: self.plain_loads(now),
             ..LoadReport::default()
         }
     }
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -5,10 +5,11 @@
 //! upstreams by a hash of the shared part and the upstream's name, so they agree on its preferred
 //! upstream without exchanging messages. In addition each entry knows where it sent a part itself.
 
-use super::{Traffic, demand::Demand, engine::EngineSpeed, upstream::Upstream};
+use super::{Traffic, demand::Demand, engine::EngineSpeed, plain::PlainSpread, upstream::Upstream};
 use crate::{
     coordination::{
-        crashes::Barred, notices::slot_share, required_version::RequiredVersion, rollout::Use,
+        crashes::Barred, memory::UnreportedMemory, notices::slot_share,
+        required_version::RequiredVersion, rollout::Use,
     },
     core::{FailureDomain, Millis, Service, UpstreamName},
     protocol::fleet::ListedUpstream,
@@ -16,7 +17,7 @@
 
 /// The fraction of an engine's memory that is filled; the rest is left for generations that run
 /// over their estimates.
-const MEMORY_FRACTION: f64 = 0.9;
+pub(super) const MEMORY_FRACTION: f64 = 0.9;
 /// The weight of the time to re-read a shared part, against an earlier first event for this one
 /// request. Re-reading takes engine time from all requests and memory from other cached parts. With
 /// this weight a shared part of some thousand tokens stays at its preferred upstream as long as
@@ -37,14 +38,14 @@
 /// avoid a busy preferred upstream go to the same next one.
 const RANK_WEIGHT: f64 = 10.0;
 /// Time reserved before the target for the response to reach the caller, in milliseconds.
-const RETURN_MARGIN_MS: f64 = 40.0;
+pub(super) const RETURN_MARGIN_MS: f64 = 40.0;
 /// The limit of requests under way at a plain upstream, as a multiple of its slots. Those beyond
 /// its slots wait at the upstream for a fraction of one request's duration, which is less than the
 /// age of the other entries' reports.
-const PLAIN_LIMIT_FACTOR: u32 = 2;
+pub(super) const PLAIN_LIMIT_FACTOR: u32 = 2;
 /// The cost of a plain upstream in another failure domain, in requests under way: traffic between
 /// failure domains takes time and is paid for by the byte.
-const REMOTE_DOMAIN_COST: f64 = 0.4;
+pub(super) const REMOTE_DOMAIN_COST: f64 = 0.4;
 
 /// The number of upstreams that are compared before the best of them is taken, in the order of
 /// their ranking. Those behind cost about a quarter of a second more by their position alone, and
@@ -85,6 +86,15 @@
     hash ^ (hash >> 33)
 }
 
+/// Returns the order of an upstream for a shared part among upstreams of different speeds, the
+/// first being the least: each ranks first for as many parts as corresponds to its weight, and only
+/// those parts move for which its rank has changed.
+fn weighted_order(part: u64, name: &UpstreamName, weight: f64) -> u64 {
+    let fraction = (rank(part, name) as f64 + 0.5) / u64::MAX as f64;
+    // The bits of floats that are not negative are ordered like the floats.
+    (-fraction.ln() / weight).max(0.0).to_bits()
+}
+
 /// Which upstreams of a service a request may go to, by their versions.
 #[derive(Clone, Copy, Debug)]
 enum Eligible<'a> {
@@ -137,13 +147,19 @@
             return Err(left.map_or(PlacementError::NoUpstream, PlacementError::BackingOff));
         }
         if let Some(part) = demand.affinity() {
-            names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
+            self.sort_by_rank(&mut names, part, &demand.service);
         }
+        let entries = self.entry_count();
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let ms_to_target = (demand.target.since(now).0 as f64 - RETURN_MARGIN_MS).max(0.0);
         let is_canary = matches!(eligible, Eligible::UsedAs(Use::Canary));
         let load_target = (is_canary && self.rollouts.is_last_step(&demand.service))
             .then(|| self.mean_running(now, demand));
+        let spread = if plan.engine.is_none() { self.plain_spread(now, demand) } else { None };
+        let unreported = self.unreported_memory(&demand.service);
+        // Where entries divide what a plain service completes, a limit of its upstreams besides would
+        // take capacity from it while it is short.
+        let has_load_limits = spread.is_none();
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -154,6 +170,7 @@
             let cold_rate = upstream.is_cold(now).then(|| self.cold_rate(&plan, &name));
             let max_running = self.slow_start_limit(now, upstream);
             let Some(upstream) = self.upstreams.get_mut(&name) else { continue };
+            let speed = speed.slowed_by(upstream.duration_factor(now));
             upstream.advance_reading(now, speed.read_rate());
             if cold_rate.is_some_and(|rate| !upstream.allows_cold_request(now, rate)) {
                 continue;
@@ -161,13 +178,18 @@
             if max_running.is_some_and(|max| upstream.own.running >= max) {
                 continue;
             }
+            if has_load_limits && !is_canary && upstream.is_at_load_limit(now, entries) {
+                position += usize::from(!upstream.is_cold(now));
+                continue;
+            }
             let cost = match &plan.engine {
                 Some(engine) => {
                     let kv_capacity = engine.kv_capacity;
-                    let fit = EngineFit { kv_capacity, speed, ms_to_target, position, terms };
+                    let fit =
+                        EngineFit { kv_capacity, unreported, speed, ms_to_target, position, terms };
                     engine_cost(now, upstream, demand, fit)
                 }
-                None => plain_cost(now, upstream, &self.settings.failure_domain),
+                None => plain_cost(now, upstream, &self.settings.failure_domain, spread.as_ref()),
             };
             // A cold upstream takes no position in the ranking: it can't take all requests for the
             // parts that prefer it.
@@ -186,6 +208,19 @@
         best.map(|(_, name)| name).ok_or(PlacementError::Full)
     }
 
+    /// Sorts upstreams by their ranks for a shared part.
+    fn sort_by_rank(&self, names: &mut [UpstreamName], part: u64, service: &Service) {
+        if !self.capabilities.is_in_force(service) {
+            names.sort_by_cached_key(|name| u64::MAX - rank(part, name));
+            return;
+        }
+        names.sort_by_cached_key(|name| {
+            let upstream = self.upstreams.get(name);
+            let weight = upstream.map_or(1.0, |upstream| upstream.capability.rank_weight());
+            weighted_order(part, name, weight)
+        });
+    }
+
     /// Returns how many requests this entry may have under way at an upstream that has backed off
     /// shortly before; `None` if there is no limit.
     fn slow_start_limit(&self, now: Millis, upstream: &Upstream) -> Option<u32> {
@@ -198,13 +233,13 @@
     pub(super) fn time_to_capacity(&mut self, now: Millis, demand: &Demand) -> Millis {
         let speed = self.speeds.get(&demand.service).copied().unwrap_or_default();
         let names = self.usable(now, demand, Eligible::of(&demand.version));
-        let unread = names.iter().filter_map(|name| {
+        let times = names.iter().filter_map(|name| {
             let upstream = self.upstreams.get_mut(name)?;
+            let speed = speed.slowed_by(upstream.duration_factor(now));
             upstream.advance_reading(now, speed.read_rate());
-            Some(upstream.unread())
+            Some(upstream.unread() as f64 / speed.read_rate())
         });
-        let least = unread.min().unwrap_or(0);
-        Millis((least as f64 / speed.read_rate()) as u64)
+        Millis(times.min_by(f64::total_cmp).unwrap_or(0.0) as u64)
     }
 
     /// Returns the mean number of requests under way at upstreams that serve: the load that a
@@ -286,6 +321,7 @@
 #[derive(Clone, Copy)]
 struct EngineFit {
     kv_capacity: u64,
+    unreported: UnreportedMemory,
     speed: EngineSpeed,
     /// The time left until the first event is due, in milliseconds.
     ms_to_target: f64,
@@ -315,7 +351,9 @@
         return None;
     }
     let time_limit = fit.ms_to_target * fit.terms.time_fraction;
-    let needed = upstream.memory() + unread + u64::from(demand.expected_output);
+    let peers = &upstream.peers;
+    let unreported = fit.unreported.at(peers.running, peers.memory);
+    let needed = upstream.memory() + unreported + unread + u64::from(demand.expected_output);
     if needed as f64 > fit.kv_capacity as f64 * MEMORY_FRACTION {
         return None;
     }
@@ -331,8 +369,17 @@
     Some(first_event + reread_cost + unsafe_cost + f64::from(running) * RUNNING_WEIGHT + rank)
 }
 
-/// Returns the cost of a plain upstream, in requests under way, or `None` if it is full.
-fn plain_cost(now: Millis, upstream: &Upstream, domain: &FailureDomain) -> Option<f64> {
+/// Returns the cost of a plain upstream, in requests under way, or `None` if it is full. With a
+/// `spread`, the cost is the expected time.
+fn plain_cost(
+    now: Millis,
+    upstream: &Upstream,
+    domain: &FailureDomain,
+    spread: Option<&PlainSpread>,
+) -> Option<f64> {
+    if let Some(spread) = spread {
+        return spread.cost(now, upstream, domain);
+    }
     let running = upstream.running(now);
     if running >= upstream.listed.slots * PLAIN_LIMIT_FACTOR {
         return None;
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -7,7 +7,8 @@
 //! capacity is expected.
 
 use super::{
-    Demand, PlacementError, RequestNo, ShareStatus, Traffic, Verdict, placement::PlacementTerms,
+    Demand, EarlyRequest, PlacementError, RequestNo, ShareStatus, Traffic, Verdict,
+    placement::PlacementTerms, plain::PlainWait,
 };
 use crate::core::{Code, Millis};
 
@@ -33,13 +34,10 @@
 const MAX_COMPARISONS_PER_POLL: usize = 600;
 /// The minimum retry delay of a refused caller: the reason for the refusal doesn't change any
 /// sooner.
-const MIN_RETRY_DELAY: Millis = Millis(120);
+pub(super) const MIN_RETRY_DELAY: Millis = Millis(120);
 /// The maximum retry delay: a caller that retries later gets its answer too late in any case, and
 /// an estimate for a longer time is unreliable.
-const MAX_RETRY_DELAY: Millis = Millis(1_500);
-/// The retry delay after an entry refused a request because its own processor is overloaded; other
-/// entries can take the request at once.
-const RETRY_AFTER_OVERLOAD: Millis = Millis(50);
+pub(super) const MAX_RETRY_DELAY: Millis = Millis(1_500);
 /// The retry delay if no upstream is available: restarts take seconds.
 const RETRY_AFTER_NO_UPSTREAM: Millis = Millis(1_000);
 
@@ -50,6 +48,9 @@
     status: ShareStatus,
     /// The time until which the request may wait.
     wait_until: Millis,
+    /// Whether it goes before others with the same target: a request to a plain service that must
+    /// not be repeated.
+    goes_first: bool,
 }
 
 impl Traffic {
@@ -63,6 +64,7 @@
             false => self.shares.status(now, &demand.organisation, work),
         };
         self.shares.on_requested(now, &demand.organisation, work);
+        self.on_plain_requested(now, &demand);
         match self.start(now, &demand, status) {
             Ok(verdict) => Some(verdict),
             Err(PlacementError::NoUpstream) => Some(refuse_without_upstream(&demand)),
@@ -74,27 +76,29 @@
             Err(PlacementError::Full) if self.waiting.len() >= MAX_WAITING => {
                 Some(self.refuse_until_capacity(now, Code::QueueFull, &demand))
             }
-            Err(PlacementError::Full) => {
-                self.enqueue(demand, status);
-                None
-            }
+            Err(PlacementError::Full) => self.enqueue(now, demand, status),
         }
     }
 
     /// Counts a request that is refused before admission because this entry's processor is
     /// overloaded, and returns the caller's retry delay.
     ///
-    /// The request counts as requested and refused. If it weren't counted, an organisation whose
+    /// It counts as requested and refused. If it weren't counted, an organisation whose
     /// callers all use one busy entry would seem to ask for little, and would not limit the
     /// organisations that take its share at other entries.
     pub fn refuse_overloaded(&mut self, now: Millis, demand: &Demand) -> Millis {
-        let work = demand.work();
-        self.shares.on_requested(now, &demand.organisation, work);
-        self.shares.on_refused(now, &demand.organisation, work);
-        RETRY_AFTER_OVERLOAD
+        self.refuse_early(
+            now,
+            &EarlyRequest {
+                organisation: &demand.organisation,
+                work: demand.work(),
+                uses_engine: !demand.prompt.is_empty(),
+                time_left: demand.deadline.since(now),
+            },
+        )
     }
 
-    fn refresh_shares(&mut self, now: Millis) {
+    pub(super) fn refresh_shares(&mut self, now: Millis) {
         let capacity = self.configuration.as_ref().map_or(0.0, |c| c.limits.tokens_per_s);
         self.shares.refresh(now, capacity, self.peer_reports.usage());
     }
@@ -119,6 +123,9 @@
             ShareStatus::Over => return Err(PlacementError::Full),
         };
         let name = self.place(now, demand, terms)?;
+        if !self.take_from_ration(now, demand) {
+            return Err(PlacementError::Full);
+        }
         let granted = self.grant(now, demand, &name);
         Ok(granted.map_or(refuse_without_upstream(demand), Verdict::Start))
     }
@@ -134,12 +141,24 @@
         refuse(code, time_to_capacity.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
     }
 
-    fn enqueue(&mut self, demand: Demand, status: ShareStatus) {
+    /// Puts a request in the queue. A request to a plain service that is known to miss its target
+    /// is refused instead.
+    fn enqueue(&mut self, now: Millis, demand: Demand, status: ShareStatus) -> Option<Verdict> {
         let fraction =
             if status == ShareStatus::Within { WAIT_FRACTION } else { WAIT_FRACTION_OVER_SHARE };
         let span = demand.target.since(demand.arrived).0 as f64 * fraction;
-        let wait_until = demand.arrived + Millis(span as u64);
-        self.waiting.push(WaitingRequest { demand, status, wait_until });
+        let plain_wait = self.plain_wait(now, &demand);
+        let wait_until = match plain_wait {
+            None => demand.arrived + Millis(span as u64),
+            Some(PlainWait::Until(latest)) => latest,
+            Some(PlainWait::TooLate(left)) => {
+                let retry_after = left.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+                return Some(refuse(Code::ServiceShort, retry_after));
+            }
+        };
+        let goes_first = plain_wait.is_some() && !demand.may_repeat;
+        self.waiting.push(WaitingRequest { demand, status, wait_until, goes_first });
+        None
     }
 
     /// Removes a waiting request whose caller has left.
@@ -155,7 +174,7 @@
         }
         self.last_poll = now;
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target));
+        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target, !waiting.goes_first));
         let max_tries =
             (MAX_COMPARISONS_PER_POLL / self.upstreams.len().max(1)).clamp(1, MAX_TRIES_PER_POLL);
         let mut tries = 0;
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -7,11 +7,14 @@
 pub mod adapter;
 pub mod caller;
 mod decisions;
+pub mod early_refusal;
 mod end_check;
 pub mod events;
 pub mod latency;
 mod listing;
+mod memory;
 mod origins;
+mod plain;
 pub mod pool;
 mod relay;
 mod request;
@@ -41,6 +44,7 @@
 use self::{
     adapter::PlatformAdapter,
     decisions::{DecisionLog, FailureLine, NoticeLine},
+    memory::Memory,
     origins::OriginAnswers,
     pool::Pool,
     scheduling_delay::probe_scheduling_delay,
@@ -86,8 +90,9 @@
     pool: Rc<Pool>,
     decisions: DecisionLog,
     origin_answers: OriginAnswers,
-    overload: Cell<Overload>,
+    overload: RefCell<Overload>,
     link: RefCell<LinkLoad>,
+    memory: Rc<Memory>,
     /// Whether a measurement of the scheduling delay is in progress.
     is_probing: Cell<bool>,
     listing_plan: RefCell<ListingPlan>,
@@ -145,8 +150,7 @@
         gauge!("kingcup_open_requests").set(self.open_requests.get() as f64);
         gauge!("kingcup_open_connections").set(self.open_connections.get() as f64);
         gauge!("kingcup_waiting_requests").set(traffic.waiting() as f64);
-        gauge!("kingcup_refused_part").set(self.overload.get().refused_fraction());
-        gauge!("kingcup_turn_wait_ms").set(self.overload.get().scheduling_delay().0 as f64);
+        self.record_overload_metrics();
         let link_delay = self.link.borrow().delay();
         gauge!("kingcup_link_delay_ms").set(link_delay.0 as f64);
         gauge!("kingcup_entries").set(traffic.entry_count() as f64);
@@ -158,8 +162,14 @@
             let label = name.as_str().to_owned();
             gauge!("kingcup_upstream_running", "upstream" => label.clone())
                 .set(f64::from(upstream.running(now)));
-            gauge!("kingcup_upstream_memory_tokens", "upstream" => label)
+            gauge!("kingcup_upstream_memory_tokens", "upstream" => label.clone())
                 .set(upstream.memory() as f64);
+            gauge!("kingcup_upstream_duration_factor", "upstream" => label.clone())
+                .set(upstream.duration_factor(now));
+            gauge!("kingcup_upstream_speed_answers", "upstream" => label.clone())
+                .set(upstream.speed_answers(now));
+            let limit = upstream.load_limit().unwrap_or(upstream.listed.slots);
+            gauge!("kingcup_upstream_load_limit", "upstream" => label).set(f64::from(limit));
         }
     }
 
@@ -201,6 +211,16 @@
         }
     }
 
+    /// Logs and counts the changes of the limits and ranks of upstreams since the last call.
+    fn log_capability_changes(&self) {
+        let changes = self.traffic.borrow_mut().take_capability_changes();
+        if !changes.is_empty() {
+            let count = changes.changes.len() as u64 + changes.untold;
+            counter!("kingcup_capability_changes").increment(count);
+            log::event("upstream-capability", &changes);
+        }
+    }
+
     /// Tells the other entries of crashes; returns whether there was anything to tell.
     fn share_crashes(&self, now: Millis) -> bool {
         let news = self.traffic.borrow_mut().take_crash_news(now);
@@ -257,17 +277,19 @@
         let _ = update_tx.send(update);
     };
     let fleet = FleetHandle::start(settings.clone(), Box::new(sink))?;
+    let clock = Clock::start();
     let gateway = Rc::new(Gateway {
         traffic: RefCell::new(Traffic::new(settings.clone())),
         adapter,
-        clock: Clock::start(),
+        clock,
         process: random::number()?,
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
         origin_answers: OriginAnswers::default(),
-        overload: Cell::default(),
+        overload: RefCell::default(),
         link: RefCell::default(),
+        memory: Memory::new(clock, settings.memory_limit, settings.max_sockets),
         is_probing: Cell::default(),
         listing_plan: RefCell::new(ListingPlan::new(&settings.instance())),
         listing_duty: Cell::default(),
@@ -333,15 +355,18 @@
         let now = gateway.now();
         gateway.poll_waiting();
         gateway.log_cause_changes();
+        gateway.memory.relieve();
         if now >= next_crash_news && gateway.share_crashes(now) {
             next_crash_news = now + CRASH_NEWS_INTERVAL;
         }
-        gateway.link.borrow_mut().update(now, gateway.overload.get().scheduling_delay());
+        gateway.link.borrow_mut().update(now, gateway.overload.borrow().scheduling_delay());
         if now >= next_share {
+            let has_room = gateway.has_room();
             let report = {
                 let mut traffic = gateway.traffic.borrow_mut();
                 traffic.expire_reports(now);
                 traffic.repeat_bars();
+                traffic.set_own_room(has_room);
                 next_share = now + share_interval(traffic.entry_count());
                 traffic.take_report(now)
             };
@@ -353,9 +378,12 @@
         }
         if now >= next_sweep {
             next_sweep = now + SWEEP;
+            gateway.report_plain(now);
+            gateway.log_capability_changes();
             let traffic = gateway.traffic.borrow();
             gateway.log_overload();
             gateway.record_metrics(now);
+            gateway.memory.report();
             gateway.decisions.next_second();
             gateway.pool.sweep(|name| traffic.upstreams().contains_key(name));
         }
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -1,11 +1,15 @@
 //! Connections from callers, and the readiness probes of the load balancer.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -16,7 +20,9 @@
     Gateway,
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
-    request::ProxiedRequest,
+    early_refusal::EarlyOutcome,
+    memory::{AnswerBuffer, CountedBody, HeldBody, MemoryExhausted, WhenExhausted},
+    request::{ProxiedRequest, RoutedRequest},
     response::{ResponseBody, error_response},
 };
 use crate::{
@@ -57,6 +63,13 @@
 /// of new streams several times a second.
 const RETRY_AFTER_UNKNOWN_ORIGIN: Millis = Millis(500);
 
+/// The retry delay sent when there is no memory for a request's body; another entry can take it
+/// immediately.
+const RETRY_AFTER_MEMORY: Millis = Millis(50);
+/// How long a refused body is read and dropped. If the connection were closed before, the caller
+/// might not receive the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Increments a counter for as long as the value lives.
 struct CountGuard<'a>(&'a std::cell::Cell<usize>);
 
@@ -103,23 +116,40 @@
     }
 }
 
-async fn serve_connection<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, stream: TcpStream) {
+async fn serve_connection<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, mut stream: TcpStream) {
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
     let _ = stream.set_nodelay(true);
     let _count_guard = CountGuard::new(&gateway.open_connections);
+    let (pending, is_spared) = match gateway.refuses_early() {
+        // An error is the caller's disconnect.
+        true => match gateway.refuse_early(&mut stream).await {
+            Ok(EarlyOutcome::Served { pending, is_spared }) => (pending, is_spared),
+            Ok(EarlyOutcome::Refused) | Err(_) => return,
+        },
+        false => (Bytes::new(), false),
+    };
+    // Set while the next request is the one that load shedding has spared.
+    let is_spared = Cell::new(is_spared);
     let idle = gateway.traffic.borrow().configuration().map(|c| c.limits.idle_timeout);
     let is_closing = gateway.stage() >= DrainStage::Closing;
     let idle = match is_closing {
         true => DRAIN_HEAD_TIMEOUT,
         false => idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK,
     };
-    let stream = CallerStream::new(stream);
+    let buffer = gateway.memory.open_buffer();
+    let stream = CallerStream::with_pending(stream, pending, buffer.clone());
     let caller = stream.caller();
+    let closing_caller = caller.clone();
+    let ended = async move {
+        answer_ended(buffer).await;
+        closing_caller.reset_on_close();
+    };
+    let mut ended = std::pin::pin!(ended);
     let service = service_fn(|request| {
-        let (gateway, caller) = (gateway.clone(), caller.clone());
+        let (gateway, caller, is_spared) = (gateway.clone(), caller.clone(), is_spared.take());
         async move {
-            let mut response = serve_one(gateway.clone(), caller, request).await?;
+            let mut response = serve_one(gateway.clone(), caller, request, is_spared).await?;
             if !may_keep_connection(&gateway) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -135,7 +165,10 @@
     let mut connection = std::pin::pin!(connection);
     if is_closing {
         // A graceful shutdown would make hyper close the connection before it reads the request.
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = ended => {}
+        }
         return;
     }
     let mut drain = gateway.drain.subscribe();
@@ -143,11 +176,23 @@
     tokio::select! {
         // A disconnect is recorded where the request is handled, which cancels its attempt.
         _ = connection.as_mut() => return,
+        () = ended.as_mut() => return,
         _ = closing => {}
     }
     connection.as_mut().graceful_shutdown();
-    // Errors are ignored for the same reason as above.
-    let _ = connection.await;
+    tokio::select! {
+        // Errors are ignored for the same reason as above.
+        _ = connection => {}
+        () = ended => {}
+    }
+}
+
+/// Waits until the answer on a connection is to be ended because memory is short.
+async fn answer_ended(buffer: Option<Rc<AnswerBuffer>>) {
+    match buffer {
+        Some(buffer) => buffer.ended().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Returns whether a caller may keep its connection open after a response.
@@ -167,6 +212,7 @@
     gateway: Rc<Gateway<E>>,
     caller: Caller,
     request: Request<Incoming>,
+    is_spared: bool,
 ) -> Result<Response<ResponseBody<E>>, Infallible> {
     let _count_guard = CountGuard::new(&gateway.open_requests);
     let (head, body) = request.into_parts();
@@ -178,39 +224,71 @@
     };
     let configuration = gateway.traffic.borrow().configuration().cloned();
     let limits = configuration.as_ref().map(|configuration| &configuration.limits);
-    let body = match read_body(body, limits).await {
+    let body = match read_body(&gateway, body, limits).await {
         Ok(body) => body,
+        Err(Code::TooBusy) => return refuse(Code::TooBusy, RETRY_AFTER_MEMORY),
         Err(code) => return refuse(code, Millis::ZERO),
     };
     let Some(configuration) = configuration else {
         return refuse(Code::NotReady, RETRY_AFTER_START);
     };
-    match ProxiedRequest::new(gateway.clone(), caller, &configuration, head, decoded, body) {
-        Ok(proxied) if !gateway.has_time_for(proxied.timeout()) => {
-            refuse(Code::Draining, RETRY_AFTER_DRAIN)
-        }
-        Ok(proxied) if gateway.must_shed() => Ok(proxied.shed()),
-        Ok(mut proxied) => match proxied.find_version().await {
-            Ok(()) => Ok(Rc::new(proxied).serve().await),
-            Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
-        },
-        Err(code) => refuse(code, Millis::ZERO),
+    let routed = match RoutedRequest::new(&gateway, &configuration, &head, &decoded) {
+        Ok(routed) => routed,
+        Err(code) => return refuse(code, Millis::ZERO),
+    };
+    if !gateway.has_time_for(routed.timeout) {
+        return refuse(Code::Draining, RETRY_AFTER_DRAIN);
+    }
+    // An overloaded entry refuses many times as many requests as it serves, so this is decided
+    // before anything is computed that only a request to be served needs.
+    let refusal = if is_spared { None } else { routed.refuse_early(&gateway, &decoded) };
+    routed.count(&gateway);
+    if let Some((code, retry_after)) = refusal {
+        let id = request_id.as_deref();
+        return Ok(error_response(&*gateway.adapter, code, retry_after, id));
+    }
+    let mut proxied =
+        ProxiedRequest::new(gateway.clone(), caller, &configuration, routed, head, decoded, body);
+    match proxied.find_version().await {
+        Ok(()) => Ok(Rc::new(proxied).serve().await),
+        Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
     }
 }
 
 /// Reads a request's body into memory, because it may have to be sent more than once.
-async fn read_body(body: Incoming, limits: Option<&Limits>) -> Result<Bytes, Code> {
+async fn read_body<E: PlatformAdapter>(
+    gateway: &Gateway<E>,
+    body: Incoming,
+    limits: Option<&Limits>,
+) -> Result<HeldBody, Code> {
     let max_len = limits.map_or(DEFAULT_MAX_BODY_LEN, |limits| limits.max_body_len);
     let read_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let reading = Limited::new(body, max_len).collect();
+    let len = body.size_hint().exact().map(|len| len.min(max_len as u64));
+    let Some(reservation) = gateway.memory.reserve_body(len) else {
+        discard(body).await;
+        return Err(Code::TooBusy);
+    };
+    let counted = CountedBody::new(body, reservation.clone(), WhenExhausted::Fail);
+    let reading = Limited::new(counted, max_len).collect();
     match timeout(read_timeout.as_duration(), reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(HeldBody { bytes: body.to_bytes(), _reservation: reservation }),
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
+        Ok(Err(err)) if err.is::<MemoryExhausted>() => {
+            gateway.memory.on_refused_body();
+            Err(Code::TooBusy)
+        }
         Ok(Err(_)) => Err(Code::BadRequest),
         Err(_) => Err(Code::BodyTimeout),
     }
 }
 
+/// Reads a refused body without keeping it.
+async fn discard(mut body: Incoming) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // What is left after the timeout is lost with the connection.
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 /// Serves the load balancer's readiness probes for as long as the process runs.
 pub(super) async fn accept_probes<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
