Leave connections without a request yet to the server while load is shed

Found by reading: an entry that sheds load closed a connection on which nothing had arrived for a second; before, such a caller had the idle timeout of the configuration.

--- a/src/kingcupgrade/transport/gateway/early_refusal.rs
+++ b/src/kingcupgrade/transport/gateway/early_refusal.rs
@@ -27,7 +27,7 @@
 const BUF_LEN: usize = 8 << 10;
 /// The limit of headers in a request; one with more is left to the server.
 const MAX_HEADERS: usize = 48;
-/// The timeout for reading a request that is refused.
+/// The timeout for the first bytes of a request, and for the rest of one that is refused.
 const READ_TIMEOUT: Millis = Millis(1_000);
 
 /// The start of a connection, as far as it was read.
@@ -97,10 +97,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection breaks or nothing arrives in time.
+    /// Returns an error if the connection breaks, or if the body of a refused request doesn't arrive in
+    /// time.
     pub(super) async fn refuse_early(&self, stream: &mut TcpStream) -> io::Result<EarlyOutcome> {
         let mut bytes = Vec::with_capacity(BUF_LEN);
-        timeout(READ_TIMEOUT.as_duration(), stream.read_buf(&mut bytes)).await??;
+        // A caller may open a connection before it has a request; the server waits for it.
+        if let Ok(read) = timeout(READ_TIMEOUT.as_duration(), stream.read_buf(&mut bytes)).await {
+            read?;
+        }
         let FirstRequest::Complete(head, body_left) = FirstRequest::parse(&bytes) else {
             return Ok(EarlyOutcome::Served { pending: bytes.into(), is_spared: false });
         };
