Compute the delay beyond a share, plain sums and the early share check in one place each

Behaviour stays: - admission and early refusals had a clamp of the same delay each; both call over_share_delay now; - the load exchange added up plain loads by hand where PlainSums does, and two places encoded them; - while an entry sheds load, the share of a request was checked twice; - the memory that others may have taken at engines was estimated for plain services, too; - host_of is visible to its module alone again.

--- a/src/kingcupgrade/coordination/fleet/load_exchange.rs
+++ b/src/kingcupgrade/coordination/fleet/load_exchange.rs
@@ -12,12 +12,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
+    coordination::traffic::PlainSums,
     core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName},
     protocol::{
         Message,
         fleet::{
             BegunStreams, CachedParts, DomainRoom, FleetEntry, FleetLoad, FleetMessage, Load,
-            LoadReport, Observed, PlainLoad,
+            LoadReport, Observed,
         },
     },
     util::rendezvous,
@@ -325,8 +326,7 @@
     refused: BTreeMap<Organisation, f64>,
     /// Entries, and those of them with room.
     room: BTreeMap<FailureDomain, [i64; 2]>,
-    /// Requests that were made, completed and turned away.
-    plain: BTreeMap<Service, [f64; 3]>,
+    plain: BTreeMap<Service, PlainSums>,
 }
 
 /// The sum of the loads of one upstream.
@@ -372,10 +372,7 @@
             sums[1] += sign * i64::from(room.with_room);
         }
         for load in &report.plain {
-            let amounts = [load.requested, load.completed, load.turned_away];
-            let sums = self.plain.entry(load.service.clone()).or_default();
-            let pairs = sums.iter_mut().zip(amounts);
-            pairs.for_each(|(sum, amount)| *sum += sign as f64 * f64::from(amount));
+            self.plain.entry(load.service.clone()).or_default().add(load, sign as f64);
         }
     }
 
@@ -391,10 +388,7 @@
             let [entries, with_room] = sums.map(|sum| sum.max(0) as u32);
             DomainRoom { domain: domain.clone(), entries, with_room }
         });
-        let plain = self.plain.iter().map(|(service, sums)| {
-            let [requested, completed, turned_away] = sums.map(|sum| sum.max(0.0) as f32);
-            PlainLoad { service: service.clone(), requested, completed, turned_away }
-        });
+        let plain = self.plain.iter().map(|(service, sums)| sums.to_load(service));
         LoadReport {
             loads: loads.collect(),
             served: tokens(&self.served),
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -34,7 +34,6 @@
     sync::Arc,
 };
 
-pub(in crate::coordination) use self::shares::max_min_level;
 pub use self::{
     backlog::Backlog,
     budget::{Allowance, RetryBudget},
@@ -55,6 +54,7 @@
     capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
     plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest,
 };
+pub(in crate::coordination) use self::{plain::PlainSums, shares::max_min_level};
 use crate::{
     coordination::{
         crashes::CrashCauses,
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -156,7 +156,10 @@
         let load_target = (is_canary && self.rollouts.is_last_step(&demand.service))
             .then(|| self.mean_running(now, demand));
         let spread = if plan.engine.is_none() { self.plain_spread(now, demand) } else { None };
-        let unreported = self.unreported_memory(&demand.service);
+        let unreported = match plan.engine.is_some() {
+            true => self.unreported_memory(&demand.service),
+            false => UnreportedMemory::default(),
+        };
         // Where entries divide what a plain service completes, a limit of its upstreams besides would
         // take capacity from it while it is short.
         let has_load_limits = spread.is_none();
--- a/src/kingcupgrade/coordination/traffic/plain/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/mod.rs
@@ -221,13 +221,7 @@
         let current = sums.filter(|(_, own)| {
             own.requested.max(own.completed).max(own.turned_away) >= MIN_REPORTED_SUM
         });
-        let loads = current.map(|(service, own)| PlainLoad {
-            service: service.clone(),
-            requested: own.requested as f32,
-            completed: own.completed as f32,
-            turned_away: own.turned_away as f32,
-        });
-        loads.collect()
+        current.map(|(service, own)| own.to_load(service)).collect()
     }
 
     /// Returns the plain services, with what this entry may send to those that are short of
--- a/src/kingcupgrade/coordination/traffic/plain/shortage.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/shortage.rs
@@ -1,6 +1,6 @@
 //! Decides whether a service without engines is short of capacity, and how much may be sent to it.
 
-use crate::protocol::fleet::PlainLoad;
+use crate::{core::Service, protocol::fleet::PlainLoad};
 
 /// The fraction of the requests that upstreams may turn away before that counts as a shortage. A
 /// request that is turned away by chance is sent again at the cost of one round trip.
@@ -37,6 +37,16 @@
         self.turned_away += sign * f64::from(load.turned_away);
     }
 
+    /// Returns the load of a service; sums below 0, which subtracting reports can leave, count as 0.
+    pub(in crate::coordination) fn to_load(self, service: &Service) -> PlainLoad {
+        PlainLoad {
+            service: service.clone(),
+            requested: self.requested.max(0.0) as f32,
+            completed: self.completed.max(0.0) as f32,
+            turned_away: self.turned_away.max(0.0) as f32,
+        }
+    }
+
     /// Adds up both; sums of others below 0, which subtracting reports can leave, count as 0.
     pub(super) fn plus(self, other: PlainSums) -> PlainSums {
         PlainSums {
--- a/src/kingcupgrade/coordination/traffic/plain/spread.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/spread.rs
@@ -38,7 +38,7 @@
 
 impl PlainSpread {
     /// Returns the cost of an upstream: the expected time of the request, where 1 is that of one
-    /// request for each slot at an upstream of the usual speed; `None` if the upstream is full.
+    /// request for each slot; `None` if the upstream is full.
     pub(in crate::coordination::traffic) fn cost(
         &self,
         now: Millis,
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -10,7 +10,7 @@
     Demand, EarlyRequest, PlacementError, RequestNo, ShareStatus, Traffic, Verdict,
     placement::PlacementTerms, plain::PlainWait,
 };
-use crate::core::{Code, Millis};
+use crate::core::{Code, Millis, Organisation};
 
 /// The fraction of the time to its target that a request within its organisation's share may wait;
 /// the rest must suffice to read its prompt.
@@ -34,10 +34,10 @@
 const MAX_COMPARISONS_PER_POLL: usize = 600;
 /// The minimum retry delay of a refused caller: the reason for the refusal doesn't change any
 /// sooner.
-pub(super) const MIN_RETRY_DELAY: Millis = Millis(120);
+const MIN_RETRY_DELAY: Millis = Millis(120);
 /// The maximum retry delay: a caller that retries later gets its answer too late in any case, and
 /// an estimate for a longer time is unreliable.
-pub(super) const MAX_RETRY_DELAY: Millis = Millis(1_500);
+const MAX_RETRY_DELAY: Millis = Millis(1_500);
 /// The retry delay if no upstream is available: restarts take seconds.
 const RETRY_AFTER_NO_UPSTREAM: Millis = Millis(1_000);
 
@@ -134,11 +134,16 @@
     /// the time until that is expected to change.
     fn refuse_until_capacity(&mut self, now: Millis, code: Code, demand: &Demand) -> Verdict {
         self.shares.on_refused(now, &demand.organisation, demand.work());
-        let time_to_capacity = match code {
-            Code::OverShare => self.shares.time_to_capacity(now, &demand.organisation),
-            _ => self.time_to_capacity(now, demand),
+        let retry_after = match code {
+            Code::OverShare => self.over_share_delay(now, &demand.organisation),
+            _ => retry_delay(self.time_to_capacity(now, demand)),
         };
-        refuse(code, time_to_capacity.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
+        refuse(code, retry_after)
+    }
+
+    /// Returns the retry delay of a caller whose organisation is over its share.
+    pub(super) fn over_share_delay(&self, now: Millis, organisation: &Organisation) -> Millis {
+        retry_delay(self.shares.time_to_capacity(now, organisation))
     }
 
     /// Puts a request in the queue. A request to a plain service that is known to miss its target
@@ -152,8 +157,7 @@
             None => demand.arrived + Millis(span as u64),
             Some(PlainWait::Until(latest)) => latest,
             Some(PlainWait::TooLate(left)) => {
-                let retry_after = left.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-                return Some(refuse(Code::ServiceShort, retry_after));
+                return Some(refuse(Code::ServiceShort, retry_delay(left)));
             }
         };
         let goes_first = plain_wait.is_some() && !demand.may_repeat;
@@ -208,6 +212,11 @@
     }
 }
 
+/// Returns the retry delay of a caller for whom there is capacity after this time.
+fn retry_delay(time_to_capacity: Millis) -> Millis {
+    time_to_capacity.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+}
+
 fn refuse_without_upstream(demand: &Demand) -> Verdict {
     let code = match demand.version.is_exact() {
         true => Code::NoUpstreamOfVersion,
--- a/src/kingcupgrade/coordination/traffic/room.rs
+++ b/src/kingcupgrade/coordination/traffic/room.rs
@@ -1,10 +1,7 @@
 //! Refusal of requests before admission while the entry's own processor is overloaded, and which
 //! other entries have room for their callers.
 
-use super::{
-    ShareStatus, Traffic,
-    queue::{MAX_RETRY_DELAY, MIN_RETRY_DELAY},
-};
+use super::{ShareStatus, Traffic};
 use crate::{
     coordination::{
         fleet::{has_collectors, report_ttl},
@@ -125,8 +122,7 @@
             return None;
         }
         self.count_refused(now, request);
-        let delay = self.shares.time_to_capacity(now, request.organisation);
-        Some(delay.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY))
+        Some(self.over_share_delay(now, request.organisation))
     }
 
     fn count_refused(&mut self, now: Millis, request: &EarlyRequest<'_>) {
--- a/src/kingcupgrade/transport/gateway/request/routed.rs
+++ b/src/kingcupgrade/transport/gateway/request/routed.rs
@@ -93,9 +93,7 @@
             uses_engine: !decoded.prompt.is_empty(),
             time_left: self.timeout,
         };
-        let refusal = gateway.early_refusal(self.arrived, &early);
-        let refusal = refusal.or_else(|| gateway.share_refusal(self.arrived, &early));
-        let (code, retry_after) = refusal?;
+        let (code, retry_after) = gateway.early_refusal(self.arrived, &early)?;
         counter!("kingcup_refused_early", "code" => code.number().to_string()).increment(1);
         gateway.decisions.refused(
             code,
--- a/src/kingcupgrade/transport/gateway/request/routing.rs
+++ b/src/kingcupgrade/transport/gateway/request/routing.rs
@@ -5,7 +5,7 @@
 use crate::core::{Service, configuration::Route};
 
 /// Returns the host that a request is meant for, without the port.
-pub(in crate::transport::gateway) fn host_of(head: &request::Parts) -> Option<&str> {
+pub(super) fn host_of(head: &request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = named.or(head.uri.host())?;
     Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
--- a/src/kingcupgrade/transport/gateway/scheduling_delay.rs
+++ b/src/kingcupgrade/transport/gateway/scheduling_delay.rs
@@ -7,9 +7,9 @@
 
 use super::{Gateway, adapter::PlatformAdapter};
 use crate::{
-    coordination::shutdown::DrainStage,
     coordination::{
         overload,
+        shutdown::DrainStage,
         traffic::{EarlyRequest, PeersWithRoom},
     },
     core::{Code, Millis, Organisation},
@@ -120,7 +120,8 @@
     }
 
     /// Returns the code and the retry delay with which to refuse the request that has just arrived,
-    /// if this entry is overloaded and refuses it before admission.
+    /// if this entry refuses it before admission: because it is overloaded, or because it refuses
+    /// many and the organisation is beyond its share.
     pub(super) fn early_refusal(
         &self,
         now: Millis,
@@ -128,19 +129,14 @@
     ) -> Option<(Code, Millis)> {
         let mut overload = self.overload.borrow_mut();
         let mut traffic = self.traffic.borrow_mut();
-        overload::early_refusal(now, &mut overload, &mut traffic, request)
-    }
-
-    /// Returns the same for a request whose organisation is beyond its share, while this entry
-    /// refuses many.
-    pub(super) fn share_refusal(
-        &self,
-        now: Millis,
-        request: &EarlyRequest<'_>,
-    ) -> Option<(Code, Millis)> {
-        let mut traffic = self.traffic.borrow_mut();
-        if !self.decisions.refuses_many() || !traffic.has_collectors() {
-            return None;
+        let refusal = overload::early_refusal(now, &mut overload, &mut traffic, request);
+        // An entry that sheds load has checked the share already.
+        let checks_share = refusal.is_none()
+            && !overload.is_shedding()
+            && self.decisions.refuses_many()
+            && traffic.has_collectors();
+        if !checks_share {
+            return refusal;
         }
         Some((Code::OverShare, traffic.refuse_over_share(now, request)?))
     }
