Review: an order to take an evacuation back is carried out twice

Cause: a control process that wakes from a freeze carries out orders whose callers have left, and orders for a zone bear a random id for each HTTP request, so that a copy can't be told from a new order.

Change: a script, review/3. A core machine freezes for 3.5 s; the operator takes an evacuation back at it and, after a second without a response, at another one, and evacuates the zone again. Nothing outside review/ changes.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run-case.sh" 3
