Review: stand-ins without links between machines

Cause: the stand-ins could cut links between machines, with other internal ports on each machine.

Change: the links are taken out of review/stand-ins/rig.rs; the cases are unchanged.

--- a/review/stand-ins/rig.rs
+++ b/review/stand-ins/rig.rs
@@ -1,15 +1,15 @@
-//! Stand-ins for the review's scripts: the platform's list, replicas, clients, the operator, and the
-//! links between machines. Uses the standard library only.
+//! Stand-ins for the review's scripts: the platform's list, replicas, clients and the operator. Uses
+//! the standard library only.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::BTreeMap,
     fs,
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Condvar, Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -399,147 +399,6 @@
     }
 }
 
-// ---------------------------------------------------------------- links between machines
-
-/// How long a connection may take to open between the project's processes.
-const DIAL_LIMIT: Duration = Duration::from_millis(300);
-/// When bytes that were not acknowledged are sent again for the first time; each further wait is
-/// twice as long as the one before.
-const FIRST_RESEND: Duration = Duration::from_millis(200);
-
-/// The links between the machines of a fleet, of which some may be cut.
-#[derive(Clone, Default)]
-pub struct Links {
-    cut: Arc<(Mutex<BTreeSet<(IpAddr, IpAddr)>>, Condvar)>,
-}
-
-impl Links {
-    /// Carries connections of the machine `from` to `to`.
-    pub fn carry(&self, from: IpAddr, listen: SocketAddr, to: SocketAddr) {
-        let listener = TcpListener::bind(listen).expect("an address for a link");
-        let links = self.clone();
-        let (there, back) = ((from, to.ip()), (to.ip(), from));
-        thread::spawn(move || {
-            for client in listener.incoming().flatten() {
-                let links = links.clone();
-                thread::spawn(move || {
-                    // The opening packet of a connection does not pass a cut, and is sent again only
-                    // after a second. By then the caller has given up.
-                    if links.is_cut(there) || links.is_cut(back) {
-                        thread::sleep(DIAL_LIMIT);
-                        return;
-                    }
-                    let Ok(server) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
-                        return;
-                    };
-                    for stream in [&client, &server] {
-                        let _ = stream.set_nodelay(true);
-                    }
-                    let (Ok(client2), Ok(server2)) = (client.try_clone(), server.try_clone())
-                    else {
-                        return;
-                    };
-                    links.forward(there, client, server);
-                    links.forward(back, server2, client2);
-                });
-            }
-        });
-    }
-
-    pub fn set_cut(&self, pairs: &[(IpAddr, IpAddr)], cut: bool) {
-        let mut known = self.cut.0.lock().unwrap();
-        for pair in pairs {
-            if cut {
-                known.insert(*pair)
-            } else {
-                known.remove(pair)
-            };
-        }
-        self.cut.1.notify_all();
-    }
-
-    fn is_cut(&self, pair: (IpAddr, IpAddr)) -> bool {
-        self.cut.0.lock().unwrap().contains(&pair)
-    }
-
-    fn wait(&self, pair: (IpAddr, IpAddr)) {
-        let mut known = self.cut.0.lock().unwrap();
-        while known.contains(&pair) {
-            known = self.cut.1.wait(known).unwrap();
-        }
-    }
-
-    /// Forwards one direction. Bytes sent while the link is cut arrive after it has healed, when their
-    /// sender's kernel sends them again; also if the sender has closed the connection meanwhile. They
-    /// are lost if it has reset it.
-    fn forward(&self, pair: (IpAddr, IpAddr), mut from: TcpStream, mut to: TcpStream) {
-        enum Item {
-            Bytes(Vec<u8>),
-            End,
-        }
-        let queue: Arc<(Mutex<VecDeque<(Instant, Item)>>, Condvar)> = Arc::default();
-        let filling = queue.clone();
-        thread::spawn(move || {
-            loop {
-                let mut buf = vec![0; 16 << 10];
-                let read = from.read(&mut buf);
-                let mut queue = filling.0.lock().unwrap();
-                let is_end = match read {
-                    Ok(0) => true,
-                    Ok(n) => {
-                        buf.truncate(n);
-                        queue.push_back((Instant::now(), Item::Bytes(buf)));
-                        false
-                    }
-                    Err(_) => {
-                        queue.clear();
-                        true
-                    }
-                };
-                if is_end {
-                    queue.push_back((Instant::now(), Item::End));
-                }
-                filling.1.notify_all();
-                if is_end {
-                    return;
-                }
-            }
-        });
-        let links = self.clone();
-        thread::spawn(move || {
-            loop {
-                let mut items = queue.0.lock().unwrap();
-                while items.is_empty() {
-                    items = queue.1.wait(items).unwrap();
-                }
-                let sent = items.front().map(|(sent, _)| *sent);
-                drop(items);
-                if let Some(sent) = sent.filter(|_| links.is_cut(pair)) {
-                    links.wait(pair);
-                    let mut delay = FIRST_RESEND;
-                    while sent + delay < Instant::now() {
-                        delay = delay * 2 + FIRST_RESEND;
-                    }
-                    thread::sleep((sent + delay).saturating_duration_since(Instant::now()));
-                }
-                let item = queue.0.lock().unwrap().pop_front().map(|(_, item)| item);
-                match item {
-                    Some(Item::Bytes(bytes)) if to.write_all(&bytes).is_ok() => {}
-                    Some(Item::Bytes(_)) => {
-                        let _ = to.shutdown(Shutdown::Both);
-                        return;
-                    }
-                    Some(Item::End) => {
-                        let _ = to.shutdown(Shutdown::Write);
-                        return;
-                    }
-                    None => {}
-                }
-            }
-        });
-    }
-}
-
 // ---------------------------------------------------------------- machines
 
 pub struct Machine {
@@ -604,7 +463,6 @@
 /// machines.
 pub struct Fleet {
     pub machines: Vec<Machine>,
-    pub links: Links,
     pub list: List,
     pub record: Record,
     pub root: PathBuf,
@@ -641,30 +499,10 @@
                 });
             }
         }
-        let fleet = Fleet {
-            machines,
-            links: Links::default(),
-            list,
-            record: record.clone(),
-            root: root.to_owned(),
-            net,
-            sub,
-        };
-        for (number, machine) in fleet.machines.iter().enumerate() {
-            fs::write(&machine.settings, fleet.settings(folder, number, machine))
-                .expect("settings");
-        }
-        // Each machine reaches the others through links of its own: it has other internal ports than
-        // they have, and a link listens where it looks for them.
-        for (from_number, from) in fleet.machines.iter().enumerate() {
-            for (to_number, to) in fleet.machines.iter().enumerate() {
-                if from_number != to_number {
-                    let offset = u16::from(to.is_core);
-                    let listen = SocketAddr::new(to.ip, internal_port(from_number) + offset);
-                    let target = SocketAddr::new(to.ip, internal_port(to_number) + offset);
-                    fleet.links.carry(from.ip, listen, target);
-                }
-            }
+        let fleet =
+            Fleet { machines, list, record: record.clone(), root: root.to_owned(), net, sub };
+        for machine in &fleet.machines {
+            fs::write(&machine.settings, fleet.settings(folder, machine)).expect("settings");
         }
         fleet
     }
@@ -673,11 +511,10 @@
         IpAddr::V4(Ipv4Addr::new(127, self.net, self.sub, host))
     }
 
-    fn settings(&self, folder: &Path, number: usize, machine: &Machine) -> String {
+    fn settings(&self, folder: &Path, machine: &Machine) -> String {
         let (ip, zone) = (machine.ip, &machine.zone);
         let seeds: Vec<String> =
             self.cores().iter().map(|m| format!("{}:{CONTROL_PORT}", m.ip)).collect();
-        let first = internal_port(number);
         let own = match machine.is_core {
             true => format!(
                 "role=control\nmachine_class=core\nserves=control\nlisten.control={ip}:{CONTROL_PORT}\n\
@@ -694,7 +531,7 @@
         let zones: String = ZONES.iter().map(|zone| format!("zones.{zone}=santiago\n")).collect();
         format!(
             "node={}\nip={ip}\nzone={zone}\nregion=santiago\n{zones}{own}\
-             internal_ports={first},{}\nseeds={}\nbootstrap={}\nlimits.cores=1\n\
+             internal_ports={FIRST_INTERNAL},{}\nseeds={}\nbootstrap={}\nlimits.cores=1\n\
              limits.link_mbps=1000.0\ndiscovery=cloud\nentry=vip\nbeat_ms=1200\n\
              contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places\n\
              fault_tolerance.machines=1\nfault_tolerance.zones=1\nfault_tolerance.regions=0\n\
@@ -708,7 +545,7 @@
              config_mode=highest\ncloud.address={}\ncloud.rate_per_s=42.0\ncloud.duties=\n\
              cloud.lag_ms=800\n",
             machine.name,
-            first + 15,
+            FIRST_INTERNAL + 15,
             seeds.join(","),
             !machine.is_spare,
             self.list.address,
@@ -819,10 +656,6 @@
     }
 }
 
-fn internal_port(number: usize) -> u16 {
-    FIRST_INTERNAL + 20 * number as u16
-}
-
 // ---------------------------------------------------------------- clients
 
 #[derive(Clone, Debug)]
