--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -367,7 +367,7 @@
 
 /// Validates the content of a command before it is appended to the log.
 fn validate(command: &Command) -> Result<(), CodedError> {
-    match command {
+    match command.unconditional() {
         Command::ApplyDocument { text, .. } => Document::parse(text).map(|_| ()),
         Command::Order { setup, .. } => setup.check(),
         Command::StartRollout { order, .. } => order.check(),
--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -121,6 +121,7 @@
     ConfigurationTooLarge = 5009, NotRun, 413, "The configuration is larger than an instance holds.";
     RolloutInvalid = 5010, NotRun, 400, "The rollout order is not valid.";
     RolloutRefused = 5011, NotRun, 409, "The rollout is refused.";
+    Overtaken = 5012, NotRun, 503, "Another change came first; the change was not carried out.";
 
     SettingsInvalid = 6001, NotRun, 400, "The settings file is not valid.";
     DataCorrupt = 6002, NotRun, 500, "The data folder holds a record that does not match its checksum.";
--- a/src/kingcupgrade/protocol/record.rs
+++ b/src/kingcupgrade/protocol/record.rs
@@ -190,6 +190,21 @@
     /// Reads the last rollout of a service. It is committed as [`Command::Read`] is.
     #[serde(rename = "y")]
     ReadRollout(Service),
+    /// Carries out an operator's change if what it changes has not changed after an index of the
+    /// record.
+    ///
+    /// A change may wait anywhere on its way to the record, in a process that is suspended or on a
+    /// link that is cut, until its operator has given it up and made later ones. The index shows
+    /// that it is older than those; clocks of two instances would not.
+    #[serde(rename = "z")]
+    IfUnchanged {
+        /// The index that the instance knew before the operator sent the change.
+        #[serde(rename = "i")]
+        since: u64,
+        /// The change.
+        #[serde(rename = "c")]
+        command: Box<Command>,
+    },
     /// Settles a claim with the outcome of its request.
     #[serde(rename = "e")]
     Settle {
@@ -205,6 +220,28 @@
     },
 }
 
+impl Command {
+    /// Returns the change that the command carries out, without the condition for it.
+    pub fn unconditional(&self) -> &Command {
+        match self {
+            Command::IfUnchanged { command, .. } => command.unconditional(),
+            command => command,
+        }
+    }
+
+    /// Returns the id of the change, if it has one.
+    pub fn change_id(&self) -> Option<&str> {
+        match self.unconditional() {
+            Command::ApplyDocument { change, .. }
+            | Command::SetDomain { change, .. }
+            | Command::SetLeaving { change, .. }
+            | Command::Order { change, .. }
+            | Command::StartRollout { change: Some(change), .. } => Some(change),
+            _ => None,
+        }
+    }
+}
+
 /// The reply of the record to a [`Command`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/kingcupgrade/state/record.rs
+++ b/src/kingcupgrade/state/record.rs
@@ -142,6 +142,9 @@
             Command::Order { change, upstream, setup } => {
                 self.run_once(change, |record| record.order(index, upstream, setup))
             }
+            Command::IfUnchanged { since, command } => {
+                self.apply_if_unchanged(index, *since, command)
+            }
             Command::Replace(proposed) => self.replace(index, proposed),
             Command::Read => Reply::Configuration(self.configuration.clone()),
             Command::StartRollout { change: Some(change), order } => {
@@ -163,13 +166,81 @@
         }
     }
 
+    /// Applies a change unless what it changes has changed after the index `since`.
+    ///
+    /// A change that was overtaken but is in force is accepted without effect: it is a resend, or it
+    /// makes no difference.
+    fn apply_if_unchanged(&mut self, index: u64, since: u64, command: &Command) -> Reply {
+        let is_resend = command.change_id().is_some_and(|change| self.reply_to(change).is_some());
+        let changed = self.last_changed(command);
+        if changed <= since || is_resend {
+            return self.apply_known(index, command);
+        }
+        if self.is_in_force(command) {
+            return Reply::Accepted { revision: 0, index: self.index };
+        }
+        let detail = format!("it was made at index {since}, another change came at {changed}");
+        Reply::Refused(CodedError::new(Code::Overtaken, detail))
+    }
+
+    /// Applies a change of an operator who knew the last change of what it changes.
+    fn apply_known(&mut self, index: u64, command: &Command) -> Reply {
+        match command {
+            // Only the last rollout can be the one that the order began.
+            Command::StartRollout { change: None, order } => {
+                let may_resend = self.is_in_force(command);
+                self.start_rollout(index, order, may_resend)
+            }
+            command => self.apply_command(index, command),
+        }
+    }
+
+    /// Returns whether a change would leave the record as it is.
+    ///
+    /// An order to an upstream never does, because its index is the fencing number.
+    fn is_in_force(&self, command: &Command) -> bool {
+        match command {
+            Command::SetDomain { domain, out, .. } => {
+                self.domains.get(domain).is_some_and(|known| known.out) == *out
+            }
+            Command::SetLeaving { upstream, leaving, .. } => {
+                self.upstreams.get(upstream).is_some_and(|known| known.out) == *leaving
+            }
+            Command::StartRollout { change: None, order } => {
+                self.rollouts.last(&order.service).is_some_and(|last| last.order == *order)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the index of the last change of what a command changes; 0 if there was none.
+    fn last_changed(&self, command: &Command) -> u64 {
+        let index = match command {
+            Command::SetDomain { domain, .. } => self.domains.get(domain).map(|known| known.index),
+            Command::SetLeaving { upstream, .. } => {
+                self.upstreams.get(upstream).map(|known| known.index)
+            }
+            Command::Order { upstream, .. } => self.orders.get(upstream).map(|order| order.index),
+            Command::StartRollout { order, .. } => {
+                self.rollouts.last(&order.service).map(|last| last.id)
+            }
+            _ => None,
+        };
+        index.unwrap_or_default()
+    }
+
+    /// Returns the first reply to a change, if it is a recent one.
+    fn reply_to(&self, change: &str) -> Option<&Reply> {
+        self.changes.iter().find(|(known, _)| known == change).map(|(_, reply)| reply)
+    }
+
     /// Applies a change, or returns its first reply again if it is a resend.
     ///
     /// An operator that received no reply sends the change again. Without the stored reply, the
     /// resend would be refused for a revision conflict with itself. The replies are part of the
     /// replicated state, so the texts of refusals in them must not differ between versions.
     fn run_once(&mut self, change: &str, make: impl FnOnce(&mut Record) -> Reply) -> Reply {
-        if let Some((_, reply)) = self.changes.iter().find(|(known, _)| known == change) {
+        if let Some(reply) = self.reply_to(change) {
             return reply.clone();
         }
         let reply = make(self);
--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -10,12 +10,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use tokio::{
-    net::{TcpListener, TcpStream},
     signal::unix::{SignalKind, signal},
     time::{sleep, timeout},
 };
 
 use super::{
+    arrivals::{Arrivals, OperatorConnection},
     fleet::FleetHandle,
     gateway::adapter::{OperatorCall, PlatformAdapter},
     listen::listen,
@@ -80,7 +80,8 @@
     let mut tasks = EssentialTasks::default();
     tasks.spawn("settings", reload::follow(adapter.clone(), fleet.clone(), settings.clone()));
     let server = Rc::new(OperatorServer { adapter, fleet: fleet.clone() });
-    tasks.spawn("operators", accept_all(server, listener));
+    let arrivals = Arrivals::new(listener, fleet.clone());
+    tasks.spawn("operators", accept_all(server, arrivals));
     log::event("started", &settings.instance());
     let mut terminated = signal(SignalKind::terminate())?;
     if !signals.is_terminated() {
@@ -98,12 +99,12 @@
 
 async fn accept_all<E: PlatformAdapter>(
     server: Rc<OperatorServer<E>>,
-    listener: TcpListener,
+    mut arrivals: Arrivals,
 ) -> anyhow::Result<()> {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(server.clone(), stream));
+        match arrivals.next().await {
+            Ok(connection) => {
+                tokio::task::spawn_local(serve_connection(server.clone(), connection));
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
@@ -113,22 +114,30 @@
     }
 }
 
-async fn serve_connection<E: PlatformAdapter>(server: Rc<OperatorServer<E>>, stream: TcpStream) {
+/// Serves one request. The connection is closed after it: how long a second request has waited would
+/// not be known.
+async fn serve_connection<E: PlatformAdapter>(
+    server: Rc<OperatorServer<E>>,
+    connection: OperatorConnection,
+) {
+    let OperatorConnection { stream, known_index } = connection;
     let service = service_fn(|request| {
         let server = server.clone();
-        async move { Ok::<_, Infallible>(server.serve(request).await) }
+        async move { Ok::<_, Infallible>(server.serve(request, known_index).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(READ_TIMEOUT.as_duration())
+        .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
     // Errors are ignored because an operator whose connection fails can retry.
     let _ = connection.await;
 }
 
 impl<E: PlatformAdapter> OperatorServer<E> {
-    /// Dispatches a request to the operation that its method and path denote.
-    async fn serve(&self, request: Request<Incoming>) -> OperatorResponse {
+    /// Dispatches a request to the operation that its method and path denote; `known_index` is an
+    /// index of the record that this instance knew before the request was sent.
+    async fn serve(&self, request: Request<Incoming>, known_index: u64) -> OperatorResponse {
         let call = self.adapter.operator_call(request.method(), request.uri().path());
         let reading = Limited::new(request.into_body(), MAX_CONFIGURATION_LEN).collect();
         let body = match timeout(READ_TIMEOUT.as_duration(), reading).await {
@@ -143,14 +152,15 @@
         match call {
             Some(OperatorCall::Replace) => self.replace(&body).await,
             Some(OperatorCall::Read) => self.read().await,
-            Some(OperatorCall::StartRollout) => self.start_rollout(&body).await,
+            Some(OperatorCall::StartRollout) => self.start_rollout(&body, known_index).await,
             Some(OperatorCall::ReadRollout(service)) => self.read_rollout(service).await,
             Some(OperatorCall::SetDomain { domain, out }) => {
                 let Ok(change) = random::number() else {
                     return refusal(Code::NotLeader, "could not generate a random change id");
                 };
                 let change = format!("{change:016x}");
-                self.change(Command::SetDomain { change, domain, out }).await
+                let command = Command::SetDomain { change, domain, out };
+                self.change(if_unchanged(known_index, command)).await
             }
             None => refusal(Code::NotFound, "unknown method or path"),
         }
@@ -170,9 +180,12 @@
             .await
     }
 
-    async fn start_rollout(&self, body: &[u8]) -> OperatorResponse {
+    async fn start_rollout(&self, body: &[u8], known_index: u64) -> OperatorResponse {
         match self.adapter.decode_rollout(body) {
-            Ok(order) => self.change(Command::StartRollout { change: None, order }).await,
+            Ok(order) => {
+                let command = Command::StartRollout { change: None, order };
+                self.change(if_unchanged(known_index, command)).await
+            }
             Err(err) => refusal_of(&err),
         }
     }
@@ -216,6 +229,10 @@
     }
 }
 
+fn if_unchanged(since: u64, command: Command) -> Command {
+    Command::IfUnchanged { since, command: Box::new(command) }
+}
+
 fn refusal_of(err: &CodedError) -> OperatorResponse {
     refusal(err.code, &err.detail)
 }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -6,7 +6,11 @@
 use std::{
     collections::BTreeMap,
     path::Path,
-    sync::{Arc, mpsc},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -51,10 +55,32 @@
 /// An event for the control thread.
 enum Event {
     Input(FleetInput),
-    Requested(Command, Millis, oneshot::Sender<Reply>),
+    Requested(OperatorCommand),
     RoundTrip(Instance, Millis),
 }
 
+/// A command of an operator, who waits for the reply.
+struct OperatorCommand {
+    command: Command,
+    /// The end of the operator's wait.
+    deadline: Millis,
+    tx: oneshot::Sender<Reply>,
+}
+
+/// The highest index of the record that this instance knows of; it never decreases.
+#[derive(Clone, Debug, Default)]
+struct KnownIndex(Arc<AtomicU64>);
+
+impl KnownIndex {
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn raise(&self, index: u64) {
+        self.0.fetch_max(index, Ordering::SeqCst);
+    }
+}
+
 /// An update from the control thread.
 #[derive(Debug)]
 pub enum FleetUpdate {
@@ -89,6 +115,8 @@
 #[derive(Clone)]
 pub struct FleetHandle {
     tx: mpsc::Sender<Event>,
+    clock: Clock,
+    known_index: KnownIndex,
 }
 
 impl FleetHandle {
@@ -105,8 +133,10 @@
         let (disk, machine) = opened.unzip();
         let peers = Peers::start(peer_config(&settings, tx.clone())).context("peers")?;
         let node = FleetNode::new(settings.clone(), machine);
+        let known_index = KnownIndex::default();
         let thread = FleetThread {
             clock,
+            known_index: known_index.clone(),
             node,
             disk,
             disk_retry: Millis::ZERO,
@@ -117,7 +147,7 @@
             next_ticket: 1,
         };
         process::spawn_essential("control", move || thread.run(&rx))?;
-        Ok(FleetHandle { tx })
+        Ok(FleetHandle { tx, clock, known_index })
     }
 
     /// Sends an input to the node; it is lost if the thread has ended.
@@ -125,10 +155,19 @@
         let _ = self.tx.send(Event::Input(input));
     }
 
+    /// Returns the highest index of the record that this instance knows of.
+    pub fn known_index(&self) -> u64 {
+        self.known_index.get()
+    }
+
     /// Submits a command to the record and returns the reply, if there is one within `timeout`.
+    ///
+    /// The command is dropped if the timeout has passed, or the caller has dropped the future, when
+    /// the control thread takes it from its queue.
     pub async fn submit(&self, command: Command, timeout: Millis) -> Option<Reply> {
         let (tx, rx) = oneshot::channel();
-        self.tx.send(Event::Requested(command, timeout, tx)).ok()?;
+        let deadline = self.clock.now() + timeout;
+        self.tx.send(Event::Requested(OperatorCommand { command, deadline, tx })).ok()?;
         rx.await.ok()
     }
 }
@@ -200,6 +239,7 @@
 
 struct FleetThread {
     clock: Clock,
+    known_index: KnownIndex,
     node: FleetNode,
     disk: Option<Disk>,
     /// When a failed disk is to be opened again.
@@ -236,9 +276,15 @@
             }
             self.node.flush(self.clock.now(), unix_ms(), &mut out);
             self.handle_outputs(out);
+            self.publish_index();
         }
     }
 
+    fn publish_index(&self) {
+        let replicated = self.node.control().map_or(0, |control| control.record().index());
+        self.known_index.raise(replicated.max(self.node.view().index()));
+    }
+
     /// Sets the gauges of the record's index and of the time since the configuration was confirmed.
     fn record_metrics(&self, now: Millis) {
         let view = self.node.view();
@@ -254,12 +300,10 @@
     fn on_event(&mut self, event: Event, out: &mut Vec<FleetOutput>) {
         let input = match event {
             Event::Input(input) => input,
-            Event::Requested(command, timeout, tx) => {
-                let ticket = self.next_ticket;
-                self.next_ticket += 1;
-                self.operators.insert(ticket, tx);
-                FleetInput::Command(ticket, command, timeout)
-            }
+            Event::Requested(requested) => match self.admit(requested) {
+                Some(input) => input,
+                None => return,
+            },
             Event::RoundTrip(peer, time) => {
                 (self.sink)(FleetUpdate::RoundTrip(peer, time));
                 return;
@@ -268,6 +312,20 @@
         self.node.handle(self.clock.now(), unix_ms(), input, out);
     }
 
+    /// Returns the input for an operator's command, unless the operator no longer waits for it.
+    fn admit(&mut self, requested: OperatorCommand) -> Option<FleetInput> {
+        let OperatorCommand { command, deadline, tx } = requested;
+        let left = deadline.since(self.clock.now());
+        if left == Millis::ZERO || tx.is_closed() {
+            log::event("operator-left", &command.change_id());
+            return None;
+        }
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.operators.insert(ticket, tx);
+        Some(FleetInput::Command(ticket, command, left))
+    }
+
     /// Reopens a failed disk and restores the replica from it, if that is due.
     ///
     /// After a failed sync, the kernel may have dropped the unwritten pages and marked the file as
@@ -325,6 +383,10 @@
             FleetOutput::Send(to, message) => self.peers.send(&to, &message),
             FleetOutput::SendToAll(to, message) => self.peers.send_all(&to, &message),
             FleetOutput::Answer(ticket, reply) => {
+                if let Reply::Accepted { index, .. } = &reply {
+                    // The operator's next change is made from this one.
+                    self.known_index.raise(*index);
+                }
                 if let Some(tx) = self.operators.remove(&ticket) {
                     // Sending fails if the operator has disconnected.
                     let _ = tx.send(reply);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod freezes;
 mod input;
 mod isolation;
+mod late_changes;
 mod latency;
 mod link;
 mod listing;
