--- a/src/bin/kingcup/main.rs
+++ b/src/bin/kingcup/main.rs
@@ -30,7 +30,7 @@
 
 fn exit_code(err: &anyhow::Error) -> u8 {
     match ops::coded_error(err).map(|coded| coded.code) {
-        Some(Code::RevisionConflict) => CONFLICT,
+        Some(Code::RevisionConflict | Code::Overtaken) => CONFLICT,
         Some(code) if code.outcome() == Outcome::Unknown => UNKNOWN,
         _ => REFUSED,
     }
--- a/src/kingcupgrade/coordination/node/operators.rs
+++ b/src/kingcupgrade/coordination/node/operators.rs
@@ -23,12 +23,15 @@
         out: &mut Vec<Output>,
     ) {
         let reply = match request {
-            OperatorRequest::Change { command: Command::SetDomain { domain, .. } }
-                if !self.settings.peers.iter().any(|peer| peer.failure_domain == domain) =>
-            {
-                not_found(&format!("no instance is in a failure domain {domain}"))
-            }
             OperatorRequest::Change { command } => {
+                if let Command::SetDomain { domain, .. } = command.unconditional()
+                    && !self.settings.peers.iter().any(|peer| peer.failure_domain == *domain)
+                {
+                    let unknown =
+                        not_found(&format!("no instance is in a failure domain {domain}"));
+                    out.push(Output::OperatorReply(ticket, unknown));
+                    return;
+                }
                 let proposal = self.client.propose(now, command, CHANGE_TIMEOUT);
                 self.awaited.insert(proposal, Awaited::Operator(ticket));
                 return;
--- a/src/kingcupgrade/ops/operator.rs
+++ b/src/kingcupgrade/ops/operator.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, thread, time::Duration};
 
 use anyhow::{Context, bail};
 
@@ -16,6 +16,11 @@
 /// The maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How often a change is sent if no instance knows the last change of the same subject yet.
+const MAX_ATTEMPTS: u32 = 10;
+/// The pause before a change that came too late is made anew.
+const OVERTAKEN_PAUSE: Duration = Duration::from_millis(200);
+
 /// A client for the operator addresses of the instances of a fleet.
 #[derive(Clone, Debug)]
 pub struct OperatorClient {
@@ -94,31 +99,58 @@
     ///
     /// A partitioned instance cannot know whether a command was committed. The command is then sent
     /// to the next instance. This is safe because a change carries an id and takes effect only once.
+    /// A change that has no revision of its own is carried out only if what it changes is still as
+    /// the instance knows it now.
     ///
     /// # Errors
     ///
     /// Returns the error with which the record refused the command, or the last failure if no
     /// instance answers.
     pub fn change(&self, command: Command) -> anyhow::Result<Reply> {
-        let request = OperatorRequest::Change { command };
+        let mut attempt = 1;
+        loop {
+            match self.change_at_any(&command) {
+                Err(err) if attempt < MAX_ATTEMPTS && is_overtaken(&err) => {
+                    attempt += 1;
+                    thread::sleep(OVERTAKEN_PAUSE);
+                }
+                result => return result,
+            }
+        }
+    }
+
+    /// Sends a command to one instance after another until one of them knows what became of it.
+    fn change_at_any(&self, command: &Command) -> anyhow::Result<Reply> {
         let mut last = None;
         for instance in self.instances.keys() {
-            match self.ask_one(instance, &request) {
-                Ok(OperatorReply::Changed { reply: Reply::Refused(err) }) => {
-                    if err.code != Code::CommitUnknown {
-                        return Err(err.into());
-                    }
-                    last = Some(err.into());
-                }
-                Ok(OperatorReply::Changed { reply }) => return Ok(reply),
-                Ok(OperatorReply::Failed(err)) => last = Some(err.into()),
-                Ok(other) => bail!("unexpected answer: {other:?}"),
+            match self.change_at(instance, command) {
+                Ok(Reply::Refused(err)) if is_of_instance(err.code) => last = Some(err.into()),
+                Ok(Reply::Refused(err)) => return Err(err.into()),
+                Ok(reply) => return Ok(reply),
                 Err(err) => last = Some(err.context(format!("asking {instance}"))),
             }
         }
         Err(last.unwrap_or_else(|| anyhow::anyhow!("the client knows no instance")))
     }
 
+    fn change_at(&self, instance: &Instance, command: &Command) -> anyhow::Result<Reply> {
+        let command = match command {
+            Command::SetDomain { .. }
+            | Command::SetLeaving { .. }
+            | Command::Order { .. }
+            | Command::StartRollout { .. } => {
+                let since = self.status(instance)?.index;
+                Command::IfUnchanged { since, command: Box::new(command.clone()) }
+            }
+            command => command.clone(),
+        };
+        match self.ask_one(instance, &OperatorRequest::Change { command })? {
+            OperatorReply::Changed { reply } => Ok(reply),
+            OperatorReply::Failed(err) => Err(err.into()),
+            other => bail!("unexpected answer: {other:?}"),
+        }
+    }
+
     /// Returns the status of one instance.
     ///
     /// # Errors
@@ -133,6 +165,16 @@
     }
 }
 
+/// Returns whether another instance may take a change that this one has refused: it could not reach
+/// a leader, or it did not know the last change yet.
+fn is_of_instance(code: Code) -> bool {
+    matches!(code, Code::CommitUnknown | Code::Overtaken)
+}
+
+fn is_overtaken(err: &anyhow::Error) -> bool {
+    coded_error(err).is_some_and(|err| err.code == Code::Overtaken)
+}
+
 /// Returns a new random id for a change, by which a repeated change is recognised.
 ///
 /// # Errors
