--- a/crates/kingcup-support/src/platform.rs
+++ b/crates/kingcup-support/src/platform.rs
@@ -58,6 +58,8 @@
 pub struct Platform {
     address: SocketAddr,
     items: Arc<Mutex<Vec<ListItem>>>,
+    /// Entries of other writers, as they are sent.
+    foreign: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 impl Platform {
@@ -68,14 +70,27 @@
     /// Panics if no loopback port can be bound.
     pub fn start(lag: Duration) -> Platform {
         let items: Arc<Mutex<Vec<ListItem>>> = Arc::default();
-        let listed = items.clone();
+        let foreign: Arc<Mutex<Vec<Vec<u8>>>> = Arc::default();
+        let (listed, others) = (items.clone(), foreign.clone());
         // This is short and does not block, so it runs on the server's thread.
         let serve = move |request: Request| {
-            let list = list(&listed, lag, request.url());
+            let foreign = others.lock().expect("platform list").clone();
+            let own = list(&listed, lag, request.url()).into_iter().map(String::into_bytes);
+            let entries: Vec<Vec<u8>> = foreign.into_iter().chain(own).collect();
+            let list = [&b"["[..], &entries.join(&b','), b"]"].concat();
             request.respond(ServerResponse::new(200, "application/json", list));
         };
         let server = http::start("platform", ANY_PORT.into(), serve).expect("a free port");
-        Platform { address: server.address(), items }
+        Platform { address: server.address(), items, foreign }
+    }
+
+    /// Lists an entry of another writer before all others, in each answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of its threads panicked.
+    pub fn add_foreign(&self, entry: impl Into<Vec<u8>>) {
+        self.foreign.lock().expect("platform list").push(entry.into());
     }
 
     /// Returns the URL of the upstream list.
@@ -142,8 +157,9 @@
     }
 }
 
-/// Returns the upstreams that match the `service` and `failure_domain` of a URL's query, as JSON.
-fn list(items: &Mutex<Vec<ListItem>>, lag: Duration, url: &str) -> String {
+/// Returns the upstreams that match the `service` and `failure_domain` of a URL's query, each as
+/// JSON.
+fn list(items: &Mutex<Vec<ListItem>>, lag: Duration, url: &str) -> Vec<String> {
     let query_value = |name: &str| {
         let query = url.split('?').nth(1).unwrap_or("");
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -155,7 +171,7 @@
         service.as_ref().is_none_or(|s| *s == item.service)
             && domain.as_ref().is_none_or(|d| *d == item.domain)
     });
-    let listed: Vec<ListedUpstream> = listed
+    let listed = listed
         .map(|item| ListedUpstream {
             name: item.name.as_str().into(),
             address: item.address,
@@ -164,6 +180,6 @@
             load: item.upstream.load(),
             version: item.version.as_deref().map(Version::from),
         })
-        .collect();
-    serde_json::to_string(&listed).expect("a list can be serialized")
+        .map(|listed| serde_json::to_string(&listed).expect("an upstream can be serialized"));
+    listed.collect()
 }
--- a/src/kingcupgrade/coordination/listing.rs
+++ b/src/kingcupgrade/coordination/listing.rs
@@ -7,7 +7,7 @@
 //! may do the same. An entry that starts asks these three for their list, and reads it itself only
 //! if none answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map::Entry};
 
 use serde::Serialize;
 
@@ -198,8 +198,7 @@
         unix_ms: u64,
         upstreams: Vec<ListedUpstream>,
     ) -> ListingUpdate {
-        let read = upstreams.into_iter().map(|listed| (listed.name.clone(), listed)).collect();
-        let before = std::mem::replace(&mut self.upstreams, read);
+        let before = std::mem::replace(&mut self.upstreams, by_name(upstreams));
         let base = if self.reader.as_ref() == Some(own) { self.number } else { 0 };
         self.reader = Some(own.clone());
         if base == 0 || before != self.upstreams {
@@ -215,6 +214,19 @@
         self.change(own, base, changed, removed.cloned().collect())
     }
 
+    /// Applies a list of which a part could not be read, as [`KnownListing::on_read`] does. Upstreams
+    /// that are not in it stay as they were known.
+    pub fn on_partial_read(
+        &mut self,
+        own: &Instance,
+        unix_ms: u64,
+        upstreams: Vec<ListedUpstream>,
+    ) -> ListingUpdate {
+        let mut all = self.upstreams.clone();
+        all.extend(by_name(upstreams));
+        self.on_read(own, unix_ms, all.into_values().collect())
+    }
+
     /// Applies a change from another entry; returns false if it builds on a list that this
     /// entry does not have.
     pub fn on_change(&mut self, update: ListingUpdate) -> bool {
@@ -254,3 +266,22 @@
         ListingUpdate { reader, age: Millis::ZERO, base, number: self.number, changed, removed }
     }
 }
+
+/// Arranges a list by the names of its upstreams. If a name is listed twice, the later start holds,
+/// and of one start that it gets no new requests.
+fn by_name(upstreams: Vec<ListedUpstream>) -> BTreeMap<UpstreamName, ListedUpstream> {
+    let mut listed = BTreeMap::new();
+    let precedence = |upstream: &ListedUpstream| (upstream.started_unix_ms, !upstream.is_ready);
+    for upstream in upstreams {
+        match listed.entry(upstream.name.clone()) {
+            Entry::Vacant(entry) => {
+                entry.insert(upstream);
+            }
+            Entry::Occupied(mut entry) if precedence(&upstream) >= precedence(entry.get()) => {
+                entry.insert(upstream);
+            }
+            Entry::Occupied(_) => {}
+        }
+    }
+    listed
+}
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -4,7 +4,7 @@
 //! receives updates from it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     path::Path,
     sync::{
         Arc,
@@ -144,6 +144,7 @@
             sink,
             settings,
             operators: BTreeMap::new(),
+            orders: BTreeSet::new(),
             next_ticket: 1,
         };
         process::spawn_essential("control", move || thread.run(&rx))?;
@@ -248,6 +249,8 @@
     sink: UpdateSink,
     settings: Arc<FleetSettings>,
     operators: BTreeMap<Ticket, oneshot::Sender<Reply>>,
+    /// The tickets of changes that depend on the order in which operators send them.
+    orders: BTreeSet<Ticket>,
     next_ticket: Ticket,
 }
 
@@ -322,6 +325,10 @@
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
+        if let Command::IfUnchanged { since, command } = &command {
+            log::event("order-proposed", &(ticket, since, format!("{command:?}")));
+            self.orders.insert(ticket);
+        }
         self.operators.insert(ticket, tx);
         Some(FleetInput::Command(ticket, command, left))
     }
@@ -382,16 +389,7 @@
             FleetOutput::Persist(_) => {}
             FleetOutput::Send(to, message) => self.peers.send(&to, &message),
             FleetOutput::SendToAll(to, message) => self.peers.send_all(&to, &message),
-            FleetOutput::Answer(ticket, reply) => {
-                if let Reply::Accepted { index, .. } = &reply {
-                    // The operator's next change is made from this one.
-                    self.known_index.raise(*index);
-                }
-                if let Some(tx) = self.operators.remove(&ticket) {
-                    // Sending fails if the operator has disconnected.
-                    let _ = tx.send(reply);
-                }
-            }
+            FleetOutput::Answer(ticket, reply) => self.answer_operator(ticket, reply),
             FleetOutput::ViewChanged => {
                 (self.sink)(FleetUpdate::View(Arc::new(self.node.view().clone())));
             }
@@ -424,6 +422,20 @@
             FleetOutput::RecordStatusChanged(status) => log::event("record-standing", &status),
         }
     }
+
+    fn answer_operator(&mut self, ticket: Ticket, reply: Reply) {
+        if let Reply::Accepted { index, .. } = &reply {
+            // The operator's next change is made from this one.
+            self.known_index.raise(*index);
+        }
+        let Some(tx) = self.operators.remove(&ticket) else { return };
+        if self.orders.remove(&ticket) {
+            let is_awaited = !tx.is_closed();
+            log::event("order-answered", &(ticket, format!("{reply:?}"), is_awaited));
+        }
+        // Sending fails if the operator has disconnected.
+        let _ = tx.send(reply);
+    }
 }
 
 /// Returns whether an output may only be sent once the writes of its batch are on disk.
--- a/src/kingcupgrade/transport/gateway/adapter.rs
+++ b/src/kingcupgrade/transport/gateway/adapter.rs
@@ -85,8 +85,20 @@
     pub upstreams: Vec<ListedUpstream>,
     /// The number of list entries that could not be decoded.
     pub unreadable: usize,
-    /// The token of the next page, if there is one.
-    pub next: Option<String>,
+    /// The next page.
+    pub next: NextPage,
+}
+
+/// What a page of the platform's list says of the next one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum NextPage {
+    /// There is none.
+    #[default]
+    None,
+    /// It has this token.
+    Token(String),
+    /// There may be one, but its token can't be read.
+    Unreadable,
 }
 
 /// A call of the operators' interface.
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use anyhow::Context;
 use serde::{Deserialize, Serialize};
 
 use super::Event;
@@ -21,7 +22,7 @@
         node::Input,
     },
     core::{FailureDomain, Service, UpstreamName, Version},
-    util::{log, process},
+    util::{json::read_list, log, process},
 };
 
 /// The pause between two polls of the list.
@@ -61,6 +62,9 @@
     pub age_ms: u64,
 }
 
+/// The maximum length of the list, in bytes.
+const MAX_LIST_LEN: u64 = 4 << 20;
+
 /// The services whose upstreams are polled.
 pub type WatchedServices = Arc<Mutex<BTreeSet<Service>>>;
 
@@ -106,9 +110,13 @@
     domain: &FailureDomain,
 ) -> anyhow::Result<Vec<Listed>> {
     let url = format!("{url}?service={service}&failure_domain={domain}");
-    let text = agent.get(url).call()?.body_mut().read_to_string()?;
-    let listed: Vec<ListedUpstream> = serde_json::from_str(&text)?;
-    Ok(listed.into_iter().map(into_listed).collect())
+    let body = agent.get(url).call()?.body_mut().with_config().limit(MAX_LIST_LEN).read_to_vec()?;
+    let read = read_list::<ListedUpstream>(&body).context("the body is not a list")?;
+    if read.unreadable > 0 {
+        log::warning("listing-entries-unreadable", &read.unreadable);
+    }
+    anyhow::ensure!(read.rest.is_some(), "the list has no end");
+    Ok(read.elements.into_iter().map(into_listed).collect())
 }
 
 fn into_listed(listed: ListedUpstream) -> Listed {
--- a/tests/testsuite/listing.rs
+++ b/tests/testsuite/listing.rs
@@ -247,6 +247,38 @@
     assert_eq!(names(&receiver), ["x"]);
 }
 
+/// Guards against a list of which a part can't be read that removes the upstreams in that part, or
+/// that hides what the other part says.
+#[test]
+fn a_partial_list_changes_what_it_contains_and_removes_nothing() {
+    let own = &entries(1)[0];
+    let (mut reader, mut receiver) = (KnownListing::default(), KnownListing::default());
+    assert!(receiver.on_change(reader.on_read(own, 1_000, all(&["a", "b"]))));
+    let part = vec![listed("a", false), listed("c", true)];
+    let change = reader.on_partial_read(own, 2_000, part.clone());
+    assert!(change.removed.is_empty());
+    assert!(receiver.on_change(change));
+    let known: Vec<ListedUpstream> = receiver.upstreams().cloned().collect();
+    assert_eq!(known, [part[0].clone(), listed("b", true), part[1].clone()]);
+}
+
+/// Guards against a name that is listed twice and taken by the older of its entries: requests would
+/// go to an upstream that has ended or leaves.
+#[test]
+fn the_latest_start_of_an_upstream_that_is_listed_twice_holds() {
+    let own = &entries(1)[0];
+    let restarted = ListedUpstream { started_unix_ms: 2, ..listed("a", true) };
+    let leaves = listed("b", false);
+    let mut both = vec![listed("a", true), restarted.clone(), listed("b", true), leaves.clone()];
+    for _ in 0..2 {
+        let mut reader = KnownListing::default();
+        reader.on_read(own, 1_000, both.clone());
+        let known: Vec<ListedUpstream> = reader.upstreams().cloned().collect();
+        assert_eq!(known, [restarted.clone(), leaves.clone()]);
+        both.reverse();
+    }
+}
+
 /// Guards against exceeding the platform's rate limit when no reader reaches the list and every
 /// entry tries to read it: if all entries together called too often, none would get an answer.
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod freezes;
 mod input;
 mod isolation;
+mod json_lists;
 mod late_changes;
 mod latency;
 mod link;
--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -328,6 +328,24 @@
     assert!(answers.iter().all(|(asked, answer)| answer.is_complete_for(asked)));
 }
 
+// Guards against an entry of the platform's list that can't be read and hides all others: new
+// engines would get no requests.
+#[test]
+fn an_entry_of_the_list_that_cannot_be_read_hides_no_engine() {
+    let world = start(&["north"], 1, &EngineConfig::default()).with_documents();
+    let unreadable = [&br#"{"name":"Stra"#[..], b"\xdf", br#"e","address":"127.0.0.1:9"}"#];
+    world.platform.add_foreign(unreadable.concat());
+    world.platform.add_foreign(r#"{"name":"cut"#);
+    let new = Engine::start(EngineConfig::default());
+    world.platform.remove("engine-north");
+    let listed = FakeUpstream::Engine(new.clone());
+    world.platform.add("engine-2", "tutor", "north", new.address(), listed);
+    let callers = LoadGenerator::start("new", world.fleet.entry("entry-north-0"), "alder", 2, 5);
+    let is_served = || new.record().started.len() > 5;
+    assert!(wait_until(TIMEOUT, is_served), "the new engine gets no requests");
+    callers.finish();
+}
+
 // Guards against an answer that stays incomplete when the engine goes silent in the middle and the
 // connection stays open. The entry must detect this and resume the answer where it stopped, and the
 // caller must get the complete answer without repeated parts.
