--- a/src/kingcupgrade/coordination/client.rs
+++ b/src/kingcupgrade/coordination/client.rs
@@ -65,10 +65,14 @@
 impl RecordClient {
     /// Creates the client of instance `own`; `neighbours` are pulled from as well while the
     /// configuration is not confirmed.
+    ///
+    /// `first_id` is the number of the first proposal, random for each process: an answer to the
+    /// instance's previous process may still arrive, and must not answer a proposal of this one.
     pub fn new(
         own: &Instance,
         controls: impl IntoIterator<Item = Instance>,
         neighbours: Vec<Instance>,
+        first_id: u64,
     ) -> RecordClient {
         RecordClient {
             controls: ranking(own.as_str(), controls),
@@ -76,7 +80,7 @@
             neighbours,
             target: 0,
             source: 0,
-            next_id: 1,
+            next_id: first_id,
             proposals: BTreeMap::new(),
             next_pull: Millis::ZERO,
             outstanding: None,
@@ -112,7 +116,7 @@
     /// Starts a proposal and returns its number.
     pub fn propose(&mut self, now: Millis, command: Command, timeout: Millis) -> u64 {
         let id = self.next_id;
-        self.next_id += 1;
+        self.next_id = self.next_id.wrapping_add(1);
         let proposal =
             Proposal { command, send_at: now, sent_once: false, deadline: now + timeout };
         self.proposals.insert(id, proposal);
--- a/src/kingcupgrade/coordination/fleet/mod.rs
+++ b/src/kingcupgrade/coordination/fleet/mod.rs
@@ -86,11 +86,18 @@
 }
 
 impl FleetNode {
-    /// Creates the node of an instance; `control` is its replica of the record, if it has one.
-    pub fn new(settings: Arc<FleetSettings>, control: Option<ControlMachine>) -> FleetNode {
+    /// Creates the node of an instance.
+    ///
+    /// `process` is a random number that identifies the process; `control` is its replica of the
+    /// record, if it has one.
+    pub fn new(
+        settings: Arc<FleetSettings>,
+        process: u64,
+        control: Option<ControlMachine>,
+    ) -> FleetNode {
         let instance = settings.instance();
         let seeds = settings.seed_instances();
-        let client = RecordClient::new(&instance, seeds.clone(), Vec::new());
+        let client = RecordClient::new(&instance, seeds.clone(), Vec::new(), process);
         FleetNode {
             view: View::default(),
             client,
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -77,7 +77,7 @@
     /// Open proposals, by their number.
     awaited: BTreeMap<u64, Awaited>,
     claims: BTreeMap<RequestId, ClaimState>,
-    /// A random number that identifies this process in claims. The incarnation is not enough: two
+    /// A random number that identifies this process in claims; its proposals count from it. The incarnation is not enough: two
     /// instances that start in the same millisecond would take each other's claims for their own
     /// resends, and both would send the request.
     claimer: u64,
@@ -109,7 +109,7 @@
         let domain_entries = entries_in_domain(&settings, &domain);
         let neighbours = domain_entries.iter().filter(|i| **i != instance).cloned().collect();
         let controls = settings.with_role(Role::Control).map(|p| p.instance.clone());
-        let client = RecordClient::new(&instance, controls, neighbours);
+        let client = RecordClient::new(&instance, controls, neighbours, claimer);
         let entries: Vec<Instance> =
             settings.with_role(Role::Entry).map(|peer| peer.instance.clone()).collect();
         let entry = is_entry
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -132,7 +132,7 @@
         let opened = if control { Some(open_at_start(&settings, clock)?) } else { None };
         let (disk, machine) = opened.unzip();
         let peers = Peers::start(peer_config(&settings, tx.clone())).context("peers")?;
-        let node = FleetNode::new(settings.clone(), machine);
+        let node = FleetNode::new(settings.clone(), random::number()?, machine);
         let known_index = KnownIndex::default();
         let thread = FleetThread {
             clock,
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -286,7 +286,7 @@
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
-        origin_answers: OriginAnswers::default(),
+        origin_answers: OriginAnswers::new(random::number()?),
         overload: RefCell::default(),
         link: RefCell::default(),
         memory: Memory::new(clock, settings.memory_limit, settings.max_sockets),
--- a/src/kingcupgrade/transport/gateway/origins.rs
+++ b/src/kingcupgrade/transport/gateway/origins.rs
@@ -1,6 +1,10 @@
 //! Finding out which version began a stream that its caller takes up again.
 
-use std::{cell::RefCell, collections::HashMap, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    time::Duration,
+};
 
 use metrics::counter;
 use serde::Serialize;
@@ -20,13 +24,18 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The questions that other entries have not answered.
-#[derive(Default)]
 pub(super) struct OriginAnswers {
-    next: std::cell::Cell<u64>,
+    next: Cell<u64>,
     awaited: RefCell<HashMap<u64, oneshot::Sender<StreamOrigin>>>,
 }
 
 impl OriginAnswers {
+    /// Creates the answers of a process, whose questions count from a random number: an answer to
+    /// the previous process may still arrive, and is about another stream.
+    pub(super) fn new(first: u64) -> OriginAnswers {
+        OriginAnswers { next: Cell::new(first), awaited: RefCell::default() }
+    }
+
     /// Returns what receives the answer to a question.
     fn expect(&self, number: u64) -> oneshot::Receiver<StreamOrigin> {
         let (tx, rx) = oneshot::channel();
@@ -62,7 +71,7 @@
         service: Option<&Service>,
     ) -> StreamOrigin {
         let number = self.origin_answers.next.get();
-        self.origin_answers.next.set(number + 1);
+        self.origin_answers.next.set(number.wrapping_add(1));
         let question = OriginRequest {
             number,
             stream: stream.begun_by.as_deref().map(stream_key),
--- a/tests/testsuite/configuration_pull.rs
+++ b/tests/testsuite/configuration_pull.rs
@@ -14,7 +14,7 @@
 /// the configuration as of index `have`.
 fn asked_instances(have: u64, span: u64) -> Vec<Instance> {
     let controls = ["control-0", "control-1", "control-2"].map(Instance::from).to_vec();
-    let mut client = RecordClient::new(&"entry-0".into(), controls, Vec::new());
+    let mut client = RecordClient::new(&"entry-0".into(), controls, Vec::new(), 1);
     let mut out: Vec<(Instance, RecordMessage)> = Vec::new();
     for now in (0..span).step_by(TICK_MS as usize) {
         client.pull(Millis(now), have, false, &mut out);
@@ -39,7 +39,7 @@
 #[test]
 fn an_instance_without_a_configuration_asks_the_next_after_an_unconfirmed_answer() {
     let controls = ["control-0", "control-1"].map(Instance::from).to_vec();
-    let mut client = RecordClient::new(&"entry-0".into(), controls.clone(), Vec::new());
+    let mut client = RecordClient::new(&"entry-0".into(), controls.clone(), Vec::new(), 1);
     let mut out = Vec::new();
     client.pull(Millis(0), 0, false, &mut out);
     client.on_state(Millis(2), &out[0].0.clone(), None);
@@ -57,7 +57,7 @@
     let mut successors: BTreeMap<Instance, usize> = BTreeMap::new();
     for entry in 0..60 {
         let own = Instance::from(format!("entry-{entry}").as_str());
-        let mut client = RecordClient::new(&own, controls.clone(), Vec::new());
+        let mut client = RecordClient::new(&own, controls.clone(), Vec::new(), 1);
         let mut out = Vec::new();
         client.pull(Millis(0), 7, false, &mut out);
         // The first control instance has not answered.
--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -82,7 +82,7 @@
             control.set_voter_target(CONTROLS);
             control
         });
-        Host { node: FleetNode::new(settings.clone(), control), settings }
+        Host { node: FleetNode::new(settings.clone(), 1, control), settings }
     }
 }
 
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -56,7 +56,7 @@
                 failure_domain: domain(entry).into(),
                 ..fleet_settings()
             };
-            (settings.instance(), FleetNode::new(Arc::new(settings), None))
+            (settings.instance(), FleetNode::new(Arc::new(settings), 1, None))
         };
         let mut fleet = Fleet {
             nodes: (0..count).map(node).collect(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod plain_services;
 mod pools;
 mod process;
+mod proposals;
 mod queue_turns;
 mod record;
 mod rollouts;
--- a/tests/testsuite/model_fleet.rs
+++ b/tests/testsuite/model_fleet.rs
@@ -76,7 +76,7 @@
         let mut control = ControlMachine::new(Millis(now), id, self.disk.clone(), seed)
             .expect("readable stored state");
         control.set_voter_target(SEEDS);
-        self.node = Some(FleetNode::new(self.settings.clone(), Some(control)));
+        self.node = Some(FleetNode::new(self.settings.clone(), seed, Some(control)));
         self.restart_at = None;
     }
 
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -41,12 +41,12 @@
     let id = ReplicaId(settings.instance(), INITIAL_REPLICA);
     let initial = Stored::initial(vec![Member { id: id.clone(), voter: true }]);
     let machine = ControlMachine::new(Millis(0), id, initial, 7).expect("an initial record");
-    FleetNode::new(Arc::new(settings), Some(machine))
+    FleetNode::new(Arc::new(settings), 1, Some(machine))
 }
 
 fn entry(number: u8) -> FleetNode {
     let settings = FleetSettings { ip: entry_ip(number), seeds: vec![CONTROL], ..fleet_settings() };
-    FleetNode::new(Arc::new(settings), None)
+    FleetNode::new(Arc::new(settings), 1, None)
 }
 
 /// Simulates a control instance and its entries, with messages delivered immediately.
