--- a/src/kingcupgrade/transport/gateway/events.rs
+++ b/src/kingcupgrade/transport/gateway/events.rs
@@ -8,7 +8,7 @@
 
 /// The maximum length of an event in bytes; more data without an event boundary is not an event
 /// stream.
-const MAX_EVENT_LEN: usize = 1 << 20;
+pub const MAX_EVENT_LEN: usize = 1 << 20;
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
@@ -34,8 +34,10 @@
         if self.buffer.is_empty() && data.ends_with(b"\n\n") {
             return Some(read_events(data.clone()));
         }
+        // No event ends in what was buffered before, but its last byte may be half of a boundary.
+        let searched = self.buffer.len().saturating_sub(1);
         self.buffer.extend_from_slice(data);
-        let end = find_last_end(&self.buffer)?;
+        let end = searched + find_last_end(&self.buffer[searched..])?;
         Some(read_events(self.buffer.split_to(end).freeze()))
     }
 
@@ -48,11 +50,6 @@
     pub fn is_too_long(&self) -> bool {
         self.buffer.len() > MAX_EVENT_LEN
     }
-
-    /// Returns the incomplete event that is left at the end of a response.
-    pub fn finish(&mut self) -> Bytes {
-        self.buffer.split().freeze()
-    }
 }
 
 /// Returns the offset just after the last event boundary.
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,7 +5,9 @@
 //! the processor; scheduling decisions are direct calls of [`Traffic`], without messages or locks.
 
 pub mod adapter;
+mod bounded_stream;
 pub mod caller;
+mod collected;
 mod decisions;
 pub mod early_refusal;
 mod end_check;
@@ -43,6 +45,7 @@
 
 use self::{
     adapter::PlatformAdapter,
+    collected::CollectedBytes,
     decisions::{DecisionLog, FailureLine, NoticeLine},
     memory::Memory,
     origins::OriginAnswers,
@@ -89,6 +92,8 @@
     waiting: RefCell<HashMap<RequestNo, oneshot::Sender<Verdict>>>,
     pool: Rc<Pool>,
     decisions: DecisionLog,
+    /// What is held of responses that are not complete yet.
+    collected: Rc<CollectedBytes>,
     origin_answers: OriginAnswers,
     overload: RefCell<Overload>,
     link: RefCell<LinkLoad>,
@@ -286,6 +291,7 @@
         waiting: RefCell::default(),
         pool: Rc::new(Pool::default()),
         decisions: DecisionLog::default(),
+        collected: Rc::default(),
         origin_answers: OriginAnswers::new(random::number()?),
         overload: RefCell::default(),
         link: RefCell::default(),
--- a/src/kingcupgrade/transport/gateway/pool.rs
+++ b/src/kingcupgrade/transport/gateway/pool.rs
@@ -6,7 +6,7 @@
 //! the next request.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     future::{Future, poll_fn},
     net::SocketAddr,
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
+use super::bounded_stream::{BoundedStream, HeadLeft, MAX_HEADS_LEN};
 use crate::core::UpstreamName;
 
 /// The timeout for connecting. Within a region connecting takes a few milliseconds. A lost SYN is
@@ -49,6 +50,7 @@
     pool: Rc<Pool>,
     /// How long the upstream keeps the connection open while it is idle, if stated.
     pub keep_alive: Option<Duration>,
+    head_left: HeadLeft,
 }
 
 type Driver = Pin<Box<dyn Future<Output = ()>>>;
@@ -84,6 +86,15 @@
         poll_fn(|cx| self.poll_for(cx, |cx| future.as_mut().poll(cx))).await
     }
 
+    /// Waits for the head of the response that a request is answered with. Informational heads may
+    /// precede it; all of them together are bounded.
+    pub async fn receive_head<F: Future>(&mut self, sending: F) -> F::Output {
+        self.head_left.set(Some(MAX_HEADS_LEN));
+        let received = self.drive(sending).await;
+        self.head_left.set(None);
+        received
+    }
+
     /// Returns whether the connection can send a request; it can't once the upstream has closed it.
     fn is_ready(&mut self) -> bool {
         self.poll_drive(&mut Context::from_waker(Waker::noop()));
@@ -170,6 +181,7 @@
             slot.open += 1;
         }
         let guard = OpenGuard { pool: self.clone(), key: upstream.clone(), is_kept: false };
+        let head_left = Rc::new(Cell::new(None));
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             // Nagle's algorithm would hold back a short request until the peer acknowledges earlier
@@ -178,6 +190,7 @@
             // Closing must reset the connection. Otherwise the kernel would retransmit an abandoned
             // request to an unreachable upstream for minutes, and it could still arrive.
             stream.set_zero_linger().ok()?;
+            let stream = BoundedStream { stream, head_left: head_left.clone() };
             let builder = http1::Builder::new();
             builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()
         };
@@ -191,7 +204,7 @@
             let _ = connection.await;
         });
         let (pool, key) = guard.keep();
-        Ok(Connection { sender, driver: Some(driver), key, pool, keep_alive: None })
+        Ok(Connection { sender, driver: Some(driver), key, pool, keep_alive: None, head_left })
     }
 
     /// Returns a connection to the pool after its response has been read to the end.
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -164,6 +164,12 @@
                         self.on_handed_over(events.len());
                         return Poll::Ready(Some(Ok(Frame::data(events))));
                     }
+                    if self.splitter.is_too_long() {
+                        self.request.log_long_event(self.splitter.pending());
+                        if !self.resume(SendEnd::Broken) {
+                            return self.abort(SendEnd::Broken);
+                        }
+                    }
                 }
                 Poll::Ready(None) if self.splitter.pending() == 0 => {
                     self.finish();
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -139,7 +139,7 @@
     ) -> ExchangeResult {
         let request = self.build_request(grant, last_event);
         let sending = connection.sender.try_send_request(request);
-        match timeout_at(self.hang_deadline(), connection.drive(sending)).await {
+        match timeout_at(self.hang_deadline(), connection.receive_head(sending)).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 ExchangeResult::Response(Box::new((head, body, connection)))
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
@@ -25,6 +25,7 @@
     Gateway,
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
     caller::Caller,
+    collected::{CollectedBody, ResponseTooLong},
     memory::{AnswerBuffer, CountedBody, HeldBody, WhenExhausted},
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
@@ -41,10 +42,6 @@
     protocol::fleet::StreamOrigin,
 };
 
-/// The maximum length in bytes of a response that is not streamed; a longer one is treated as
-/// broken rather than held in memory.
-const MAX_RESPONSE_LEN: usize = 16 << 20;
-
 /// A caller's request and the state of its processing.
 pub(super) struct ProxiedRequest<E: PlatformAdapter> {
     pub(super) gateway: Rc<Gateway<E>>,
@@ -234,7 +231,8 @@
             let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
             let reservation = self.gateway.memory.reserve();
             let body = CountedBody::new(body, reservation, WhenExhausted::Wait);
-            let reading = connection.drive(Limited::new(body, MAX_RESPONSE_LEN).collect());
+            let body = CollectedBody::new(body, self.gateway.collected.clone());
+            let reading = connection.drive(body.collect());
             let read = timeout_at(self.deadline, reading).await;
             let may_repeat = self.route.kind.is_idempotent();
             match read {
@@ -258,7 +256,7 @@
                 }
                 Ok(Err(err)) => {
                     drop(connection);
-                    match err.is::<LengthLimitError>() {
+                    match err.is::<ResponseTooLong>() {
                         true => attempt.end(SendEnd::Broken),
                         false => attempt.end_closed().await,
                     }
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -12,6 +12,7 @@
         latency::{LateResponseLine, Times},
         response::{ResponseBody, error_response},
     },
+    util::log,
 };
 
 impl<E: PlatformAdapter> ProxiedRequest<E> {
@@ -21,6 +22,13 @@
         self.gateway.decisions.truncated(code, &self.failure_line(code, Millis::ZERO, &progress));
     }
 
+    /// Logs that an upstream sent this many bytes of an event without its end.
+    pub(in crate::transport::gateway) fn log_long_event(&self, len: usize) {
+        let progress = self.progress.borrow();
+        let upstream = progress.sent.as_ref().map(|sent| &sent.upstream);
+        log::warning("event-too-long", &(self.request_id.as_deref(), upstream, len));
+    }
+
     /// Records the arrival of the first byte of the response.
     pub(in crate::transport::gateway) fn on_first_byte(&self) {
         let now = self.gateway.now();
