--- a/src/kingcupgrade/transport/callers/relay.rs
+++ b/src/kingcupgrade/transport/callers/relay.rs
@@ -24,9 +24,11 @@
     protocol::record::StoredAnswer,
     transport::{
         Event, Verdict,
+        gateway::events::MAX_EVENT_LEN,
         http::Responder,
         upstream::{self, Cancellation},
     },
+    util::log,
 };
 
 /// The maximum length of a response that is not streamed, in bytes.
@@ -223,6 +225,7 @@
             ResponseState::Pending(pending) => (begin_stream(pending, &response), 0),
         };
         let is_event_stream = content_type(&response).starts_with(EVENT_STREAM);
+        let max_partial = if is_event_stream { MAX_EVENT_LEN } else { MAX_RESPONSE_LEN as usize };
         let mut first_byte = None;
         let mut next_reported_cost = FIRST_REPORTED_COST;
         let mut reader = response.body_mut().as_reader();
@@ -245,8 +248,15 @@
                 }
             };
             first_byte.get_or_insert_with(|| self.record_first_byte(sent));
+            // No event ends in what was read before, but its last byte may be half of a boundary.
+            let searched = partial.len().saturating_sub(1);
             partial.extend_from_slice(&buf[..count]);
-            let complete = complete_events(&partial);
+            let complete = complete_events(&partial, searched);
+            if complete.len == 0 && partial.len() > max_partial {
+                log::warning("event-too-long", &(self.id, partial.len()));
+                let state = ResponseState::Streaming { stream, events };
+                return self.end_unfinished(AttemptEnd::Broken, state, first_byte);
+            }
             if complete.len == 0 {
                 continue;
             }
@@ -316,11 +326,13 @@
     count: u64,
 }
 
-/// Finds the complete events at the beginning of `bytes`; an empty line ends an event.
-fn complete_events(bytes: &[u8]) -> CompleteEvents {
-    let ends = bytes.windows(2).enumerate().filter(|(_, pair)| *pair == b"\n\n");
+/// Finds the complete events at the beginning of `bytes`, of which none ends in the first `searched`
+/// bytes; an empty line ends an event.
+fn complete_events(bytes: &[u8], searched: usize) -> CompleteEvents {
+    let pairs = bytes[searched..].windows(2).enumerate();
+    let ends = pairs.filter(|(_, pair)| *pair == b"\n\n");
     ends.fold(CompleteEvents { len: 0, count: 0 }, |complete, (at, _)| CompleteEvents {
-        len: at + 2,
+        len: searched + at + 2,
         count: complete.count + 1,
     })
 }
--- a/tests/testsuite/unframed_answers.rs
+++ b/tests/testsuite/unframed_answers.rs
@@ -26,8 +26,17 @@
 /// The answers that break off inside an event.
 const BROKEN_ANSWERS: usize = 2;
 
+/// What the first answers do inside an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Break {
+    /// They end.
+    End,
+    /// They go on until the connection is closed.
+    Endless,
+}
+
 /// Starts an upstream whose answers end with their connections, the first ones inside an event.
-fn start_upstream(id: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+fn start_upstream(id: &'static str, how: Break) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let answered: Arc<AtomicUsize> = Arc::default();
@@ -36,13 +45,13 @@
         for stream in listener.incoming().flatten() {
             let number = count.fetch_add(1, Ordering::SeqCst);
             // An entry that has closed its connection is none of this upstream's business.
-            let _ = answer(stream, id, number);
+            let _ = answer(stream, id, number, how);
         }
     });
     (address, answered)
 }
 
-fn answer(mut stream: TcpStream, id: &str, number: usize) -> std::io::Result<()> {
+fn answer(mut stream: TcpStream, id: &str, number: usize, how: Break) -> std::io::Result<()> {
     let mut head = Vec::new();
     let mut buf = [0; 4096];
     while !head.ends_with(b"}") {
@@ -63,25 +72,40 @@
     if is_broken {
         text += "data: ";
     }
-    stream.write_all(text.as_bytes())
+    stream.write_all(text.as_bytes())?;
+    while is_broken && how == Break::Endless {
+        stream.write_all(&[b'x'; 16 << 10])?;
+    }
+    Ok(())
 }
 
-fn start_with_upstream(id: &'static str) -> (Harness, Arc<AtomicUsize>) {
+fn start_with_upstream(id: &'static str, how: Break) -> (Harness, Arc<AtomicUsize>) {
     let harness = start(&["north"], 1, &EngineConfig::default());
-    let (address, answered) = start_upstream(id);
+    let (address, answered) = start_upstream(id, how);
     let engine = Engine::start(EngineConfig::default());
     harness.platform.remove("engine-north");
     harness.platform.add("unframed", "tutor", "north", address, FakeUpstream::Engine(engine));
     (harness.with_documents(), answered)
 }
 
-/// Guards against an answer that ends inside an event with its connection and is passed on as whole.
-#[test]
-fn an_answer_that_ends_inside_an_event_goes_on() {
-    let (harness, answered) = start_with_upstream("unframed");
+fn assert_goes_on(how: Break) {
+    let (harness, answered) = start_with_upstream("unframed", how);
     let asked = prompt("unframed", "alder", TOKENS);
     let entry = harness.fleet.entry("entry-north-0");
     let answer = Caller::new(&token("alder")).prompt(entry, "tutor", &asked);
     assert!(answer.is_complete_for(&asked), "{answer:?}");
     assert!(answered.load(Ordering::SeqCst) > BROKEN_ANSWERS);
 }
+
+/// Guards against an answer that ends inside an event with its connection and is passed on as whole.
+#[test]
+fn an_answer_that_ends_inside_an_event_goes_on() {
+    assert_goes_on(Break::End);
+}
+
+/// Guards against an event without end that is read until the entry runs out of memory or the
+/// request out of time.
+#[test]
+fn an_answer_with_an_event_without_end_goes_on() {
+    assert_goes_on(Break::Endless);
+}
