--- a/tests/testsuite/unframed_answers.rs
+++ b/tests/testsuite/unframed_answers.rs
@@ -73,8 +73,10 @@
         text += "data: ";
     }
     stream.write_all(text.as_bytes())?;
-    while is_broken && how == Break::Endless {
-        stream.write_all(&[b'x'; 16 << 10])?;
+    if is_broken && how == Break::Endless {
+        loop {
+            stream.write_all(&[b'x'; 16 << 10])?;
+        }
     }
     Ok(())
 }
