--- a/src/kingcupgrade/coordination/consensus/members.rs
+++ b/src/kingcupgrade/coordination/consensus/members.rs
@@ -10,6 +10,9 @@
 pub(super) const CAUGHT_UP_LAG: u64 = 16;
 /// The interval at which a replica outside the record announces itself.
 const HELLO_INTERVAL: Millis = Millis(1_000);
+/// A replica that has heard from no leader for this long may have been removed: an election takes
+/// two seconds at most.
+const OUTSIDE_SILENCE: Millis = Millis(2_500);
 /// A replica outside the record can be added for this long after its last hello.
 const HELLO_TTL: Millis = Millis(10_000);
 
@@ -242,9 +245,16 @@
         self.announced.iter().filter(not_joined).map(|(id, seen)| (id, *seen))
     }
 
-    /// Announces a replica outside any record to the control instances named in the settings.
+    /// Returns whether the replica belongs to no record, or may have been removed from it: a leader
+    /// sends nothing to a replica that it has removed, not even that it has.
+    fn may_be_outside(&self, now: Millis) -> bool {
+        let heard = self.last_leader_contact.unwrap_or_default().max(self.running_since);
+        self.members().is_empty() || (!self.is_leader() && now.since(heard) > OUTSIDE_SILENCE)
+    }
+
+    /// Announces a replica that may be outside the record to the control instances that are known.
     pub(super) fn send_hello(&mut self, now: Millis, out: &mut Vec<ConsensusOutput>) {
-        if !self.members().is_empty() || now < self.next_heartbeat {
+        if now < self.next_heartbeat || !self.may_be_outside(now) {
             return;
         }
         self.next_heartbeat = now + HELLO_INTERVAL;
--- a/src/kingcupgrade/coordination/consensus/mod.rs
+++ b/src/kingcupgrade/coordination/consensus/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use self::replication::Progress;
+use self::{election::ElectionCause, replication::Progress};
 use crate::{
     core::{Code, Millis, code::CodedError},
     protocol::consensus::{
@@ -77,7 +77,12 @@
     applied: u64,
     role: Role,
     election_at: Millis,
-    /// When a leader was last heard from.
+    /// When this process started, or was last stalled.
+    running_since: Millis,
+    /// Whether this replica stops, and hands over the leadership if it has it.
+    is_transferring: bool,
+    /// The leader that was last heard from, and when.
+    last_leader: Option<ReplicaId>,
     last_leader_contact: Option<Millis>,
     /// The latest time, by this replica's clock, at which a follower's applied state is known to
     /// have been current.
@@ -110,6 +115,9 @@
             applied,
             role: Role::Follower { leader: None },
             election_at: now,
+            running_since: now,
+            is_transferring: false,
+            last_leader: None,
             last_leader_contact: None,
             confirmed: None,
             next_heartbeat: now,
@@ -131,12 +139,29 @@
         self.voter_target = Some(target);
     }
 
-    /// Asks the voter with the most complete log to take over before this leader stops.
+    /// Asks another voter to take over before this leader stops, as soon as one has the whole log:
+    /// with less it would not be elected.
     pub fn transfer_leadership(&mut self, out: &mut Vec<ConsensusOutput>) {
+        self.is_transferring = true;
+        self.continue_transfer(out);
+    }
+
+    /// Returns whether this replica is handing over the leadership. It should append no further
+    /// entries.
+    pub fn is_transferring(&self) -> bool {
+        self.is_transferring
+    }
+
+    fn continue_transfer(&self, out: &mut Vec<ConsensusOutput>) {
         let Role::Leader { progress, .. } = &self.role else { return };
+        if !self.is_transferring {
+            return;
+        }
+        let last = self.log.last().index;
+        let has_all = |p: &&Progress| p.matched == last;
         let voters = self.other_voters();
-        let next = voters.iter().max_by_key(|id| progress.get(id).map(|p| (p.matched, p.acked)));
-        if let Some(next) = next {
+        let complete = voters.iter().filter(|id| progress.get(id).filter(has_all).is_some());
+        if let Some(next) = complete.max_by_key(|id| progress.get(id).map(|p| p.acked)) {
             self.send(next, ConsensusBody::TakeOver, out);
         }
     }
@@ -201,7 +226,9 @@
         self.detect_stall(now);
         match &self.role {
             Role::Leader { .. } => self.tick_leader(now, out),
-            _ if self.is_voter() && now >= self.election_at => self.request_votes(now, true, out),
+            _ if self.is_voter() && now >= self.election_at => {
+                self.request_votes(now, ElectionCause::PreVote, out);
+            }
             _ => {}
         }
         self.track_joined();
@@ -219,6 +246,7 @@
         if !was_stalled {
             return;
         }
+        self.running_since = now;
         if self.last_leader_contact.is_some() {
             self.election_at = self.election_at.max(now + STALL_GRACE);
         }
@@ -245,8 +273,8 @@
             return;
         }
         match &message.body {
-            ConsensusBody::Vote { pre, last } => {
-                self.on_vote(now, &message.from, message.term, *pre, *last, out);
+            ConsensusBody::Vote { pre, last, by_leader } => {
+                self.on_vote(now, &message.from, message.term, *pre, *last, *by_leader, out);
                 return;
             }
             ConsensusBody::VoteReply { pre, granted } => {
@@ -289,7 +317,7 @@
             }
             ConsensusBody::TakeOver => {
                 if self.is_voter() {
-                    self.request_votes(now, false, out);
+                    self.request_votes(now, ElectionCause::TakeOver, out);
                 }
             }
             ConsensusBody::Vote { .. } | ConsensusBody::VoteReply { .. } | ConsensusBody::Hello => {
--- a/src/kingcupgrade/coordination/consensus/repair.rs
+++ b/src/kingcupgrade/coordination/consensus/repair.rs
@@ -14,9 +14,9 @@
 /// intervals, so that two hellos may be lost.
 const ADD_TTL: Millis = Millis(3_000);
 /// A voter that has not answered for this long is removed in favour of a learner that has caught
-/// up. Longer than a restart or an election takes; a voter that returns later is added again as a
-/// learner.
-const VOTER_TIMEOUT: Millis = Millis(4_500);
+/// up; one that returns later is added again as a learner. Together with an election before it, it
+/// must be over before another voter may be lost.
+const VOTER_TIMEOUT: Millis = Millis(1_200);
 /// A learner that has not answered for this long is removed.
 const LEARNER_TIMEOUT: Millis = Millis(30_000);
 
--- a/src/kingcupgrade/coordination/consensus/replication.rs
+++ b/src/kingcupgrade/coordination/consensus/replication.rs
@@ -35,6 +35,7 @@
             return;
         }
         self.promote_learners(now, out);
+        self.continue_transfer(out);
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT;
             self.send_all(now, true, out);
--- a/src/kingcupgrade/coordination/control.rs
+++ b/src/kingcupgrade/coordination/control.rs
@@ -242,8 +242,9 @@
             send_reply(from, id, Reply::Refused(err.clone()), out);
             return;
         }
-        if !self.consensus.is_leader() {
-            let leader = self.consensus.leader().map(|leader| leader.0.clone());
+        if !self.consensus.is_leader() || self.consensus.is_transferring() {
+            let leader = self.consensus.leader().filter(|leader| *leader != self.consensus.id());
+            let leader = leader.map(|leader| leader.0.clone());
             let redirect = RecordMessage::Redirect { id, leader };
             out.push(ControlOutput::Send(from.clone(), Message::Record(redirect)));
             return;
--- a/src/kingcupgrade/protocol/consensus.rs
+++ b/src/kingcupgrade/protocol/consensus.rs
@@ -128,6 +128,9 @@
         /// The position of the last entry in the sender's log.
         #[serde(rename = "l")]
         last: Position,
+        /// Whether the leader has asked the sender to take over.
+        #[serde(rename = "y", default, skip_serializing_if = "std::ops::Not::not")]
+        by_leader: bool,
     },
     /// Answers [`ConsensusBody::Vote`].
     #[serde(rename = "w")]
--- a/tests/testsuite/model_fleet/mod.rs
+++ b/tests/testsuite/model_fleet/mod.rs
@@ -4,6 +4,8 @@
 //! Meanwhile two operators submit configurations, resubmit them when no reply arrived, and read
 //! them back.
 
+mod replacements;
+
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
 
 use crate::support::fleet_settings;
