--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -4,13 +4,8 @@
 //! receives updates from it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
     path::Path,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-        mpsc,
-    },
+    sync::{Arc, mpsc},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -20,12 +15,13 @@
 
 use super::{
     durable::write_first,
+    operator_queue::{KnownIndex, OperatorCommand, WaitingOperators},
     peers::{PeerConfig, PeerEvent, Peers},
 };
 use crate::{
     coordination::{
         control::ControlMachine,
-        fleet::{FleetInput, FleetNode, FleetOutput, Ticket},
+        fleet::{FleetInput, FleetNode, FleetOutput},
         view::View,
     },
     core::{Instance, Millis, clock::Clock, fleet::FleetSettings, settings::Role},
@@ -59,28 +55,6 @@
     RoundTrip(Instance, Millis),
 }
 
-/// A command of an operator, who waits for the reply.
-struct OperatorCommand {
-    command: Command,
-    /// The end of the operator's wait.
-    deadline: Millis,
-    tx: oneshot::Sender<Reply>,
-}
-
-/// The highest index of the record that this instance knows of; it never decreases.
-#[derive(Clone, Debug, Default)]
-struct KnownIndex(Arc<AtomicU64>);
-
-impl KnownIndex {
-    fn get(&self) -> u64 {
-        self.0.load(Ordering::SeqCst)
-    }
-
-    fn raise(&self, index: u64) {
-        self.0.fetch_max(index, Ordering::SeqCst);
-    }
-}
-
 /// An update from the control thread.
 #[derive(Debug)]
 pub enum FleetUpdate {
@@ -143,9 +117,7 @@
             peers,
             sink,
             settings,
-            operators: BTreeMap::new(),
-            orders: BTreeSet::new(),
-            next_ticket: 1,
+            operators: WaitingOperators::default(),
         };
         process::spawn_essential("control", move || thread.run(&rx))?;
         Ok(FleetHandle { tx, clock, known_index })
@@ -248,10 +220,7 @@
     peers: Peers,
     sink: UpdateSink,
     settings: Arc<FleetSettings>,
-    operators: BTreeMap<Ticket, oneshot::Sender<Reply>>,
-    /// The tickets of changes that depend on the order in which operators send them.
-    orders: BTreeSet<Ticket>,
-    next_ticket: Ticket,
+    operators: WaitingOperators,
 }
 
 impl FleetThread {
@@ -303,10 +272,12 @@
     fn on_event(&mut self, event: Event, out: &mut Vec<FleetOutput>) {
         let input = match event {
             Event::Input(input) => input,
-            Event::Requested(requested) => match self.admit(requested) {
-                Some(input) => input,
-                None => return,
-            },
+            Event::Requested(requested) => {
+                match self.operators.admit(self.clock.now(), requested) {
+                    Some(input) => input,
+                    None => return,
+                }
+            }
             Event::RoundTrip(peer, time) => {
                 (self.sink)(FleetUpdate::RoundTrip(peer, time));
                 return;
@@ -315,24 +286,6 @@
         self.node.handle(self.clock.now(), unix_ms(), input, out);
     }
 
-    /// Returns the input for an operator's command, unless the operator no longer waits for it.
-    fn admit(&mut self, requested: OperatorCommand) -> Option<FleetInput> {
-        let OperatorCommand { command, deadline, tx } = requested;
-        let left = deadline.since(self.clock.now());
-        if left == Millis::ZERO || tx.is_closed() {
-            log::event("operator-left", &command.change_id());
-            return None;
-        }
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        if let Command::IfUnchanged { since, command } = &command {
-            log::event("order-proposed", &(ticket, since, format!("{command:?}")));
-            self.orders.insert(ticket);
-        }
-        self.operators.insert(ticket, tx);
-        Some(FleetInput::Command(ticket, command, left))
-    }
-
     /// Reopens a failed disk and restores the replica from it, if that is due.
     ///
     /// After a failed sync, the kernel may have dropped the unwritten pages and marked the file as
@@ -389,7 +342,13 @@
             FleetOutput::Persist(_) => {}
             FleetOutput::Send(to, message) => self.peers.send(&to, &message),
             FleetOutput::SendToAll(to, message) => self.peers.send_all(&to, &message),
-            FleetOutput::Answer(ticket, reply) => self.answer_operator(ticket, reply),
+            FleetOutput::Answer(ticket, reply) => {
+                if let Reply::Accepted { index, .. } = &reply {
+                    // The operator's next change is made from this one.
+                    self.known_index.raise(*index);
+                }
+                self.operators.answer(ticket, reply);
+            }
             FleetOutput::ViewChanged => {
                 (self.sink)(FleetUpdate::View(Arc::new(self.node.view().clone())));
             }
@@ -422,20 +381,6 @@
             FleetOutput::RecordStatusChanged(status) => log::event("record-standing", &status),
         }
     }
-
-    fn answer_operator(&mut self, ticket: Ticket, reply: Reply) {
-        if let Reply::Accepted { index, .. } = &reply {
-            // The operator's next change is made from this one.
-            self.known_index.raise(*index);
-        }
-        let Some(tx) = self.operators.remove(&ticket) else { return };
-        if self.orders.remove(&ticket) {
-            let is_awaited = !tx.is_closed();
-            log::event("order-answered", &(ticket, format!("{reply:?}"), is_awaited));
-        }
-        // Sending fails if the operator has disconnected.
-        let _ = tx.send(reply);
-    }
 }
 
 /// Returns whether an output may only be sent once the writes of its batch are on disk.
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -15,6 +15,7 @@
 mod listen;
 pub(crate) mod metrics;
 pub mod notice;
+mod operator_queue;
 pub mod operators;
 pub mod peers;
 pub mod platform;
