--- a/tests/testsuite/model_fleet/replacements.rs
+++ b/tests/testsuite/model_fleet/replacements.rs
@@ -1,6 +1,6 @@
 //! Control instances that are replaced one after the other.
 
-use super::{FleetInput, Host, ReplicaId, Simulation};
+use super::{FAULT_PERIOD_MS, FleetInput, Host, ReplicaId, Simulation};
 
 /// A new instance counts as one that may be lost after this time, in milliseconds, and so does the
 /// one that it replaces.
@@ -10,6 +10,8 @@
 /// How long changes and reads are watched at the end.
 const WATCH_MS: u64 = 12_000;
 const DRAWN: u64 = 40;
+/// The number of drawn runs of a whole period of faults.
+const DRAWN_FAULTS: u64 = 6;
 
 /// How an instance is taken away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,3 +127,22 @@
         assert_eq!(voters.len(), 3, "seed {seed}: {voters:?}");
     }
 }
+
+/// Guards against a record that loses its majority, or a change, where control instances stand by:
+/// a voter that restarts or is cut off for a moment is replaced by one of them, again and again.
+#[test]
+fn instances_that_stand_by_replace_voters_that_come_and_go() {
+    for seed in 500..500 + DRAWN_FAULTS {
+        let mut simulation = Simulation::new(seed);
+        for _ in 0..3 {
+            add(&mut simulation);
+        }
+        simulation.run(FAULT_PERIOD_MS);
+        simulation.heal();
+        let before = (simulation.acknowledgements, simulation.reads);
+        simulation.run(simulation.now + WATCH_MS);
+        assert!(simulation.acknowledgements > before.0, "seed {seed}: no change is accepted");
+        assert!(simulation.reads > before.1, "seed {seed}: no read succeeds");
+        assert_eq!(simulation.voters().len(), 3, "seed {seed}: {:?}", simulation.voters());
+    }
+}
