--- a/src/kingcupgrade/ops/operator.rs
+++ b/src/kingcupgrade/ops/operator.rs
@@ -127,6 +127,7 @@
                 Ok(Reply::Refused(err)) if is_of_instance(err.code) => last = Some(err.into()),
                 Ok(Reply::Refused(err)) => return Err(err.into()),
                 Ok(reply) => return Ok(reply),
+                Err(err) if coded_error(&err).is_some() => last = Some(err),
                 Err(err) => last = Some(err.context(format!("asking {instance}"))),
             }
         }
--- a/src/kingcupgrade/util/json.rs
+++ b/src/kingcupgrade/util/json.rs
@@ -8,9 +8,9 @@
 
 /// The maximum length of an element after a broken one, in bytes: it bounds the work of looking for
 /// one in what may be no JSON at all.
-const MAX_RECOVERED_LEN: usize = 64 << 10;
+const MAX_RECOVERED_LEN: usize = 16 << 10;
 /// The maximum number of places in a list that are tried as the beginning of such an element.
-const MAX_CANDIDATES: usize = 1_000;
+const MAX_CANDIDATES: usize = 500;
 
 /// The elements of a JSON list that could be read.
 #[derive(Debug)]
