--- a/tests/testsuite/record/mod.rs
+++ b/tests/testsuite/record/mod.rs
@@ -20,7 +20,7 @@
 };
 use kingcupgrade::{
     core::Code,
-    ops::{coded_error, fresh_change_id, verify},
+    ops::{OperatorClient, coded_error, fresh_change_id, verify},
     protocol::{
         consensus::Member,
         operator::{OperatorReply, OperatorRequest},
@@ -38,6 +38,10 @@
     }
 }
 
+fn set_north(change: &str, out: bool) -> Command {
+    Command::SetDomain { change: change.to_owned(), domain: "north".into(), out }
+}
+
 fn submit_until_accepted(fleet: &Fleet, command: &Command) -> (u64, u64) {
     let mut answer = None;
     let done = wait_until(TIMEOUT, || {
@@ -190,6 +194,42 @@
     assert_eq!(term(&leader), before, "its return deposed the leader");
 }
 
+// Guards against a change that waits at a control instance that is cut off, and is carried out after
+// later ones when the cut ends: a failure domain that is out would get requests.
+#[test]
+fn a_change_that_waited_for_the_end_of_a_cut_does_not_undo_later_ones() {
+    let fleet = start_control_instances(3);
+    let leader = wait_for_leader(&fleet);
+    let cut = fleet.controls().into_iter().map(|(i, _)| i).find(|i| *i != leader).expect("another");
+    let ask = |client: &OperatorClient, instance: &str, since, change: &str, out| {
+        let command = Box::new(set_north(change, out));
+        let request = OperatorRequest::Change { command: Command::IfUnchanged { since, command } };
+        match client.ask_one(&instance.into(), &request) {
+            Ok(OperatorReply::Changed { reply }) => reply,
+            other => panic!("{change}: {other:?}"),
+        }
+    };
+    let Reply::Accepted { index: known, .. } = ask(&fleet.client(), &leader, 0, "out-1", true)
+    else {
+        panic!("the failure domain is not taken out")
+    };
+    fleet.isolate(&cut, true);
+    let waiting = {
+        let (client, cut) = (fleet.client(), cut.clone());
+        thread::spawn(move || ask(&client, &cut, known, "in-late", false))
+    };
+    thread::sleep(Duration::from_millis(500));
+    let taken_back = ask(&fleet.client(), &leader, known, "in-1", false);
+    let Reply::Accepted { index, .. } = taken_back else { panic!("{taken_back:?}") };
+    let taken_out = ask(&fleet.client(), &leader, index, "out-2", true);
+    assert!(matches!(taken_out, Reply::Accepted { .. }), "{taken_out:?}");
+    fleet.isolate(&cut, false);
+    let late = waiting.join().expect("an answer");
+    assert!(matches!(&late, Reply::Refused(err) if err.code == Code::Overtaken), "{late:?}");
+    let domains = fleet.status(&leader).expect("a status").domains;
+    assert!(domains.iter().any(|domain| domain.name.as_str() == "north" && domain.out));
+}
+
 // Guards against a leader that steps down because its process was paused for a moment while another
 // control instance is partitioned.
 #[test]
