--- a/src/kingcupgrade/transport/gateway/events.rs
+++ b/src/kingcupgrade/transport/gateway/events.rs
@@ -8,7 +8,7 @@
 
 /// The maximum length of an event in bytes; more data without an event boundary is not an event
 /// stream.
-pub const MAX_EVENT_LEN: usize = 1 << 20;
+pub const MAX_EVENT_LEN: usize = 128 << 10;
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
