--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,937 @@
+// ---------------------------------------------------------------- fuzz: allowed faults of replicas, at random
+
+#[derive(Clone, Debug)]
+struct Run {
+    #[expect(dead_code, reason = "shown in the list of faults")]
+    replica: String,
+    #[expect(dead_code, reason = "shown in the list of faults")]
+    at: u64,
+}
+
+#[derive(Default)]
+struct Table {
+    runs: Mutex<HashMap<String, Vec<Run>>>,
+    faults: Mutex<Vec<String>>,
+}
+
+impl Table {
+    fn ran(&self, record: &Record, id: &str, replica: &str) {
+        let run = Run { replica: replica.to_owned(), at: record.now() };
+        self.runs.lock().unwrap().entry(id.to_owned()).or_default().push(run);
+    }
+
+    fn fault(&self, record: &Record, text: String) {
+        record.line(format!("BROKEN {text}"));
+        self.faults.lock().unwrap().push(text);
+    }
+}
+
+fn sum(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(7u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(*byte)))
+}
+
+fn pieces_of(key: &str) -> u64 {
+    5 + sum(key.as_bytes()) % 25
+}
+
+fn answer_body(id: &str, replica: &str) -> Vec<u8> {
+    let len = 20 + sum(id.as_bytes()) % 3000;
+    let mut body = format!("R:{id}:{replica}:{len}:").into_bytes();
+    for n in 0..len {
+        body.push(b'a' + ((n + len) % 26) as u8);
+    }
+    body.extend_from_slice(b":END");
+    body
+}
+
+fn head_of(status: &str, id: &str, fields: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nKingcupgrade-Request-Id: {id}\r\n{fields}")
+}
+
+fn chance(percent: u64) -> bool {
+    below(100) < percent
+}
+
+fn serve_fuzz(stream: TcpStream, me: String, record: Arc<Record>, table: Arc<Table>, level: u64) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let mut writer = stream.try_clone().ok()?;
+    let raw = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let head = read_head(&mut reader)?;
+        let id = head.get("kingcupgrade-request-id").unwrap_or("").to_owned();
+        if head.get("kingcupgrade-expect-instance") != Some(me.as_str()) {
+            let (_, _) = read_body(&mut reader, &head, false);
+            let text = head_of("421 Misdirected Request", &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        let is_stream = head.path().starts_with("/stream") || head.path().starts_with("/once");
+        // An early rejection, before the body is in.
+        if chance(level) && head.get("content-length").is_some_and(|l| l.len() > 4) {
+            let text = head_of("503 Service Unavailable", &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nearly");
+            writer.write_all(text.as_bytes()).ok()?;
+            sleep_ms(below(60));
+            let (body, whole) = read_body(&mut reader, &head, false);
+            if !whole {
+                return None;
+            }
+            if let Some(expected) = head.get("x-body-sum")
+                && expected != sum(&body).to_string()
+            {
+                table.fault(&record, format!("UNASKED other bytes where the rest of the body of {id} is due"));
+            }
+            continue;
+        }
+        let (body, whole) = read_body(&mut reader, &head, false);
+        if !whole {
+            return None;
+        }
+        if let Some(expected) = head.get("x-body-sum")
+            && expected != sum(&body).to_string()
+        {
+            table.fault(&record, format!("UNASKED body of {id} changed"));
+        }
+        if head.get("x-path").is_some_and(|path| path != head.path()) {
+            table.fault(&record, format!("UNASKED path of {id} changed: {}", head.start));
+        }
+        if head.get("kingcupgrade-deadline-ms").is_none() {
+            table.fault(&record, format!("no deadline on {id}"));
+        }
+        if chance(level) {
+            let text = head_of("503 Service Unavailable", &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull");
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        table.ran(&record, &id, &me);
+        if chance(level / 2) {
+            sleep_ms(below(400));
+        }
+        if chance(level) {
+            if chance(50) {
+                reset(&raw);
+            }
+            return None;
+        }
+        if chance(level) {
+            let text = head_of("500 Internal Server Error", &id, &format!("{SEAL}: s\r\nContent-Length: 3\r\n\r\nbad"));
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        if is_stream {
+            let from = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0u64);
+            let key = head.get("x-key").unwrap_or("").to_owned();
+            let total = pieces_of(&key);
+            let unframed = chance(level);
+            let framing = if unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+            let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n"));
+            writer.write_all(text.as_bytes()).ok()?;
+            if chance(level) {
+                sleep_ms(below(1500));
+            }
+            for piece in from + 1..=total {
+                let event = format!("id: {piece}\ndata: {key}:{piece}\n\n").into_bytes();
+                let parts: Vec<&[u8]> = if chance(20) {
+                    let at = 1 + below(event.len() as u64 - 1) as usize;
+                    vec![&event[..at], &event[at..]]
+                } else {
+                    vec![&event[..]]
+                };
+                for (number, part) in parts.iter().enumerate() {
+                    let bytes = match unframed {
+                        true => part.to_vec(),
+                        false => {
+                            let mut bytes = format!("{:x}\r\n", part.len()).into_bytes();
+                            bytes.extend_from_slice(part);
+                            bytes.extend_from_slice(b"\r\n");
+                            bytes
+                        }
+                    };
+                    writer.write_all(&bytes).ok()?;
+                    if number == 0 && parts.len() > 1 {
+                        if chance(level) {
+                            if unframed || chance(50) {
+                                reset(&raw);
+                            }
+                            return None;
+                        }
+                        sleep_ms(below(5));
+                    }
+                }
+                if chance(level / 3) {
+                    if unframed || chance(50) {
+                        reset(&raw);
+                    }
+                    return None;
+                }
+                if chance(level / 4) {
+                    sleep_ms(below(1400));
+                }
+                sleep_ms(below(12));
+            }
+            if unframed {
+                return None;
+            }
+            if chance(level / 2) {
+                return None;
+            }
+            writer.write_all(b"0\r\n\r\n").ok()?;
+            continue;
+        }
+        let body = answer_body(&id, &me);
+        match below(100) {
+            n if n < level => {
+                // No length; it ends with its connection.
+                let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nConnection: close\r\n\r\n"));
+                writer.write_all(text.as_bytes()).ok()?;
+                let at = below(body.len() as u64) as usize;
+                writer.write_all(&body[..at]).ok()?;
+                sleep_ms(below(10));
+                if chance(50) {
+                    reset(&raw);
+                    return None;
+                }
+                writer.write_all(&body[at..]).ok()?;
+                return None;
+            }
+            n if n < 2 * level => {
+                // It breaks off.
+                let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nContent-Length: {}\r\n\r\n", body.len()));
+                writer.write_all(text.as_bytes()).ok()?;
+                let at = below(body.len() as u64) as usize;
+                writer.write_all(&body[..at]).ok()?;
+                if chance(50) {
+                    reset(&raw);
+                }
+                return None;
+            }
+            n if n < 3 * level => {
+                // A second answer, at once or late.
+                let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nContent-Length: {}\r\n\r\n", body.len()));
+                let mut bytes = text.into_bytes();
+                bytes.extend_from_slice(&body);
+                writer.write_all(&bytes).ok()?;
+                if chance(50) {
+                    sleep_ms(below(30));
+                }
+                writer.write_all(&bytes).ok()?;
+            }
+            n if n < 4 * level => {
+                // Without the seal, or bytes that are no answer.
+                if chance(50) {
+                    let text = head_of("200 OK", &id, &format!("Content-Length: {}\r\n\r\n", body.len()));
+                    writer.write_all(text.as_bytes()).ok()?;
+                    writer.write_all(&body).ok()?;
+                } else {
+                    writer.write_all(b"\x00\x01garbage\r\n\r\n").ok()?;
+                    return None;
+                }
+            }
+            _ => {
+                let close = chance(5);
+                let more = if close { "Connection: close\r\n" } else { "" };
+                let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\n{more}Content-Length: {}\r\n\r\n", body.len()));
+                let mut bytes = text.into_bytes();
+                bytes.extend_from_slice(&body);
+                writer.write_all(&bytes).ok()?;
+                if close {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+fn start_replica(ip: IpAddr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+const FUZZ_ROUTES: &str = "{\"name\":\"r1\",\"host\":\"c.example\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"reg\",\"max_attempts\":2,\"public\":false},\
+{\"name\":\"r2\",\"host\":\"c.example\",\"path_prefix\":\"/unsafe/\",\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"reg\",\"max_attempts\":1,\"public\":false},\
+{\"name\":\"r3\",\"host\":\"c.example\",\"path_prefix\":\"/stream/\",\"kind\":\"stream\",\"timeout_ms\":8000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"pool\",\"max_attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":250},\
+{\"name\":\"r4\",\"host\":\"c.example\",\"path_prefix\":\"/once/\",\"kind\":\"stream\",\"timeout_ms\":8000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"pool\",\"max_attempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"target_gap_ms\":250}";
+const FUZZ_SERVICES: &str = "{\"name\":\"reg\",\"health_path\":\"/healthz\",\"max_connections\":400,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":0,\"cold_per_s\":0},\
+{\"name\":\"pool\",\"health_path\":\"/healthz\",\"max_connections\":400,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":0,\"cold_per_s\":0,\"engine\":{\"slots\":64,\"kv_capacity_tokens\":900000,\"stride\":6,\"models\":[{\"name\":\"m\"}]}}";
+const TENANTS: &str = ",\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-one\"],\"priority\":1}]";
+
+fn check_sequence(record: &Record, table: &Table, id: &str, key: &str, from: u64, answer: &Answer) {
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let mut next = from + 1;
+    for event in text.split_inclusive("\n\n") {
+        let expected = format!("id: {next}\ndata: {key}:{next}\n\n");
+        if event == expected {
+            next += 1;
+        } else if event.ends_with("\n\n") {
+            table.fault(record, format!("ORDER {id}: expected {expected:?}, got {event:?}"));
+            return;
+        }
+    }
+    if answer.whole && next != pieces_of(key) + 1 {
+        table.fault(record, format!("ORDER {id}: ended as complete after {} of {}", next - 1, pieces_of(key)));
+    }
+}
+
+fn fuzz_client(fleet_callers: Vec<SocketAddr>, record: Arc<Record>, table: Arc<Table>, end: Instant, statuses: Arc<Mutex<BTreeMap<String, u64>>>) {
+    while Instant::now() < end {
+        let address = fleet_callers[below(fleet_callers.len() as u64) as usize];
+        let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+            sleep_ms(50);
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let mut writer = stream.try_clone().unwrap();
+        let mut reader = BufReader::new(stream);
+        for _ in 0..1 + below(20) {
+            let key = new_id();
+            let (kind, method) = match below(4) {
+                0 => ("safe", "GET"),
+                1 => ("unsafe", "POST"),
+                2 => ("stream", "POST"),
+                _ => ("once", "POST"),
+            };
+            let id = format!("{}{}", if kind == "unsafe" || kind == "once" { "u" } else { "s" }, new_id());
+            let path = format!("/{kind}/{}?q={}", below(1000), below(9));
+            let len = if chance(10) { 40_000 + below(900_000) } else { below(3000) };
+            let body: Vec<u8> = match method {
+                "GET" => Vec::new(),
+                _ => (0..len).map(|n| (n * 7 + len) as u8).collect(),
+            };
+            let body_sum = sum(&body).to_string();
+            let from = if kind == "stream" && chance(10) { below(4) } else { 0 };
+            let from_text = from.to_string();
+            let mut fields = vec![
+                ("Kingcupgrade-Request-Id", id.as_str()),
+                ("Kingcupgrade-Deadline-Ms", "6000"),
+                ("Api-Key", "key-one"),
+                ("X-Path", path.as_str()),
+                ("X-Key", key.as_str()),
+                ("X-Body-Sum", body_sum.as_str()),
+            ];
+            if kind == "stream" || kind == "once" {
+                fields.push(("Kingcupgrade-Model", "m"));
+                fields.push(("Kingcupgrade-Token-Usage", "400,80"));
+                fields.push(("Kingcupgrade-Prompt-Prefix", "5c1e07a2:300,91bd3f06:100"));
+            }
+            if from > 0 {
+                fields.push(("Last-Event-Id", from_text.as_str()));
+            }
+            if send(&mut writer, method, &path, &fields, &body, false).is_none() {
+                *statuses.lock().unwrap().entry(format!("{kind} unsent")).or_default() += 1;
+                break;
+            }
+            if chance(4) {
+                sleep_ms(below(150));
+                if chance(50) {
+                    reset(&writer);
+                }
+                break;
+            }
+            let Some(answer) = receive(&mut reader) else {
+                *statuses.lock().unwrap().entry(format!("{kind} closed")).or_default() += 1;
+                break;
+            };
+            let status = answer.head.status();
+            let label = format!("{kind} {status}{}", if answer.whole { "" } else { " cut" });
+            *statuses.lock().unwrap().entry(label).or_default() += 1;
+            if answer.head.get("kingcupgrade-request-id") != Some(id.as_str()) {
+                table.fault(&record, format!("MIXED answer to {id} has id {:?}, {}", answer.head.get("kingcupgrade-request-id"), answer.head.start));
+            }
+            let sealed = answer.head.get(SEAL).is_some();
+            if (200..300).contains(&status) {
+                if !sealed {
+                    table.fault(&record, format!("MIXED success without seal {id}"));
+                }
+                if kind == "stream" || kind == "once" {
+                    check_sequence(&record, &table, &id, &key, from, &answer);
+                } else if answer.whole {
+                    let text = String::from_utf8_lossy(&answer.body).into_owned();
+                    let replica = text.split(':').nth(2).unwrap_or("").to_owned();
+                    if answer.body != answer_body(&id, &replica) {
+                        table.fault(&record, format!("MIXED body of {id} isn't whole: {} bytes {:?}", text.len(), &text[..text.len().min(60)]));
+                    }
+                }
+            } else if sealed && status != 500 {
+                table.fault(&record, format!("MIXED seal on {status} {id}"));
+            }
+            if matches!(status, 408 | 421 | 429 | 503) && (kind == "unsafe" || kind == "once") {
+                record.line(format!("refused {status} {id}"));
+                let table = table.clone();
+                let record = record.clone();
+                let id = id.clone();
+                thread::spawn(move || {
+                    sleep_ms(1500);
+                    if table.runs.lock().unwrap().contains_key(&id) {
+                        table.fault(&record, format!("REFUSED {id} was answered {status} and ran"));
+                    }
+                });
+            }
+            let close = answer.head.get("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+            if close || !answer.whole {
+                break;
+            }
+            if chance(5) {
+                sleep_ms(below(300));
+            }
+        }
+    }
+}
+
+fn fuzz(net: u8, seconds: u64, level: u64, trouble: &str) -> i32 {
+    let record = Record::new();
+    let table: Arc<Table> = Arc::default();
+    let list: List = Arc::default();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
+    for number in 0..8 {
+        let me = format!("i-{number:04x}");
+        let service = if number < 4 { "reg" } else { "pool" };
+        let (record, table, name) = (record.clone(), table.clone(), me.clone());
+        let address = start_replica(ip, move |stream| {
+            serve_fuzz(stream, name.clone(), record.clone(), table.clone(), level);
+        });
+        list.lock().unwrap().push(Listed {
+            id: me, service: service.to_owned(), address, zone: if number % 2 == 0 { "za" } else { "zb" }.to_owned(),
+            slots: 64, ready: true, born: unix_ms() - 100_000, version: "v1".to_owned(), cold_ms: 0,
+        });
+    }
+    let plan = Plan { fronts: 2, controls: 3, zones: &["za", "zb"], list: start_list(ip, list.clone()), net, more: "" };
+    let mut fleet = Fleet::start(&plan);
+    let text = configuration(7, FUZZ_ROUTES, FUZZ_SERVICES, TENANTS);
+    if !fleet.order(&record, "/api/Config.Replace", &text, Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
+        fleet.stop();
+        return 2;
+    }
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let statuses: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
+    let clients: Vec<_> = (0..24)
+        .map(|_| {
+            let (callers, record, table, statuses) = (fleet.callers.clone(), record.clone(), table.clone(), statuses.clone());
+            thread::spawn(move || fuzz_client(callers, record, table, end, statuses))
+        })
+        .collect();
+    let mut version = 7;
+    while Instant::now() < end {
+        sleep_ms(1000 + below(1500));
+        match trouble {
+            "freeze" => {
+                let front = below(2) as usize;
+                fleet.fronts[front].signal(STOP);
+                sleep_ms(200 + below(3000));
+                fleet.fronts[front].signal(CONT);
+            }
+            "kill" => {
+                let front = below(2) as usize;
+                fleet.fronts[front].restart();
+                sleep_ms(1500);
+            }
+            "term" => {
+                let front = below(2) as usize;
+                fleet.fronts[front].signal(TERM);
+                let began = Instant::now();
+                while !fleet.fronts[front].has_ended() && began.elapsed() < Duration::from_secs(9) {
+                    sleep_ms(50);
+                }
+                fleet.fronts[front].restart();
+                sleep_ms(1500);
+            }
+            "relist" => {
+                // A replica drains, leaves and comes back at another address.
+                let number = below(8) as usize;
+                list.lock().unwrap()[number].ready = false;
+                sleep_ms(2500);
+                let (record, table) = (record.clone(), table.clone());
+                let name = list.lock().unwrap()[number].id.clone();
+                let address = start_replica(ip, move |stream| {
+                    serve_fuzz(stream, name.clone(), record.clone(), table.clone(), level);
+                });
+                let mut list = list.lock().unwrap();
+                list[number].address = address;
+                list[number].born = unix_ms();
+                list[number].ready = true;
+            }
+            "config" => {
+                version += 1 + below(3);
+                let text = configuration(version, FUZZ_ROUTES, FUZZ_SERVICES, TENANTS);
+                fleet.order(&record, "/api/Config.Replace", &text, Duration::from_secs(5));
+            }
+            _ => {}
+        }
+    }
+    clients.into_iter().for_each(|client| drop(client.join()));
+    sleep_ms(2000);
+    for (id, runs) in table.runs.lock().unwrap().iter() {
+        if runs.len() > 1 && id.starts_with('u') {
+            table.faults.lock().unwrap().push(format!("TWICE {id} ran {} times {runs:?}", runs.len()));
+        }
+        if runs.len() > 2 {
+            record.line(format!("BROKEN BUDGET {id} ran {} times", runs.len()));
+            table.faults.lock().unwrap().push(format!("BUDGET {id} ran {} times {runs:?}", runs.len()));
+        }
+    }
+    let ended: Vec<&str> = fleet.fronts.iter_mut().chain(&mut fleet.controls).filter_map(|p| if p.has_ended() { Some(p.name.as_str()) } else { None }).collect();
+    eprintln!("ended by themselves: {ended:?}");
+    fleet.stop();
+    for (label, count) in statuses.lock().unwrap().iter() {
+        eprintln!("{count:8} {label}");
+    }
+    eprintln!("{} runs", table.runs.lock().unwrap().len());
+    let faults = table.faults.lock().unwrap().clone();
+    let mut kinds: BTreeMap<String, Vec<&String>> = BTreeMap::new();
+    for fault in &faults {
+        kinds.entry(fault.split(' ').next().unwrap_or("").to_owned()).or_default().push(fault);
+    }
+    for (kind, all) in kinds {
+        eprintln!("{kind}: {}", all.len());
+        all.iter().take(4).for_each(|fault| eprintln!("   {}", &fault[..fault.len().min(300)]));
+    }
+    record.write("target/fuzz-record.txt");
+    if faults.is_empty() { 0 } else { 1 }
+}
+
+// ---------------------------------------------------------------- silence: a stream that pauses while a front is stopped
+
+/// A model replica as the pages describe it: runs share its memory, and when that runs out the newest
+/// run is preempted, also in the middle of its stream, and goes on once there is memory again.
+struct Engine {
+    slots: usize,
+    capacity: u64,
+    /// The runs in the order in which they began: number, prompt and generated tokens, preempted.
+    runs: Mutex<Vec<(u64, u64, bool)>>,
+    next: AtomicU64,
+}
+
+impl Engine {
+    fn begin(&self, prompt: u64) -> Option<u64> {
+        let mut runs = self.runs.lock().unwrap();
+        if runs.len() >= self.slots {
+            return None;
+        }
+        let number = self.next.fetch_add(1, Ordering::SeqCst);
+        runs.push((number, prompt, false));
+        Some(number)
+    }
+
+    fn end(&self, number: u64) {
+        self.runs.lock().unwrap().retain(|run| run.0 != number);
+    }
+
+    /// Makes the tokens of one event; returns false while the run is preempted.
+    fn step(&self, number: u64, tokens: u64) -> bool {
+        let mut runs = self.runs.lock().unwrap();
+        let held = |runs: &[(u64, u64, bool)]| -> u64 {
+            runs.iter().filter(|run| !run.2).map(|run| run.1).sum()
+        };
+        let Some(at) = runs.iter().position(|run| run.0 == number) else { return false };
+        if runs[at].2 {
+            // It is read again only once there is memory for what it holds and some more.
+            if held(&runs) + runs[at].1 + 20 * tokens > self.capacity {
+                return false;
+            }
+            runs[at].2 = false;
+        }
+        runs[at].1 += tokens;
+        while held(&runs) > self.capacity {
+            let Some(newest) = runs.iter().rposition(|run| !run.2) else { break };
+            runs[newest].2 = true;
+            if newest == at {
+                runs[at].1 -= tokens;
+                return false;
+            }
+        }
+        true
+    }
+}
+
+const EVENTS: u64 = 250;
+const STRIDE: u64 = 6;
+const EVENT_MS: u64 = 25;
+
+fn serve_engine(stream: TcpStream, me: String, engine: Arc<Engine>, record: Arc<Record>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let mut writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let head = read_head(&mut reader)?;
+        let id = head.get("kingcupgrade-request-id").unwrap_or("").to_owned();
+        let (_, whole) = read_body(&mut reader, &head, false);
+        if !whole {
+            return None;
+        }
+        let refusal = |status: &str| head_of(status, &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        if head.get("kingcupgrade-expect-instance") != Some(me.as_str()) {
+            writer.write_all(refusal("421 Misdirected Request").as_bytes()).ok()?;
+            continue;
+        }
+        let from: u64 = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let Some(run) = engine.begin(1_000 + STRIDE * from) else {
+            record.line(format!("{me} full, {id} is not run"));
+            writer.write_all(refusal("503 Service Unavailable").as_bytes()).ok()?;
+            continue;
+        };
+        record.line(format!("{me} runs {id} from event {from}"));
+        let head = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        let mut sent = writer.write_all(head.as_bytes()).is_ok();
+        let mut piece = from + 1;
+        let mut last = record.now();
+        while sent && piece <= EVENTS {
+            sleep_ms(EVENT_MS);
+            // A caller that closes its connection ends the run.
+            let mut byte = [0];
+            writer.set_nonblocking(true).ok()?;
+            let left = matches!(writer.peek(&mut byte), Ok(0)) || matches!(writer.peek(&mut byte), Err(e) if e.kind() != std::io::ErrorKind::WouldBlock);
+            writer.set_nonblocking(false).ok()?;
+            if left {
+                record.line(format!("{me} {id}: its caller has left after event {}, silent for {} ms", piece - 1, record.now() - last));
+                sent = false;
+                break;
+            }
+            if !engine.step(run, STRIDE) {
+                continue;
+            }
+            if record.now() - last > 900 {
+                record.line(format!("{me} {id} goes on with event {piece} after {} ms", record.now() - last));
+            }
+            last = record.now();
+            let event = format!("id: {piece}\ndata: {id}:{piece}\n\n");
+            sent = writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
+            piece += 1;
+        }
+        engine.end(run);
+        if !sent {
+            return None;
+        }
+        record.line(format!("{me} ends {id}"));
+        writer.write_all(b"0\r\n\r\n").ok()?;
+    }
+}
+
+fn silence(net: u8, trouble: bool) -> i32 {
+    let record = Record::new();
+    let list: List = Arc::default();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
+    for number in 0..2 {
+        let me = format!("i-{number:04x}");
+        let engine = Arc::new(Engine { slots: 8, capacity: 16_000, runs: Mutex::default(), next: AtomicU64::new(1) });
+        let (record, name) = (record.clone(), me.clone());
+        let address = start_replica(ip, move |stream| {
+            serve_engine(stream, name.clone(), engine.clone(), record.clone());
+        });
+        list.lock().unwrap().push(Listed {
+            id: me, service: "pool".to_owned(), address, zone: if number == 0 { "za" } else { "zb" }.to_owned(),
+            slots: 8, ready: true, born: unix_ms() - 100_000, version: "v1".to_owned(), cold_ms: 0,
+        });
+    }
+    let plan = Plan { fronts: 2, controls: 3, zones: &["za", "zb", "zc"], list: start_list(ip, list.clone()), net, more: "" };
+    let mut fleet = Fleet::start(&plan);
+    let route = "{\"name\":\"r3\",\"host\":\"c.example\",\"path_prefix\":\"/stream/\",\"kind\":\"stream\",\"timeout_ms\":15000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"pool\",\"max_attempts\":3,\"public\":false,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":250}";
+    let service = "{\"name\":\"pool\",\"health_path\":\"/healthz\",\"max_connections\":400,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":0,\"cold_per_s\":0,\"engine\":{\"slots\":8,\"kv_capacity_tokens\":16000,\"stride\":6,\"models\":[{\"name\":\"m\"}]}}";
+    let text = configuration(7, route, service, TENANTS);
+    if !fleet.order(&record, "/api/Config.Replace", &text, Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
+        fleet.stop();
+        return 2;
+    }
+    sleep_ms(4_000);
+    let front = fleet.callers[0];
+    let cut = Arc::new(Mutex::new(Vec::<(String, u64, u64)>::new()));
+    let until = Instant::now() + Duration::from_secs(9);
+    let clients: Vec<_> = (0..22u64)
+        .map(|number| {
+            let (record, cut) = (record.clone(), cut.clone());
+            thread::spawn(move || {
+                sleep_ms(number * 60);
+                while Instant::now() < until {
+                    let id = new_id();
+                    let prompt = format!("{:x}:400,{:x}:600", 0x5c1e, random() >> 8);
+                    let fields = [
+                        ("Kingcupgrade-Request-Id", id.as_str()),
+                        ("Kingcupgrade-Deadline-Ms", "15000"),
+                        ("Api-Key", "key-one"),
+                        ("Kingcupgrade-Model", "m"),
+                        ("Kingcupgrade-Token-Usage", "1000,1500"),
+                        ("Kingcupgrade-Length-Hint", "300"),
+                        ("Kingcupgrade-Prompt-Prefix", prompt.as_str()),
+                    ];
+                    let sent = record.now();
+                    let answer = call(front, "POST", "/stream/x", &fields, b"{}", 15_000);
+                    let ended = record.now();
+                    let Some(answer) = answer else {
+                        record.line(format!("client {number}: {id} sent at {sent}, no answer"));
+                        return;
+                    };
+                    let status = answer.head.status();
+                    let text = String::from_utf8_lossy(&answer.body).into_owned();
+                    let events = text.matches("\n\n").count();
+                    record.line(format!("client {number}: {id} sent at {sent}, {status}, {events} events, {}", if answer.whole { "whole" } else { "CUT" }));
+                    if status == 200 && !answer.whole {
+                        cut.lock().unwrap().push((id, sent, ended));
+                    }
+                    if status != 200 {
+                        let after: f64 = answer.head.get("retry-after").and_then(|v| v.parse().ok()).unwrap_or(0.2);
+                        sleep_ms((after * 1000.0) as u64);
+                    }
+                }
+            })
+        })
+        .collect();
+    sleep_ms(4_000);
+    let stopped = record.now();
+    if trouble {
+        record.line("SIGTERM to the front".to_owned());
+        fleet.fronts[0].signal(TERM);
+    }
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let ended = fleet.fronts.iter_mut().chain(&mut fleet.controls).map(|p| p.has_ended()).filter(|e| *e).count();
+    record.line(format!("processes that have ended: {ended}"));
+    fleet.stop();
+    let all = cut.lock().unwrap().clone();
+    // Planned work: from the SIGTERM until 1 s after grace_s. The last sixth of the grace period and
+    // what was sent later than 3 s after the SIGTERM are left out.
+    let counted: Vec<_> = all.iter().filter(|(_, _, end)| trouble && *end >= stopped && *end <= stopped + 6_600).collect();
+    record.line(format!("streams cut: {} in all, {} around the SIGTERM", all.len(), counted.len()));
+    eprintln!("streams cut: {} in all, {} around the SIGTERM", all.len(), counted.len());
+    record.write(&std::env::var("RECORD").unwrap_or("target/silence-record.txt".to_owned()));
+    if counted.is_empty() { 0 } else { 1 }
+}
+
+// ---------------------------------------------------------------- evacuation: a zone is taken back, its replicas are cold
+
+/// A list of the platform that lags: each state is shown `lag_ms` after it began.
+struct LaggingList {
+    states: Mutex<Vec<(Instant, Vec<Listed>)>>,
+    shown: List,
+}
+
+impl LaggingList {
+    fn start(first: Vec<Listed>, lag_ms: u64) -> Arc<LaggingList> {
+        let list = Arc::new(LaggingList {
+            states: Mutex::new(vec![(Instant::now(), first.clone())]),
+            shown: Arc::new(Mutex::new(first)),
+        });
+        let own = list.clone();
+        thread::spawn(move || {
+            loop {
+                sleep_ms(5);
+                let states = own.states.lock().unwrap();
+                let lag = Duration::from_millis(lag_ms);
+                let Some((at, state)) = states.iter().rev().find(|(at, _)| at.elapsed() >= lag) else { continue };
+                let mut state = state.clone();
+                // What is shown of the time left to be cold is that of the moment that is shown.
+                let age = (at.elapsed() - lag).as_millis() as u64;
+                state.iter_mut().for_each(|l| l.cold_ms = l.cold_ms.saturating_sub(age));
+                *own.shown.lock().unwrap() = state;
+            }
+        });
+        list
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) {
+        let mut states = self.states.lock().unwrap();
+        let mut state = states.last().unwrap().1.clone();
+        change(&mut state);
+        states.push((Instant::now(), state));
+    }
+}
+
+const COLD_S: u64 = 3;
+const COLD_PER_S: u64 = 20;
+const COLD_OVER: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+const LAG_MS: u64 = 800;
+
+/// Until when a replica is cold, and until when it is down after a crash, by the record's clock.
+#[derive(Default)]
+struct Cold {
+    until: AtomicU64,
+    down_until: AtomicU64,
+}
+
+fn serve_plain(stream: TcpStream, me: String, seen: Arc<Mutex<Vec<(u64, String, String)>>>, record: Arc<Record>, work_ms: u64, cold: Arc<Cold>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let mut writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    let is_down = || record.now() < cold.down_until.load(Ordering::SeqCst);
+    loop {
+        if is_down() {
+            reset(&writer);
+            return None;
+        }
+        let head = read_head(&mut reader)?;
+        let id = head.get("kingcupgrade-request-id").unwrap_or("").to_owned();
+        let (_, whole) = read_body(&mut reader, &head, false);
+        if !whole {
+            return None;
+        }
+        if head.get("kingcupgrade-expect-instance") != Some(me.as_str()) {
+            let text = head_of("421 Misdirected Request", &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        let now = record.now();
+        let in_second = {
+            let mut seen = seen.lock().unwrap();
+            seen.push((now, me.clone(), id.clone()));
+            seen.iter().rev().take_while(|(at, _, _)| at + 1000 > now).filter(|(_, name, _)| *name == me).count()
+        };
+        // A cold replica crashes at a rate well above what it tolerates: twice that, in one second.
+        if now < cold.until.load(Ordering::SeqCst) && in_second as u64 > 2 * COLD_PER_S && !is_down() {
+            record.line(format!("{me} crashes: {in_second} requests in one second"));
+            cold.down_until.store(now + 2_000, Ordering::SeqCst);
+        }
+        sleep_ms(work_ms);
+        if is_down() {
+            reset(&writer);
+            return None;
+        }
+        let body = answer_body(&id, &me);
+        let text = head_of("200 OK", &id, &format!("{SEAL}: s-{me}\r\nContent-Length: {}\r\n\r\n", body.len()));
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&body);
+        writer.write_all(&bytes).ok()?;
+    }
+}
+
+fn taken_back(net: u8, trouble: bool) -> i32 {
+    let record = Record::new();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
+    let seen: Arc<Mutex<Vec<(u64, String, String)>>> = Arc::default();
+    let mut listed = Vec::new();
+    let mut colds: Vec<Arc<Cold>> = Vec::new();
+    for number in 0..6 {
+        let me = format!("i-{number:04x}");
+        let cold: Arc<Cold> = Arc::default();
+        colds.push(cold.clone());
+        let (record, name, seen) = (record.clone(), me.clone(), seen.clone());
+        let address = start_replica(ip, move |stream| {
+            serve_plain(stream, name.clone(), seen.clone(), record.clone(), 20, cold.clone());
+        });
+        listed.push(Listed {
+            id: me, service: "reg".to_owned(), address, zone: ["za", "zb", "zc"][number % 3].to_owned(),
+            slots: 16, ready: true, born: unix_ms() - 100_000, version: "v1".to_owned(), cold_ms: 0,
+        });
+    }
+    let list = LaggingList::start(listed, LAG_MS);
+    let plan = Plan { fronts: 3, controls: 3, zones: &["za", "zb", "zc"], list: start_list(ip, list.shown.clone()), net, more: "bounds.cold_over=1.5\nbounds.cold_slack=5\nbounds.evac_ms=5000\ncloud.lag_ms=800\n" };
+    let fleet = Fleet::start(&plan);
+    let route = "{\"name\":\"r1\",\"host\":\"c.example\",\"path_prefix\":\"/grade/\",\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"reg\",\"max_attempts\":1,\"public\":false}";
+    let service = format!("{{\"name\":\"reg\",\"health_path\":\"/healthz\",\"max_connections\":400,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":{COLD_S},\"cold_per_s\":{COLD_PER_S}}}");
+    let text = configuration(7, route, &service, TENANTS);
+    if !fleet.order(&record, "/api/Config.Replace", &text, Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
+        fleet.stop();
+        return 2;
+    }
+    let per_s: u64 = std::env::var("PER_S").ok().and_then(|v| v.parse().ok()).unwrap_or(400);
+    let stop = Arc::new(AtomicBool::new(false));
+    let sent: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
+    let statuses: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
+    let threads = 60;
+    let clients: Vec<_> = (0..threads)
+        .map(|number: u64| {
+            let (callers, record, stop, sent, statuses) = (fleet.callers.clone(), record.clone(), stop.clone(), sent.clone(), statuses.clone());
+            thread::spawn(move || {
+                let front = callers[number as usize % callers.len()];
+                let pause = 1000 * threads / per_s;
+                sleep_ms(below(pause));
+                let mut open: Option<(TcpStream, BufReader<TcpStream>)> = None;
+                let mut next = Instant::now();
+                while !stop.load(Ordering::SeqCst) {
+                    next += Duration::from_millis(pause);
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                    if open.is_none() {
+                        let Ok(stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else { continue };
+                        let _ = stream.set_nodelay(true);
+                        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+                        let reader = BufReader::new(stream.try_clone().unwrap());
+                        open = Some((stream, reader));
+                    }
+                    let Some((writer, reader)) = open.as_mut() else { continue };
+                    let id = new_id();
+                    let fields = [("Kingcupgrade-Request-Id", id.as_str()), ("Kingcupgrade-Deadline-Ms", "2000"), ("Api-Key", "key-one")];
+                    sent.lock().unwrap().insert(id.clone(), record.now());
+                    let answer = send(writer, "POST", "/grade/x", &fields, b"{}", false).and_then(|()| receive(reader));
+                    *statuses.lock().unwrap().entry(answer.as_ref().map_or(0, |a| a.head.status())).or_default() += 1;
+                    let keeps = answer.is_some_and(|a| a.whole && a.head.get("connection").is_none());
+                    if !keeps {
+                        open = None;
+                    }
+                }
+            })
+        })
+        .collect();
+    sleep_ms(4_000);
+    let began = fleet.order(&record, "/api/Evacuations.Start/zb", "", Duration::from_secs(5));
+    sleep_ms(6_000);
+    let evacuated = record.now();
+    if trouble {
+        // The replicas of the zone start again under their ids, and are cold.
+        record.line("the replicas of zb start again, cold".to_owned());
+        for number in [1, 4] {
+            colds[number].until.store(record.now() + COLD_S * 1000, Ordering::SeqCst);
+        }
+        list.change(|all| {
+            for listed in all.iter_mut().filter(|l| l.zone == "zb") {
+                listed.born = unix_ms();
+                listed.cold_ms = COLD_S * 1000;
+            }
+        });
+    }
+    let cold_until = record.now() + COLD_S * 1000;
+    sleep_ms(300);
+    let finished = fleet.order(&record, "/api/Evacuations.Finish/zb", "", Duration::from_secs(5));
+    sleep_ms(4_000);
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    fleet.stop();
+    if !began || !finished {
+        record.line("an order wasn't acknowledged".to_owned());
+        return 2;
+    }
+    let seen = seen.lock().unwrap().clone();
+    let sent = sent.lock().unwrap().clone();
+    let bound = COLD_PER_S as f64 * COLD_OVER + COLD_SLACK;
+    let mut worst = 0;
+    for replica in ["i-0001", "i-0004"] {
+        let mut arrivals: Vec<(u64, u64)> = seen.iter().filter(|(at, me, _)| me == replica && *at >= evacuated && *at < cold_until)
+            .map(|(at, _, id)| (*at, sent.get(id).copied().unwrap_or(*at))).collect();
+        arrivals.sort();
+        let mut most = (0, 0);
+        for (from, _) in &arrivals {
+            let inside = arrivals.iter().filter(|(at, sent)| at >= from && *at < from + 1000 && sent >= from).count();
+            most = most.max((inside, *from as usize));
+        }
+        record.line(format!("{replica}: {} requests while cold, at most {} in one second, from {} ms; bound {bound}", arrivals.len(), most.0, most.1));
+        eprintln!("{replica}: {} requests while cold, at most {} in one second; bound {bound}", arrivals.len(), most.0);
+        worst = worst.max(most.0);
+    }
+    for (at, me, id) in seen.iter().filter(|(at, me, _)| (me == "i-0001" || me == "i-0004") && *at >= evacuated && *at < cold_until) {
+        record.lines.lock().unwrap().push((*at, format!("{me} runs {id}, sent at {}", sent.get(id).copied().unwrap_or(0))));
+    }
+    record.line(format!("answers by status, 0 is none: {:?}", statuses.lock().unwrap()));
+    eprintln!("answers by status: {:?}", statuses.lock().unwrap());
+    record.write(&std::env::var("RECORD").unwrap_or("target/taken-back-record.txt".to_owned()));
+    if trouble && worst as f64 > bound { 1 } else { 0 }
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let _: HashSet<u8> = HashSet::new();
+    let _ = AtomicBool::new(false);
+    seed(unix_ms() ^ (u64::from(std::process::id()) << 32));
+    let net = 10 + (std::process::id() % 200) as u8;
+    let number = |at: usize, default: u64| arguments.get(at).and_then(|a| a.parse().ok()).unwrap_or(default);
+    let code = match arguments.first().map(String::as_str) {
+        Some("fuzz") => fuzz(net, number(1, 20), number(2, 3), arguments.get(3).map_or("", String::as_str)),
+        Some("silence") => silence(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
+        Some("taken-back") => taken_back(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
+        _ => 2,
+    };
+    std::process::exit(code);
+}
