--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -280,6 +280,39 @@
     }
 }
 
+/// Sends a request in chunks, or in several writes.
+fn send_in_parts(writer: &mut TcpStream, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8]) -> Option<()> {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: c.example\r\n");
+    for (name, value) in fields {
+        text += &format!("{name}: {value}\r\n");
+    }
+    let mut bytes;
+    if method != "GET" && chance(50) {
+        text += "Transfer-Encoding: chunked\r\n\r\n";
+        bytes = text.into_bytes();
+        let mut rest = body;
+        while !rest.is_empty() {
+            let len = (1 + below(5000) as usize).min(rest.len());
+            bytes.extend_from_slice(format!("{len:x}\r\n").as_bytes());
+            bytes.extend_from_slice(&rest[..len]);
+            bytes.extend_from_slice(b"\r\n");
+            rest = &rest[len..];
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+    } else {
+        if method != "GET" {
+            text += &format!("Content-Length: {}\r\n", body.len());
+        }
+        bytes = (text + "\r\n").into_bytes();
+        bytes.extend_from_slice(body);
+    }
+    let at = 1 + below(bytes.len() as u64 - 1) as usize;
+    let at = if chance(50) { at.min(300) } else { at };
+    writer.write_all(&bytes[..at]).ok()?;
+    sleep_ms(below(30));
+    writer.write_all(&bytes[at..]).ok()
+}
+
 fn fuzz_client(fleet_callers: Vec<SocketAddr>, record: Arc<Record>, table: Arc<Table>, end: Instant, statuses: Arc<Mutex<BTreeMap<String, u64>>>) {
     while Instant::now() < end {
         let address = fleet_callers[below(fleet_callers.len() as u64) as usize];
@@ -325,7 +358,11 @@
             if from > 0 {
                 fields.push(("Last-Event-Id", from_text.as_str()));
             }
-            if send(&mut writer, method, &path, &fields, &body, false).is_none() {
+            let sent = match chance(30) {
+                true => send_in_parts(&mut writer, method, &path, &fields, &body),
+                false => send(&mut writer, method, &path, &fields, &body, false),
+            };
+            if sent.is_none() {
                 *statuses.lock().unwrap().entry(format!("{kind} unsent")).or_default() += 1;
                 break;
             }
@@ -412,7 +449,7 @@
     }
     let end = Instant::now() + Duration::from_secs(seconds);
     let statuses: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
-    let clients: Vec<_> = (0..24)
+    let clients: Vec<_> = (0..std::env::var("CLIENTS").ok().and_then(|v| v.parse().ok()).unwrap_or(24))
         .map(|_| {
             let (callers, record, table, statuses) = (fleet.callers.clone(), record.clone(), table.clone(), statuses.clone());
             thread::spawn(move || fuzz_client(callers, record, table, end, statuses))
