Review case: a rollout completes to a bad version after all processes restart

Cause: an entry that starts takes the first version by name for the one in use if the list tells no start times.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -957,6 +957,244 @@
     if trouble && worst as f64 > bound { 1 } else { 0 }
 }
 
+// ---------------------------------------------------------------- a rollout: fronts restart while it runs
+
+/// The versions of the two sets of replicas. By name the new one sorts before the old one.
+fn versions() -> (String, String) {
+    let name = |key: &str, default: &str| std::env::var(key).unwrap_or(default.to_owned());
+    (name("OLD", "v9"), name("NEW", "v10"))
+}
+
+/// What the replicas of a rollout share.
+struct Rolling {
+    /// From when the new version fails, by the record's clock.
+    bad_from: AtomicU64,
+    /// Whether the old replicas have been stopped.
+    old_gone: AtomicBool,
+    /// Arrivals: when, whether at the new version, the request's id, and whether it failed.
+    seen: Mutex<Vec<(u64, bool, String, bool)>>,
+}
+
+/// Of its answers, a bad version fails this many in a hundred.
+const BAD_PERCENT: u64 = 40;
+
+fn serve_version(stream: TcpStream, me: String, is_new: bool, rolling: Arc<Rolling>, record: Arc<Record>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let mut writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let head = read_head(&mut reader)?;
+        if !is_new && rolling.old_gone.load(Ordering::SeqCst) {
+            reset(&writer);
+            return None;
+        }
+        let id = head.get("kingcupgrade-request-id").unwrap_or("").to_owned();
+        let (_, whole) = read_body(&mut reader, &head, false);
+        if !whole {
+            return None;
+        }
+        if head.path().starts_with("/healthz") {
+            let text = head_of("200 OK", &id, &format!("Kingcupgrade-Instance-Id: {me}\r\nContent-Length: 0\r\n\r\n"));
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        if head.get("kingcupgrade-expect-instance") != Some(me.as_str()) {
+            let text = head_of("421 Misdirected Request", &id, "Kingcupgrade-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            writer.write_all(text.as_bytes()).ok()?;
+            continue;
+        }
+        let now = record.now();
+        let fails = is_new && now >= rolling.bad_from.load(Ordering::SeqCst) && below(100) < BAD_PERCENT;
+        rolling.seen.lock().unwrap().push((now, is_new, id.clone(), fails));
+        sleep_ms(15);
+        if !is_new && rolling.old_gone.load(Ordering::SeqCst) {
+            reset(&writer);
+            return None;
+        }
+        let body = answer_body(&id, &me);
+        let status = if fails { "500 Internal Server Error" } else { "200 OK" };
+        let text = head_of(status, &id, &format!("{SEAL}: s-{me}\r\nContent-Length: {}\r\n\r\n", body.len()));
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&body);
+        writer.write_all(&bytes).ok()?;
+    }
+}
+
+const EXPOSE_SHARE: f64 = 0.1;
+const EXPOSE_SLACK: f64 = 50.0;
+const ROLL_S: u64 = 40;
+
+fn rollout(net: u8, trouble: bool) -> i32 {
+    let record = Record::new();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
+    let (old, new) = versions();
+    let rolling = Arc::new(Rolling { bad_from: AtomicU64::new(u64::MAX), old_gone: AtomicBool::new(false), seen: Mutex::default() });
+    let replica = |number: usize, is_new: bool| {
+        let me = format!("i-{}{number:03x}", if is_new { "b" } else { "a" });
+        let (record, name, rolling) = (record.clone(), me.clone(), rolling.clone());
+        let address = start_replica(ip, move |stream| {
+            serve_version(stream, name.clone(), is_new, rolling.clone(), record.clone());
+        });
+        let has_born = std::env::var_os("BORN").is_some();
+        Listed {
+            id: me, service: "reg".to_owned(), address, zone: ["za", "zb", "zc"][number % 3].to_owned(), slots: 16, ready: true,
+            born: if has_born { unix_ms() - if is_new { 1_000 } else { 100_000 } } else { 0 },
+            version: if is_new { new.clone() } else { old.clone() }, cold_ms: 0,
+        }
+    };
+    let first: Vec<Listed> = (0..6).map(|number| replica(number, false)).collect();
+    let list = LaggingList::start(first, LAG_MS);
+    let plan = Plan { fronts: 3, controls: 3, zones: &["za", "zb", "zc"], list: start_list(ip, list.shown.clone()), net,
+        more: "contracts=base,drain,config,cost,retry,recover,health,engine,stream,tenants,places,rollout\nbounds.stability_window_ms=4000\nbounds.expose_share=0.1\nbounds.expose_slack=50\nbounds.rollback_ms=5000\nbounds.config_ms=2500\nbounds.drain_ms=4000\ncloud.lag_ms=800\n" };
+    let mut fleet = Fleet::start(&plan);
+    let route = "{\"name\":\"r1\",\"host\":\"c.example\",\"path_prefix\":\"/grade/\",\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"reg\",\"max_attempts\":1,\"public\":false}";
+    let service = "{\"name\":\"reg\",\"health_path\":\"/healthz\",\"max_connections\":400,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":0,\"cold_per_s\":0}";
+    let text = configuration(7, route, service, TENANTS);
+    if !fleet.order(&record, "/api/Config.Replace", &text, Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
+        fleet.stop();
+        return 2;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    // The balancer sends new connections to the fronts that say that they are ready.
+    let ready: Arc<Vec<AtomicBool>> = Arc::new(fleet.ready.iter().map(|_| AtomicBool::new(true)).collect());
+    {
+        let (addresses, ready, stop) = (fleet.ready.clone(), ready.clone(), stop.clone());
+        thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                for (address, known) in addresses.iter().zip(ready.iter()) {
+                    known.store(is_ready(*address), Ordering::SeqCst);
+                }
+                sleep_ms(200);
+            }
+        });
+    }
+    // When each request was sent, and to which front.
+    let sent: Arc<Mutex<HashMap<String, (u64, usize)>>> = Arc::default();
+    let statuses: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
+    let (threads, per_s) = (45u64, 300u64);
+    let clients: Vec<_> = (0..threads)
+        .map(|_| {
+            let (callers, record, stop, sent, statuses, ready) = (fleet.callers.clone(), record.clone(), stop.clone(), sent.clone(), statuses.clone(), ready.clone());
+            thread::spawn(move || {
+                let pause = 1000 * threads / per_s;
+                sleep_ms(below(pause));
+                let mut open: Option<(TcpStream, BufReader<TcpStream>, usize, u64)> = None;
+                let mut next = Instant::now();
+                while !stop.load(Ordering::SeqCst) {
+                    next += Duration::from_millis(pause);
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                    if open.is_none() {
+                        let fronts: Vec<usize> = (0..callers.len()).filter(|n| ready[*n].load(Ordering::SeqCst)).collect();
+                        if fronts.is_empty() { continue }
+                        let front = fronts[below(fronts.len() as u64) as usize];
+                        let Ok(stream) = TcpStream::connect_timeout(&callers[front], Duration::from_secs(1)) else { continue };
+                        let _ = stream.set_nodelay(true);
+                        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+                        let reader = BufReader::new(stream.try_clone().unwrap());
+                        open = Some((stream, reader, front, 0));
+                    }
+                    let Some((writer, reader, front, count)) = open.as_mut() else { continue };
+                    let id = new_id();
+                    let fields = [("Kingcupgrade-Request-Id", id.as_str()), ("Kingcupgrade-Deadline-Ms", "2000"), ("Api-Key", "key-one")];
+                    sent.lock().unwrap().insert(id.clone(), (record.now(), *front));
+                    *count += 1;
+                    let answer = send(writer, "POST", "/grade/x", &fields, b"{}", false).and_then(|()| receive(reader));
+                    *statuses.lock().unwrap().entry(answer.as_ref().map_or(0, |a| a.head.status())).or_default() += 1;
+                    let keeps = answer.is_some_and(|a| a.whole && a.head.get("connection").is_none()) && *count < 15;
+                    if !keeps {
+                        open = None;
+                    }
+                }
+            })
+        })
+        .collect();
+    // Longer than a version that appears by itself is held back.
+    sleep_ms(8_000);
+    let body = format!("{{\"service\":\"reg\",\"to\":\"{new}\",\"duration_s\":{ROLL_S}}}");
+    let ordered = fleet.order(&record, "/api/Rollouts.Start", &body, Duration::from_secs(4));
+    let began = record.now();
+    let deadline = began + ROLL_S * 1000;
+    rolling.bad_from.store(began + 16_000, Ordering::SeqCst);
+    let started: Vec<Listed> = (0..6).map(|number| replica(number, true)).collect();
+    list.change(|all| all.extend(started));
+    // The platform follows the rollout.
+    let states: Arc<Mutex<Vec<(u64, String)>>> = Arc::default();
+    {
+        let (operators, record, stop, states, rolling, list) = (fleet.operators.clone(), record.clone(), stop.clone(), states.clone(), rolling.clone(), list.clone());
+        let old = old.clone();
+        thread::spawn(move || {
+            let mut number = 0;
+            while !stop.load(Ordering::SeqCst) {
+                sleep_ms(200);
+                number += 1;
+                let Some(answer) = call(operators[number % operators.len()], "GET", "/api/Rollouts.Get/reg", &[], b"", 1_000) else { continue };
+                if answer.head.status() != 200 { continue }
+                let text = String::from_utf8_lossy(&answer.body).to_string();
+                if states.lock().unwrap().last().is_some_and(|(_, known)| *known == text) { continue }
+                record.line(format!("Rollouts.Get: {text}"));
+                states.lock().unwrap().push((record.now(), text.clone()));
+                if text.contains("complete") {
+                    rolling.old_gone.store(true, Ordering::SeqCst);
+                    list.change(|all| all.retain(|l| l.version != old));
+                }
+                if text.contains("rolled_back") {
+                    sleep_ms(3_000);
+                    let new = versions().1;
+                    list.change(|all| all.iter_mut().filter(|l| l.version == new).for_each(|l| l.ready = false));
+                }
+            }
+        });
+    }
+    sleep_ms(5_000);
+    // From when on each front is in touch again, as the rules say, and until when it was before.
+    let mut terms: Vec<(u64, u64)> = vec![(u64::MAX, 0); fleet.fronts.len()];
+    if trouble {
+        let fronts: usize = std::env::var("FRONTS").ok().and_then(|v| v.parse().ok()).unwrap_or(3);
+        let stopped = record.now();
+        record.line(format!("all controls and {fronts} fronts are killed"));
+        fleet.controls.iter_mut().for_each(Process::kill);
+        fleet.fronts.iter_mut().take(fronts).for_each(Process::kill);
+        sleep_ms(1_000);
+        fleet.controls.iter_mut().for_each(Process::restart);
+        fleet.fronts.iter_mut().take(fronts).for_each(Process::restart);
+        record.line("they start again".to_owned());
+        // Twice stability_window_ms after a fault that took most of the core.
+        terms = vec![(stopped, record.now() + 8_000); fleet.fronts.len()];
+    }
+    sleep_ms((deadline + 500).saturating_sub(record.now()));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    fleet.stop();
+    if !ordered {
+        return 2;
+    }
+    let seen = rolling.seen.lock().unwrap().clone();
+    let sent = sent.lock().unwrap().clone();
+    let inside: Vec<_> = seen.iter().filter(|(at, ..)| *at >= began && *at <= deadline).collect();
+    let in_touch = |id: &String| {
+        sent.get(id).is_some_and(|(at, front)| *at < terms[*front].0 || *at > terms[*front].1)
+    };
+    let exposed = inside.iter().filter(|(_, is_new, id, _)| *is_new && in_touch(id)).count();
+    let failed = inside.iter().filter(|(_, _, _, fails)| *fails).count();
+    let bound = EXPOSE_SHARE * inside.len() as f64 + EXPOSE_SLACK;
+    // The 50th bad answer, and requests sent later than rollback_ms after it.
+    let bad: Vec<u64> = inside.iter().filter(|(_, _, _, fails)| *fails).map(|(at, ..)| *at).collect();
+    let late = bad.get(49).map_or(0, |at| {
+        inside.iter().filter(|(_, is_new, id, _)| *is_new && in_touch(id) && sent.get(id).is_some_and(|(sent, _)| *sent > at + 5_000)).count()
+    });
+    let states = states.lock().unwrap().clone();
+    let text = format!("requests {}, at the new version from machines in touch {exposed}, bound {bound:.0}; failed {failed}; sent to it later than 5 s after its 50th bad answer {late}; states {states:?}; order at {began}", inside.len());
+    record.line(text.clone());
+    eprintln!("{text}");
+    for (at, is_new, id, fails) in &seen {
+        record.lines.lock().unwrap().push((*at, format!("{} runs {id}, sent to front {:?}{}", if *is_new { &new } else { &old }, sent.get(id).map(|s| s.1), if *fails { ", fails" } else { "" })));
+    }
+    record.line(format!("answers by status, 0 is none: {:?}", statuses.lock().unwrap()));
+    eprintln!("answers by status: {:?}", statuses.lock().unwrap());
+    record.write(&std::env::var("RECORD").unwrap_or("target/rollout-record.txt".to_owned()));
+    if exposed as f64 > bound || late > 0 { 1 } else { 0 }
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let _: HashSet<u8> = HashSet::new();
@@ -968,6 +1206,7 @@
         Some("fuzz") => fuzz(net, number(1, 20), number(2, 3), arguments.get(3).map_or("", String::as_str)),
         Some("silence") => silence(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
         Some("taken-back") => taken_back(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
+        Some("rollout") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/stand-ins-2/rig.rs
+++ b/review/stand-ins-2/rig.rs
@@ -225,10 +225,12 @@
     let entries: Vec<String> = list
         .iter()
         .map(|l| {
+            // The field isn't among those that the page names for an entry of the list.
+            let born = if l.born == 0 { String::new() } else { format!(",\"born\":{}", l.born) };
             format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"{}\",\"cold_remaining_ms\":{},\"id\":\"{}\",\"born\":{}}}",
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"{}\",\"cold_remaining_ms\":{},\"id\":\"{}\"{}}}",
                 l.service, l.address, l.zone, l.version, l.slots,
-                if l.ready { "ready" } else { "draining" }, l.cold_ms, l.id, l.born
+                if l.ready { "ready" } else { "draining" }, l.cold_ms, l.id, born
             )
         })
         .collect();
