Review case: a rollout completes before a version was seen under load

Cause: a promoted rollout is complete once the old version is idle, some 0.3 s after the traffic moved.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -973,6 +973,10 @@
     old_gone: AtomicBool,
     /// Arrivals: when, whether at the new version, the request's id, and whether it failed.
     seen: Mutex<Vec<(u64, bool, String, bool)>>,
+    /// The new version fails while its replicas together get more requests in a second than this.
+    bad_above: AtomicU64,
+    /// When they got their requests.
+    load: Mutex<Vec<u64>>,
 }
 
 /// Of its answers, a bad version fails this many in a hundred.
@@ -1004,8 +1008,21 @@
             continue;
         }
         let now = record.now();
-        let fails = is_new && now >= rolling.bad_from.load(Ordering::SeqCst) && below(100) < BAD_PERCENT;
-        rolling.seen.lock().unwrap().push((now, is_new, id.clone(), fails));
+        let fails = {
+            let last = {
+                let mut load = rolling.load.lock().unwrap();
+                if is_new {
+                    load.push(now);
+                }
+                load.retain(|at| at + 1000 > now);
+                load.len() as u64
+            };
+            let mut seen = rolling.seen.lock().unwrap();
+            let is_bad = now >= rolling.bad_from.load(Ordering::SeqCst) || last > rolling.bad_above.load(Ordering::SeqCst);
+            let fails = is_new && is_bad && below(100) < BAD_PERCENT;
+            seen.push((now, is_new, id.clone(), fails));
+            fails
+        };
         sleep_ms(15);
         if !is_new && rolling.old_gone.load(Ordering::SeqCst) {
             reset(&writer);
@@ -1022,13 +1039,12 @@
 
 const EXPOSE_SHARE: f64 = 0.1;
 const EXPOSE_SLACK: f64 = 50.0;
-const ROLL_S: u64 = 40;
 
-fn rollout(net: u8, trouble: bool) -> i32 {
+fn rollout(net: u8, trouble: bool, roll_s: u64, under_load: bool) -> i32 {
     let record = Record::new();
     let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
     let (old, new) = versions();
-    let rolling = Arc::new(Rolling { bad_from: AtomicU64::new(u64::MAX), old_gone: AtomicBool::new(false), seen: Mutex::default() });
+    let rolling = Arc::new(Rolling { bad_from: AtomicU64::new(u64::MAX), old_gone: AtomicBool::new(false), seen: Mutex::default(), bad_above: AtomicU64::new(u64::MAX), load: Mutex::default() });
     let replica = |number: usize, is_new: bool| {
         let me = format!("i-{}{number:03x}", if is_new { "b" } else { "a" });
         let (record, name, rolling) = (record.clone(), me.clone(), rolling.clone());
@@ -1110,11 +1126,17 @@
         .collect();
     // Longer than a version that appears by itself is held back.
     sleep_ms(8_000);
-    let body = format!("{{\"service\":\"reg\",\"to\":\"{new}\",\"duration_s\":{ROLL_S}}}");
+    let body = format!("{{\"service\":\"reg\",\"to\":\"{new}\",\"duration_s\":{roll_s}}}");
     let ordered = fleet.order(&record, "/api/Rollouts.Start", &body, Duration::from_secs(4));
     let began = record.now();
-    let deadline = began + ROLL_S * 1000;
-    rolling.bad_from.store(began + 16_000, Ordering::SeqCst);
+    let deadline = began + roll_s * 1000;
+    if !under_load {
+        rolling.bad_from.store(began + 16_000, Ordering::SeqCst);
+    } else if trouble {
+        // Half of what the old version takes.
+        let above = std::env::var("ABOVE").ok().and_then(|v| v.parse().ok()).unwrap_or(per_s / 2);
+        rolling.bad_above.store(above, Ordering::SeqCst);
+    }
     let started: Vec<Listed> = (0..6).map(|number| replica(number, true)).collect();
     list.change(|all| all.extend(started));
     // The platform follows the rollout.
@@ -1148,7 +1170,7 @@
     sleep_ms(5_000);
     // From when on each front is in touch again, as the rules say, and until when it was before.
     let mut terms: Vec<(u64, u64)> = vec![(u64::MAX, 0); fleet.fronts.len()];
-    if trouble {
+    if trouble && !under_load {
         let fronts: usize = std::env::var("FRONTS").ok().and_then(|v| v.parse().ok()).unwrap_or(3);
         let stopped = record.now();
         record.line(format!("all controls and {fronts} fronts are killed"));
@@ -1192,7 +1214,8 @@
     record.line(format!("answers by status, 0 is none: {:?}", statuses.lock().unwrap()));
     eprintln!("answers by status: {:?}", statuses.lock().unwrap());
     record.write(&std::env::var("RECORD").unwrap_or("target/rollout-record.txt".to_owned()));
-    if exposed as f64 > bound || late > 0 { 1 } else { 0 }
+    let is_bad = !under_load || trouble;
+    if is_bad && (exposed as f64 > bound || late > 0) { 1 } else { 0 }
 }
 
 fn main() {
@@ -1206,7 +1229,8 @@
         Some("fuzz") => fuzz(net, number(1, 20), number(2, 3), arguments.get(3).map_or("", String::as_str)),
         Some("silence") => silence(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
         Some("taken-back") => taken_back(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
-        Some("rollout") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
+        Some("rollout") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0"), 40, false),
+        Some("rollout-load") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0"), number(1, 40), true),
         _ => 2,
     };
     std::process::exit(code);
