--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1218,6 +1218,106 @@
     if is_bad && (exposed as f64 > bound || late > 0) { 1 } else { 0 }
 }
 
+// ---------------------------------------------------------------- slow readers
+
+/// Watches the memory of a front while replicas or clients read slowly; not a case, a trial.
+fn slow(net: u8, kind: &str) -> i32 {
+    let record = Record::new();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, net, 9, 1));
+    let (answer_len, reads_slowly) = match kind {
+        "replicas" => (800usize, true),
+        _ => (std::env::var("LEN").ok().and_then(|v| v.parse().ok()).unwrap_or(1_000_000), false),
+    };
+    let count: usize = std::env::var("CLIENTS").ok().and_then(|v| v.parse().ok()).unwrap_or(400);
+    let streams = kind == "streams";
+    let mut listed = Vec::new();
+    for number in 0..6 {
+        let me = format!("i-{number:04x}");
+        let name = me.clone();
+        let address = start_replica(ip, move |stream| {
+            let serve = || -> Option<()> {
+                let mut writer = stream.try_clone().ok()?;
+                let mut reader = BufReader::with_capacity(4096, stream.try_clone().ok()?);
+                loop {
+                    let head = read_head(&mut reader)?;
+                    let id = head.get("kingcupgrade-request-id").unwrap_or("").to_owned();
+                    let mut left = head.get("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
+                    let mut bytes = [0u8; 4096];
+                    while left > 0 {
+                        let most = left.min(bytes.len());
+                        left -= reader.read(&mut bytes[..most]).ok().filter(|n| *n > 0)?;
+                        if reads_slowly { sleep_ms(40) }
+                    }
+                    if streams {
+                        writer.write_all(head_of("200 OK", &id, &format!("{SEAL}: s-{name}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")).as_bytes()).ok()?;
+                        for number in 0..200 {
+                            let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(8_000));
+                            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).ok()?;
+                        }
+                        writer.write_all(b"0\r\n\r\n").ok()?;
+                    } else {
+                        writer.write_all(head_of("200 OK", &id, &format!("{SEAL}: s-{name}\r\nContent-Length: {answer_len}\r\n\r\n")).as_bytes()).ok()?;
+                        writer.write_all(&vec![b'x'; answer_len]).ok()?;
+                    }
+                }
+            };
+            serve();
+        });
+        listed.push(Listed { id: me, service: "pool".to_owned(), address, zone: "za".to_owned(), slots: 128, ready: true, born: unix_ms() - 100_000, version: "v1".to_owned(), cold_ms: 0 });
+    }
+    let list: List = Arc::new(Mutex::new(listed));
+    let plan = Plan { fronts: 1, controls: 3, zones: &["za"], list: start_list(ip, list), net, more: "limits.memory_mb=160\ncontracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,pressure\n" };
+    let mut fleet = Fleet::start(&plan);
+    let kind_of = if streams { "stream" } else { "safe" };
+    let route = format!("{{\"name\":\"r1\",\"host\":\"c.example\",\"path_prefix\":\"/x/\",\"kind\":\"{kind_of}\",\"timeout_ms\":15000,\"target_latency_ms\":5000,\"priority\":1,\"service\":\"pool\",\"max_attempts\":1,\"public\":false}}");
+    let service = "{\"name\":\"pool\",\"health_path\":\"/healthz\",\"max_connections\":1000,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":0,\"cold_per_s\":0}";
+    if !fleet.order(&record, "/api/Config.Replace", &configuration(7, &route, service, TENANTS), Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
+        fleet.stop();
+        return 2;
+    }
+    let front = fleet.callers[0];
+    let end = Instant::now() + Duration::from_secs(25);
+    let statuses: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
+    let clients: Vec<_> = (0..count).map(|_| {
+        let statuses = statuses.clone();
+        thread::spawn(move || while Instant::now() < end {
+            let one = || -> Option<u16> {
+                let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()?;
+                stream.set_read_timeout(Some(Duration::from_secs(16))).ok()?;
+                stream.set_write_timeout(Some(Duration::from_secs(16))).ok()?;
+                let id = new_id();
+                let fields = [("Kingcupgrade-Request-Id", id.as_str()), ("Kingcupgrade-Deadline-Ms", "15000"), ("Api-Key", "key-one")];
+                let body = vec![b'b'; if reads_slowly { std::env::var("BODY").ok().and_then(|v| v.parse().ok()).unwrap_or(1_000_000) } else { 10 }];
+                let mut writer = stream.try_clone().ok()?;
+                send(&mut writer, "POST", "/x/y", &fields, &body, true)?;
+                let mut reader = BufReader::with_capacity(512, stream);
+                let status = read_head(&mut reader)?.status();
+                if !reads_slowly { sleep_ms(8_000) }
+                Some(status)
+            };
+            let status = one();
+            *statuses.lock().unwrap().entry(status.unwrap_or(0)).or_default() += 1;
+            sleep_ms(200 + below(300));
+        })
+    }).collect();
+    let pid = fleet.fronts[0].child.id();
+    let mut most = 0;
+    let mut unanswered = 0;
+    let mut ended = false;
+    while Instant::now() < end {
+        sleep_ms(500);
+        let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let kb = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).and_then(|v| v.trim().split(' ').next()?.parse::<u64>().ok()).unwrap_or(0);
+        most = most.max(kb);
+        if !is_ready(fleet.ready[0]) { unanswered += 1 }
+        ended |= fleet.fronts[0].has_ended();
+    }
+    for client in clients { let _ = client.join(); }
+    fleet.stop();
+    eprintln!("slow {kind}: most {} MB resident, limit 160; ended {ended}; not ready {unanswered} times of 50; {:?}", most / 1024, statuses.lock().unwrap());
+    if most > 160 * 1024 || ended { 1 } else { 0 }
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let _: HashSet<u8> = HashSet::new();
@@ -1231,6 +1331,7 @@
         Some("taken-back") => taken_back(net, std::env::var("TROUBLE").as_deref() != Ok("0")),
         Some("rollout") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0"), 40, false),
         Some("rollout-load") => rollout(net, std::env::var("TROUBLE").as_deref() != Ok("0"), number(1, 40), true),
+        Some("slow") => slow(net, arguments.get(1).map_or("replicas", String::as_str)),
         _ => 2,
     };
     std::process::exit(code);
