--- a/crates/kingcup-load/src/flags.rs
+++ b/crates/kingcup-load/src/flags.rs
@@ -54,6 +54,8 @@
             /// All processes of a fleet stand still together now and then, fewer than this many
             /// times in a rollout.
             optional --stalls most: usize
+            /// All versions are bad, once they get a large part of the traffic.
+            optional --traffic-faults
             /// Prints each good version that was rolled back for its answers, and each bad one that
             /// was promoted.
             optional --verbose
--- a/crates/kingcup-load/src/rollouts.rs
+++ b/crates/kingcup-load/src/rollouts.rs
@@ -23,6 +23,7 @@
     for seed in 0..args.count.unwrap_or(DEFAULT_COUNT) {
         let plan = match args.stalls {
             Some(most) => Plan::draw_with_stalls(seed, most),
+            None if args.traffic_faults => Plan::draw_with_traffic_fault(seed),
             None => Plan::draw(seed),
         };
         let result = run(&plan, ablation);
--- a/crates/kingcup-support/src/rollouts/draw.rs
+++ b/crates/kingcup-support/src/rollouts/draw.rs
@@ -27,6 +27,8 @@
     pub from_ms: u64,
     /// Whether it is bad only at the load of the old version's upstreams.
     pub needs_load: bool,
+    /// The fraction of the service's requests, over a second, from which on it is bad.
+    pub min_traffic: f64,
     /// The only route on which it is bad.
     pub route: Option<usize>,
 }
@@ -139,6 +141,16 @@
         Plan { stalls, ..plan }
     }
 
+    /// Draws the same rollout of a version that is bad once it gets a large part of the traffic.
+    pub fn draw_with_traffic_fault(seed: u64) -> Plan {
+        let plan = Plan::draw(seed);
+        let mut random = Random::new(seed ^ 0x10ad);
+        let fault = draw_fault(&mut random, plan.duration_ms, plan.routes.len());
+        let min_traffic = random.between(0.3, 0.7);
+        let fault = Fault { from_ms: 0, needs_load: false, min_traffic, route: None, ..fault };
+        Plan { fault: Some(fault), ..plan }
+    }
+
     /// Returns how long an answer takes that comes `took` ms after a request at `at` if no process
     /// stands still meanwhile.
     pub(super) fn with_stalls(&self, at: u64, took: f64) -> f64 {
@@ -164,6 +176,7 @@
         portion: random.between(0.25, 1.0),
         from_ms,
         needs_load: random.chance(0.25),
+        min_traffic: 0.0,
         route: random.chance(0.3).then(|| random.below(routes)),
     }
 }
--- a/crates/kingcup-support/src/rollouts/mod.rs
+++ b/crates/kingcup-support/src/rollouts/mod.rs
@@ -29,6 +29,8 @@
     pub exposed: u64,
     /// Those of them sent to the new version in all.
     pub exposed_in_all: u64,
+    /// Whether the new version got as far as a load test.
+    pub load_tested: bool,
     /// Bad answers of the new version before it was judged good.
     pub shown: u32,
     /// The time from the 50th bad answer to the last request sent to the new version; `None` if
@@ -46,6 +48,12 @@
         matches!(self.stage, RolloutStage::Promoting | RolloutStage::Complete)
     }
 
+    /// Returns the requests sent to the new version in all, as a part of those that a bad one may get.
+    pub fn exposure_in_all(&self) -> f64 {
+        let allowed = self.requests as f64 * draw::FRACTION + draw::SLACK;
+        self.exposed_in_all as f64 / allowed
+    }
+
     /// Returns whether the exposure before the judgement is within `fraction` and `slack`.
     pub fn is_within(&self, fraction: f64, slack: f64) -> bool {
         self.exposed as f64 <= self.requests as f64 * fraction + slack
@@ -66,6 +74,11 @@
     pub longest_after_50: Millis,
     /// Rollouts of bad versions with a 50th bad answer.
     pub with_50: u32,
+    /// Bad versions that got as far as a load test, and those of them that got more requests in all
+    /// than they may.
+    pub load_tested: [u32; 2],
+    /// The greatest exposure of a bad version in all, as a part of what is allowed.
+    pub greatest_exposure_in_all: f64,
 }
 
 /// A bad version is one that could be found if it gave this many bad answers before it was judged.
@@ -88,6 +101,10 @@
             return;
         }
         self.bad[0] += 1;
+        let in_all = result.exposure_in_all();
+        self.greatest_exposure_in_all = self.greatest_exposure_in_all.max(in_all);
+        self.load_tested[0] += u32::from(result.load_tested);
+        self.load_tested[1] += u32::from(result.load_tested && in_all > 1.0);
         let is_hidden = result.shown < SHOWN;
         self.bad[1 + usize::from(is_hidden)] += u32::from(is_promoted);
         if let Some(time) = result.last_after_50 {
@@ -114,6 +131,12 @@
             "greatest exposure before the judgement: {:.2} of what is allowed",
             self.greatest_exposure
         )?;
+        let [tested, beyond] = self.load_tested;
+        writeln!(
+            f,
+            "bad versions in a load test: {tested}, {beyond} beyond their exposure in all, at most {:.2} of what is allowed",
+            self.greatest_exposure_in_all
+        )?;
         write!(
             f,
             "longest time from a 50th bad answer to the last request: {} (of {})",
--- a/crates/kingcup-support/src/rollouts/simulation.rs
+++ b/crates/kingcup-support/src/rollouts/simulation.rs
@@ -1,13 +1,13 @@
 //! Plays a drawn rollout in steps of time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use kingcupgrade::{
-    coordination::rollout::{Exposure, ExposureLimit, LAST_STEP, RolloutWatch},
-    core::{Instance, Millis},
-    protocol::rollout::{
-        Histogram, Rollout, RolloutOrder, RolloutReport, RolloutStage, RouteEvidence,
+    coordination::rollout::{
+        ExposureLimit, LAST_STEP, Participant, RolloutWatch, Senders, Use, VersionedUpstream,
     },
+    core::{Instance, Millis, Version},
+    protocol::rollout::{Histogram, Rollout, RolloutOrder, RolloutReport, RolloutStage},
 };
 
 use super::{
@@ -25,6 +25,12 @@
 /// The number of the bad answer from which on the time to the last request is counted.
 const COUNTED_BAD: u32 = 50;
 const SERVICE: &str = "service";
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+/// The slots of each version.
+const SLOTS: u32 = 100;
+/// The time over which the fraction of the requests that the new version gets is taken.
+const LOAD_WINDOW: u64 = 1_000;
 
 /// A mechanism that is turned off, to see what it is worth.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,13 +46,10 @@
 
 struct Entry {
     name: Instance,
-    exposure: Exposure,
-    routes: BTreeMap<String, RouteEvidence>,
-    /// The stage in force, and those that come into force later.
-    stage: RolloutStage,
-    index: u64,
+    participant: Participant,
     stage_delay: u64,
-    coming: Vec<(u64, RolloutStage, u64)>,
+    /// The stages that come into force later, and when.
+    coming: Vec<(u64, Rollout)>,
     old_running: u32,
     is_lost: bool,
 }
@@ -67,9 +70,14 @@
     ablation: Ablation,
     random: Random,
     entries: Vec<Entry>,
+    /// The names of the entries.
+    all: Vec<Instance>,
+    /// The names of the routes.
     names: Vec<String>,
     /// Requests under way, by the step in which they end.
     ends: BTreeMap<u64, Vec<Sent>>,
+    /// The requests of the last second in each step, and those of them to the new version.
+    recent: VecDeque<(u32, u32)>,
     reports: BTreeMap<u64, Vec<(Instance, RolloutReport)>>,
     rollout: Rollout,
     commits: Vec<(u64, RolloutStage)>,
@@ -96,27 +104,25 @@
         let mut random = Random::new(plan.seed ^ 0xabcd);
         let names: Vec<Instance> =
             (0..plan.entries).map(|n| Instance::from(format!("e-{n}").as_str())).collect();
-        let limit = ExposureLimit { fraction: FRACTION, slack: SLACK };
-        let entries = names.iter().map(|name| Entry {
-            name: name.clone(),
-            exposure: Exposure::new(limit, SERVICE, name, &names),
-            routes: BTreeMap::new(),
-            stage: RolloutStage::Canary(0),
-            index: 1,
-            stage_delay: random.between(0.0, plan.stage_delay_ms as f64) as u64,
-            coming: Vec::new(),
-            old_running: 0,
-            is_lost: false,
-        });
         let order = RolloutOrder {
             service: SERVICE.into(),
-            to: "v2".into(),
+            to: NEW.into(),
             duration: Millis(plan.duration_ms),
         };
         let rollout =
             Rollout { order, id: 1, started_unix_ms: 0, stage: RolloutStage::Canary(0), index: 1 };
+        let entries = names.iter().map(|name| Entry {
+            name: name.clone(),
+            participant: Participant::default(),
+            stage_delay: random.between(0.0, plan.stage_delay_ms as f64) as u64,
+            coming: vec![(0, rollout.clone())],
+            old_running: 0,
+            is_lost: false,
+        });
         Simulation {
             entries: entries.collect(),
+            all: names.clone(),
+            recent: VecDeque::new(),
             names: (0..plan.routes.len()).map(|n| format!("route-{n}")).collect(),
             ends: BTreeMap::new(),
             reports: BTreeMap::new(),
@@ -131,6 +137,7 @@
                 requests: 0,
                 exposed: 0,
                 exposed_in_all: 0,
+                load_tested: false,
                 shown: 0,
                 last_after_50: None,
                 cut_off: 0,
@@ -165,13 +172,28 @@
             self.rollout.stage = stage;
             self.rollout.index += 1;
             for entry in &mut self.entries {
-                entry.coming.push((now + entry.stage_delay, stage, self.rollout.index));
+                entry.coming.push((now + entry.stage_delay, self.rollout.clone()));
             }
         }
-        for entry in &mut self.entries {
-            for (_, stage, index) in entry.coming.extract_if(.., |(at, ..)| *at <= now) {
-                entry.stage = stage;
-                entry.index = index;
+        let limit = ExposureLimit { fraction: FRACTION, slack: SLACK };
+        let (old, new) = (Version::from(OLD), Version::from(NEW));
+        let new_slots = if now >= self.plan.ready_ms { SLOTS } else { 0 };
+        for entry in self.entries.iter_mut().filter(|entry| !entry.is_lost) {
+            let old = VersionedUpstream { version: Some(&old), started_unix_ms: 1, slots: SLOTS };
+            let new =
+                VersionedUpstream { version: Some(&new), started_unix_ms: 2, slots: new_slots };
+            entry.participant.on_confirmed(Millis(now));
+            entry.participant.on_listed(Millis(now), [old, new].into_iter());
+            for (_, mut rollout) in entry.coming.extract_if(.., |(at, _)| *at <= now) {
+                if self.ablation == Ablation::Steps
+                    && matches!(rollout.stage, RolloutStage::Canary(_))
+                {
+                    rollout.stage = RolloutStage::Canary(LAST_STEP);
+                }
+                let senders = Senders { own: &entry.name, all: &self.all, limit };
+                let rollouts = BTreeMap::from([(rollout.id, rollout)]);
+                let service = SERVICE.into();
+                entry.participant.set_rollouts(Millis(now), &service, &rollouts, senders);
             }
         }
     }
@@ -191,7 +213,7 @@
         let entry = &mut self.entries[sent.entry];
         if sent.is_new && sent.is_bad {
             self.bad_answers += 1;
-            if !self.result.is_promoted() && matches!(self.rollout.stage, RolloutStage::Canary(_)) {
+            if matches!(self.rollout.stage, RolloutStage::Canary(_) | RolloutStage::LoadTest) {
                 self.result.shown += 1;
             }
             if self.bad_answers == COUNTED_BAD {
@@ -205,15 +227,15 @@
             return;
         }
         let name = self.route_name(sent.route);
-        let entry = &mut self.entries[sent.entry];
-        let route = entry.routes.entry(name).or_default();
-        let answers = if sent.is_new { &mut route.canary } else { &mut route.baseline };
-        if sent.failed {
-            answers.failed += 1;
-        } else {
-            answers.answered += 1;
-            answers.first.record(sent.took);
-        }
+        let version = Version::from(if sent.is_new { NEW } else { OLD });
+        let participant = &mut self.entries[sent.entry].participant;
+        participant.count(&name, Some(&version), Millis(sent.at), |answers| match sent.failed {
+            true => answers.failed += 1,
+            false => {
+                answers.answered += 1;
+                answers.first.record(sent.took);
+            }
+        });
     }
 
     fn send_requests(&mut self, now: u64) {
@@ -221,6 +243,10 @@
         let rate = self.plan.per_s * (1.0 + (self.plan.growth - 1.0) * progress);
         let expected = rate * STEP as f64 / 1_000.0;
         let count = expected as usize + usize::from(self.random.chance(expected.fract()));
+        if self.recent.len() as u64 >= LOAD_WINDOW / STEP {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((0, 0));
         for _ in 0..count {
             let entry = self.random.below(self.entries.len());
             if !self.entries[entry].is_lost {
@@ -234,19 +260,17 @@
         let name = &self.names[route];
         let entry = &mut self.entries[number];
         let is_ready = now >= self.plan.ready_ms;
-        let step = match (entry.stage, self.ablation) {
-            (RolloutStage::Canary(_), Ablation::Steps) if is_ready => Some(LAST_STEP),
-            (RolloutStage::Canary(step), _) if is_ready => Some(step),
-            _ => None,
-        };
-        let is_canary = step.is_some() && entry.exposure.allows(name);
-        let is_new =
-            is_canary || matches!(entry.stage, RolloutStage::Promoting | RolloutStage::Complete);
-        entry.exposure.on_request(name, step);
+        let new_use = entry.participant.use_of(Some(&NEW.into()));
+        let is_canary = new_use == Use::Canary
+            && is_ready
+            && entry.participant.allows_canary(Millis(now), name);
+        let is_new = is_canary || new_use == Use::Serving;
+        entry.participant.on_sent(name, if is_canary { Use::Canary } else { Use::Serving });
         self.result.requests += 1;
-        if is_canary {
-            entry.exposure.on_exposed(name);
-            self.result.exposed += 1;
+        self.result.exposed += u64::from(is_canary);
+        if let Some((all, new)) = self.recent.back_mut() {
+            *all += 1;
+            *new += u32::from(is_new);
         }
         if is_new {
             self.result.exposed_in_all += 1;
@@ -254,8 +278,11 @@
         } else {
             entry.old_running += 1;
         }
-        let has_load =
-            entry.stage != RolloutStage::Canary(0) && step.is_none_or(|step| step == LAST_STEP);
+        let has_load = match new_use {
+            Use::Canary => entry.participant.is_last_step() || entry.participant.is_load_test(),
+            Use::Serving => true,
+            Use::Unused => false,
+        };
         let sent = self.draw_answer(now, number, route, is_new, has_load);
         self.ends.entry(now + sent.took as u64 + 1).or_default().push(sent);
     }
@@ -287,6 +314,7 @@
             && is_new
             && now >= fault.from_ms
             && (has_load || !fault.needs_load)
+            && self.new_fraction() >= fault.min_traffic
             && fault.route.is_none_or(|only| only == route)
             && self.random.chance(fault.portion)
         {
@@ -300,6 +328,13 @@
         Sent { at: now, entry, route, is_new, is_bad, failed, took }
     }
 
+    /// Returns the fraction of the requests of the last second that the new version got.
+    fn new_fraction(&self) -> f64 {
+        let new: u32 = self.recent.iter().map(|(_, new)| new).sum();
+        let all: u32 = self.recent.iter().map(|(all, _)| all).sum();
+        f64::from(new) / f64::from(all.max(1))
+    }
+
     /// Returns how long requests to the new version have waited, by entry and route.
     fn open_waits(&self, now: u64) -> BTreeMap<Instance, BTreeMap<String, Histogram>> {
         let mut open: BTreeMap<Instance, BTreeMap<String, Histogram>> = BTreeMap::new();
@@ -324,20 +359,12 @@
             if self.random.chance(self.plan.report_loss) {
                 continue;
             }
-            let (requests, exposed) = entry.exposure.counts();
-            let is_ready = now >= self.plan.ready_ms;
+            let Some(report) = entry.participant.report(Millis(now)) else { continue };
             let report = RolloutReport {
-                id: 1,
-                index: entry.index,
                 process: 1,
-                requests,
-                exposed,
                 old_running: entry.old_running,
-                is_known_version: false,
-                old_slots: 100,
-                new_slots: if is_ready { 100 } else { 0 },
-                routes: entry.routes.iter().map(|(n, e)| (n.clone(), e.clone())).collect(),
                 open: open.remove(&entry.name).unwrap_or_default().into_iter().collect(),
+                ..report
             };
             let delay = self.random.between(0.0, self.plan.report_delay_ms as f64) as u64;
             self.reports.entry(now + delay).or_default().push((entry.name.clone(), report));
@@ -358,6 +385,7 @@
         }
         for decision in self.watch.decide(at, running.into_iter()) {
             self.result.comparison = decision.comparison;
+            self.result.load_tested |= decision.stage == RolloutStage::LoadTest;
             self.commits.push((now + COMMIT, decision.stage));
         }
     }
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -304,7 +304,7 @@
     fn on_finished(&mut self, now: Millis, done: &FinishedGrant, out: &mut Vec<DispatcherOutput>) {
         self.on_progress(done.id, done.cost);
         let Some(grant) = self.remove_outstanding(done.id) else { return };
-        self.on_rollout_finished(&grant.upstream, done);
+        self.on_rollout_finished(&grant, done);
         let Some(slots) = self.slots.get_mut(&grant.upstream) else { return };
         let reset = match done.outcome {
             GrantOutcome::Completed => {
--- a/src/kingcupgrade/coordination/dispatcher/rollout.rs
+++ b/src/kingcupgrade/coordination/dispatcher/rollout.rs
@@ -6,13 +6,13 @@
 
 use std::collections::BTreeMap;
 
-use super::{Dispatcher, slots::Listed};
+use super::{Dispatcher, OutstandingGrant, slots::Listed};
 use crate::{
     coordination::rollout::{ExposureLimit, Senders, Use, VersionedUpstream},
     core::{Millis, UpstreamName, Version},
     protocol::{
         dispatch::{FinishedGrant, GrantOutcome},
-        rollout::{Rollout, RolloutReport},
+        rollout::{Answers, Rollout, RolloutReport},
     },
 };
 
@@ -24,17 +24,22 @@
 impl Dispatcher {
     /// Applies the rollouts of the service, by id. All of them are known that were ordered until
     /// `confirmed`.
-    pub fn set_rollouts(&mut self, confirmed: Option<Millis>, rollouts: &BTreeMap<u64, Rollout>) {
+    pub fn set_rollouts(
+        &mut self,
+        now: Millis,
+        confirmed: Option<Millis>,
+        rollouts: &BTreeMap<u64, Rollout>,
+    ) {
         let limit = ExposureLimit { fraction: EXPOSED_FRACTION, slack: 0.0 };
         let senders = Senders { own: &self.instance, all: &[], limit };
-        self.rollout.set_rollouts(&self.pool.0, rollouts, senders);
+        self.rollout.set_rollouts(now, &self.pool.0, rollouts, senders);
         confirmed.into_iter().for_each(|at| self.rollout.on_confirmed(at));
     }
 
     /// Returns what this dispatcher has seen of the running rollout; `process` identifies this
     /// dispatcher.
-    pub fn rollout_report(&self, process: u64) -> Option<RolloutReport> {
-        let report = self.rollout.report()?;
+    pub fn rollout_report(&self, now: Millis, process: u64) -> Option<RolloutReport> {
+        let report = self.rollout.report(now)?;
         let new = self.rollout.new_version();
         let of_old = self.outstanding.values().filter(|g| self.version_of(&g.upstream) != new);
         let old_running = u32::try_from(of_old.count()).unwrap_or(u32::MAX);
@@ -70,18 +75,23 @@
     }
 
     /// Counts how a grant ended towards the version of its upstream.
-    pub(super) fn on_rollout_finished(&mut self, upstream: &UpstreamName, done: &FinishedGrant) {
-        let version = self.version_of(upstream).cloned();
-        let Some(answers) = self.rollout.answers(ALL_ROUTES, version.as_ref()) else { return };
-        match done.outcome {
-            GrantOutcome::Completed => {
-                answers.answered += 1;
-                if let Some(ms) = done.first_byte_ms {
-                    answers.first.record(f64::from(ms));
-                }
+    pub(super) fn on_rollout_finished(&mut self, grant: &OutstandingGrant, done: &FinishedGrant) {
+        let version = self.version_of(&grant.upstream).cloned();
+        self.rollout.count(ALL_ROUTES, version.as_ref(), grant.granted_at, |answers| {
+            record_end(answers, done);
+        });
+    }
+}
+
+fn record_end(answers: &mut Answers, done: &FinishedGrant) {
+    match done.outcome {
+        GrantOutcome::Completed => {
+            answers.answered += 1;
+            if let Some(ms) = done.first_byte_ms {
+                answers.first.record(f64::from(ms));
             }
-            GrantOutcome::Failed => answers.failed += 1,
-            GrantOutcome::Unused | GrantOutcome::Refused => {}
         }
+        GrantOutcome::Failed => answers.failed += 1,
+        GrantOutcome::Unused | GrantOutcome::Refused => {}
     }
 }
--- a/src/kingcupgrade/coordination/node/rollouts.rs
+++ b/src/kingcupgrade/coordination/node/rollouts.rs
@@ -17,10 +17,10 @@
         let rollouts = self.view.rollouts().get(service).unwrap_or(&none);
         let confirmed = self.view.confirmed_age(now).map(|age| now.since(age));
         if let Some(dispatcher) = self.dispatchers.get_mut(service) {
-            dispatcher.set_rollouts(confirmed, rollouts);
+            dispatcher.set_rollouts(now, confirmed, rollouts);
         }
         if let Some(share) = self.shares.get_mut(service) {
-            share.set_rollouts(None, rollouts);
+            share.set_rollouts(now, None, rollouts);
         }
     }
 
@@ -33,7 +33,7 @@
         let claimer = self.claimer;
         // A new dispatcher counts from zero, also within the same process.
         let reports = self.dispatchers.values().filter_map(|dispatcher| {
-            dispatcher.rollout_report(claimer.wrapping_add(dispatcher.term()))
+            dispatcher.rollout_report(now, claimer.wrapping_add(dispatcher.term()))
         });
         let reports: Vec<_> = reports.collect();
         let controls = self.settings.with_role(Role::Control);
--- a/src/kingcupgrade/coordination/rollout/exposure.rs
+++ b/src/kingcupgrade/coordination/rollout/exposure.rs
@@ -7,7 +7,10 @@
 use std::collections::BTreeMap;
 
 use super::STEPS;
-use crate::{core::Instance, util::rendezvous};
+use crate::{
+    core::{Instance, Millis},
+    util::rendezvous,
+};
 
 /// The fraction of the limit that is used: upstreams count requests a little later than this entry.
 const USED_FRACTION: f64 = 0.85;
@@ -19,6 +22,13 @@
 const PACES: [f64; STEPS as usize] = [0.3, 0.7, 2.0];
 /// The largest fraction of a route's requests that may go to the new version.
 const MAX_ROUTE_FRACTION: f64 = 0.5;
+/// The part of the time left before the deadline that an entry's part in a load test may take.
+const LOAD_TEST_TIME_FRACTION: f64 = 0.2;
+/// The longest part of an entry in a load test.
+const MAX_LOAD_TEST: Millis = Millis(1_500);
+/// The part of the limit until the deadline that is used with a load test: the requests that are
+/// still to come are estimated.
+const LOAD_TEST_USED_FRACTION: f64 = 0.75;
 /// The most requests that a route may save up, so that they don't come all at once.
 const MAX_SAVED: f64 = 1.0;
 
@@ -50,6 +60,14 @@
     saved: f64,
 }
 
+/// An entry's part in a load test.
+#[derive(Clone, Copy, Debug)]
+struct LoadTest {
+    until: Millis,
+    /// The requests that may have been sent to the new version when it ends.
+    most_exposed: u64,
+}
+
 /// The requests that one entry may send to the new version of one service.
 #[derive(Clone, Debug)]
 pub struct Exposure {
@@ -58,6 +76,7 @@
     requests: u64,
     exposed: u64,
     routes: BTreeMap<String, RouteCredit>,
+    load_test: Option<LoadTest>,
 }
 
 impl Exposure {
@@ -72,7 +91,24 @@
         entries: &[Instance],
     ) -> Exposure {
         let slack = limit.slack_of(service, entry, entries);
-        Exposure { limit, slack, requests: 0, exposed: 0, routes: BTreeMap::new() }
+        let routes = BTreeMap::new();
+        Exposure { limit, slack, requests: 0, exposed: 0, routes, load_test: None }
+    }
+
+    /// Begins the entry's part in the load test, `elapsed` after it learned of the rollout and
+    /// `left` before the deadline. It ends once the entry has used up its part of the limit, which
+    /// also counts the requests that it will send until the deadline.
+    pub fn begin_load_test(&mut self, now: Millis, elapsed: Millis, left: Millis) {
+        let to_come = self.requests as f64 * left.0 as f64 / elapsed.0.max(1) as f64;
+        let fraction = self.limit.fraction * LOAD_TEST_USED_FRACTION;
+        let most_exposed = (fraction * (self.requests as f64 + to_come) + self.slack) as u64;
+        let time = Millis((left.0 as f64 * LOAD_TEST_TIME_FRACTION) as u64).min(MAX_LOAD_TEST);
+        self.load_test = Some(LoadTest { until: now + time, most_exposed });
+    }
+
+    /// Returns whether a load test has begun and the next request is part of it.
+    pub fn is_load_testing(&self, now: Millis) -> bool {
+        self.load_test.is_some_and(|test| now < test.until && self.exposed < test.most_exposed)
     }
 
     /// Returns the requests sent to the service, and those of them sent to the new version.
--- a/src/kingcupgrade/coordination/rollout/judge.rs
+++ b/src/kingcupgrade/coordination/rollout/judge.rs
@@ -17,9 +17,13 @@
 const REJECT_ERROR: f64 = 0.002;
 /// The probability with which a bad version may be accepted by all its answers.
 const ACCEPT_ERROR: f64 = 0.001;
-/// The probability with which a version that turned bad before the last step may be accepted by the
-/// answers of that step.
+/// The probability with which a version that is bad in the current stage only may be accepted by the
+/// answers of that stage.
 const RECENT_ACCEPT_ERROR: f64 = 0.05;
+/// The error at which a version is as likely to be sound as to be bad.
+const EVEN_ERROR: f64 = 1.0;
+/// A route's answers in a stage are judged by themselves from this number on.
+const MIN_STAGE_ANSWERS: u32 = 20;
 /// A route is judged by itself if the old version has answered this many requests on it.
 const MIN_ROUTE_ANSWERS: u32 = 50;
 /// A route is judged by itself if at least this fraction of the old version's answers is on it.
@@ -93,8 +97,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Samples {
     canary: Sample,
-    /// Those of the new version in the current step.
-    in_step: Sample,
+    /// Those of the new version in the current stage.
+    in_stage: Sample,
     baseline: Sample,
     /// Those since the last update.
     latest: Moment,
@@ -103,7 +107,7 @@
 impl Samples {
     fn add(&mut self, other: &Samples) {
         self.canary.add(other.canary);
-        self.in_step.add(other.in_step);
+        self.in_stage.add(other.in_stage);
         self.baseline.add(other.baseline);
         self.latest.add(other.latest);
     }
@@ -116,69 +120,48 @@
     sums: CumulativeSums,
 }
 
-/// What both versions had answered on one route at earlier times.
-#[derive(Clone, Debug, Default)]
-struct Earlier {
-    /// The new version when the current step began.
-    at_step: Answers,
-    at_update: RouteEvidence,
+/// What is known of the answers of both versions.
+#[derive(Clone, Copy, Debug)]
+pub struct Evidence<'a> {
+    /// All answers since the order, by route.
+    pub routes: &'a BTreeMap<String, RouteEvidence>,
+    /// The new version's answers to requests that were sent under the load of the current stage, by
+    /// route.
+    pub in_stage: &'a BTreeMap<String, Answers>,
+    /// How long requests to the new version have waited for their first byte, by route.
+    pub open: &'a BTreeMap<String, Histogram>,
 }
 
 /// The comparisons of a rollout.
 #[derive(Clone, Debug, Default)]
 pub struct Judge {
     tracks: BTreeMap<(String, Criterion), Track>,
-    earlier: BTreeMap<String, Earlier>,
-    /// The new version's answers when the current step began.
-    at_step: u32,
+    /// The answers on each route at the last update.
+    at_update: BTreeMap<String, RouteEvidence>,
     ended: u32,
     /// When the current moment began.
     moment: Millis,
 }
 
 impl Judge {
-    /// Begins a step: what is accepted must also be accepted by the answers from now on.
-    pub fn begin_step(&mut self) {
-        self.at_step = self.ended;
-        for earlier in self.earlier.values_mut() {
-            earlier.at_step = earlier.at_update.canary.clone();
-        }
-    }
-
-    /// Returns the number of the new version's answers in the current step.
-    pub fn answers_in_step(&self) -> u32 {
-        self.ended - self.at_step
-    }
-
-    /// Applies the evidence until now, by route, and how long requests to the new version have waited
-    /// for their first byte.
+    /// Applies the evidence until now.
     ///
     /// Late answers come in later than the others, so a version that has just begun to answer looks
     /// faster than it is. Those that are late already therefore count against its acceptance.
-    pub fn update(
-        &mut self,
-        now: Millis,
-        routes: &BTreeMap<String, RouteEvidence>,
-        open: &BTreeMap<String, Histogram>,
-    ) {
+    pub fn update(&mut self, now: Millis, evidence: Evidence<'_>) {
         self.begin_moment(now);
-        self.ended = routes.values().map(|evidence| evidence.canary.ended()).sum();
+        self.ended = evidence.routes.values().map(|of_route| of_route.canary.ended()).sum();
         for criterion in Criterion::ALL {
             let mut all = Samples::default();
-            for (route, evidence) in routes {
-                let earlier = self.earlier.entry(route.clone()).or_default();
-                let open = open.get(route).filter(|_| criterion == Criterion::FirstByte);
-                let samples = samples(evidence, earlier, criterion, open);
-                let Some(samples) = samples else { continue };
+            for route in evidence.routes.keys() {
+                let before = self.at_update.entry(route.clone()).or_default();
+                let Some(samples) = samples(evidence, route, before, criterion) else { continue };
                 all.add(&samples);
                 self.advance(route, criterion, samples);
             }
             self.advance(ALL_ROUTES, criterion, all);
         }
-        for (route, evidence) in routes {
-            let earlier = self.earlier.entry(route.clone()).or_default();
-            earlier.at_update = evidence.clone();
-        }
+        self.at_update.clone_from(evidence.routes);
     }
 
     /// Begins the next moment if the current one is over.
@@ -201,6 +184,24 @@
         track.samples = samples;
     }
 
+    /// Returns whether nothing speaks against the new version, and its answers in the current stage
+    /// show that it is sound on all routes together, and on each that has enough of them.
+    ///
+    /// A load is of the whole version: it is shown before routes with few requests have been judged
+    /// by themselves once more.
+    pub fn is_sound_in_stage(&self) -> bool {
+        let is_open = matches!(self.assess(), Assessment::Sound | Assessment::Undecided(_));
+        let mut judged = self
+            .tracks
+            .iter()
+            .filter(|((route, criterion), track)| self.is_judged_alone(route, *criterion, track));
+        is_open
+            && judged.all(|((route, _), track)| match route.as_str() {
+                ALL_ROUTES => track.has_stage_answers() && track.is_likely_sound_in_stage(),
+                _ => !track.has_stage_answers() || track.is_likely_sound_in_stage(),
+            })
+    }
+
     /// Judges the new version by all evidence so far.
     pub fn assess(&self) -> Assessment {
         let error = REJECT_ERROR / self.tracks.len().max(1) as f64;
@@ -251,8 +252,22 @@
     }
 
     fn is_accepted(&self) -> bool {
-        let Samples { canary, in_step, baseline, .. } = self.samples;
-        accepts(canary, baseline, ACCEPT_ERROR) && accepts(in_step, baseline, RECENT_ACCEPT_ERROR)
+        let Samples { canary, baseline, .. } = self.samples;
+        accepts(canary, baseline, ACCEPT_ERROR) && self.is_accepted_in_stage()
+    }
+
+    fn has_stage_answers(&self) -> bool {
+        self.samples.in_stage.all >= MIN_STAGE_ANSWERS
+    }
+
+    /// Returns whether the answers in the stage are likelier those of a sound version.
+    fn is_likely_sound_in_stage(&self) -> bool {
+        accepts(self.samples.in_stage, self.samples.baseline, EVEN_ERROR)
+    }
+
+    fn is_accepted_in_stage(&self) -> bool {
+        let Samples { in_stage, baseline, .. } = self.samples;
+        accepts(in_stage, baseline, RECENT_ACCEPT_ERROR)
     }
 
     fn is_doubtful(&self) -> bool {
@@ -276,12 +291,13 @@
 /// All counts use the same limit. With the limits of earlier times, answers would seem to turn bad
 /// whenever the old version's times become known better.
 fn samples(
-    evidence: &RouteEvidence,
-    earlier: &Earlier,
+    evidence: Evidence<'_>,
+    route: &str,
+    before: &RouteEvidence,
     criterion: Criterion,
-    open: Option<&Histogram>,
 ) -> Option<Samples> {
-    let RouteEvidence { canary, baseline } = evidence;
+    let RouteEvidence { canary, baseline } = evidence.routes.get(route)?;
+    let open = evidence.open.get(route).filter(|_| criterion == Criterion::FirstByte);
     let limit = match criterion {
         Criterion::Failures => 0,
         Criterion::FirstByte => late_from(&baseline.first)?,
@@ -293,15 +309,15 @@
     let late = open.map_or(0, |open| open.count_from(limit));
     let mut samples = Samples {
         canary: total,
-        in_step: total.since(count(&earlier.at_step)),
+        in_stage: evidence.in_stage.get(route).map(count).unwrap_or_default(),
         baseline: all_old,
         latest: Moment {
-            new: total.since(count(&earlier.at_update.canary)),
-            old: all_old.since(count(&earlier.at_update.baseline)),
+            new: total.since(count(&before.canary)),
+            old: all_old.since(count(&before.baseline)),
         },
     };
     samples.canary.add(Sample { bad: late, all: late });
-    samples.in_step.add(Sample { bad: late, all: late });
+    samples.in_stage.add(Sample { bad: late, all: late });
     Some(samples)
 }
 
--- a/src/kingcupgrade/coordination/rollout/participant.rs
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -3,13 +3,17 @@
 
 use std::collections::BTreeMap;
 
-use super::{Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Use};
+use super::{Exposure, ExposureLimit, LAST_STEP, ServiceVersions, Use, schedule::promotion_time};
 use crate::{
     coordination::view::FRESHNESS_LIMIT,
     core::{Instance, Millis, Service, Version},
     protocol::rollout::{Answers, Rollout, RolloutReport, RolloutStage, RouteEvidence},
 };
 
+/// The load of a stage has come about once it has been in force for this long at the sender: others
+/// learn of it at about the same time.
+const LOAD_TIME: Millis = Millis(300);
+
 /// The instances that send requests of a service, and the exposure limit for all of them together.
 #[derive(Clone, Copy, Debug)]
 pub struct Senders<'a> {
@@ -38,9 +42,40 @@
     id: u64,
     index: u64,
     to: Version,
+    duration: Millis,
+    /// When the rollout was learned of, and its stage.
+    began: Millis,
     stage: RolloutStage,
+    stage_since: Millis,
     exposure: Exposure,
     routes: BTreeMap<String, RouteEvidence>,
+    /// The new version's answers to requests that were sent under the load of the stage.
+    in_stage: BTreeMap<String, Answers>,
+}
+
+impl RunningRollout {
+    fn set_stage(&mut self, now: Millis, stage: RolloutStage) {
+        if stage == self.stage {
+            return;
+        }
+        self.stage = stage;
+        self.stage_since = now;
+        self.in_stage.clear();
+        if stage == RolloutStage::LoadTest {
+            let left = promotion_time(self.duration);
+            self.exposure.begin_load_test(now, now.since(self.began), left);
+        }
+    }
+
+    /// Returns whether a request that was sent at this time met the load of the stage.
+    fn is_of_stage(&self, sent_at: Millis) -> bool {
+        match self.stage {
+            RolloutStage::LoadTest | RolloutStage::Promoting => {
+                sent_at >= self.stage_since + LOAD_TIME
+            }
+            _ => sent_at >= self.stage_since,
+        }
+    }
 }
 
 /// The state of one service.
@@ -58,6 +93,7 @@
     /// Applies the rollouts of the service, by id.
     pub fn set_rollouts(
         &mut self,
+        now: Millis,
         service: &Service,
         rollouts: &BTreeMap<u64, Rollout>,
         senders: Senders<'_>,
@@ -75,13 +111,17 @@
                 id: rollout.id,
                 index: rollout.index,
                 to: rollout.order.to.clone(),
-                stage: rollout.stage,
+                duration: rollout.order.duration,
+                began: now,
+                stage: RolloutStage::Canary(0),
+                stage_since: now,
                 exposure,
                 routes: BTreeMap::new(),
+                in_stage: BTreeMap::new(),
             });
         }
         if let Some(running) = &mut self.running {
-            running.stage = rollout.stage;
+            running.set_stage(now, rollout.stage);
             running.index = rollout.index;
         }
     }
@@ -131,8 +171,17 @@
     pub fn allows_canary(&self, now: Millis, route: &str) -> bool {
         let is_fresh = self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS_LIMIT);
         let Some(running) = &self.running else { return false };
-        let is_canary = matches!(running.stage, RolloutStage::Canary(_));
-        is_fresh && is_canary && running.exposure.allows(route)
+        is_fresh
+            && match running.stage {
+                RolloutStage::Canary(_) => running.exposure.allows(route),
+                RolloutStage::LoadTest => running.exposure.is_load_testing(now),
+                _ => false,
+            }
+    }
+
+    /// Returns whether the new version is tested under the load of the whole service.
+    pub fn is_load_test(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| running.stage == RolloutStage::LoadTest)
     }
 
     /// Returns whether the canary is in its last exposure step.
@@ -158,15 +207,25 @@
         }
     }
 
-    /// Returns the counts of a version's answers on a route while a rollout is running. Those of
-    /// requests that were sent before it are included.
-    pub fn answers(&mut self, route: &str, version: Option<&Version>) -> Option<&mut Answers> {
-        let running = self.running.as_mut()?;
-        if !running.routes.contains_key(route) {
-            running.routes.insert(route.to_owned(), RouteEvidence::default());
+    /// Counts an answer of a version on a route while a rollout is running. Those to requests that
+    /// were sent before it are included.
+    pub fn count(
+        &mut self,
+        route: &str,
+        version: Option<&Version>,
+        sent_at: Millis,
+        record: impl Fn(&mut Answers),
+    ) {
+        let Some(running) = &mut self.running else { return };
+        let evidence = entry_of(&mut running.routes, route);
+        if version != Some(&running.to) {
+            record(&mut evidence.baseline);
+            return;
+        }
+        record(&mut evidence.canary);
+        if running.is_of_stage(sent_at) {
+            record(entry_of(&mut running.in_stage, route));
         }
-        let route = running.routes.get_mut(route)?;
-        Some(if version == Some(&running.to) { &mut route.canary } else { &mut route.baseline })
     }
 
     /// Returns the slots of ready upstreams of the old and of the new version.
@@ -177,7 +236,7 @@
     }
 
     /// Returns what was seen of the running rollout, without the requests under way.
-    pub fn report(&self) -> Option<RolloutReport> {
+    pub fn report(&self, now: Millis) -> Option<RolloutReport> {
         let running = self.running.as_ref()?;
         let (requests, exposed) = running.exposure.counts();
         let (old_slots, new_slots) = self.slots();
@@ -187,10 +246,19 @@
             requests,
             exposed,
             is_known_version: self.versions.is_known_version(),
+            is_load_tested: self.is_load_test() && !running.exposure.is_load_testing(now),
             old_slots,
             new_slots,
             routes: running.routes.iter().map(|(name, e)| (name.clone(), e.clone())).collect(),
+            in_stage: running.in_stage.iter().map(|(name, a)| (name.clone(), a.clone())).collect(),
             ..RolloutReport::default()
         })
     }
 }
+
+fn entry_of<'a, T: Default>(routes: &'a mut BTreeMap<String, T>, route: &str) -> &'a mut T {
+    if !routes.contains_key(route) {
+        routes.insert(route.to_owned(), T::default());
+    }
+    routes.get_mut(route).expect("just inserted")
+}
--- a/src/kingcupgrade/coordination/rollout/versions.rs
+++ b/src/kingcupgrade/coordination/rollout/versions.rs
@@ -121,7 +121,7 @@
         };
         match rollout.stage {
             RolloutStage::Canary(_) if knowledge == Some(&Knowledge::InUse) => Use::Serving,
-            RolloutStage::Canary(_) => Use::Canary,
+            RolloutStage::Canary(_) | RolloutStage::LoadTest => Use::Canary,
             RolloutStage::Promoting | RolloutStage::Complete => match self.is_replaced(rollout) {
                 true => Use::Unused,
                 false => Use::Serving,
--- a/src/kingcupgrade/coordination/rollout/watch.rs
+++ b/src/kingcupgrade/coordination/rollout/watch.rs
@@ -9,12 +9,12 @@
 use serde::Serialize;
 
 use super::{
-    judge::{Assessment, Comparison, Judge},
+    judge::{Assessment, Comparison, Evidence, Judge},
     schedule::{Situation, next_stage},
 };
 use crate::{
     core::{Instance, Millis, Service, Version},
-    protocol::rollout::{Histogram, Rollout, RolloutReport, RolloutStage, RouteEvidence},
+    protocol::rollout::{Answers, Histogram, Rollout, RolloutReport, RolloutStage, RouteEvidence},
 };
 
 /// A report is recent for this long: one or two may be lost.
@@ -62,8 +62,10 @@
     began: Millis,
     /// How old the order was when this instance learned of it.
     initial_age: Millis,
-    /// The last stage that this instance saw.
-    stage: RolloutStage,
+    /// The index of the last change of the rollout.
+    index: u64,
+    /// Since when all senders that report have known the current stage.
+    known_since: Option<Millis>,
     reports: BTreeMap<Instance, Reported>,
     routes: BTreeMap<String, RouteEvidence>,
     /// Whether `routes` has changed since it was last judged.
@@ -83,7 +85,8 @@
             id: rollout.id,
             began: now,
             initial_age,
-            stage: rollout.stage,
+            index: rollout.index,
+            known_since: None,
             reports: BTreeMap::new(),
             routes: BTreeMap::new(),
             is_changed: false,
@@ -105,18 +108,16 @@
         self.reports.insert(from.clone(), Reported { at: now, report });
     }
 
-    fn set_stage(&mut self, stage: RolloutStage) {
-        if stage == self.stage {
-            return;
+    /// Follows the rollout's changes, and judges what has been reported since the last call.
+    fn follow(&mut self, now: Millis, index: u64) {
+        if index != self.index {
+            self.index = index;
+            self.known_since = None;
+            self.is_changed = true;
         }
-        self.stage = stage;
-        if stage.is_running() {
-            self.judge.begin_step();
+        if self.known_since.is_none() && self.is_stage_known(now) {
+            self.known_since = Some(now);
         }
-    }
-
-    /// Judges what has been reported since the last call.
-    fn update_judge(&mut self, now: Millis) {
         if !std::mem::take(&mut self.is_changed) {
             return;
         }
@@ -124,11 +125,41 @@
         for (route, waits) in self.reports.values().flat_map(|known| &known.report.open) {
             open.entry(route.clone()).or_default().add(waits);
         }
-        self.judge.update(now, &self.routes, &open);
+        let in_stage = self.answers_in_stage();
+        let evidence = Evidence { routes: &self.routes, in_stage: &in_stage, open: &open };
+        self.judge.update(now, evidence);
+    }
+
+    /// Returns the reports of senders that are likely to be running.
+    fn recent(&self, now: Millis) -> impl Iterator<Item = &RolloutReport> {
+        let recent = self.reports.values().filter(move |known| now.since(known.at) <= REPORT_TTL);
+        recent.map(|known| &known.report)
+    }
+
+    /// Returns whether all senders know the current stage. An instance that has just begun to watch
+    /// the rollout may not have heard of some.
+    fn is_stage_known(&self, now: Millis) -> bool {
+        let mut recent = self.recent(now).peekable();
+        now.since(self.began) >= REPORT_TTL
+            && recent.peek().is_some()
+            && recent.all(|report| report.index >= self.index)
+    }
+
+    /// Returns the new version's answers in the current stage, by route.
+    fn answers_in_stage(&self) -> BTreeMap<String, Answers> {
+        let mut in_stage: BTreeMap<String, Answers> = BTreeMap::new();
+        let reports = self.reports.values().map(|known| &known.report);
+        for report in reports.filter(|report| report.index >= self.index) {
+            for (route, answers) in &report.in_stage {
+                let none = Answers::default();
+                in_stage.entry(route.clone()).or_default().add_difference(answers, &none);
+            }
+        }
+        in_stage
     }
 
     fn situation(&self, now: Millis, rollout: &Rollout) -> Situation {
-        let recent = || self.reports.values().filter(|known| now.since(known.at) <= REPORT_TTL);
+        let recent = || self.recent(now);
         let median = |mut slots: Vec<u32>| {
             slots.sort_unstable();
             slots.get(slots.len() / 2).copied().unwrap_or(0)
@@ -138,17 +169,22 @@
                 && known.report.old_running == 0
                 && now.since(known.at) <= REPORT_TTL
         };
-        let known = recent().filter(|known| known.report.is_known_version).count();
+        let known = recent().filter(|report| report.is_known_version).count();
+        let in_stage = self.answers_in_stage();
+        let is_stage_known = self.known_since.is_some();
         Situation {
             stage: rollout.stage,
             is_known_version: known * 2 > recent().count(),
             elapsed: now.since(self.began) + self.initial_age,
             duration: rollout.order.duration,
             assessment: self.judge.assess(),
-            answers_in_step: self.judge.answers_in_step(),
-            old_slots: median(recent().map(|known| known.report.old_slots).collect()),
-            new_slots: median(recent().map(|known| known.report.new_slots).collect()),
-            is_old_idle: !self.reports.is_empty() && self.reports.values().all(is_idle),
+            answers_in_stage: in_stage.values().map(Answers::ended).sum(),
+            is_sound_in_stage: self.judge.is_sound_in_stage(),
+            known_for: self.known_since.map(|since| now.since(since)),
+            is_load_tested: is_stage_known && recent().all(|report| report.is_load_tested),
+            old_slots: median(recent().map(|report| report.old_slots).collect()),
+            new_slots: median(recent().map(|report| report.new_slots).collect()),
+            is_old_idle: is_stage_known && self.reports.values().all(is_idle),
         }
     }
 
@@ -187,8 +223,7 @@
                 .watched
                 .entry(service.clone())
                 .or_insert_with(|| Watched::new(now, unix_ms, rollout));
-            watched.update_judge(now);
-            watched.set_stage(rollout.stage);
+            watched.follow(now, rollout.index);
         }
     }
 
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -176,7 +176,7 @@
                 slack: self.settings.exposed_slack,
             },
         };
-        self.rollouts.set(rollouts, senders);
+        self.rollouts.set(now, rollouts, senders);
         self.rollouts.on_listing(now, &self.upstreams, &self.by_service);
         self.update_version_uses();
     }
--- a/src/kingcupgrade/coordination/traffic/placement.rs
+++ b/src/kingcupgrade/coordination/traffic/placement.rs
@@ -162,7 +162,8 @@
         };
         // Where entries divide what a plain service completes, a limit of its upstreams besides would
         // take capacity from it while it is short.
-        let has_load_limits = spread.is_none();
+        let is_limited_canary = is_canary && !self.rollouts.is_load_test(&demand.service);
+        let has_load_limits = spread.is_none() && !is_limited_canary;
         let mut best: Option<(f64, UpstreamName)> = None;
         let mut position = 0;
         for (compared, name) in names.into_iter().enumerate() {
@@ -181,7 +182,7 @@
             if max_running.is_some_and(|max| upstream.own.running >= max) {
                 continue;
             }
-            if has_load_limits && !is_canary && upstream.is_at_load_limit(now, entries) {
+            if has_load_limits && upstream.is_at_load_limit(now, entries) {
                 position += usize::from(!upstream.is_cold(now));
                 continue;
             }
--- a/src/kingcupgrade/coordination/traffic/rollouts.rs
+++ b/src/kingcupgrade/coordination/traffic/rollouts.rs
@@ -28,12 +28,13 @@
     /// Applies the rollouts of all services.
     pub(super) fn set(
         &mut self,
+        now: Millis,
         rollouts: &BTreeMap<Service, BTreeMap<u64, Rollout>>,
         senders: Senders<'_>,
     ) {
         for (service, rollouts) in rollouts {
             let participant = self.participant(service);
-            participant.set_rollouts(service, rollouts, senders);
+            participant.set_rollouts(now, service, rollouts, senders);
         }
     }
 
@@ -90,6 +91,11 @@
         self.services.get(service).is_some_and(Participant::is_last_step)
     }
 
+    /// Returns whether the new version of a service is tested under the load of all its requests.
+    pub(super) fn is_load_test(&self, service: &Service) -> bool {
+        self.services.get(service).is_some_and(Participant::is_load_test)
+    }
+
     /// Records that a request is sent to an upstream of a version with this use.
     pub(super) fn on_sent(&mut self, demand: &Demand, version_use: Use) {
         if let Some(participant) = self.services.get_mut(&demand.service) {
@@ -100,22 +106,9 @@
     /// Records the end of a request that was sent.
     pub(super) fn on_end(&mut self, now: Millis, sent: &SentRequest, end: SendEnd) {
         let Some(participant) = self.services.get_mut(&sent.service) else { return };
-        let Some(answers) = participant.answers(&sent.route, sent.version.as_ref()) else { return };
-        match end {
-            SendEnd::Answered => answers.answered += 1,
-            SendEnd::Failed
-            | SendEnd::Disconnected
-            | SendEnd::ClosedByRunning
-            | SendEnd::Broken => answers.failed += 1,
-            SendEnd::Cancelled => {}
-            // None of these was an answer of the version, or its caller did not read it.
-            SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced | SendEnd::Unread => {
-                return;
-            }
-        }
-        if !sent.was_cold {
-            record_times(answers, now, sent, end);
-        }
+        participant.count(&sent.route, sent.version.as_ref(), sent.sent_at, |answers| {
+            record_end(answers, now, sent, end);
+        });
     }
 
     /// Returns what this entry has seen of the running rollouts; `process` identifies the process,
@@ -128,7 +121,7 @@
     ) -> Vec<RolloutReport> {
         let mut reports = Vec::new();
         for (service, participant) in &self.services {
-            let Some(report) = participant.report() else { continue };
+            let Some(report) = participant.report(now) else { continue };
             let of_service = sent.clone().filter(|sent| sent.service == *service);
             let (new, old): (Vec<_>, Vec<_>) =
                 of_service.partition(|sent| sent.version.as_ref() == participant.new_version());
@@ -169,6 +162,21 @@
     }
 }
 
+fn record_end(answers: &mut Answers, now: Millis, sent: &SentRequest, end: SendEnd) {
+    match end {
+        SendEnd::Answered => answers.answered += 1,
+        SendEnd::Failed | SendEnd::Disconnected | SendEnd::ClosedByRunning | SendEnd::Broken => {
+            answers.failed += 1;
+        }
+        SendEnd::Cancelled => {}
+        // None of these was an answer of the version, or its caller did not read it.
+        SendEnd::Unreachable | SendEnd::Rejected | SendEnd::Replaced | SendEnd::Unread => return,
+    }
+    if !sent.was_cold {
+        record_times(answers, now, sent, end);
+    }
+}
+
 fn record_times(answers: &mut Answers, now: Millis, sent: &SentRequest, end: SendEnd) {
     match sent.first_event_at {
         Some(first) => {
--- a/src/kingcupgrade/protocol/rollout.rs
+++ b/src/kingcupgrade/protocol/rollout.rs
@@ -57,6 +57,10 @@
     /// number is the exposure step, from 0.
     #[serde(rename = "c")]
     Canary(u8),
+    /// The new version gets all new requests for a moment, to be judged under the load that it will
+    /// bear. Each sender ends the moment by itself, and returns to the old version.
+    #[serde(rename = "l")]
+    LoadTest,
     /// The new version was judged good and gets all new requests; upstreams of the old one finish
     /// what they run.
     #[serde(rename = "p")]
@@ -72,13 +76,14 @@
 impl RolloutStage {
     /// Returns whether the rollout has not ended.
     pub fn is_running(self) -> bool {
-        matches!(self, RolloutStage::Canary(_) | RolloutStage::Promoting)
+        matches!(self, RolloutStage::Canary(_) | RolloutStage::LoadTest | RolloutStage::Promoting)
     }
 
     /// Returns the stage in words, for operators and logs.
     pub fn as_str(self) -> &'static str {
         match self {
             RolloutStage::Canary(_) => "canary",
+            RolloutStage::LoadTest => "load test",
             RolloutStage::Promoting => "promoting",
             RolloutStage::Complete => "complete",
             RolloutStage::RolledBack(RollbackReason::Failures) => "rolled back: failures",
@@ -255,6 +260,9 @@
     /// Whether the entry knew the new version before the order: there is nothing to move.
     #[serde(rename = "k", default)]
     pub is_known_version: bool,
+    /// Whether the entry has ended its part of the load test, if that is the stage.
+    #[serde(rename = "y", default)]
+    pub is_load_tested: bool,
     /// The slots of the listed upstreams of the old version that are ready.
     #[serde(rename = "s")]
     pub old_slots: u32,
@@ -264,6 +272,10 @@
     /// The answers, by route.
     #[serde(rename = "e")]
     pub routes: Vec<(String, RouteEvidence)>,
+    /// The new version's answers, by route, to requests that were sent in the stage that the entry
+    /// knows, once its load had come about. These begin anew with each stage.
+    #[serde(rename = "g", default)]
+    pub in_stage: Vec<(String, Answers)>,
     /// The times that requests to the new version have waited for their first byte so far, as
     /// [`Answers::first`] counts them, by route. These are of now, and don't only grow.
     #[serde(rename = "w", default)]
--- a/tests/testsuite/rollouts/decisions.rs
+++ b/tests/testsuite/rollouts/decisions.rs
@@ -9,7 +9,7 @@
 use kingcupgrade::{
     coordination::rollout::{
         Assessment, Exposure, ExposureLimit, Judge, LAST_STEP, ServiceVersions, Situation, Use,
-        judge::{Comparison, Criterion},
+        judge::{Comparison, Criterion, Evidence},
         next_stage,
     },
     core::{Instance, Millis, Version},
@@ -115,8 +115,10 @@
             (0..count).for_each(|_| answers.first.record(ms));
         }
         self.now += 300;
+        let in_stage = BTreeMap::from([("r".to_owned(), self.evidence.canary.clone())]);
         let routes = BTreeMap::from([("r".to_owned(), self.evidence.clone())]);
-        self.judge.update(Millis(self.now), &routes, &BTreeMap::new());
+        let evidence = Evidence { routes: &routes, in_stage: &in_stage, open: &BTreeMap::new() };
+        self.judge.update(Millis(self.now), evidence);
         self.judge.assess()
     }
 }
@@ -159,6 +161,50 @@
     assert!(!result.is_promoted(), "{result:?}");
 }
 
+/// The situation of a version that gets all requests and is sound.
+fn promoting() -> Situation {
+    Situation {
+        stage: RolloutStage::Promoting,
+        elapsed: Millis(9_000),
+        duration: Millis(12_000),
+        assessment: Assessment::Sound,
+        answers_in_stage: 100,
+        is_sound_in_stage: true,
+        known_for: Some(Millis(2_000)),
+        is_load_tested: false,
+        old_slots: 100,
+        new_slots: 100,
+        is_known_version: false,
+        is_old_idle: true,
+    }
+}
+
+/// Guards against a version that fails only under the load of the whole service and is complete
+/// before that load has come about, since its first answers to it were sound.
+#[test]
+fn a_version_is_complete_only_after_it_was_watched_under_the_whole_load() {
+    let known_for = |known_for| Situation { known_for, ..promoting() };
+    assert_eq!(next_stage(&known_for(None)), None);
+    assert_eq!(next_stage(&known_for(Some(Millis(100)))), None);
+    assert_eq!(next_stage(&known_for(Some(Millis(2_000)))), Some(RolloutStage::Complete));
+    let testing = Situation { stage: RolloutStage::LoadTest, ..promoting() };
+    assert_eq!(next_stage(&testing), None, "some senders still test it");
+    let tested = Situation { is_load_tested: true, ..testing };
+    assert_eq!(next_stage(&tested), Some(RolloutStage::Promoting));
+    let unshown = Situation { is_sound_in_stage: false, elapsed: Millis(10_600), ..tested };
+    let no_evidence = RolloutStage::RolledBack(RollbackReason::NoEvidence);
+    assert_eq!(next_stage(&unshown), Some(no_evidence), "no answers under load");
+}
+
+/// Guards against versions that are bad from a part of the traffic on that no canary gets, and that
+/// are promoted by the answers to the light load.
+#[test]
+fn versions_that_are_bad_under_the_whole_load_are_rolled_back() {
+    let summary = play(|seed| Plan { stage_delay_ms: 100, ..Plan::draw_with_traffic_fault(seed) });
+    assert!(summary.load_tested[0] > 0, "{summary}");
+    assert_eq!(summary.bad[1], 0, "{summary}");
+}
+
 /// Guards against a rollout that is complete, so that its old version is stopped, while the answers
 /// to the whole traffic don't suffice to tell whether the new version is sound.
 #[test]
@@ -169,16 +215,11 @@
         canary: (1, 4),
         baseline: (2, 90),
     };
-    let promoting = |assessment, elapsed| Situation {
-        stage: RolloutStage::Promoting,
+    let promoting = |assessment: Assessment, elapsed| Situation {
+        is_sound_in_stage: assessment == Assessment::Sound,
         elapsed: Millis(elapsed),
-        duration: Millis(12_000),
         assessment,
-        answers_in_step: 4,
-        old_slots: 100,
-        new_slots: 100,
-        is_known_version: false,
-        is_old_idle: true,
+        ..promoting()
     };
     let undecided = Assessment::Undecided(open.clone());
     let degraded = Assessment::Degraded(RollbackReason::Failures, open.clone());
@@ -187,7 +228,8 @@
     assert_eq!(next_stage(&promoting(degraded, 9_000)), Some(rolled_back));
     let complete = Some(RolloutStage::Complete);
     assert_eq!(next_stage(&promoting(Assessment::Sound, 9_000)), complete);
-    assert_eq!(next_stage(&promoting(undecided, 11_300)), complete, "the deadline is missed");
+    let no_evidence = Some(RolloutStage::RolledBack(RollbackReason::NoEvidence));
+    assert_eq!(next_stage(&promoting(undecided, 11_300)), no_evidence);
     let doubtful = Assessment::Doubtful(RollbackReason::Failures, open);
     assert_eq!(next_stage(&promoting(doubtful.clone(), 9_000)), None);
     assert_eq!(next_stage(&promoting(doubtful, 11_300)), Some(rolled_back));
@@ -290,15 +332,10 @@
 #[test]
 fn a_promotion_whose_upstreams_are_lost_is_rolled_back() {
     let promoting = |new_slots, elapsed| Situation {
-        stage: RolloutStage::Promoting,
         elapsed: Millis(elapsed),
-        duration: Millis(12_000),
-        assessment: Assessment::Sound,
-        answers_in_step: 100,
-        old_slots: 100,
         new_slots,
-        is_known_version: false,
         is_old_idle: false,
+        ..promoting()
     };
     let lost = RolloutStage::RolledBack(RollbackReason::NoCapacity);
     assert_eq!(next_stage(&promoting(100, 9_000)), None);
