--- a/src/kingcupgrade/coordination/rollout/judge.rs
+++ b/src/kingcupgrade/coordination/rollout/judge.rs
@@ -184,13 +184,13 @@
         track.samples = samples;
     }
 
-    /// Returns whether nothing speaks against the new version, and its answers in the current stage
+    /// Returns whether nothing in the `assessment` speaks against the new version, and its answers in the current stage
     /// show that it is sound on all routes together, and on each that has enough of them.
     ///
     /// A load is of the whole version: it is shown before routes with few requests have been judged
     /// by themselves once more.
-    pub fn is_sound_in_stage(&self) -> bool {
-        let is_open = matches!(self.assess(), Assessment::Sound | Assessment::Undecided(_));
+    pub fn is_sound_in_stage(&self, assessment: &Assessment) -> bool {
+        let is_open = matches!(assessment, Assessment::Sound | Assessment::Undecided(_));
         let mut judged = self
             .tracks
             .iter()
--- a/src/kingcupgrade/coordination/rollout/watch.rs
+++ b/src/kingcupgrade/coordination/rollout/watch.rs
@@ -170,6 +170,7 @@
                 && now.since(known.at) <= REPORT_TTL
         };
         let known = recent().filter(|report| report.is_known_version).count();
+        let assessment = self.judge.assess();
         let in_stage = self.answers_in_stage();
         let is_stage_known = self.known_since.is_some();
         Situation {
@@ -177,9 +178,9 @@
             is_known_version: known * 2 > recent().count(),
             elapsed: now.since(self.began) + self.initial_age,
             duration: rollout.order.duration,
-            assessment: self.judge.assess(),
+            is_sound_in_stage: self.judge.is_sound_in_stage(&assessment),
+            assessment,
             answers_in_stage: in_stage.values().map(Answers::ended).sum(),
-            is_sound_in_stage: self.judge.is_sound_in_stage(),
             known_for: self.known_since.map(|since| now.since(since)),
             is_load_tested: is_stage_known && recent().all(|report| report.is_load_tested),
             old_slots: median(recent().map(|report| report.old_slots).collect()),
