--- /dev/null
+++ b/crates/kingcup-support/src/crowd.rs
@@ -0,0 +1,266 @@
+//! Callers that send requests without their ends, and hold on to their connections.
+
+use std::{
+    fs,
+    io::{self, Read, Write},
+    net::{IpAddr, SocketAddr, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crate::wait_until;
+
+/// The number of threads that all connections of a crowd share.
+const THREADS: usize = 16;
+/// If nothing was written or read for this long, nothing more will be.
+const QUIET: Duration = Duration::from_secs(15);
+/// How long a caller waits for the answer to its greeting.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(5);
+/// The timeout for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The pause after a round in which nothing could be written or read.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// The state of a listener in the kernel's table of sockets.
+const LISTENING: &str = "0A";
+
+/// What a caller does when its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterClose {
+    /// It stays away.
+    Leave,
+    /// It connects and sends the same again.
+    ComeAgain,
+}
+
+/// Callers that send the same bytes on a connection each, and keep it open.
+///
+/// Dropping the crowd closes its connections.
+pub struct Crowd {
+    state: Arc<State>,
+    count: usize,
+    threads: Vec<JoinHandle<()>>,
+}
+
+struct State {
+    address: SocketAddr,
+    /// What each caller sends first; the rest follows once it is answered.
+    greeting: Vec<u8>,
+    bytes: Vec<u8>,
+    after_close: AfterClose,
+    is_over: AtomicBool,
+    /// The callers that have sent all they will, or were cut off once.
+    settled: AtomicUsize,
+    /// How often a caller was cut off.
+    cut_off: AtomicUsize,
+    /// How often a caller has connected, written or been cut off.
+    steps: AtomicUsize,
+}
+
+impl Crowd {
+    /// Starts `count` callers, each of which sends `bytes` to the address.
+    pub fn start(
+        address: SocketAddr,
+        count: usize,
+        bytes: Vec<u8>,
+        after_close: AfterClose,
+    ) -> Crowd {
+        Crowd::start_with_greeting(address, count, Vec::new(), bytes, after_close)
+    }
+
+    /// Like [`Crowd::start`]; each caller first sends `greeting`, and waits for an answer to it.
+    pub fn start_with_greeting(
+        address: SocketAddr,
+        count: usize,
+        greeting: Vec<u8>,
+        bytes: Vec<u8>,
+        after_close: AfterClose,
+    ) -> Crowd {
+        let state = Arc::new(State {
+            address,
+            greeting,
+            bytes,
+            after_close,
+            is_over: AtomicBool::new(false),
+            settled: AtomicUsize::new(0),
+            cut_off: AtomicUsize::new(0),
+            steps: AtomicUsize::new(0),
+        });
+        let threads = (0..THREADS).map(|thread| {
+            let of_thread = (0..count).skip(thread).step_by(THREADS).count();
+            let state = state.clone();
+            thread::spawn(move || run(&state, of_thread))
+        });
+        let threads = threads.collect();
+        Crowd { state, count, threads }
+    }
+
+    /// Waits until the callers have sent all they will, each of them on one connection at least, and
+    /// the process has read what it will of that; returns whether that was so within the timeout.
+    pub fn wait_until_settled(&self, timeout: Duration) -> bool {
+        let mut last = (0, 0);
+        let mut changed = Instant::now();
+        wait_until(timeout, || {
+            let unread = unread_bytes(self.state.address);
+            let now = (unread, self.state.steps.load(Ordering::SeqCst));
+            if now != last {
+                (last, changed) = (now, Instant::now());
+            }
+            let is_done = match self.state.after_close {
+                AfterClose::Leave => unread == 0,
+                AfterClose::ComeAgain => self.state.cut_off.load(Ordering::SeqCst) >= self.count,
+            };
+            let is_sent = self.state.settled.load(Ordering::SeqCst) == self.count;
+            (is_sent && is_done) || changed.elapsed() > QUIET
+        })
+    }
+}
+
+/// Returns how many bytes the kernel holds that were sent to an address and not read there.
+fn unread_bytes(address: SocketAddr) -> u64 {
+    let IpAddr::V4(ip) = address.ip() else { return 0 };
+    let address = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port());
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let unread = table.lines().filter_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (local, remote, state) = (*fields.get(1)?, *fields.get(2)?, *fields.get(3)?);
+        let (unsent, unread) = fields.get(4)?.split_once(':')?;
+        let held = match (local == address, remote == address) {
+            (true, _) if state != LISTENING => unread,
+            (_, true) => unsent,
+            _ => return None,
+        };
+        u64::from_str_radix(held, 16).ok()
+    });
+    unread.sum()
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.state.is_over.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            // It panics only with the test.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Drives this many callers until the crowd is over.
+fn run(state: &State, count: usize) {
+    let mut callers: Vec<Caller> = (0..count).map(|_| Caller::new()).collect();
+    while !state.is_over.load(Ordering::SeqCst) {
+        let mut has_progress = false;
+        for caller in &mut callers {
+            let is_step = caller.step(state);
+            state.steps.fetch_add(usize::from(is_step), Ordering::SeqCst);
+            has_progress |= is_step;
+        }
+        if !has_progress {
+            thread::sleep(PAUSE);
+        }
+    }
+}
+
+impl State {
+    /// Connects and exchanges greetings.
+    fn connect(&self) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT)?;
+        if !self.greeting.is_empty() {
+            stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
+            stream.write_all(&self.greeting)?;
+            stream.read_exact(&mut [0])?;
+        }
+        stream.set_nonblocking(true)?;
+        Ok(stream)
+    }
+}
+
+struct Caller {
+    /// `None` before it has connected, and after it was cut off.
+    stream: Option<TcpStream>,
+    has_left: bool,
+    sent: usize,
+    is_settled: bool,
+}
+
+impl Caller {
+    fn new() -> Caller {
+        Caller { stream: None, has_left: false, sent: 0, is_settled: false }
+    }
+
+    /// Connects, writes and reads as far as that is possible; returns whether anything was.
+    fn step(&mut self, state: &State) -> bool {
+        if self.has_left {
+            return false;
+        }
+        let Some(stream) = &mut self.stream else { return self.connect(state) };
+        let written = match state.bytes.get(self.sent..) {
+            Some(rest) if !rest.is_empty() => stream.write(rest),
+            _ => Err(io::ErrorKind::WouldBlock.into()),
+        };
+        let read = stream.read(&mut [0; 1_024]);
+        let is_open = |done: &io::Result<usize>| match done {
+            Ok(count) => *count > 0,
+            Err(err) => err.kind() == io::ErrorKind::WouldBlock,
+        };
+        if !is_open(&written) || !is_open(&read) {
+            self.on_closed(state);
+            return true;
+        }
+        let len = written.unwrap_or(0);
+        self.sent += len;
+        if self.sent == state.bytes.len() {
+            self.settle(state);
+        }
+        len > 0
+    }
+
+    fn connect(&mut self, state: &State) -> bool {
+        let Ok(stream) = state.connect() else {
+            self.settle(state);
+            return false;
+        };
+        self.stream = Some(stream);
+        self.sent = 0;
+        true
+    }
+
+    fn on_closed(&mut self, state: &State) {
+        self.stream = None;
+        self.has_left = state.after_close == AfterClose::Leave;
+        state.cut_off.fetch_add(1, Ordering::SeqCst);
+        self.settle(state);
+    }
+
+    fn settle(&mut self, state: &State) {
+        if !std::mem::replace(&mut self.is_settled, true) {
+            state.settled.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+/// Returns a request whose body is announced with this length, and ends after `sent` bytes.
+pub fn announced_body(head: &str, len: usize, sent: usize) -> Vec<u8> {
+    let mut bytes = format!("{head}Content-Length: {len}\r\n\r\n").into_bytes();
+    bytes.resize(bytes.len() + sent, b'x');
+    bytes
+}
+
+/// Returns a request whose body has this length in chunks of `chunk_len` bytes, without the last one.
+pub fn chunked_body(head: &str, len: usize, chunk_len: usize) -> Vec<u8> {
+    let mut bytes = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+    let chunk = format!("{chunk_len:x}\r\n{}\r\n", "x".repeat(chunk_len));
+    bytes.extend(chunk.as_bytes().repeat(len / chunk_len));
+    bytes
+}
+
+/// Returns a request of this length whose head does not end.
+pub fn unended_head(head: &str, len: usize) -> Vec<u8> {
+    let mut bytes = format!("{head}X-Long: ").into_bytes();
+    bytes.resize(len, b'x');
+    bytes
+}
--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -5,6 +5,7 @@
 //! independent source.
 
 pub mod caller;
+pub mod crowd;
 pub mod engine;
 pub mod fleet;
 pub mod freezes;
--- /dev/null
+++ b/tests/crowds/kingcupd.rs
@@ -0,0 +1,147 @@
+//! Requests without their ends, to an entry and to a control instance.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use kingcup_support::{
+    caller::Caller,
+    crowd::{AfterClose, Crowd, announced_body, chunked_body},
+    fleet::{Fleet, InstancePlan, Program, document, token},
+    plain_service::PlainService,
+    platform::{FakeUpstream, Platform},
+    wait_until,
+};
+
+/// Upper bound on each wait, far above the expected time.
+const TIMEOUT: Duration = Duration::from_secs(40);
+/// How long callers may take to send what they will.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// The memory of an instance, in bytes.
+const MEMORY: u64 = 128 << 20;
+/// The default of the longest body of a request.
+const BODY_LEN: usize = 1 << 20;
+const ENTRY: &str = "entry";
+const CONTROL: &str = "control";
+
+/// Held by the test that runs: one at a time, also after one has failed.
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// A fleet of an entry, a control instance and a plain service.
+struct SmallFleet {
+    fleet: Fleet,
+    /// Serves for as long as the value lives.
+    _platform: Platform,
+    _alone: MutexGuard<'static, ()>,
+}
+
+impl SmallFleet {
+    fn start(max_requests: usize) -> SmallFleet {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+        let platform = Platform::start(Duration::from_millis(200));
+        let plain = PlainService::start(Duration::from_millis(20));
+        platform.add(
+            "orders-1",
+            "orders",
+            "north",
+            plain.address(),
+            FakeUpstream::Plain(plain.clone()),
+        );
+        let plans = [InstancePlan::entry(ENTRY, "north"), InstancePlan::control(CONTROL, "north")];
+        let daemon = Program::daemon(env!("CARGO_BIN_EXE_kingcupd"));
+        let mut fleet = Fleet::prepare(daemon, &plans, &platform, false).expect("a fleet");
+        let path = fleet.settings_path(ENTRY).to_owned();
+        let text = fs::read_to_string(&path).expect("settings");
+        let limited = text.replace("max_requests: 2000", &format!("max_requests: {max_requests}"));
+        fs::write(&path, limited).expect("settings");
+        for plan in &plans {
+            fleet.start_instance(&plan.instance).expect("an instance");
+        }
+        let rest = "slots: {cold: 8, warm: 8}\nlimits: {deadline_ms: 8000, silence_ms: 6000}\n";
+        let orders = document("orders", "plain-service", &[("alder", 1), ("birch", 1)], rest);
+        let is_applied = || fleet.apply("orders", 0, &orders).is_ok();
+        assert!(wait_until(TIMEOUT, is_applied), "the document is not applied");
+        fleet.wait_for_dispatchers("orders").expect("a dispatcher");
+        let small = SmallFleet { fleet, _platform: platform, _alone: alone };
+        assert!(small.is_served(), "the first request is not answered");
+        small
+    }
+
+    /// Returns whether an ordinary request with a body is answered.
+    fn is_served(&self) -> bool {
+        let caller = Caller::new(&token("birch"));
+        let body = "x".repeat(20 << 10);
+        let entry = self.fleet.entry(ENTRY);
+        wait_until(TIMEOUT, || caller.post(entry, "/orders/list", &body, None).status == 200)
+    }
+
+    /// Lets a crowd send all it will to an instance, asks for ordinary service while it holds on and
+    /// afterwards, and checks the instance's memory.
+    fn assert_withstands(&self, instance: &str, crowd: Crowd) {
+        let (mut memory, mut is_alive) = (0, true);
+        let mut sample = || match self.fleet.usage(instance) {
+            Some(usage) if usage.memory > 0 => memory = usage.memory.max(memory),
+            _ => is_alive = false,
+        };
+        let is_settled = wait_until(SETTLE_TIMEOUT, || {
+            sample();
+            crowd.wait_until_settled(Duration::ZERO)
+        });
+        assert!(is_settled, "the crowd is not done");
+        let is_served = self.is_served();
+        sample();
+        drop(crowd);
+        assert!(self.is_served(), "no ordinary request is answered afterwards");
+        println!("at most {} MB", memory >> 20);
+        assert!(is_alive, "the process has ended");
+        assert!(memory < MEMORY, "{memory} bytes of {MEMORY}");
+        assert!(is_served, "no ordinary request is answered while the crowd holds on");
+    }
+}
+
+fn request_head(entry: SocketAddr) -> String {
+    format!(
+        "POST /orders/list HTTP/1.1\r\nHost: {entry}\r\nAuthorization: Bearer {}\r\n",
+        token("alder")
+    )
+}
+
+/// Guards against an entry whose memory is filled by bodies that stop short of their end.
+#[test]
+fn bodies_without_their_end_are_withstood() {
+    let small = SmallFleet::start(2_000);
+    let entry = small.fleet.entry(ENTRY);
+    let bytes = announced_body(&request_head(entry), BODY_LEN, BODY_LEN - 1);
+    small.assert_withstands(ENTRY, Crowd::start(entry, 160, bytes, AfterClose::Leave));
+}
+
+/// Guards against an entry in which each byte of a body takes many times its size.
+#[test]
+fn chunks_of_one_byte_are_withstood() {
+    let small = SmallFleet::start(2_000);
+    let entry = small.fleet.entry(ENTRY);
+    let bytes = chunked_body(&request_head(entry), 64 << 10, 1);
+    small.assert_withstands(ENTRY, Crowd::start(entry, 48, bytes, AfterClose::Leave));
+}
+
+/// Guards against callers that stop short of their end and take the places of all requests.
+#[test]
+fn bodies_without_their_end_take_no_place_of_ordinary_requests() {
+    let small = SmallFleet::start(16);
+    let entry = small.fleet.entry(ENTRY);
+    let bytes = announced_body(&request_head(entry), 1_000, 999);
+    small.assert_withstands(ENTRY, Crowd::start(entry, 64, bytes, AfterClose::ComeAgain));
+}
+
+/// Guards against a control instance whose memory is filled by operators' requests without their end.
+#[test]
+fn operators_requests_without_their_end_are_withstood() {
+    let small = SmallFleet::start(2_000);
+    let operators = small.fleet.operator_address(CONTROL);
+    let head = "POST /v1/operator HTTP/1.1\r\nHost: c\r\n";
+    let bytes = announced_body(head, 8 << 20, (8 << 20) - 1);
+    small.assert_withstands(CONTROL, Crowd::start(operators, 40, bytes, AfterClose::Leave));
+}
