Count the memory of a body as it is allocated, and give up bodies that don't arrive

Causes, all in how a body was read: - A frame of the HTTP library is a slice of its read buffer. A body in chunks of one byte kept all read buffers alive, and 32 bytes for each slice: some 37 times what was counted. Joining the slices held a whole body twice for a moment. - A body was read before its head was looked at, up to the limit even if it was announced as longer. - Whoever had memory kept it until the idle timeout.

A body is now copied into buffers of its own, up to 32 KiB each, and what they take is counted before they are allocated; it is sent from there. Answers that are read to their end are held the same way. The head is routed first: an unknown key or path, or a length beyond the limit, is refused without the body, and what the caller still sends is read and dropped for a second at most, by 64 connections at most and at some 16 MB a second, so that the refusal arrives. A body is waited for no longer than its request's own time. The request is routed again if the configuration has changed meanwhile. Where there is no room, a body that isn't whole and is behind 256 KB/s by more than 200 ms is given up (408, which is true: it has run nowhere), of the organisation that has most memory in such bodies first; and the bodies of one organisation take half of the memory at most (coordination/bodies, without I/O).

--- a/src/kingcupgrade/coordination/memory.rs
+++ b/src/kingcupgrade/coordination/memory.rs
@@ -101,7 +101,12 @@
 
     /// Returns whether a body of this length may be taken into memory.
     pub fn has_room_for_body(&self, bytes: u64) -> bool {
-        self.budget.is_none_or(|budget| self.taken + bytes <= short_level(budget))
+        self.room_for_bodies().is_none_or(|room| self.taken + bytes <= room)
+    }
+
+    /// Returns the bytes up to which bodies are taken into memory, if there is a limit.
+    pub fn room_for_bodies(&self) -> Option<u64> {
+        self.budget.map(short_level)
     }
 
     /// Records that a body is refused because there is no room for it.
--- a/src/kingcupgrade/coordination/mod.rs
+++ b/src/kingcupgrade/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! thread, socket or random source, so a test, a fuzzer or an embedding program can drive it
 //! message by message. This layer does not import `transport`.
 
+pub mod bodies;
 pub mod client;
 pub mod consensus;
 pub mod control;
--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -5,12 +5,14 @@
 //! upstream for nobody. The kernel knows at once.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
+    future::poll_fn,
     io,
     mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -18,6 +20,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{sleep, timeout},
 };
 
 use super::memory::AnswerBuffer;
@@ -26,6 +29,13 @@
 /// trip of 10 ms still get more than 6 MB a second.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// How long what a caller still sends of a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// The size of the buffer for what is dropped, in bytes.
+const DISCARD_LEN: usize = 16 << 10;
+/// The pause after each such buffer: what is dropped takes no more than a small part of the processor.
+const DISCARD_PAUSE: Duration = Duration::from_millis(1);
+
 /// A caller's connection, for the server that reads and writes it.
 pub struct CallerStream {
     stream: Rc<RefCell<TcpStream>>,
@@ -33,6 +43,7 @@
     pending: Bytes,
     /// Counts what is not written yet, if the process's memory is limited.
     buffer: Option<Rc<AnswerBuffer>>,
+    is_discarded: Rc<Cell<bool>>,
 }
 
 /// Tells whether a caller has left.
@@ -40,6 +51,8 @@
 pub struct Caller {
     stream: Rc<RefCell<TcpStream>>,
     buffer: Option<Rc<AnswerBuffer>>,
+    /// Whether a request was refused that has not been read to its end.
+    is_discarded: Rc<Cell<bool>>,
 }
 
 impl CallerStream {
@@ -60,12 +73,14 @@
             // costs memory only.
             let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         }
-        CallerStream { stream: Rc::new(RefCell::new(stream)), pending, buffer }
+        let is_discarded = Rc::default();
+        CallerStream { stream: Rc::new(RefCell::new(stream)), pending, buffer, is_discarded }
     }
 
     /// Returns what tells whether the caller has left.
     pub fn caller(&self) -> Caller {
-        Caller { stream: self.stream.clone(), buffer: self.buffer.clone() }
+        let is_discarded = self.is_discarded.clone();
+        Caller { stream: self.stream.clone(), buffer: self.buffer.clone(), is_discarded }
     }
 
     fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
@@ -99,6 +114,35 @@
         self.buffer.as_ref()
     }
 
+    /// Has what the caller still sends read and dropped before the connection is closed.
+    pub(super) fn discard_on_close(&self) {
+        self.is_discarded.set(true);
+    }
+
+    pub(super) fn is_discarded_on_close(&self) -> bool {
+        self.is_discarded.get()
+    }
+
+    /// Reads and drops what the caller sends, until it closes the connection or the time is over.
+    pub(super) async fn discard(&self) {
+        let mut bytes = vec![0; DISCARD_LEN];
+        let reading = async {
+            loop {
+                let read = poll_fn(|cx| {
+                    let mut buf = ReadBuf::new(&mut bytes);
+                    let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf);
+                    polled.map_ok(|()| buf.filled().len())
+                });
+                match read.await {
+                    Ok(len) if len > 0 => sleep(DISCARD_PAUSE).await,
+                    _ => return,
+                }
+            }
+        };
+        // The rest is lost with the connection.
+        let _ = timeout(DISCARD_TIMEOUT, reading).await;
+    }
+
     /// Has the connection reset when it is closed, so that the kernel drops what the caller has not
     /// read.
     pub(super) fn reset_on_close(&self) {
--- a/src/kingcupgrade/transport/gateway/memory.rs
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -4,10 +4,10 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     error::Error,
-    fmt,
     future::Future,
     pin::Pin,
     rc::{Rc, Weak},
+    sync::Arc,
     task::{Context, Poll, Waker, ready},
     time::Duration,
 };
@@ -24,16 +24,20 @@
 use crate::{
     coordination::memory::{BufferedAnswer, MemoryBudget},
     core::{Millis, clock::Clock},
+    transport::bodies::Bodies,
     util::log,
 };
 
 /// How often an answer that waits for memory looks for room.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// The fraction of the memory for request bodies that those of one organisation may take, so that
+/// others find room while it holds on to what it has.
+const HOLDER_FRACTION: f64 = 0.5;
 
 /// The buffers of one process, and the budget for them.
 pub(super) struct Memory {
     clock: Clock,
-    budget: RefCell<MemoryBudget>,
+    bodies: Arc<Bodies>,
     connections: RefCell<BTreeMap<u64, Weak<AnswerBuffer>>>,
     next_connection: Cell<u64>,
     decided: Cell<Decided>,
@@ -44,6 +48,8 @@
 struct Decided {
     /// Bodies that were not taken into memory.
     refused_bodies: u32,
+    /// Bodies that arrived slowly and were given up for others.
+    given_up_bodies: u32,
     /// Answers that were ended because they were not read.
     ended_answers: u32,
     /// Upstreams that cut off an answer that was not read.
@@ -62,9 +68,10 @@
 
 impl Memory {
     pub(super) fn new(clock: Clock, memory_limit: Option<u64>, max_sockets: usize) -> Rc<Memory> {
+        let budget = MemoryBudget::new(memory_limit, max_sockets);
         Rc::new(Memory {
             clock,
-            budget: RefCell::new(MemoryBudget::new(memory_limit, max_sockets)),
+            bodies: Bodies::new(clock, budget, HOLDER_FRACTION),
             connections: RefCell::default(),
             next_connection: Cell::new(0),
             decided: Cell::default(),
@@ -73,7 +80,7 @@
 
     /// Returns the buffer of a new connection from a caller; `None` if there is no limit.
     pub(super) fn open_buffer(self: &Rc<Memory>) -> Option<Rc<AnswerBuffer>> {
-        if !self.budget.borrow().is_limited() {
+        if !self.with_budget(|budget| budget.is_limited()) {
             return None;
         }
         let connection = self.next_connection.get();
@@ -90,18 +97,13 @@
         Some(buffer)
     }
 
-    /// Returns what counts a body of this length, or of an unknown one, as it arrives; `None` if
-    /// memory is short. A length that is only announced takes no memory from others.
-    pub(super) fn reserve_body(self: &Rc<Memory>, len: Option<u64>) -> Option<Rc<Reservation>> {
-        let has_room = len == Some(0) || {
-            let budget = self.budget.borrow();
-            budget.has_room_for_body(len.unwrap_or(1))
-        };
-        if !has_room {
-            self.on_refused_body();
-            return None;
-        }
-        Some(self.reserve())
+    /// Returns the memory for request bodies.
+    pub(super) fn bodies(&self) -> &Arc<Bodies> {
+        &self.bodies
+    }
+
+    fn with_budget<T>(&self, call: impl FnOnce(&mut MemoryBudget) -> T) -> T {
+        self.bodies.with_budget(call)
     }
 
     pub(super) fn reserve(self: &Rc<Memory>) -> Rc<Reservation> {
@@ -109,12 +111,11 @@
     }
 
     pub(super) fn is_exhausted(&self) -> bool {
-        self.budget.borrow().is_exhausted()
+        self.with_budget(|budget| budget.is_exhausted())
     }
 
     /// Counts a body that is not taken into memory.
     pub(super) fn on_refused_body(&self) {
-        self.budget.borrow_mut().on_refused(self.clock.now());
         self.on_decided("refused-body", |decided| decided.refused_bodies += 1);
     }
 
@@ -135,7 +136,8 @@
         let connections = self.connections.borrow();
         let open = connections.values().filter_map(Weak::upgrade);
         let answers = open.map(|buffer| buffer.buffered());
-        let ended = self.budget.borrow_mut().answer_to_end(self.clock.now(), answers);
+        let now = self.clock.now();
+        let ended = self.with_budget(|budget| budget.answer_to_end(now, answers));
         let buffer = ended.and_then(|number| connections.get(&number)).and_then(Weak::upgrade);
         drop(connections);
         if let Some(buffer) = buffer {
@@ -147,25 +149,24 @@
 
     /// Sets the metrics, and logs what was decided since the last call and whether memory is short.
     pub(super) fn report(&self) {
-        let budget = self.budget.borrow();
-        let Some(budget_bytes) = budget.budget() else { return };
-        gauge!("kingcup_buffered_bytes").set(budget.taken() as f64);
-        let decided = self.decided.take();
-        if budget.is_short() || decided != Decided::default() {
-            log::event(
-                "memory",
-                &MemoryLine {
-                    buffered_bytes: budget.taken(),
-                    budget_bytes,
-                    is_short: budget.is_short(),
-                    decided,
-                },
-            );
+        let given_up = self.bodies.take_given_up();
+        if given_up > 0 {
+            counter!("kingcup_memory_decisions", "decision" => "given-up-body")
+                .increment(given_up.into());
+        }
+        let decided = Decided { given_up_bodies: given_up, ..self.decided.take() };
+        let (budget_bytes, buffered_bytes, is_short) =
+            self.with_budget(|budget| (budget.budget(), budget.taken(), budget.is_short()));
+        let Some(budget_bytes) = budget_bytes else { return };
+        gauge!("kingcup_buffered_bytes").set(buffered_bytes as f64);
+        if is_short || decided != Decided::default() {
+            let line = MemoryLine { buffered_bytes, budget_bytes, is_short, decided };
+            log::event("memory", &line);
         }
     }
 }
 
-/// Bytes of a body in memory, given back when the value is dropped.
+/// Bytes of an upstream's answer in memory, given back when the value is dropped.
 pub(super) struct Reservation {
     memory: Rc<Memory>,
     bytes: Cell<u64>,
@@ -174,23 +175,16 @@
 impl Reservation {
     fn extend(&self, bytes: u64) {
         self.bytes.set(self.bytes.get() + bytes);
-        self.memory.budget.borrow_mut().take(bytes);
+        self.memory.with_budget(|budget| budget.take(bytes));
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.memory.budget.borrow_mut().give_back(self.bytes.get());
+        self.memory.with_budget(|budget| budget.give_back(self.bytes.get()));
     }
 }
 
-/// A request's body in memory.
-pub(super) struct HeldBody {
-    pub(super) bytes: Bytes,
-    /// Held for as long as the body is.
-    pub(super) _reservation: Rc<Reservation>,
-}
-
 /// What is buffered for the caller of one connection.
 pub(super) struct AnswerBuffer {
     memory: Rc<Memory>,
@@ -218,7 +212,7 @@
             self.unread_since.set(self.memory.clock.now());
         }
         self.bytes.set(self.bytes.get() + len as u64);
-        self.memory.budget.borrow_mut().take(len as u64);
+        self.memory.with_budget(|budget| budget.take(len as u64));
     }
 
     /// Counts bytes that were written to the socket: those of heads and framing are among them, so
@@ -229,7 +223,7 @@
             return;
         }
         self.bytes.set(self.bytes.get() - written);
-        self.memory.budget.borrow_mut().give_back(written);
+        self.memory.with_budget(|budget| budget.give_back(written));
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
@@ -242,7 +236,7 @@
 
     /// Waits until less than the bound of one answer is buffered.
     pub(super) fn poll_below_bound(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let bound = self.memory.budget.borrow().answer_bound();
+        let bound = self.memory.with_budget(|budget| budget.answer_bound());
         self.poll_at_most(bound.saturating_sub(1), cx)
     }
 
@@ -267,60 +261,32 @@
 
 impl Drop for AnswerBuffer {
     fn drop(&mut self) {
-        self.memory.budget.borrow_mut().give_back(self.bytes.get());
+        self.memory.with_budget(|budget| budget.give_back(self.bytes.get()));
         self.memory.connections.borrow_mut().remove(&self.connection);
     }
 }
 
-/// What happens to a body for which there is no more memory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WhenExhausted {
-    /// It fails.
-    Fail,
-    /// Its sender is not read until there is memory.
-    Wait,
-}
-
-/// The error of a body for which there is no more memory.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct MemoryExhausted;
-
-impl fmt::Display for MemoryExhausted {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("no memory is left for the body")
-    }
-}
-
-impl Error for MemoryExhausted {}
-
-/// A body that is read into memory, counted as it arrives.
+/// The body of an upstream's answer, counted as it arrives; the upstream is not read while there is no
+/// memory.
 pub(super) struct CountedBody<B> {
     body: B,
     reservation: Rc<Reservation>,
-    when_exhausted: WhenExhausted,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl<B> CountedBody<B> {
-    pub(super) fn new(
-        body: B,
-        reservation: Rc<Reservation>,
-        when_exhausted: WhenExhausted,
-    ) -> CountedBody<B> {
-        CountedBody { body, reservation, when_exhausted, timer: None }
+    pub(super) fn new(body: B, reservation: Rc<Reservation>) -> CountedBody<B> {
+        CountedBody { body, reservation, timer: None }
     }
 
     /// Waits until there is memory for more.
-    fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), MemoryExhausted>> {
+    fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while self.reservation.memory.is_exhausted() {
-            if self.when_exhausted == WhenExhausted::Fail {
-                return Poll::Ready(Err(MemoryExhausted));
-            }
             let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(RETRY_INTERVAL)));
             ready!(timer.as_mut().poll(cx));
             self.timer = None;
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(())
     }
 }
 
@@ -333,9 +299,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let this = self.get_mut();
-        if let Err(err) = ready!(this.poll_room(cx)) {
-            return Poll::Ready(Some(Err(err.into())));
-        }
+        ready!(this.poll_room(cx));
         let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
         if let Some(Ok(frame)) = &frame {
             this.reservation.extend(frame.data_ref().map_or(0, Bytes::len) as u64);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -108,6 +108,8 @@
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
+    /// The connections that are read only to drop what was refused.
+    discarding: Cell<usize>,
     shutdown: Cell<Shutdown>,
     /// Notifies the tasks of the stage of the shutdown.
     drain: tokio::sync::watch::Sender<DrainStage>,
@@ -303,6 +305,7 @@
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
         open_connections: Cell::new(0),
+        discarding: Cell::new(0),
         shutdown: Cell::default(),
         drain: tokio::sync::watch::channel(DrainStage::Serving).0,
         fleet,
--- a/src/kingcupgrade/transport/gateway/pool.rs
+++ b/src/kingcupgrade/transport/gateway/pool.rs
@@ -16,14 +16,12 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::bounded_stream::{BoundedStream, HeadLeft, MAX_HEADS_LEN};
-use crate::core::UpstreamName;
+use crate::{core::UpstreamName, transport::bodies::SegmentBody};
 
 /// The timeout for connecting. Within a region connecting takes a few milliseconds. A lost SYN is
 /// retransmitted only after a second, by when another upstream would have answered long ago.
@@ -43,7 +41,7 @@
 /// upstream works for a caller who has left.
 pub struct Connection {
     /// Sends one request at a time; [`Connection::drive`] writes it to the socket.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<SegmentBody>,
     /// `None` once the connection is closed.
     driver: Option<Driver>,
     key: UpstreamName,
@@ -192,7 +190,7 @@
             stream.set_zero_linger().ok()?;
             let stream = BoundedStream { stream, head_left: head_left.clone() };
             let builder = http1::Builder::new();
-            builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.ok()
+            builder.handshake::<_, SegmentBody>(TokioIo::new(stream)).await.ok()
         };
         let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         let Ok(Some((sender, connection))) = connected else {
--- a/src/kingcupgrade/transport/gateway/request/digest.rs
+++ b/src/kingcupgrade/transport/gateway/request/digest.rs
@@ -5,7 +5,7 @@
 use super::routing::host_of;
 use crate::{
     core::{Organisation, RequestDigest},
-    transport::gateway::adapter::RequestHead,
+    transport::{bodies::Segments, gateway::adapter::RequestHead},
 };
 
 /// Computes the digest of a request.
@@ -16,11 +16,11 @@
     head: &request::Parts,
     decoded: &RequestHead,
     organisation: Option<&Organisation>,
-    body: &[u8],
+    body: &Segments,
 ) -> RequestDigest {
     let prompt: Vec<u8> = decoded.prompt.iter().flat_map(|part| part.id.to_be_bytes()).collect();
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    RequestDigest::of([
+    let fields = [
         organisation.map_or("", Organisation::as_str).as_bytes(),
         host_of(head).unwrap_or_default().as_bytes(),
         head.method.as_str().as_bytes(),
@@ -28,6 +28,6 @@
         decoded.model.as_deref().unwrap_or_default().as_bytes(),
         &decoded.max_output.to_be_bytes(),
         &prompt,
-        body,
-    ])
+    ];
+    RequestDigest::with_body(fields, body.len(), body.parts())
 }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
@@ -16,6 +15,7 @@
     },
     core::Millis,
     transport::{
+        bodies::SegmentBody,
         gateway::{
             adapter::{ForwardContext, PlatformAdapter},
             decisions::{RejectionLine, WithheldLine, WithheldReason},
@@ -153,7 +153,7 @@
         }
     }
 
-    fn build_request(&self, grant: &Grant, last_event: Option<u64>) -> Request<Full<Bytes>> {
+    fn build_request(&self, grant: &Grant, last_event: Option<u64>) -> Request<SegmentBody> {
         let mut headers = self.headers.clone();
         strip_hop_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
@@ -165,7 +165,7 @@
         };
         self.gateway.adapter.prepare_request(&mut headers, &context);
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.bytes.clone()));
+        let mut request = Request::new(self.body.segments().body());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::try_from(path).unwrap_or_else(|_| self.uri.clone());
         *request.headers_mut() = headers;
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -10,9 +10,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, header, request};
-use http_body_util::{BodyExt, Full};
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
@@ -26,7 +24,7 @@
     adapter::{PlatformAdapter, RequestHead, TakenUpStream},
     caller::Caller,
     collected::{CollectedBody, ResponseTooLong},
-    memory::{AnswerBuffer, CountedBody, HeldBody, WhenExhausted},
+    memory::{AnswerBuffer, CountedBody},
     relay::Relay,
     response::{ResponseBody, strip_hop_headers},
 };
@@ -40,6 +38,7 @@
         configuration::{Configuration, Route, RouteKind},
     },
     protocol::fleet::StreamOrigin,
+    transport::bodies::{HeldBody, Segments},
 };
 
 /// A caller's request and the state of its processing.
@@ -111,8 +110,8 @@
         decoded: RequestHead,
         body: HeldBody,
     ) -> ProxiedRequest<E> {
-        let RoutedRequest { route, organisation, service, output, arrived, timeout } = routed;
-        let digest = digest_of(&head, &decoded, organisation.as_ref(), &body.bytes);
+        let RoutedRequest { route, organisation, service, output, arrived, timeout, .. } = routed;
+        let digest = digest_of(&head, &decoded, organisation.as_ref(), body.segments());
         let plan = configuration.services.get(&service);
         let stride =
             plan.and_then(|plan| plan.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event);
@@ -128,7 +127,7 @@
             prompt: decoded.prompt.into(),
             taken_up: decoded.taken_up,
             target: arrived + target,
-            deadline: Instant::now() + timeout.as_duration(),
+            deadline: Instant::now() + (arrived + timeout).since(gateway.now()).as_duration(),
             deadline_at: arrived + timeout,
             progress: std::cell::RefCell::default(),
             gateway,
@@ -230,9 +229,9 @@
         loop {
             let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
             let reservation = self.gateway.memory.reserve();
-            let body = CountedBody::new(body, reservation, WhenExhausted::Wait);
+            let body = CountedBody::new(body, reservation);
             let body = CollectedBody::new(body, self.gateway.collected.clone());
-            let reading = connection.drive(body.collect());
+            let reading = connection.drive(Segments::collect(body));
             let read = timeout_at(self.deadline, reading).await;
             let may_repeat = self.route.kind.is_idempotent();
             match read {
@@ -244,14 +243,14 @@
                     }
                     attempt.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
                     self.gateway.pool.checkin(connection);
-                    return self.complete(head, body.to_bytes());
+                    return self.complete(head, &body);
                 }
                 Ok(Ok(body)) => {
                     attempt.end(SendEnd::Failed);
                     self.gateway.pool.checkin(connection);
                     match self.retry().await {
                         Some(again) => response = again,
-                        None => return self.complete(head, body.to_bytes()),
+                        None => return self.complete(head, &body),
                     }
                 }
                 Ok(Err(err)) => {
@@ -278,7 +277,7 @@
         }
     }
 
-    fn complete(&self, head: http::response::Parts, body: Bytes) -> Response<ResponseBody<E>> {
+    fn complete(&self, head: http::response::Parts, body: &Segments) -> Response<ResponseBody<E>> {
         if let Some(buffer) = self.answer_buffer() {
             buffer.on_handed_over(body.len());
         }
@@ -288,10 +287,10 @@
 
 fn complete_response<E: PlatformAdapter>(
     mut head: http::response::Parts,
-    body: Bytes,
+    body: &Segments,
 ) -> Response<ResponseBody<E>> {
     strip_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.version = http::Version::HTTP_11;
-    Response::from_parts(head, ResponseBody::Full(Full::new(body)))
+    Response::from_parts(head, ResponseBody::Held(body.body()))
 }
--- a/src/kingcupgrade/transport/gateway/request/routed.rs
+++ b/src/kingcupgrade/transport/gateway/request/routed.rs
@@ -1,4 +1,4 @@
-//! A request whose route is known from its head, before its body is looked at.
+//! A request whose route is known from its head, before its body is read.
 
 use std::sync::Arc;
 
@@ -32,11 +32,13 @@
 /// The route, the organisation and the service of a request.
 pub(in crate::transport::gateway) struct RoutedRequest {
     pub(super) route: Arc<Route>,
-    pub(super) organisation: Option<Organisation>,
+    pub(in crate::transport::gateway) organisation: Option<Organisation>,
     pub(super) service: Service,
     /// The expected number of tokens to be generated.
     pub(super) output: u32,
     pub(super) arrived: Millis,
+    /// The version of the configuration that it was routed under.
+    version: u64,
     /// The time from arrival to the deadline.
     pub(in crate::transport::gateway) timeout: Millis,
 }
@@ -70,7 +72,29 @@
         drop(traffic);
         let timeout = decoded.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let organisation = holder.cloned();
-        Ok(RoutedRequest { route, organisation, service, output, arrived, timeout })
+        let version = configuration.version;
+        Ok(RoutedRequest { route, organisation, service, output, arrived, version, timeout })
+    }
+
+    /// Returns the request as it is routed under the configuration in force: that may have changed
+    /// while the body arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code with which the request is to be refused.
+    pub(in crate::transport::gateway) fn under<E: PlatformAdapter>(
+        self,
+        gateway: &Gateway<E>,
+        configuration: &Configuration,
+        head: &request::Parts,
+        decoded: &RequestHead,
+    ) -> Result<RoutedRequest, Code> {
+        if configuration.version == self.version {
+            return Ok(self);
+        }
+        let arrived = self.arrived;
+        let routed = RoutedRequest::new(gateway, configuration, head, decoded)?;
+        Ok(RoutedRequest { arrived, ..routed })
     }
 
     /// Counts the request towards the retry budget of its service.
--- a/src/kingcupgrade/transport/gateway/response.rs
+++ b/src/kingcupgrade/transport/gateway/response.rs
@@ -11,12 +11,17 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::{adapter::PlatformAdapter, relay::Relay};
-use crate::core::{Code, Millis};
+use crate::{
+    core::{Code, Millis},
+    transport::bodies::SegmentBody,
+};
 
 /// The body of a response to a caller.
 pub(super) enum ResponseBody<E: PlatformAdapter> {
-    /// A body that is held in memory completely.
-    Full(Full<Bytes>),
+    /// A text of this entry.
+    Text(Full<Bytes>),
+    /// An upstream's answer that was read to the end.
+    Held(SegmentBody),
     /// An upstream's stream, forwarded as it arrives.
     Streamed(Box<Relay<E>>),
 }
@@ -43,21 +48,24 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match self.get_mut() {
-            ResponseBody::Full(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
+            ResponseBody::Text(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
+            ResponseBody::Held(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
             ResponseBody::Streamed(relay) => relay.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Full(body) => body.is_end_stream(),
+            ResponseBody::Text(body) => body.is_end_stream(),
+            ResponseBody::Held(body) => body.is_end_stream(),
             ResponseBody::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Full(body) => body.size_hint(),
+            ResponseBody::Text(body) => body.size_hint(),
+            ResponseBody::Held(body) => body.size_hint(),
             ResponseBody::Streamed(relay) => relay.size_hint(),
         }
     }
@@ -81,7 +89,7 @@
     if let Some(request_id) = request_id {
         adapter.add_request_id(&mut headers, request_id);
     }
-    let mut response = Response::new(ResponseBody::Full(Full::new(text.into())));
+    let mut response = Response::new(ResponseBody::Text(Full::new(text.into())));
     *response.status_mut() =
         http::StatusCode::from_u16(code.status()).expect("every code maps to an HTTP status");
     *response.headers_mut() = headers;
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use super::{
@@ -21,13 +21,14 @@
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
     early_refusal::EarlyOutcome,
-    memory::{AnswerBuffer, CountedBody, HeldBody, MemoryExhausted, WhenExhausted},
+    memory::AnswerBuffer,
     request::{ProxiedRequest, RoutedRequest},
     response::{ResponseBody, error_response},
 };
 use crate::{
     coordination::shutdown::DrainStage,
-    core::{Code, Millis, configuration::Limits},
+    core::{Code, Millis},
+    transport::bodies::{BodyError, BodyLimits},
     util::log,
 };
 
@@ -36,9 +37,6 @@
 /// The timeout for an idle connection and for reading a request head or body until a
 /// configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(30_000);
-/// The maximum length of a request body until a configuration is known; such a request is refused
-/// in any case.
-const DEFAULT_MAX_BODY_LEN: usize = 4 << 20;
 /// The fraction of the socket limit up to which callers' connections are kept open after a
 /// response. Callers keep idle connections for many seconds, and once all sockets are in use no new
 /// caller could connect.
@@ -66,9 +64,8 @@
 /// The retry delay sent when there is no memory for a request's body; another entry can take it
 /// immediately.
 const RETRY_AFTER_MEMORY: Millis = Millis(50);
-/// How long a refused body is read and dropped. If the connection were closed before, the caller
-/// might not receive the refusal.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// How many connections may be read at once whose callers still send what was refused.
+const MAX_DISCARDING: usize = 64;
 
 /// Increments a counter for as long as the value lives.
 struct CountGuard<'a>(&'a std::cell::Cell<usize>);
@@ -140,7 +137,7 @@
     let buffer = gateway.memory.open_buffer();
     let stream = CallerStream::with_pending(stream, pending, buffer.clone());
     let caller = stream.caller();
-    let closing_caller = caller.clone();
+    let (closing_caller, refused_caller) = (caller.clone(), caller.clone());
     let ended = async move {
         answer_ended(buffer).await;
         closing_caller.reset_on_close();
@@ -163,30 +160,39 @@
         .max_buf_size(MAX_BUF_LEN)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    if is_closing {
-        // A graceful shutdown would make hyper close the connection before it reads the request.
-        tokio::select! {
-            _ = connection => {}
-            () = ended => {}
-        }
-        return;
-    }
     let mut drain = gateway.drain.subscribe();
-    let closing = drain.wait_for(|stage| *stage >= DrainStage::Closing);
+    let closing = async {
+        // A graceful shutdown of a connection that is accepted now would make hyper close it before it
+        // reads the request.
+        if is_closing {
+            return std::future::pending().await;
+        }
+        // The sender lives as long as the gateway.
+        let _ = drain.wait_for(|stage| *stage >= DrainStage::Closing).await;
+    };
     tokio::select! {
         // A disconnect is recorded where the request is handled, which cancels its attempt.
-        _ = connection.as_mut() => return,
+        _ = connection.as_mut() => return discard_refused(&gateway, &refused_caller).await,
         () = ended.as_mut() => return,
-        _ = closing => {}
+        () = closing => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
         // Errors are ignored for the same reason as above.
-        _ = connection => {}
+        _ = connection => discard_refused(&gateway, &refused_caller).await,
         () = ended => {}
     }
 }
 
+/// Reads and drops what a caller still sends of a request that was refused. A connection that is closed
+/// with unread bytes is reset, and the refusal lost.
+async fn discard_refused<E: PlatformAdapter>(gateway: &Gateway<E>, caller: &Caller) {
+    if caller.is_discarded_on_close() && gateway.discarding.get() < MAX_DISCARDING {
+        let _count_guard = CountGuard::new(&gateway.discarding);
+        caller.discard().await;
+    }
+}
+
 /// Waits until the answer on a connection is to be ended because memory is short.
 async fn answer_ended(buffer: Option<Rc<AnswerBuffer>>) {
     match buffer {
@@ -220,24 +226,51 @@
     let request_id = decoded.request_id.clone();
     let refuse = |code, retry_after| {
         gateway.log_unrouted_refusal(code, retry_after, request_id.as_deref());
-        Ok(error_response(&*gateway.adapter, code, retry_after, request_id.as_deref()))
+        error_response(&*gateway.adapter, code, retry_after, request_id.as_deref())
     };
-    let configuration = gateway.traffic.borrow().configuration().cloned();
-    let limits = configuration.as_ref().map(|configuration| &configuration.limits);
-    let body = match read_body(&gateway, body, limits).await {
-        Ok(body) => body,
-        Err(Code::TooBusy) => return refuse(Code::TooBusy, RETRY_AFTER_MEMORY),
-        Err(code) => return refuse(code, Millis::ZERO),
+    // Refuses a request whose body is not read to its end: what is left of it would be taken for
+    // the next request.
+    let refuse_unread = |code, retry_after| {
+        let mut response = refuse(code, retry_after);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        caller.discard_on_close();
+        response
+    };
+    let refuse_head = |code, retry_after| match body.is_end_stream() {
+        true => Ok(refuse(code, retry_after)),
+        false => Ok(refuse_unread(code, retry_after)),
     };
-    let Some(configuration) = configuration else {
-        return refuse(Code::NotReady, RETRY_AFTER_START);
+    let Some(configuration) = gateway.traffic.borrow().configuration().cloned() else {
+        return refuse_head(Code::NotReady, RETRY_AFTER_START);
     };
     let routed = match RoutedRequest::new(&gateway, &configuration, &head, &decoded) {
         Ok(routed) => routed,
-        Err(code) => return refuse(code, Millis::ZERO),
+        Err(code) => return refuse_head(code, Millis::ZERO),
+    };
+    let limits = BodyLimits {
+        holder: routed.organisation.clone(),
+        max_len: configuration.limits.max_body_len,
+        timeout: configuration.limits.idle_timeout.min(routed.timeout).as_duration(),
+    };
+    let body = match gateway.memory.bodies().read(body, limits).await {
+        Ok(body) => body,
+        Err(BodyError::TooLong) => return Ok(refuse_unread(Code::BodyTooLarge, Millis::ZERO)),
+        Err(BodyError::TooSlow) => return Ok(refuse_unread(Code::BodyTimeout, Millis::ZERO)),
+        Err(BodyError::Broken(_)) => return Ok(refuse(Code::BadRequest, Millis::ZERO)),
+        Err(BodyError::NoRoom) => {
+            gateway.memory.on_refused_body();
+            return Ok(refuse_unread(Code::TooBusy, RETRY_AFTER_MEMORY));
+        }
+    };
+    let current = gateway.traffic.borrow().configuration().cloned();
+    let configuration = current.unwrap_or(configuration);
+    let routed = match routed.under(&gateway, &configuration, &head, &decoded) {
+        Ok(routed) => routed,
+        Err(code) => return Ok(refuse(code, Millis::ZERO)),
     };
     if !gateway.has_time_for(routed.timeout) {
-        return refuse(Code::Draining, RETRY_AFTER_DRAIN);
+        return Ok(refuse(Code::Draining, RETRY_AFTER_DRAIN));
     }
     // An overloaded entry refuses many times as many requests as it serves, so this is decided
     // before anything is computed that only a request to be served needs.
@@ -255,40 +288,6 @@
     }
 }
 
-/// Reads a request's body into memory, because it may have to be sent more than once.
-async fn read_body<E: PlatformAdapter>(
-    gateway: &Gateway<E>,
-    body: Incoming,
-    limits: Option<&Limits>,
-) -> Result<HeldBody, Code> {
-    let max_len = limits.map_or(DEFAULT_MAX_BODY_LEN, |limits| limits.max_body_len);
-    let read_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let len = body.size_hint().exact().map(|len| len.min(max_len as u64));
-    let Some(reservation) = gateway.memory.reserve_body(len) else {
-        discard(body).await;
-        return Err(Code::TooBusy);
-    };
-    let counted = CountedBody::new(body, reservation.clone(), WhenExhausted::Fail);
-    let reading = Limited::new(counted, max_len).collect();
-    match timeout(read_timeout.as_duration(), reading).await {
-        Ok(Ok(body)) => Ok(HeldBody { bytes: body.to_bytes(), _reservation: reservation }),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Ok(Err(err)) if err.is::<MemoryExhausted>() => {
-            gateway.memory.on_refused_body();
-            Err(Code::TooBusy)
-        }
-        Ok(Err(_)) => Err(Code::BadRequest),
-        Err(_) => Err(Code::BodyTimeout),
-    }
-}
-
-/// Reads a refused body without keeping it.
-async fn discard(mut body: Incoming) {
-    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
-    // What is left after the timeout is lost with the connection.
-    let _ = timeout(DISCARD_TIMEOUT, reading).await;
-}
-
 /// Serves the load balancer's readiness probes for as long as the process runs.
 pub(super) async fn accept_probes<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -4,6 +4,7 @@
 //! and carry out its verdicts; none of them makes decisions about other requests.
 
 mod arrivals;
+pub mod bodies;
 pub mod callers;
 pub mod control_server;
 pub mod daemon;
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -16,8 +16,11 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full};
-use kingcupgrade::transport::gateway::pool::{Connection, Pool};
+use http_body_util::BodyExt;
+use kingcupgrade::transport::{
+    bodies::{SegmentBody, Segments},
+    gateway::pool::{Connection, Pool},
+};
 use tokio::task::LocalSet;
 
 /// How long the executor is blocked.
@@ -62,8 +65,8 @@
     opened.unwrap_or_else(|err| panic!("no connection: {err:?}"))
 }
 
-fn request() -> Request<Full<Bytes>> {
-    Request::new(Full::new(Bytes::from_static(b"prompt")))
+fn request() -> Request<SegmentBody> {
+    Request::new(Segments::from(Bytes::from_static(b"prompt")).body())
 }
 
 /// Guards against an upstream that keeps processing the request of a caller that has disconnected,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, built as one binary with a module for each subject.
 
 mod answers;
+mod bodies;
 mod cached_parts;
 mod capability;
 mod configuration_pull;
