Bound what operators' connections and bodies take of a control instance

Strangers at the operators' port could fill a control instance's memory with configurations that stopped short of their end, and take all its descriptors.

Cause: each connection could hold a body of 4 MiB for ten seconds, and nothing bounded their number.

Bodies are read only for the calls that have one, within an eighth of the memory limit (two configurations at least; 32 MiB without a limit), and give way as callers' do. 256 connections are kept; a new one takes the place of the one that has waited longest for its operator, never of one whose call is being carried out. After the answer, what still arrives is read for a second, so that the refusal of a configuration that is too long arrives.

--- a/src/kingcupgrade/coordination/memory.rs
+++ b/src/kingcupgrade/coordination/memory.rs
@@ -74,6 +74,13 @@
         MemoryBudget { budget, answer_bound, taken: 0, last_refusal: None, short_since: None }
     }
 
+    /// Creates the budget of a process in which bodies may take this many bytes, and nothing else is
+    /// counted.
+    pub fn for_bodies(room: u64) -> MemoryBudget {
+        let budget = (room as f64 / SHORT_FRACTION).ceil() as u64;
+        MemoryBudget { budget: Some(budget), ..MemoryBudget::new(None, 0) }
+    }
+
     /// Returns whether there is a limit.
     pub fn is_limited(&self) -> bool {
         self.budget.is_some()
--- a/src/kingcupgrade/transport/bodies/mod.rs
+++ b/src/kingcupgrade/transport/bodies/mod.rs
@@ -146,7 +146,18 @@
             Ok(read) => read?,
             Err(_) => return Err(BodyError::TooSlow),
         }
-        Ok(HeldBody { segments: reader.buffer.finish(), _memory: Some(reader.memory) })
+        Ok(HeldBody { segments: reader.buffer.finish(), memory: Some(reader.memory) })
+    }
+
+    /// Takes memory for a request that has not arrived yet, for callers without an organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none.
+    pub(crate) fn hold(self: &Arc<Bodies>, bytes: u64) -> Result<BodyMemory, BodyError> {
+        let memory = self.begin(None);
+        memory.extend(bytes)?;
+        Ok(memory)
     }
 
     fn begin(self: &Arc<Bodies>, holder: Holder) -> BodyMemory {
@@ -160,13 +171,19 @@
 }
 
 /// The memory of one body, given back when the value is dropped.
-struct BodyMemory {
+pub(crate) struct BodyMemory {
     bodies: Arc<Bodies>,
     no: BodyNo,
     give_up: Arc<GiveUp>,
 }
 
 impl BodyMemory {
+    /// Waits until the memory has been given up for another body.
+    pub(crate) fn poll_given_up(&self, cx: &mut Context<'_>) -> Poll<()> {
+        *lock(&self.give_up.waker) = Some(cx.waker().clone());
+        if self.give_up.is_set() { Poll::Ready(()) } else { Poll::Pending }
+    }
+
     /// Takes more memory, if need be from bodies that are given up for it.
     fn extend(&self, bytes: u64) -> Result<(), BodyError> {
         if self.give_up.is_set() {
@@ -249,9 +266,7 @@
             let polled = Pin::new(&mut self.body).poll_frame(cx);
             if polled.is_pending() {
                 self.report();
-                *lock(&self.memory.give_up.waker) = Some(cx.waker().clone());
-                // It may have been given up before the waker was set.
-                if self.memory.give_up.is_set() {
+                if self.memory.poll_given_up(cx).is_ready() {
                     continue;
                 }
             }
@@ -283,10 +298,15 @@
 pub(crate) struct HeldBody {
     segments: Segments,
     /// Held for as long as the body is; `None` for an empty one.
-    _memory: Option<BodyMemory>,
+    memory: Option<BodyMemory>,
 }
 
 impl HeldBody {
+    /// Returns the bytes, and what their memory is counted by.
+    pub(crate) fn into_parts(self) -> (Segments, Option<BodyMemory>) {
+        (self.segments, self.memory)
+    }
+
     /// Returns the bytes.
     pub(crate) fn segments(&self) -> &Segments {
         &self.segments
--- a/src/kingcupgrade/transport/bodies/segments.rs
+++ b/src/kingcupgrade/transport/bodies/segments.rs
@@ -118,6 +118,11 @@
         self.parts.iter().map(|part| &part[..])
     }
 
+    /// Returns the bytes in one buffer.
+    pub(crate) fn to_vec(&self) -> Vec<u8> {
+        self.parts().collect::<Vec<_>>().concat()
+    }
+
     /// Returns a body that sends the bytes.
     pub fn body(&self) -> SegmentBody {
         SegmentBody { segments: self.clone(), next: 0, left: self.len }
--- /dev/null
+++ b/src/kingcupgrade/transport/connection_limit.rs
@@ -0,0 +1,173 @@
+//! The number of connections that a listener keeps open.
+//!
+//! A connection takes a descriptor and memory, whether or not its peer ever completes a request on it.
+//! Without descriptors a process can't connect to upstreams or other instances either, nor open files.
+//! So beyond the limit a new connection takes the place of the one that has waited longest for its
+//! peer. One on which a request is being served is never closed for another.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use metrics::counter;
+use tokio::task::{AbortHandle, yield_now};
+
+/// Limits the connections of one listener.
+#[derive(Clone)]
+pub(crate) struct ConnectionLimit(Arc<Inner>);
+
+struct Inner {
+    listener: &'static str,
+    most: usize,
+    open: Mutex<Open>,
+}
+
+#[derive(Default)]
+struct Open {
+    next: u64,
+    /// The connections that wait for their peers, the one that has waited longest first.
+    waiting: BTreeMap<u64, Option<AbortHandle>>,
+    /// The number of connections on which a request is being served.
+    serving: usize,
+}
+
+impl ConnectionLimit {
+    /// Creates the limit of a listener, whose name metrics tell.
+    pub(crate) fn new(listener: &'static str, most: usize) -> ConnectionLimit {
+        ConnectionLimit(Arc::new(Inner { listener, most, open: Mutex::default() }))
+    }
+
+    /// Returns the place for a new connection, or `None` if requests are served on all others.
+    pub(crate) async fn admit(&self) -> Option<Place> {
+        if self.0.is_reached() {
+            if !self.close_one() {
+                self.0.count("refused");
+                return None;
+            }
+            // The task that was aborted closes its connection.
+            yield_now().await;
+        }
+        let number = self.0.open().add_waiting(None);
+        let state = Mutex::new(PlaceState { number: Some(number), task: None });
+        Some(Place { limit: self.0.clone(), state: Arc::new(state) })
+    }
+
+    /// Closes the connection that has waited longest; returns whether there was one.
+    pub(crate) fn close_one(&self) -> bool {
+        let Some((_, task)) = self.0.open().waiting.pop_first() else { return false };
+        if let Some(task) = task {
+            task.abort();
+        }
+        self.0.count("closed");
+        true
+    }
+
+    /// Returns whether a new connection would find a place.
+    pub(crate) fn has_room(&self) -> bool {
+        self.0.open().serving < self.0.most
+    }
+}
+
+impl Inner {
+    fn is_reached(&self) -> bool {
+        let open = self.open();
+        open.waiting.len() + open.serving >= self.most
+    }
+
+    fn open(&self) -> MutexGuard<'_, Open> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, decision: &'static str) {
+        let listener = self.listener;
+        counter!("kingcup_connections_limited", "listener" => listener, "decision" => decision)
+            .increment(1);
+    }
+}
+
+impl Open {
+    fn add_waiting(&mut self, task: Option<AbortHandle>) -> u64 {
+        self.next += 1;
+        self.waiting.insert(self.next, task);
+        self.next
+    }
+}
+
+/// The place of one connection, free again when the value is dropped.
+pub(crate) struct Place {
+    limit: Arc<Inner>,
+    state: Arc<Mutex<PlaceState>>,
+}
+
+struct PlaceState {
+    /// The number under which the connection waits; `None` while a request is served.
+    number: Option<u64>,
+    task: Option<AbortHandle>,
+}
+
+impl Place {
+    /// Sets the task that serves the connection, which is aborted if its place is needed.
+    pub(crate) fn set_task(&self, task: AbortHandle) {
+        let mut state = self.state();
+        let waiting = state.number.and_then(|number| {
+            let mut open = self.limit.open();
+            open.waiting.get_mut(&number).map(|waiting| *waiting = Some(task.clone()))
+        });
+        // Another connection has taken the place already.
+        if waiting.is_none() && state.number.is_some() {
+            task.abort();
+        }
+        state.task = Some(task);
+    }
+
+    /// Keeps the place until the returned value is dropped: a request is being served.
+    pub(crate) fn serve(&self) -> Serving {
+        let mut state = self.state();
+        let mut open = self.limit.open();
+        let was_waiting = state.number.is_some_and(|number| open.waiting.remove(&number).is_some());
+        if was_waiting {
+            state.number = None;
+            open.serving += 1;
+        }
+        let place = was_waiting.then(|| (self.limit.clone(), self.state.clone()));
+        Serving { place }
+    }
+
+    /// Gives the place back while the connection stays open.
+    pub(crate) fn leave(&self) {
+        if let Some(number) = self.state().number.take() {
+            self.limit.open().waiting.remove(&number);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, PlaceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
+/// Tells that a request is being served on a connection, which waits again when the value is dropped.
+pub(crate) struct Serving {
+    /// `None` if the connection is being closed for another one.
+    place: Option<(Arc<Inner>, Arc<Mutex<PlaceState>>)>,
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        let Some((limit, state)) = self.place.take() else { return };
+        let is_open = Arc::strong_count(&state) > 1;
+        let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut open = limit.open();
+        open.serving -= 1;
+        if is_open {
+            let task = state.task.clone();
+            state.number = Some(open.add_waiting(task));
+        }
+    }
+}
--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -1,31 +1,34 @@
 //! The HTTP interface of a control instance for operators who replace the complete configuration.
 
-use std::{convert::Infallible, rc::Rc, sync::Arc};
+use std::{convert::Infallible, future::poll_fn, rc::Rc, sync::Arc};
 
 use anyhow::Context;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use super::{
     arrivals::{Arrivals, OperatorConnection},
+    bodies::{Bodies, BodyError, BodyLimits, HeldBody},
+    connection_limit::{ConnectionLimit, Place},
     fleet::FleetHandle,
     gateway::adapter::{OperatorCall, PlatformAdapter},
+    linger::linger,
     listen::listen,
     metrics, reload,
     signals::EarlySignals,
     tasks::{EssentialTasks, run_on_this_thread},
 };
 use crate::{
-    coordination::fleet::FleetInput,
-    core::{Code, Millis, Service, code::CodedError, fleet::FleetSettings},
+    coordination::{fleet::FleetInput, memory::MemoryBudget},
+    core::{Code, Millis, Service, clock::Clock, code::CodedError, fleet::FleetSettings},
     protocol::record::{Command, Reply, StoredConfiguration},
     util::{log, random},
 };
@@ -37,6 +40,15 @@
 /// configuration both as text and decoded, and for a moment also the next one while it takes
 /// effect.
 const MAX_CONFIGURATION_LEN: usize = 4 << 20;
+/// The fraction of the memory limit that request bodies may take; decoded configurations and the record
+/// need more.
+const BODY_FRACTION: f64 = 0.125;
+/// The memory for request bodies in bytes if the settings state no limit.
+const DEFAULT_BODY_MEMORY: u64 = 32 << 20;
+/// The number of connections that are kept open. An operator has eight orders in progress at most.
+const MAX_CONNECTIONS: usize = 256;
+/// The size of the read buffer of a connection, in bytes; the longest request head that is accepted.
+const BUF_LEN: usize = 16 << 10;
 /// The timeout for reading a request head or body.
 const READ_TIMEOUT: Millis = Millis(10_000);
 /// The pause after a failed accept.
@@ -49,6 +61,8 @@
 struct OperatorServer<E> {
     adapter: Arc<E>,
     fleet: FleetHandle,
+    /// The bodies of requests.
+    bodies: Arc<Bodies>,
 }
 
 type OperatorResponse = Response<Full<Bytes>>;
@@ -79,7 +93,9 @@
     let fleet = FleetHandle::start(settings.clone(), Box::new(|_| {}))?;
     let mut tasks = EssentialTasks::default();
     tasks.spawn("settings", reload::follow(adapter.clone(), fleet.clone(), settings.clone()));
-    let server = Rc::new(OperatorServer { adapter, fleet: fleet.clone() });
+    let budget = MemoryBudget::for_bodies(body_memory(settings.memory_limit));
+    let bodies = Bodies::new(Clock::start(), budget, 1.0);
+    let server = Rc::new(OperatorServer { adapter, fleet: fleet.clone(), bodies });
     let arrivals = Arrivals::new(listener, fleet.clone());
     tasks.spawn("operators", accept_all(server, arrivals));
     log::event("started", &settings.instance());
@@ -97,14 +113,24 @@
     Ok(())
 }
 
+/// Returns how many bytes of request bodies a control instance holds at a time.
+fn body_memory(memory_limit: Option<u64>) -> u64 {
+    let part = memory_limit.map(|limit| (limit as f64 * BODY_FRACTION) as u64);
+    part.unwrap_or(DEFAULT_BODY_MEMORY).max(2 * MAX_CONFIGURATION_LEN as u64)
+}
+
 async fn accept_all<E: PlatformAdapter>(
     server: Rc<OperatorServer<E>>,
     mut arrivals: Arrivals,
 ) -> anyhow::Result<()> {
+    let limit = ConnectionLimit::new("operators", MAX_CONNECTIONS);
     loop {
         match arrivals.next().await {
             Ok(connection) => {
-                tokio::task::spawn_local(serve_connection(server.clone(), connection));
+                let Some(place) = limit.admit().await else { continue };
+                let place = Rc::new(place);
+                let serving = serve_connection(server.clone(), connection, place.clone());
+                place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
@@ -119,40 +145,58 @@
 async fn serve_connection<E: PlatformAdapter>(
     server: Rc<OperatorServer<E>>,
     connection: OperatorConnection,
+    place: Rc<Place>,
 ) {
     let OperatorConnection { stream, known_index } = connection;
     let service = service_fn(|request| {
-        let server = server.clone();
-        async move { Ok::<_, Infallible>(server.serve(request, known_index).await) }
+        let (server, place) = (server.clone(), place.clone());
+        Box::pin(
+            async move { Ok::<_, Infallible>(server.serve(request, known_index, &place).await) },
+        )
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(READ_TIMEOUT.as_duration())
+        .max_buf_size(BUF_LEN)
         .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
     // Errors are ignored because an operator whose connection fails can retry.
-    let _ = connection.await;
+    if poll_fn(|cx| connection.poll_without_shutdown(cx)).await.is_ok() {
+        linger(connection.into_parts().io.into_inner()).await;
+    }
 }
 
 impl<E: PlatformAdapter> OperatorServer<E> {
     /// Dispatches a request to the operation that its method and path denote; `known_index` is an
     /// index of the record that this instance knew before the request was sent.
-    async fn serve(&self, request: Request<Incoming>, known_index: u64) -> OperatorResponse {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        known_index: u64,
+        place: &Place,
+    ) -> OperatorResponse {
         let call = self.adapter.operator_call(request.method(), request.uri().path());
-        let reading = Limited::new(request.into_body(), MAX_CONFIGURATION_LEN).collect();
-        let body = match timeout(READ_TIMEOUT.as_duration(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(err)) if err.is::<LengthLimitError>() => {
-                let detail = format!("at most {MAX_CONFIGURATION_LEN} bytes");
-                return refusal(Code::ConfigurationTooLarge, &detail);
+        let limits = BodyLimits {
+            holder: None,
+            max_len: MAX_CONFIGURATION_LEN,
+            timeout: READ_TIMEOUT.as_duration(),
+        };
+        let body = match call {
+            Some(OperatorCall::Replace | OperatorCall::StartRollout) => {
+                match self.bodies.read(request.into_body(), limits).await {
+                    Ok(body) => body,
+                    Err(err) => return refusal_of_body(err),
+                }
             }
-            Ok(Err(err)) => return refusal(Code::BadRequest, &err.to_string()),
-            Err(_) => return refusal(Code::BodyTimeout, "the body did not arrive in time"),
+            _ => HeldBody::default(),
         };
+        let _serving = place.serve();
         match call {
-            Some(OperatorCall::Replace) => self.replace(&body).await,
+            Some(OperatorCall::Replace) => self.replace(&body.segments().to_vec()).await,
             Some(OperatorCall::Read) => self.read().await,
-            Some(OperatorCall::StartRollout) => self.start_rollout(&body, known_index).await,
+            Some(OperatorCall::StartRollout) => {
+                self.start_rollout(&body.segments().to_vec(), known_index).await
+            }
             Some(OperatorCall::ReadRollout(service)) => self.read_rollout(service).await,
             Some(OperatorCall::SetDomain { domain, out }) => {
                 let Ok(change) = random::number() else {
@@ -237,6 +281,18 @@
     refusal(err.code, &err.detail)
 }
 
+fn refusal_of_body(err: BodyError) -> OperatorResponse {
+    match err {
+        BodyError::TooLong => {
+            let detail = format!("at most {MAX_CONFIGURATION_LEN} bytes");
+            refusal(Code::ConfigurationTooLarge, &detail)
+        }
+        BodyError::NoRoom => refusal(Code::TooBusy, "no memory is left for the body"),
+        BodyError::TooSlow => refusal(Code::BodyTimeout, "the body did not arrive in time"),
+        BodyError::Broken(detail) => refusal(Code::BadRequest, &detail),
+    }
+}
+
 /// Logs a refusal, and builds its response.
 fn refusal(code: Code, detail: &str) -> OperatorResponse {
     log::event("operator-refused", &(code.number(), detail));
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -6,6 +6,7 @@
 mod arrivals;
 pub mod bodies;
 pub mod callers;
+mod connection_limit;
 pub mod control_server;
 pub mod daemon;
 mod durable;
@@ -13,6 +14,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod http;
+mod linger;
 mod listen;
 pub(crate) mod metrics;
 pub mod notice;
