Bound callers' connections and heads, and those of probes and scrapes

Callers that sent nothing, or heads without end, could take all descriptors of an entry, so that it could connect to no upstream and no other instance; scrapes and probes could fill its memory.

Causes: connections were accepted without a bound; the time of a head was that of an idle connection, and its buffer, up to 64 KiB, was counted nowhere; the servers of metrics and readiness had read buffers of some 400 KiB.

Callers' connections take three quarters of the sockets and a quarter of the memory limit (at 20 KiB each) at most. A new one takes the place of the one that has waited longest for its caller, never of one on which a request is being served; if all are, it is closed unread, and the entry says that it is not ready. A head that isn't complete after its first read takes memory from the budget of bodies, gives way as they do, and is refused (408, K2011) when the configured time for heads, counted from its first byte, is over. Read buffers are as long as the longest permitted head and 4 KiB. Metrics and readiness keep 64 connections each, with buffers of 8 KiB.

--- a/src/kingcupgrade/core/code.rs
+++ b/src/kingcupgrade/core/code.rs
@@ -82,6 +82,7 @@
     KeyUnknown = 2009, Unknown, 409, "A request with this Idempotency-Key may have run; it will not run again.";
 
     BodyTimeout = 2010, NotRun, 408, "The request body did not arrive in time.";
+    HeadTimeout = 2011, NotRun, 408, "The request head did not arrive in time.";
 
     QueueFull = 3001, NotRun, 429, "The organisation's queue is full.";
     DeadlineQueued = 3002, NotRun, 503, "The deadline passed while the request waited for a free slot.";
--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -6,13 +6,11 @@
 
 use std::{
     cell::{Cell, RefCell},
-    future::poll_fn,
     io,
     mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -20,27 +18,21 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{sleep, timeout},
 };
 
-use super::memory::AnswerBuffer;
+use super::{head_watch::HeadWatch, memory::AnswerBuffer};
+use crate::transport::linger;
 
 /// The size of the kernel's send buffer where the process's memory is limited; callers at a round
 /// trip of 10 ms still get more than 6 MB a second.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
-/// How long what a caller still sends of a refused request is read and dropped.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-/// The size of the buffer for what is dropped, in bytes.
-const DISCARD_LEN: usize = 16 << 10;
-/// The pause after each such buffer: what is dropped takes no more than a small part of the processor.
-const DISCARD_PAUSE: Duration = Duration::from_millis(1);
-
 /// A caller's connection, for the server that reads and writes it.
 pub struct CallerStream {
     stream: Rc<RefCell<TcpStream>>,
     /// Bytes that were read before, and that the server has not got yet.
     pending: Bytes,
+    head: Rc<HeadWatch>,
     /// Counts what is not written yet, if the process's memory is limited.
     buffer: Option<Rc<AnswerBuffer>>,
     is_discarded: Rc<Cell<bool>>,
@@ -50,6 +42,7 @@
 #[derive(Clone)]
 pub struct Caller {
     stream: Rc<RefCell<TcpStream>>,
+    head: Rc<HeadWatch>,
     buffer: Option<Rc<AnswerBuffer>>,
     /// Whether a request was refused that has not been read to its end.
     is_discarded: Rc<Cell<bool>>,
@@ -58,15 +51,16 @@
 impl CallerStream {
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> CallerStream {
-        CallerStream::with_pending(stream, Bytes::new(), None)
+        CallerStream::with_pending(stream, Bytes::new(), None, HeadWatch::default())
     }
 
     /// Wraps a connection of which `pending` was read already; `buffer` counts what is not written
-    /// yet, if the process's memory is limited.
+    /// yet, if the process's memory is limited, and `head` limits the heads of requests.
     pub(super) fn with_pending(
         stream: TcpStream,
         pending: Bytes,
         buffer: Option<Rc<AnswerBuffer>>,
+        head: HeadWatch,
     ) -> CallerStream {
         if buffer.is_some() {
             // The kernel would buffer some megabytes for each caller that does not read. A failure
@@ -74,13 +68,18 @@
             let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         }
         let is_discarded = Rc::default();
-        CallerStream { stream: Rc::new(RefCell::new(stream)), pending, buffer, is_discarded }
+        let (stream, head) = (Rc::new(RefCell::new(stream)), Rc::new(head));
+        CallerStream { stream, pending, head, buffer, is_discarded }
     }
 
     /// Returns what tells whether the caller has left.
     pub fn caller(&self) -> Caller {
-        let is_discarded = self.is_discarded.clone();
-        Caller { stream: self.stream.clone(), buffer: self.buffer.clone(), is_discarded }
+        Caller {
+            stream: self.stream.clone(),
+            head: self.head.clone(),
+            buffer: self.buffer.clone(),
+            is_discarded: self.is_discarded.clone(),
+        }
     }
 
     fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
@@ -114,6 +113,17 @@
         self.buffer.as_ref()
     }
 
+    /// Returns what limits the heads of the caller's requests.
+    pub(super) fn head(&self) -> &Rc<HeadWatch> {
+        &self.head
+    }
+
+    /// Writes as much of a last answer as is possible without waiting.
+    pub(super) fn write_last(&self, bytes: &[u8]) {
+        // An error means that the caller has left.
+        let _ = self.stream.borrow().try_write(bytes);
+    }
+
     /// Has what the caller still sends read and dropped before the connection is closed.
     pub(super) fn discard_on_close(&self) {
         self.is_discarded.set(true);
@@ -123,24 +133,9 @@
         self.is_discarded.get()
     }
 
-    /// Reads and drops what the caller sends, until it closes the connection or the time is over.
+    /// Reads and drops what the caller sends, for some time at most.
     pub(super) async fn discard(&self) {
-        let mut bytes = vec![0; DISCARD_LEN];
-        let reading = async {
-            loop {
-                let read = poll_fn(|cx| {
-                    let mut buf = ReadBuf::new(&mut bytes);
-                    let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf);
-                    polled.map_ok(|()| buf.filled().len())
-                });
-                match read.await {
-                    Ok(len) if len > 0 => sleep(DISCARD_PAUSE).await,
-                    _ => return,
-                }
-            }
-        };
-        // The rest is lost with the connection.
-        let _ = timeout(DISCARD_TIMEOUT, reading).await;
+        linger::discard(SharedStream(&self.stream)).await;
     }
 
     /// Has the connection reset when it is closed, so that the kernel drops what the caller has not
@@ -151,18 +146,42 @@
     }
 }
 
+/// Reads a connection that others hold, too.
+struct SharedStream<'a>(&'a RefCell<TcpStream>);
+
+impl AsyncRead for SharedStream<'_> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if !self.pending.is_empty() {
-            let len = self.pending.len().min(buf.remaining());
-            buf.put_slice(&self.pending.split_to(len));
-            return Poll::Ready(Ok(()));
+        self.head.before_read()?;
+        let filled = buf.filled().len();
+        let polled = match self.pending.is_empty() {
+            true => self.poll(|stream| stream.poll_read(cx, buf)),
+            false => {
+                let len = self.pending.len().min(buf.remaining());
+                buf.put_slice(&self.pending.split_to(len));
+                Poll::Ready(Ok(()))
+            }
+        };
+        match polled {
+            Poll::Pending => self.head.poll_late(cx).map(Err),
+            Poll::Ready(read) => {
+                self.head.on_read(buf.filled().len() - filled);
+                Poll::Ready(read)
+            }
         }
-        self.poll(|stream| stream.poll_read(cx, buf))
     }
 }
 
--- a/src/kingcupgrade/transport/gateway/early_refusal.rs
+++ b/src/kingcupgrade/transport/gateway/early_refusal.rs
@@ -117,7 +117,7 @@
         timeout(READ_TIMEOUT.as_duration(), discard(stream, body_left)).await??;
         let response =
             error_response(&*self.adapter, code, retry_after, decoded.request_id.as_deref());
-        stream.write_all(&encode(&response, &format!("{code}\n"))).await?;
+        stream.write_all(&encode_last(&response, &format!("{code}\n"))).await?;
         Ok(EarlyOutcome::Refused)
     }
 
@@ -132,7 +132,7 @@
 }
 
 /// Encodes an answer after which the connection is closed.
-fn encode<T>(response: &Response<T>, text: &str) -> Vec<u8> {
+pub(super) fn encode_last<T>(response: &Response<T>, text: &str) -> Vec<u8> {
     let mut bytes = format!("HTTP/1.1 {}\r\n", response.status()).into_bytes();
     for (name, value) in response.headers() {
         bytes.extend_from_slice(name.as_str().as_bytes());
--- /dev/null
+++ b/src/kingcupgrade/transport/gateway/head_watch.rs
@@ -0,0 +1,118 @@
+//! Request heads that don't end.
+//!
+//! The HTTP server keeps the first bytes of a head until the last one has arrived. Its timeout for a
+//! head begins with the end of the previous answer, so that it is as long as a connection may be idle.
+//! Here the time of a head begins with its first byte, and a head that is not complete after the first
+//! read takes memory from the budget for request bodies.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    io,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use tokio::time::{Sleep, sleep};
+
+use crate::{
+    core::{Code, Millis},
+    transport::bodies::{Bodies, BodyError, BodyMemory},
+};
+
+/// The limits of incomplete heads.
+pub(super) struct HeadLimits {
+    /// The memory of the process for what arrives.
+    pub(super) bodies: Arc<Bodies>,
+    /// What an incomplete head takes of it, in bytes.
+    pub(super) len: usize,
+    /// The maximum time from the first byte to the last one.
+    pub(super) timeout: Millis,
+}
+
+/// Watches the heads of the requests on one connection.
+#[derive(Default)]
+pub(super) struct HeadWatch {
+    limits: Option<HeadLimits>,
+    /// Whether a request's body is being read, or its answer written.
+    is_complete: Cell<bool>,
+    /// Whether bytes of a head have been read.
+    has_begun: Cell<bool>,
+    incomplete: RefCell<Option<Incomplete>>,
+    refusal: Cell<Option<Code>>,
+}
+
+/// Tells that a request is being read or answered.
+pub(super) struct Answering(Rc<HeadWatch>);
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.is_complete.set(false);
+    }
+}
+
+/// A head of which the first read has not brought the end.
+struct Incomplete {
+    memory: BodyMemory,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl HeadWatch {
+    pub(super) fn new(limits: HeadLimits) -> HeadWatch {
+        HeadWatch { limits: Some(limits), ..HeadWatch::default() }
+    }
+
+    /// Records that the head of a request is complete. The next one begins when the returned value is
+    /// dropped.
+    pub(super) fn complete(self: &Rc<HeadWatch>) -> Answering {
+        self.is_complete.set(true);
+        self.has_begun.set(false);
+        self.incomplete.take();
+        Answering(self.clone())
+    }
+
+    /// Returns the code with which an incomplete request is to be refused.
+    pub(super) fn refusal(&self) -> Option<Code> {
+        self.refusal.get()
+    }
+
+    /// Takes memory for a head whose first bytes have been read, once.
+    pub(super) fn before_read(&self) -> io::Result<()> {
+        let Some(limits) = &self.limits else { return Ok(()) };
+        let mut incomplete = self.incomplete.borrow_mut();
+        if self.is_complete.get() || !self.has_begun.get() || incomplete.is_some() {
+            return Ok(());
+        }
+        let held = limits.bodies.hold(limits.len as u64);
+        let memory = held.map_err(|err| self.give_up(&err))?;
+        let timer = Box::pin(sleep(limits.timeout.as_duration()));
+        *incomplete = Some(Incomplete { memory, timer });
+        Ok(())
+    }
+
+    /// Records that this many bytes have been read.
+    pub(super) fn on_read(&self, len: usize) {
+        if len > 0 && !self.is_complete.get() {
+            self.has_begun.set(true);
+        }
+    }
+
+    /// Waits until an incomplete head is given up, and returns the error for the HTTP server.
+    pub(super) fn poll_late(&self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let mut incomplete = self.incomplete.borrow_mut();
+        let Some(incomplete) = incomplete.as_mut() else { return Poll::Pending };
+        let is_given_up = incomplete.memory.poll_given_up(cx).is_ready();
+        if is_given_up || incomplete.timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(self.give_up(&BodyError::TooSlow));
+        }
+        Poll::Pending
+    }
+
+    fn give_up(&self, err: &BodyError) -> io::Error {
+        let code = if *err == BodyError::NoRoom { Code::TooBusy } else { Code::HeadTimeout };
+        self.refusal.set(Some(code));
+        io::Error::new(io::ErrorKind::TimedOut, code.text())
+    }
+}
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod early_refusal;
 mod end_check;
 pub mod events;
+mod head_watch;
 pub mod latency;
 mod listing;
 mod memory;
@@ -53,6 +54,7 @@
     scheduling_delay::probe_scheduling_delay,
 };
 use super::{
+    connection_limit::ConnectionLimit,
     fleet::FleetHandle,
     listen::listen,
     metrics, reload,
@@ -108,6 +110,7 @@
     next_request: Cell<RequestNo>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
+    connections: ConnectionLimit,
     /// The connections that are read only to drop what was refused.
     discarding: Cell<usize>,
     shutdown: Cell<Shutdown>,
@@ -147,6 +150,7 @@
         let traffic = self.traffic.borrow();
         self.stage() == DrainStage::Serving
             && !self.is_full()
+            && self.connections.has_room()
             && traffic.configuration().is_some()
             && traffic.has_upstreams()
     }
@@ -305,6 +309,10 @@
         next_request: Cell::new(1),
         open_requests: Cell::new(0),
         open_connections: Cell::new(0),
+        connections: ConnectionLimit::new(
+            "callers",
+            serve::max_callers(settings.max_sockets, settings.memory_limit),
+        ),
         discarding: Cell::new(0),
         shutdown: Cell::default(),
         drain: tokio::sync::watch::channel(DrainStage::Serving).0,
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -26,7 +26,7 @@
     collected::{CollectedBody, ResponseTooLong},
     memory::{AnswerBuffer, CountedBody},
     relay::Relay,
-    response::{ResponseBody, strip_hop_headers},
+    response::{Content, ResponseBody, strip_hop_headers},
 };
 use crate::{
     coordination::{
@@ -216,7 +216,7 @@
         strip_hop_headers(&mut head.headers);
         head.version = http::Version::HTTP_11;
         let relay = Relay::new(self, source);
-        Response::from_parts(head, ResponseBody::Streamed(Box::new(relay)))
+        Response::from_parts(head, Content::Streamed(Box::new(relay)).into())
     }
 
     /// Reads a response to the end before forwarding any of it, so that if it breaks off the
@@ -292,5 +292,5 @@
     strip_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.version = http::Version::HTTP_11;
-    Response::from_parts(head, ResponseBody::Held(body.body()))
+    Response::from_parts(head, Content::Held(body.body()).into())
 }
--- a/src/kingcupgrade/transport/gateway/response.rs
+++ b/src/kingcupgrade/transport/gateway/response.rs
@@ -10,14 +10,22 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::{adapter::PlatformAdapter, relay::Relay};
+use super::{adapter::PlatformAdapter, head_watch::Answering, relay::Relay};
 use crate::{
     core::{Code, Millis},
-    transport::bodies::SegmentBody,
+    transport::{bodies::SegmentBody, connection_limit::Serving},
 };
 
 /// The body of a response to a caller.
-pub(super) enum ResponseBody<E: PlatformAdapter> {
+pub(super) struct ResponseBody<E: PlatformAdapter> {
+    content: Content<E>,
+    /// Held until the body has been handed over to the HTTP server.
+    _serving: Option<Serving>,
+    _answering: Option<Answering>,
+}
+
+/// The content of a response to a caller.
+pub(super) enum Content<E: PlatformAdapter> {
     /// A text of this entry.
     Text(Full<Bytes>),
     /// An upstream's answer that was read to the end.
@@ -39,6 +47,24 @@
 
 impl std::error::Error for TruncatedResponse {}
 
+impl<E: PlatformAdapter> ResponseBody<E> {
+    /// Has the connection count as serving until the body has been handed over.
+    pub(super) fn served_by(self, serving: Serving) -> ResponseBody<E> {
+        ResponseBody { _serving: Some(serving), ..self }
+    }
+
+    /// Has the bytes that are read meanwhile not count as the head of another request.
+    pub(super) fn answered_as(self, answering: Answering) -> ResponseBody<E> {
+        ResponseBody { _answering: Some(answering), ..self }
+    }
+}
+
+impl<E: PlatformAdapter> From<Content<E>> for ResponseBody<E> {
+    fn from(content: Content<E>) -> ResponseBody<E> {
+        ResponseBody { content, _serving: None, _answering: None }
+    }
+}
+
 impl<E: PlatformAdapter> Body for ResponseBody<E> {
     type Data = Bytes;
     type Error = TruncatedResponse;
@@ -47,26 +73,26 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
-        match self.get_mut() {
-            ResponseBody::Text(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
-            ResponseBody::Held(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
-            ResponseBody::Streamed(relay) => relay.poll_frame(cx),
+        match &mut self.get_mut().content {
+            Content::Text(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
+            Content::Held(body) => Pin::new(body).poll_frame(cx).map_err(|err| match err {}),
+            Content::Streamed(relay) => relay.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            ResponseBody::Text(body) => body.is_end_stream(),
-            ResponseBody::Held(body) => body.is_end_stream(),
-            ResponseBody::Streamed(_) => false,
+        match &self.content {
+            Content::Text(body) => body.is_end_stream(),
+            Content::Held(body) => body.is_end_stream(),
+            Content::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            ResponseBody::Text(body) => body.size_hint(),
-            ResponseBody::Held(body) => body.size_hint(),
-            ResponseBody::Streamed(relay) => relay.size_hint(),
+        match &self.content {
+            Content::Text(body) => body.size_hint(),
+            Content::Held(body) => body.size_hint(),
+            Content::Streamed(relay) => relay.size_hint(),
         }
     }
 }
@@ -89,7 +115,7 @@
     if let Some(request_id) = request_id {
         adapter.add_request_id(&mut headers, request_id);
     }
-    let mut response = Response::new(ResponseBody::Text(Full::new(text.into())));
+    let mut response = Response::new(Content::Text(Full::new(text.into())).into());
     *response.status_mut() =
         http::StatusCode::from_u16(code.status()).expect("every code maps to an HTTP status");
     *response.headers_mut() = headers;
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -20,7 +20,8 @@
     Gateway,
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
-    early_refusal::EarlyOutcome,
+    early_refusal::{EarlyOutcome, encode_last},
+    head_watch::{HeadLimits, HeadWatch},
     memory::AnswerBuffer,
     request::{ProxiedRequest, RoutedRequest},
     response::{ResponseBody, error_response},
@@ -28,12 +29,32 @@
 use crate::{
     coordination::shutdown::DrainStage,
     core::{Code, Millis},
-    transport::bodies::{BodyError, BodyLimits},
+    transport::{
+        bodies::{BodyError, BodyLimits},
+        connection_limit::{ConnectionLimit, Place},
+    },
     util::log,
 };
 
-/// The size of the read buffer of a caller's connection; larger than any permitted request head.
-const MAX_BUF_LEN: usize = 64 << 10;
+/// The size of the read buffer of a caller's connection until a configuration is known, in bytes.
+const DEFAULT_BUF_LEN: usize = 32 << 10;
+/// The size of the read buffer beyond that of the longest permitted request head, in bytes.
+const BUF_SLACK: usize = 4 << 10;
+/// The memory in bytes that the HTTP server takes for a connection beside the read buffer.
+const CONNECTION_LEN: usize = 4 << 10;
+/// The fraction of the sockets that callers' connections may take; upstreams, other instances and
+/// operators need the rest.
+const CALLER_FRACTION: f64 = 0.75;
+/// The fraction of the memory limit that the state of these connections may take.
+const CALLER_MEMORY_FRACTION: f64 = 0.25;
+/// The number of connections for which there is memory in any case.
+const MIN_CALLERS: usize = 64;
+/// The memory of a connection with a read buffer of the usual size, in bytes.
+const USUAL_CONNECTION_LEN: usize = 20 << 10;
+/// The number of connections for readiness probes; a load balancer needs one.
+const MAX_PROBES: usize = 64;
+/// The size of the read buffer of such a connection, in bytes.
+const PROBE_BUF_LEN: usize = 8 << 10;
 /// The timeout for an idle connection and for reading a request head or body until a
 /// configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(30_000);
@@ -83,6 +104,15 @@
     }
 }
 
+/// Returns how many connections of callers are kept open.
+pub(super) fn max_callers(max_sockets: usize, memory_limit: Option<u64>) -> usize {
+    let by_sockets = (max_sockets as f64 * CALLER_FRACTION) as usize;
+    let by_memory = memory_limit.map_or(usize::MAX, |limit| {
+        (limit as f64 * CALLER_MEMORY_FRACTION) as usize / USUAL_CONNECTION_LEN
+    });
+    by_sockets.min(by_memory.max(MIN_CALLERS)).max(1)
+}
+
 /// Accepts callers' connections until the shutdown reaches the stage that closes the listener.
 pub(super) async fn accept_callers<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
@@ -97,23 +127,32 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                // A closed connection tells the caller that its request was not read.
+                let Some(place) = gateway.connections.admit().await else { continue };
+                let place = Rc::new(place);
                 let accepted = gateway.now();
-                let gateway = gateway.clone();
-                tokio::task::spawn_local(async move {
+                let (gateway, own_place) = (gateway.clone(), place.clone());
+                let task = tokio::task::spawn_local(async move {
                     gateway.record_connection_delay(gateway.now().since(accepted));
-                    serve_connection(gateway, stream).await;
+                    serve_connection(gateway, stream, own_place).await;
                 });
+                place.set_task(task.abort_handle());
             }
             // An entry that stopped accepting would still look healthy but serve no caller.
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
+                gateway.connections.close_one();
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn serve_connection<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, mut stream: TcpStream) {
+async fn serve_connection<E: PlatformAdapter>(
+    gateway: Rc<Gateway<E>>,
+    mut stream: TcpStream,
+    place: Rc<Place>,
+) {
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
     let _ = stream.set_nodelay(true);
@@ -128,14 +167,21 @@
     };
     // Set while the next request is the one that load shedding has spared.
     let is_spared = Cell::new(is_spared);
-    let idle = gateway.traffic.borrow().configuration().map(|c| c.limits.idle_timeout);
+    let limits = gateway.traffic.borrow().configuration().map(|c| c.limits.clone());
+    let idle = limits.as_ref().map(|limits| limits.idle_timeout);
+    let buf_len = limits.as_ref().map_or(DEFAULT_BUF_LEN, |l| l.max_head_len + BUF_SLACK);
+    let head = HeadWatch::new(HeadLimits {
+        bodies: gateway.memory.bodies().clone(),
+        len: buf_len + CONNECTION_LEN,
+        timeout: limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.head_timeout),
+    });
     let is_closing = gateway.stage() >= DrainStage::Closing;
     let idle = match is_closing {
         true => DRAIN_HEAD_TIMEOUT,
         false => idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) + IDLE_SLACK,
     };
     let buffer = gateway.memory.open_buffer();
-    let stream = CallerStream::with_pending(stream, pending, buffer.clone());
+    let stream = CallerStream::with_pending(stream, pending, buffer.clone(), head);
     let caller = stream.caller();
     let (closing_caller, refused_caller) = (caller.clone(), caller.clone());
     let ended = async move {
@@ -144,9 +190,12 @@
     };
     let mut ended = std::pin::pin!(ended);
     let service = service_fn(|request| {
+        let answering = caller.head().complete();
         let (gateway, caller, is_spared) = (gateway.clone(), caller.clone(), is_spared.take());
+        let place = place.clone();
         async move {
-            let mut response = serve_one(gateway.clone(), caller, request, is_spared).await?;
+            let response = serve_one(gateway.clone(), caller, &place, request, is_spared).await?;
+            let mut response = response.map(|body| body.answered_as(answering));
             if !may_keep_connection(&gateway) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -157,7 +206,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle.as_duration())
-        .max_buf_size(MAX_BUF_LEN)
+        .max_buf_size(buf_len.max(PROBE_BUF_LEN))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut drain = gateway.drain.subscribe();
@@ -172,21 +221,28 @@
     };
     tokio::select! {
         // A disconnect is recorded where the request is handled, which cancels its attempt.
-        _ = connection.as_mut() => return discard_refused(&gateway, &refused_caller).await,
+        _ = connection.as_mut() => return end_refused(&gateway, &refused_caller).await,
         () = ended.as_mut() => return,
         () = closing => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
         // Errors are ignored for the same reason as above.
-        _ = connection => discard_refused(&gateway, &refused_caller).await,
+        _ = connection => end_refused(&gateway, &refused_caller).await,
         () = ended => {}
     }
 }
 
-/// Reads and drops what a caller still sends of a request that was refused. A connection that is closed
+/// Refuses a head that did not arrive, and reads and drops what the caller of a refused request still
+/// sends. A connection that is closed
 /// with unread bytes is reset, and the refusal lost.
-async fn discard_refused<E: PlatformAdapter>(gateway: &Gateway<E>, caller: &Caller) {
+async fn end_refused<E: PlatformAdapter>(gateway: &Gateway<E>, caller: &Caller) {
+    if let Some(code) = caller.head().refusal() {
+        gateway.log_unrouted_refusal(code, RETRY_AFTER_MEMORY, None);
+        let response = error_response(&*gateway.adapter, code, RETRY_AFTER_MEMORY, None);
+        caller.write_last(&encode_last(&response, &format!("{code}\n")));
+        caller.discard_on_close();
+    }
     if caller.is_discarded_on_close() && gateway.discarding.get() < MAX_DISCARDING {
         let _count_guard = CountGuard::new(&gateway.discarding);
         caller.discard().await;
@@ -217,6 +273,7 @@
 async fn serve_one<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
     caller: Caller,
+    place: &Place,
     request: Request<Incoming>,
     is_spared: bool,
 ) -> Result<Response<ResponseBody<E>>, Infallible> {
@@ -263,6 +320,7 @@
             return Ok(refuse_unread(Code::TooBusy, RETRY_AFTER_MEMORY));
         }
     };
+    let serving = place.serve();
     let current = gateway.traffic.borrow().configuration().cloned();
     let configuration = current.unwrap_or(configuration);
     let routed = match routed.under(&gateway, &configuration, &head, &decoded) {
@@ -282,10 +340,11 @@
     }
     let mut proxied =
         ProxiedRequest::new(gateway.clone(), caller, &configuration, routed, head, decoded, body);
-    match proxied.find_version().await {
-        Ok(()) => Ok(Rc::new(proxied).serve().await),
-        Err(code) => Ok(proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN)),
-    }
+    let response = match proxied.find_version().await {
+        Ok(()) => Rc::new(proxied).serve().await,
+        Err(code) => proxied.refuse(code, RETRY_AFTER_UNKNOWN_ORIGIN),
+    };
+    Ok(response.map(|body| body.served_by(serving)))
 }
 
 /// Serves the load balancer's readiness probes for as long as the process runs.
@@ -293,10 +352,14 @@
     gateway: Rc<Gateway<E>>,
     listener: TcpListener,
 ) -> anyhow::Result<()> {
+    let limit = ConnectionLimit::new("readiness", MAX_PROBES);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_probes(gateway.clone(), stream));
+                let Some(place) = limit.admit().await else { continue };
+                let place = Rc::new(place);
+                let serving = serve_probes(gateway.clone(), stream, place.clone());
+                place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
@@ -306,7 +369,11 @@
     }
 }
 
-async fn serve_probes<E: PlatformAdapter>(gateway: Rc<Gateway<E>>, stream: TcpStream) {
+async fn serve_probes<E: PlatformAdapter>(
+    gateway: Rc<Gateway<E>>,
+    stream: TcpStream,
+    _place: Rc<Place>,
+) {
     let service = service_fn(|request: Request<Incoming>| {
         let is_ready_path = gateway.adapter.is_ready_path(request.uri().path());
         let status = match (is_ready_path, gateway.is_ready()) {
@@ -321,6 +388,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(DEFAULT_IDLE_TIMEOUT.as_duration())
+        .max_buf_size(PROBE_BUF_LEN)
         .serve_connection(TokioIo::new(stream), service);
     // Errors are ignored because the load balancer probes again.
     let _ = connection.await;
--- a/src/kingcupgrade/transport/metrics.rs
+++ b/src/kingcupgrade/transport/metrics.rs
@@ -3,7 +3,7 @@
 //! The exporter keeps histogram samples in memory until it sorts them into buckets, which it does
 //! when metrics are scraped. Nobody may scrape them for days, so it is also done periodically.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -17,6 +17,7 @@
     time::{interval, sleep},
 };
 
+use super::connection_limit::{ConnectionLimit, Place};
 use crate::util::log;
 
 /// The path of the metrics.
@@ -28,6 +29,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// The timeout for reading the head of a scrape request.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The number of connections that are kept open; a scraper needs one.
+const MAX_CONNECTIONS: usize = 64;
+/// The size of the read buffer of a connection, in bytes.
+const BUF_LEN: usize = 8 << 10;
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
 /// The upper bounds of histogram buckets in milliseconds, roughly doubling from the latency of a
@@ -68,10 +73,14 @@
 }
 
 async fn accept_all(listener: TcpListener, handle: PrometheusHandle) {
+    let limit = ConnectionLimit::new("metrics", MAX_CONNECTIONS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(stream, handle.clone()));
+                let Some(place) = limit.admit().await else { continue };
+                let place = Rc::new(place);
+                let serving = serve_connection(stream, handle.clone(), place.clone());
+                place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
@@ -81,7 +90,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, handle: PrometheusHandle) {
+async fn serve_connection(stream: TcpStream, handle: PrometheusHandle, _place: Rc<Place>) {
     let service = service_fn(|request: Request<Incoming>| {
         let is_found = request.uri().path() == PATH;
         let text = if is_found { handle.render() } else { String::new() };
@@ -96,6 +105,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(READ_TIMEOUT)
+        .max_buf_size(BUF_LEN)
         .serve_connection(TokioIo::new(stream), service);
     // Errors are ignored because the scraper tries again.
     let _ = connection.await;
