Read little from instances that have not said who they are

A stranger at the port for other instances could have a process hold a frame of up to 16 MiB before anything was authenticated, on any number of connections: 24 of them took 305 MB of 96.

Cause: the limit of a frame was that of the messages of an authenticated instance, and a connection that sent no greeting stayed for 60 s. Now a connection fails if 8 KiB have arrived without a greeting, or a second has passed; 64 such connections are kept, and a new one takes the place of the oldest. What an authenticated instance may send is unchanged. On the users' platform instances share no secret, so that a stranger who knows the protocol can greet; that remains.

--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -13,6 +13,7 @@
 pub mod engines;
 pub mod fleet;
 pub mod gateway;
+mod greeting_stream;
 pub mod http;
 mod linger;
 mod listen;
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, mpsc},
+    sync::{Arc, Mutex, atomic::Ordering, mpsc},
     time::{Duration, Instant},
 };
 
@@ -25,7 +25,12 @@
     tungstenite::{Message as Packet, protocol::WebSocketConfig},
 };
 
-use super::{Event, listen::retry_while_in_use};
+use super::{
+    Event,
+    connection_limit::{ConnectionLimit, Place},
+    greeting_stream::GreetingStream,
+    listen::retry_while_in_use,
+};
 use crate::{
     coordination::node::Input,
     core::{Instance, Settings},
@@ -57,6 +62,10 @@
 /// A connection is closed if no messages are written for this long.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// The number of connections whose peers have not been authenticated yet. Those of the fleet are within
+/// milliseconds.
+const MAX_STRANGERS: usize = 64;
+
 /// The size of the read buffer. tungstenite fills a buffer of this size with zeros before each read
 /// and keeps one per connection; most messages are shorter.
 const READ_BUF_LEN: usize = 8 << 10;
@@ -196,10 +205,14 @@
 }
 
 async fn accept_all(listener: TcpListener, cfg: PeerConfig) {
+    let limit = ConnectionLimit::new("instances", MAX_STRANGERS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(receive_all(stream, cfg.clone()));
+                let Some(place) = limit.admit().await else { continue };
+                let place = Arc::new(place);
+                let receiving = tokio::spawn(receive_all(stream, cfg.clone(), place.clone()));
+                place.set_task(receiving.abort_handle());
             }
             // The process is probably out of file descriptors; a pause lets some be closed.
             Err(_) => tokio::time::sleep(DIAL_PAUSE).await,
@@ -208,8 +221,9 @@
 }
 
 /// Receives messages from a peer until the connection ends or a frame fails authentication.
-async fn receive_all(stream: TcpStream, cfg: PeerConfig) {
+async fn receive_all(stream: TcpStream, cfg: PeerConfig, place: Arc<Place>) {
     let _ = stream.set_nodelay(true);
+    let (stream, is_greeted) = GreetingStream::new(stream);
     let accepted = timeout(DIAL_TIMEOUT, accept_async_with_config(stream, Some(config()))).await;
     let Ok(Ok(mut socket)) = accepted else { return };
     let Ok(nonce) = random::bytes::<NONCE_LEN>() else { return };
@@ -218,7 +232,8 @@
     }
     let mut channel = Channel::new(&cfg.fleet_key, nonce);
     let mut from = None;
-    while let Ok(Some(Ok(packet))) = timeout(IDLE_LIMIT, socket.next()).await {
+    let mut limit = DIAL_TIMEOUT;
+    while let Ok(Some(Ok(packet))) = timeout(limit, socket.next()).await {
         let Packet::Binary(frame) = packet else { continue };
         counter!("kingcup_peer_bytes_received").increment(frame.len() as u64);
         if let Err(err) = receive(&mut channel, &mut from, &frame, &cfg.sink) {
@@ -226,6 +241,10 @@
             log::warning("frame-refused", &format!("{err:?}"));
             return;
         }
+        // The peer has been authenticated: it is one of the fleet.
+        is_greeted.store(true, Ordering::Relaxed);
+        limit = IDLE_LIMIT;
+        place.leave();
     }
 }
 
