Read bodies in kingcupd before a request takes a thread, and bound them

Callers of kingcupd that stopped short of their bodies' ends refused everybody for 30 s at a time, and could fill its memory: 160 bodies of 1 MiB took 212 MB of 128, operators' requests 348 MB, and 64 callers on an entry with 16 places left none for others.

Cause: a request took one of max_requests places and a thread when its head had arrived, and its thread then read the body, for 30 s, with no budget. Bodies are now read by the connection's task, as on the users' platform: the head is checked first, the memory is counted (body_memory_mb, 64 by default; half of it for one organisation; 32 MiB for operators), those that don't arrive give way, and a request takes a place and a thread once it is whole. max_connections (4,000 by default) bounds connections in the same way. A body that comes too late is refused with K2010 (408) in place of K2001.

--- a/crates/kingcup-load/src/synthetic.rs
+++ b/crates/kingcup-load/src/synthetic.rs
@@ -49,6 +49,8 @@
         fleet_key: FLEET_KEY.to_owned(),
         platform_list: "http://127.0.0.1:1/".to_owned(),
         max_requests: 2_000,
+        max_connections: 4_000,
+        body_memory_mb: 64,
         static_shares: false,
     }
 }
--- a/crates/kingcup-support/src/engine/state.rs
+++ b/crates/kingcup-support/src/engine/state.rs
@@ -98,7 +98,7 @@
             }
             _ => {}
         }
-        let text = request.read_text(MAX_PROMPT_LEN).unwrap_or_default();
+        let text = request.take_text(MAX_PROMPT_LEN).unwrap_or_default();
         let Ok(prompt) = serde_json::from_str::<Prompt>(&text) else {
             request.respond(ServerResponse::text(400, "invalid prompt"));
             return;
@@ -135,7 +135,7 @@
     }
 
     fn handle_order(&self, mut request: Request) {
-        let text = request.read_text(MAX_PROMPT_LEN).unwrap_or_default();
+        let text = request.take_text(MAX_PROMPT_LEN).unwrap_or_default();
         let Ok(order) = serde_json::from_str::<OrderRequest>(&text) else {
             request.respond(ServerResponse::text(400, "invalid order"));
             return;
--- a/crates/kingcup-support/src/fleet/mod.rs
+++ b/crates/kingcup-support/src/fleet/mod.rs
@@ -159,6 +159,8 @@
             fleet_key: FLEET_KEY.to_owned(),
             platform_list: platform.url(),
             max_requests: 2_000,
+            max_connections: 4_000,
+            body_memory_mb: 64,
             static_shares,
         };
         let path = self.folder.join(format!("{}.yaml", plan.instance));
--- a/crates/kingcup-support/src/plain_service.rs
+++ b/crates/kingcup-support/src/plain_service.rs
@@ -123,7 +123,7 @@
 
 impl State {
     fn serve(&self, mut request: Request) {
-        let Ok(body) = request.read_text(MAX_BODY_LEN) else { return };
+        let Ok(body) = request.take_text(MAX_BODY_LEN) else { return };
         self.arrivals.lock().expect("plain record").push(Instant::now());
         if self.rejects.load(Ordering::SeqCst) {
             let rejection = ServerResponse::text(503, "full").with(OUTCOME_HEADER, "not-run");
--- a/src/kingcupgrade/core/settings.rs
+++ b/src/kingcupgrade/core/settings.rs
@@ -12,6 +12,9 @@
 /// The minimum length of a fleet key, in bytes.
 const MIN_FLEET_KEY_LEN: usize = 16;
 
+/// The least memory for the bodies of requests, in MiB.
+const MIN_BODY_MEMORY_MB: u64 = 2;
+
 /// The role of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -66,6 +69,13 @@
     /// The maximum number of concurrent requests of callers.
     #[serde(default = "default_max_requests")]
     pub max_requests: usize,
+    /// The maximum number of connections of callers. Beyond it, a new one takes the place of the one that
+    /// has waited longest for its caller.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
+    /// The memory for the bodies of callers' requests, in MiB; at least 2.
+    #[serde(default = "default_body_memory_mb")]
+    pub body_memory_mb: u64,
     /// Whether slots are assigned to entries statically instead of by dispatchers. Static
     /// assignment is the baseline that measurements compare with.
     #[serde(default)]
@@ -76,6 +86,14 @@
     2_000
 }
 
+fn default_max_connections() -> usize {
+    4_000
+}
+
+fn default_body_memory_mb() -> u64 {
+    64
+}
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -142,6 +160,12 @@
         if self.max_requests == 0 {
             return Err("max_requests: expected at least 1".to_owned());
         }
+        if self.max_connections == 0 {
+            return Err("max_connections: expected at least 1".to_owned());
+        }
+        if self.body_memory_mb < MIN_BODY_MEMORY_MB {
+            return Err(format!("body_memory_mb: expected at least {MIN_BODY_MEMORY_MB}"));
+        }
         Ok(())
     }
 
--- a/src/kingcupgrade/transport/callers/admit.rs
+++ b/src/kingcupgrade/transport/callers/admit.rs
@@ -10,7 +10,8 @@
     core::{Code, Document, Organisation, RequestDigest, Service, code::CodedError},
     protocol::record::RequestKey,
     transport::{
-        http::Request,
+        SharedView,
+        http::{Request, RequestHead},
         upstream::{self, UpstreamRequest},
     },
 };
@@ -33,15 +34,27 @@
     pub(super) upstream: UpstreamRequest,
 }
 
-/// Reads and validates a request, and determines its service and organisation.
+/// A request's service and organisation, as its head names them.
+pub(super) struct AdmittedHead {
+    service: Service,
+    /// The path at the service.
+    path: String,
+    pub(super) organisation: Organisation,
+    pub(super) document: Arc<Document>,
+}
+
+/// Validates the head of a request, and determines its service and organisation.
 ///
 /// # Errors
 ///
 /// Returns the coded error with which the request is to be refused.
-pub(super) fn admit(request: &mut Request, shared: &Shared) -> Result<Admitted, CodedError> {
-    check_head(request)?;
-    let (service, path) = split_path(request.url())?;
-    let view = shared.view.read().expect("no thread panics holding the view").clone();
+pub(super) fn admit_head(
+    head: &RequestHead,
+    view: &SharedView,
+) -> Result<AdmittedHead, CodedError> {
+    check_head(head)?;
+    let (service, path) = split_path(head.url())?;
+    let view = view.read().expect("no thread panics holding the view").clone();
     if view.documents().is_empty() {
         return Err(CodedError::new(Code::NotReady, ""));
     }
@@ -50,20 +63,30 @@
         .get(service.as_str())
         .ok_or_else(|| CodedError::new(Code::UnknownService, service.as_str()))?;
     let document = &in_force.document;
-    let token = request
-        .header("authorization")
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(|| {
-            CodedError::new(Code::UnknownToken, "expected Authorization: Bearer TOKEN")
-        })?;
+    let token =
+        head.header("authorization").and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(
+            || CodedError::new(Code::UnknownToken, "expected Authorization: Bearer TOKEN"),
+        )?;
     let organisation = document
         .organisation_of(token)
         .ok_or_else(|| CodedError::new(Code::UnknownToken, ""))?
         .clone();
+    Ok(AdmittedHead { service, path, organisation, document: document.clone() })
+}
+
+/// Validates a request, and determines its service and organisation.
+///
+/// # Errors
+///
+/// Returns the coded error with which the request is to be refused.
+pub(super) fn admit(request: &mut Request, shared: &Shared) -> Result<Admitted, CodedError> {
+    // The document may have changed while the body arrived.
+    let AdmittedHead { service, path, organisation, document } =
+        admit_head(request.head(), &shared.view)?;
     let method = request.method().to_owned();
     let path_without_query = path.split('?').next().unwrap_or(&path).to_owned();
     let idempotent = !document.must_not_repeat(&method, &path_without_query);
-    let body = request.read_body(document.limits.body_bytes)?;
+    let body = request.take_body(document.limits.body_bytes)?;
     let keyed = if idempotent {
         None
     } else {
@@ -88,13 +111,12 @@
         body,
         read_timeout: Duration::from_millis(document.limits.silence_ms),
     };
-    let document = document.clone();
     Ok(Admitted { document, service, organisation, digest, idempotent, keyed, upstream })
 }
 
-fn check_head(request: &Request) -> Result<(), CodedError> {
-    let len: usize = request.headers().map(|(name, value)| name.len() + value.len()).sum();
-    if len + request.url().len() > MAX_HEAD_LEN {
+fn check_head(head: &RequestHead) -> Result<(), CodedError> {
+    let len: usize = head.headers().map(|(name, value)| name.len() + value.len()).sum();
+    if len + head.url().len() > MAX_HEAD_LEN {
         return Err(CodedError::new(
             Code::HeadTooLarge,
             format!("the URL and headers may have at most {MAX_HEAD_LEN} bytes"),
--- a/src/kingcupgrade/transport/callers/mod.rs
+++ b/src/kingcupgrade/transport/callers/mod.rs
@@ -19,13 +19,17 @@
     time::{Duration, Instant},
 };
 
-use self::{admit::admit, relay::Relay, response::refuse};
+use self::{
+    admit::{admit, admit_head},
+    relay::Relay,
+    response::refuse,
+};
 use crate::{
     coordination::entry::Arrival,
     core::{Code, Millis, Settings, code::CodedError},
     transport::{
         Event, NextRequest, SharedView, Verdict,
-        http::{self, Request},
+        http::{self, BodyPolicy, BodyRule, Request},
         next_request,
         upstream::Cancellation,
     },
@@ -33,6 +37,8 @@
 
 /// The stack size of a request's thread, in bytes.
 const STACK_LEN: usize = 512 << 10;
+/// The part of the memory for request bodies that those of one organisation may take.
+const HOLDER_FRACTION: f64 = 0.5;
 /// The retry delay sent by an instance that serves as many requests as it may.
 const BUSY_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -64,10 +70,26 @@
         open: AtomicUsize::new(0),
         max_requests: settings.max_requests,
     });
-    http::start("callers", address, move |request| spawn_serve(request, &shared))?;
+    let limits = http::Limits {
+        connections: settings.max_connections,
+        body_memory: settings.body_memory_mb << 20,
+        holder_fraction: HOLDER_FRACTION,
+        body: body_rule(shared.view.clone()),
+    };
+    http::start_with("callers", address, limits, move |request| spawn_serve(request, &shared))?;
     Ok(())
 }
 
+/// Returns the rule by which the bodies of requests are read: a request that its head shows to be refused
+/// needs none.
+fn body_rule(view: SharedView) -> BodyRule {
+    Arc::new(move |head| {
+        let admitted = admit_head(head, &view).inspect_err(|err| response::count(err.code))?;
+        let max_len = admitted.document.limits.body_bytes;
+        Ok(BodyPolicy { holder: Some(admitted.organisation), max_len })
+    })
+}
+
 /// Serves a request on a thread of its own, or refuses it if the maximum number is being served.
 fn spawn_serve(request: Request, shared: &Arc<Shared>) {
     if shared.open.fetch_add(1, Ordering::Relaxed) >= shared.max_requests {
--- a/src/kingcupgrade/transport/callers/response.rs
+++ b/src/kingcupgrade/transport/callers/response.rs
@@ -81,6 +81,7 @@
     pending.respond(http::ServerResponse::new(status, content_type, body).with_result(code));
 }
 
-fn count(code: Code) {
+/// Counts a response by its code.
+pub(super) fn count(code: Code) {
     counter!("kingcup_requests", "code" => code.number().to_string()).increment(1);
 }
--- a/src/kingcupgrade/transport/http/connection.rs
+++ b/src/kingcupgrade/transport/http/connection.rs
@@ -5,6 +5,7 @@
     future::poll_fn,
     io,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -12,33 +13,45 @@
 use hyper::{Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::TcpStream,
     sync::oneshot,
-    time,
 };
 
 use super::{
     Handler,
+    intake::{BodyPolicy, Intake, RequestHead},
     request::{DisconnectGuard, Request},
     response::{ResponseBody, ServerResponse},
 };
-use crate::core::{Code, Millis, code::CodedError};
+use crate::{
+    core::{Code, Millis, code::CodedError},
+    transport::{
+        bodies::{BodyError, BodyLimits, HeldBody},
+        connection_limit::Place,
+        linger::linger,
+    },
+};
 
 /// The size of the read buffer of a connection, in bytes; a longer request head is refused.
-const MAX_BUF_LEN: usize = 64 << 10;
-/// For how long a connection that is being closed is still read.
-const LINGER: Duration = Duration::from_millis(500);
-/// How many bytes are read from a connection that is being closed.
-const LINGER_LEN: u64 = 4 << 20;
+const MAX_BUF_LEN: usize = 36 << 10;
+/// The timeout for reading a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Serves the requests of a connection until it ends.
-pub(super) async fn serve_all(stream: TcpStream, serve: Handler) {
+pub(super) async fn serve_all(
+    stream: TcpStream,
+    intake: Intake,
+    place: Arc<Place>,
+    serve: Handler,
+) {
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
     let _ = stream.set_nodelay(true);
     let filtered = ErrorFilter { stream, is_triggered: false };
-    let service = service_fn(move |request| Box::pin(serve_one(request, serve.clone())));
+    let service = service_fn(move |request| {
+        Box::pin(serve_one(request, intake.clone(), place.clone(), serve.clone()))
+    });
     let mut connection = http1::Builder::new()
         .max_buf_size(MAX_BUF_LEN)
         .serve_connection(TokioIo::new(filtered), service);
@@ -54,29 +67,21 @@
     linger(stream).await;
 }
 
-/// Closes a connection without losing its last response.
-///
-/// If a socket is closed while it has unread bytes, the kernel resets the connection, and the reset
-/// can overtake the response: a caller that sent too much would see a connection error instead of
-/// the reason.
-async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    let mut sink = tokio::io::sink();
-    let mut rest = stream.take(LINGER_LEN);
-    let reading = tokio::io::copy(&mut rest, &mut sink);
-    // The bytes are discarded, so that neither an error nor a timeout matters.
-    let _ = time::timeout(LINGER, reading).await;
-}
-
 /// Passes a request to the server's handler and waits for the response.
 async fn serve_one(
     request: hyper::Request<Incoming>,
+    intake: Intake,
+    place: Arc<Place>,
     serve: Handler,
 ) -> Result<Response<ResponseBody>, oneshot::error::RecvError> {
-    let (request, receiver) = Request::new(request);
-    let mut watch = DisconnectGuard::new(receiver.on_disconnect);
+    let (head, body) = request.into_parts();
+    let head = RequestHead(head);
+    let body = match read_body(&intake, &head, body).await {
+        Ok(body) => body,
+        Err(err) => return Ok(ServerResponse::refusal(&err, Millis::ZERO).into_complete()),
+    };
+    let (request, receiver) = Request::new(head, body);
+    let mut watch = DisconnectGuard::new(receiver.on_disconnect, place.serve());
     serve(request);
     let response = receiver.response.await;
     match response {
@@ -88,6 +93,26 @@
     }
 }
 
+/// Reads the body of a request, as far as its head permits.
+async fn read_body(
+    intake: &Intake,
+    head: &RequestHead,
+    body: Incoming,
+) -> Result<HeldBody, CodedError> {
+    let BodyPolicy { holder, max_len } = (intake.body)(head)?;
+    let limits = BodyLimits { holder, max_len, timeout: BODY_TIMEOUT };
+    let refusal = |err| match err {
+        BodyError::TooLong => CodedError::new(
+            Code::BodyTooLarge,
+            format!("the request body may have at most {max_len} bytes"),
+        ),
+        BodyError::NoRoom => CodedError::new(Code::TooBusy, "no memory is left for the body"),
+        BodyError::TooSlow => CodedError::new(Code::BodyTimeout, ""),
+        BodyError::Broken(detail) => CodedError::new(Code::BadRequest, detail),
+    };
+    intake.bodies.read(body, limits).await.map_err(refusal)
+}
+
 /// A stream that suppresses the error responses that hyper generates, because they carry no result
 /// code.
 ///
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -7,6 +7,7 @@
 //! serve requests.
 
 mod connection;
+mod intake;
 mod request;
 mod response;
 
@@ -18,8 +19,10 @@
 
 use tokio::{net, runtime, sync::Notify, time};
 
+use self::intake::Intake;
 pub(crate) use self::response::error_body;
 pub use self::{
+    intake::{BodyPolicy, BodyRule, Limits, RequestHead},
     request::{Request, Responder},
     response::{Disconnected, ResponseStream, ServerResponse},
 };
@@ -54,16 +57,30 @@
     }
 }
 
-/// Listens on an address and calls `serve` with each request.
+/// Listens on an address and calls `serve` with each request, with the default limits.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be listened on.
+pub fn start(
+    name: &str,
+    address: SocketAddr,
+    serve: impl Fn(Request) + Send + Sync + 'static,
+) -> anyhow::Result<Server> {
+    start_with(name, address, Limits::default(), serve)
+}
+
+/// Listens on an address and calls `serve` with each request once its body has arrived.
 ///
 /// `serve` is called on a thread that drives other connections too, so it must not block.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be listened on.
-pub fn start(
+pub fn start_with(
     name: &str,
     address: SocketAddr,
+    limits: Limits,
     serve: impl Fn(Request) + Send + Sync + 'static,
 ) -> anyhow::Result<Server> {
     let listener = retry_while_in_use(address, || TcpListener::bind(address))?;
@@ -80,7 +97,7 @@
         net::TcpListener::from_std(listener)?
     };
     let run = move || {
-        runtime.spawn(accept_all(listener, Arc::new(serve)));
+        runtime.spawn(accept_all(listener, Intake::new(limits), Arc::new(serve)));
         runtime.block_on(stop.notified());
         runtime.shutdown_background();
     };
@@ -92,14 +109,19 @@
 ///
 /// Accepting fails while the process is out of file descriptors. An instance that stopped accepting
 /// because of that would still look healthy but serve no client.
-async fn accept_all(listener: net::TcpListener, serve: Handler) {
+async fn accept_all(listener: net::TcpListener, intake: Intake, serve: Handler) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(connection::serve_all(stream, serve.clone()));
+                let Some(place) = intake.connections.admit().await else { continue };
+                let place = Arc::new(place);
+                let serving =
+                    connection::serve_all(stream, intake.clone(), place.clone(), serve.clone());
+                place.set_task(tokio::spawn(serving).abort_handle());
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
+                intake.connections.close_one();
                 time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/kingcupgrade/transport/http/request.rs
+++ b/src/kingcupgrade/transport/http/request.rs
@@ -1,27 +1,26 @@
 //! The blocking interface to a request for the thread that serves it.
 
-use std::{future::poll_fn, pin::Pin, time::Duration};
+use hyper::Response;
+use tokio::sync::oneshot;
 
-use hyper::{
-    Response,
-    body::{Body, Incoming},
-    http::request::Parts,
+use super::{
+    intake::RequestHead,
+    response::{ResponseBody, ResponseStream, ServerResponse},
+};
+use crate::{
+    core::{Code, code::CodedError},
+    transport::{
+        bodies::{BodyMemory, HeldBody},
+        connection_limit::Serving,
+    },
 };
-use tokio::{runtime, sync::oneshot, time};
-
-use super::response::{ResponseBody, ResponseStream, ServerResponse};
-use crate::core::{Code, code::CodedError};
-
-/// The timeout for reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A caller's request.
 pub struct Request {
-    head: Parts,
-    body: Incoming,
+    head: RequestHead,
+    body: HeldBody,
     responder: Responder,
     on_disconnect: oneshot::Sender<DisconnectAction>,
-    connections: runtime::Handle,
 }
 
 /// The action to be run if the caller disconnects before the response has ended.
@@ -31,11 +30,16 @@
 /// the response, or the response's body, and with it this value.
 pub(super) struct DisconnectGuard {
     action: Option<oneshot::Receiver<DisconnectAction>>,
+    /// Keeps the connection's place meanwhile.
+    _serving: Serving,
 }
 
 impl DisconnectGuard {
-    pub(super) fn new(action: oneshot::Receiver<DisconnectAction>) -> DisconnectGuard {
-        DisconnectGuard { action: Some(action) }
+    pub(super) fn new(
+        action: oneshot::Receiver<DisconnectAction>,
+        serving: Serving,
+    ) -> DisconnectGuard {
+        DisconnectGuard { action: Some(action), _serving: serving }
     }
 
     /// Ends the watch: the response has ended, or is cut off by this side.
@@ -62,57 +66,61 @@
 }
 
 impl Request {
-    pub(super) fn new(request: hyper::Request<Incoming>) -> (Request, ResponseReceiver) {
-        let (head, body) = request.into_parts();
+    pub(super) fn new(head: RequestHead, body: HeldBody) -> (Request, ResponseReceiver) {
         let (tx, response) = oneshot::channel();
         let (action_tx, on_disconnect) = oneshot::channel();
-        let connections = runtime::Handle::current();
-        let responder = Responder { tx };
-        let request = Request { head, body, responder, on_disconnect: action_tx, connections };
+        let responder = Responder { tx, memory: None };
+        let request = Request { head, body, responder, on_disconnect: action_tx };
         (request, ResponseReceiver { response, on_disconnect })
     }
 
+    /// Returns the head.
+    pub fn head(&self) -> &RequestHead {
+        &self.head
+    }
+
     /// Returns the method.
     pub fn method(&self) -> &str {
-        self.head.method.as_str()
+        self.head.method()
     }
 
     /// Returns the path and query.
     pub fn url(&self) -> &str {
-        self.head.uri.path_and_query().map_or("/", |url| url.as_str())
+        self.head.url()
     }
 
     /// Returns the value of a header if it is present and consists of visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.headers.get(name)?.to_str().ok()
+        self.head.header(name)
     }
 
     /// Returns the headers whose values consist of visible ASCII.
     pub fn headers(&self) -> impl Iterator<Item = (&str, &str)> {
-        let headers = self.head.headers.iter();
-        headers.filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)))
+        self.head.headers()
     }
 
-    /// Reads the body.
+    /// Takes the body.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body exceeds `limit` bytes, is incomplete, or doesn't arrive in
-    /// time.
-    pub fn read_body(&mut self, limit: usize) -> Result<Vec<u8>, CodedError> {
-        let body = &mut self.body;
-        let reading = async { time::timeout(BODY_TIMEOUT, collect(body, limit)).await };
-        let too_slow = |_| CodedError::new(Code::BadRequest, "timed out reading the request body");
-        self.connections.block_on(reading).map_err(too_slow)?
+    /// Returns an error if the body exceeds `limit` bytes.
+    pub fn take_body(&mut self, limit: usize) -> Result<Vec<u8>, CodedError> {
+        if self.body.segments().len() > limit {
+            let detail = format!("the request body may have at most {limit} bytes");
+            return Err(CodedError::new(Code::BodyTooLarge, detail));
+        }
+        let (segments, memory) = std::mem::take(&mut self.body).into_parts();
+        self.responder.memory = memory;
+        Ok(segments.to_vec())
     }
 
-    /// Reads the body as text.
+    /// Takes the body as text.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body can't be read or is not valid UTF-8.
-    pub fn read_text(&mut self, limit: usize) -> Result<String, CodedError> {
-        let body = self.read_body(limit)?;
+    /// Returns an error if the body exceeds `limit` bytes or is not valid UTF-8.
+    pub fn take_text(&mut self, limit: usize) -> Result<String, CodedError> {
+        let body = self.take_body(limit)?;
         String::from_utf8(body).map_err(|err| CodedError::new(Code::BadRequest, err.to_string()))
     }
 
@@ -139,6 +147,8 @@
 /// A handle for sending the response to a request.
 pub struct Responder {
     tx: oneshot::Sender<Response<ResponseBody>>,
+    /// The memory of the request's body, which may have to be sent again until the response ends.
+    memory: Option<BodyMemory>,
 }
 
 impl Responder {
@@ -152,30 +162,8 @@
     /// Begins a response whose body is streamed. If the caller has disconnected, the first write
     /// fails.
     pub fn stream(self, head: ServerResponse) -> ResponseStream {
-        let (stream, response) = head.into_stream();
+        let (stream, response) = head.into_stream(self.memory);
         let _ = self.tx.send(response);
         stream
     }
 }
-
-async fn collect(body: &mut Incoming, limit: usize) -> Result<Vec<u8>, CodedError> {
-    let too_large = || {
-        CodedError::new(
-            Code::BodyTooLarge,
-            format!("the request body may have at most {limit} bytes"),
-        )
-    };
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let mut bytes = Vec::new();
-    while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
-        let frame = frame.map_err(|err| CodedError::new(Code::BadRequest, err.to_string()))?;
-        let Ok(data) = frame.into_data() else { continue };
-        if bytes.len() + data.len() > limit {
-            return Err(too_large());
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes)
-}
--- a/src/kingcupgrade/transport/http/response.rs
+++ b/src/kingcupgrade/transport/http/response.rs
@@ -15,7 +15,10 @@
 use tokio::sync::mpsc;
 
 use super::request::DisconnectGuard;
-use crate::core::{Code, Millis, code::CodedError};
+use crate::{
+    core::{Code, Millis, code::CodedError},
+    transport::bodies::BodyMemory,
+};
 
 /// The number of chunks of a stream that may be queued for a caller who reads slowly; then the
 /// thread that writes them blocks.
@@ -87,10 +90,13 @@
         self.into_response(ResponseBody::Complete(body))
     }
 
-    pub(super) fn into_stream(self) -> (ResponseStream, Response<ResponseBody>) {
+    pub(super) fn into_stream(
+        self,
+        memory: Option<BodyMemory>,
+    ) -> (ResponseStream, Response<ResponseBody>) {
         let (tx, rx) = mpsc::channel(CHUNK_QUEUE_LEN);
         let body = ResponseBody::Stream { chunks: rx, watch: None };
-        (ResponseStream { tx }, self.into_response(body))
+        (ResponseStream { tx, _memory: memory }, self.into_response(body))
     }
 
     fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
@@ -135,6 +141,8 @@
 /// never takes a truncated body for a complete one.
 pub struct ResponseStream {
     tx: mpsc::Sender<Chunk>,
+    /// The memory of the request's body.
+    _memory: Option<BodyMemory>,
 }
 
 impl ResponseStream {
--- a/src/kingcupgrade/transport/operators.rs
+++ b/src/kingcupgrade/transport/operators.rs
@@ -77,7 +77,7 @@
 
 /// Passes an operator's request to the node, and waits for the reply.
 fn handle_request(request: &mut Request, events: &mpsc::Sender<Event>) -> OperatorReply {
-    let text = match request.read_text(MAX_REQUEST_LEN) {
+    let text = match request.take_text(MAX_REQUEST_LEN) {
         Ok(text) => text,
         Err(err) => return OperatorReply::Failed(err),
     };
--- a/tests/testsuite/model_nodes/simulation.rs
+++ b/tests/testsuite/model_nodes/simulation.rs
@@ -119,6 +119,8 @@
         fleet_key: FLEET_KEY.to_owned(),
         platform_list: "http://127.0.0.1:1/".to_owned(),
         max_requests: 100,
+        max_connections: 4_000,
+        body_memory_mb: 64,
         static_shares: false,
     }
 }
