Count a trickle of single bytes as behind, and spare connections that send a body

The rest is carried on now; the test sends a byte a millisecond and failed before. A connection whose caller has just begun a request counted by its last answer when another one needed its place; it now counts from its request. A head that came too late is refused without a delay to come back after.

--- a/src/kingcupgrade/coordination/bodies.rs
+++ b/src/kingcupgrade/coordination/bodies.rs
@@ -30,17 +30,21 @@
 pub struct Pace {
     /// The time at which the body would have what it has, at the pace.
     on_schedule: Millis,
+    /// The bytes beyond that, fewer than arrive in a millisecond at the pace.
+    rest: u64,
 }
 
 impl Pace {
     /// Starts at the arrival of the head.
     pub fn new(now: Millis) -> Pace {
-        Pace { on_schedule: now }
+        Pace { on_schedule: now, rest: 0 }
     }
 
     /// Counts bytes that have arrived.
     pub fn on_bytes(&mut self, now: Millis, bytes: u64) {
-        self.on_schedule = now.min(self.on_schedule + Millis(bytes.div_ceil(PACE)));
+        let bytes = self.rest + bytes;
+        self.rest = bytes % PACE;
+        self.on_schedule = now.min(self.on_schedule + Millis(bytes / PACE));
     }
 
     /// Returns how far the body is behind.
--- a/src/kingcupgrade/transport/connection_limit.rs
+++ b/src/kingcupgrade/transport/connection_limit.rs
@@ -121,6 +121,16 @@
         state.task = Some(task);
     }
 
+    /// Has the connection count as the one that has waited shortest: its peer has begun a request.
+    pub(crate) fn renew(&self) {
+        let mut state = self.state();
+        let mut open = self.limit.open();
+        let task = state.number.and_then(|number| open.waiting.remove(&number));
+        if let Some(task) = task {
+            state.number = Some(open.add_waiting(task));
+        }
+    }
+
     /// Keeps the place until the returned value is dropped: a request is being served.
     pub(crate) fn serve(&self) -> Serving {
         let mut state = self.state();
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -238,8 +238,9 @@
 /// with unread bytes is reset, and the refusal lost.
 async fn end_refused<E: PlatformAdapter>(gateway: &Gateway<E>, caller: &Caller) {
     if let Some(code) = caller.head().refusal() {
-        gateway.log_unrouted_refusal(code, RETRY_AFTER_MEMORY, None);
-        let response = error_response(&*gateway.adapter, code, RETRY_AFTER_MEMORY, None);
+        let retry_after = if code == Code::TooBusy { RETRY_AFTER_MEMORY } else { Millis::ZERO };
+        gateway.log_unrouted_refusal(code, retry_after, None);
+        let response = error_response(&*gateway.adapter, code, retry_after, None);
         caller.write_last(&encode_last(&response, &format!("{code}\n")));
         caller.discard_on_close();
     }
@@ -305,6 +306,9 @@
         Ok(routed) => routed,
         Err(code) => return refuse_head(code, Millis::ZERO),
     };
+    if !body.is_end_stream() {
+        place.renew();
+    }
     let limits = BodyLimits {
         holder: routed.organisation.clone(),
         max_len: configuration.limits.max_body_len,
--- a/tests/testsuite/bodies.rs
+++ b/tests/testsuite/bodies.rs
@@ -69,9 +69,9 @@
     let holder = organisation("both");
     let (trickle, _) = memory.add(Millis(0), &holder, ROOM / 2).expect("room");
     let (steady, _) = memory.add(Millis(0), &holder, ROOM / 2).expect("room");
-    for ms in (10..=LONG.0).step_by(10) {
+    for ms in 1..=LONG.0 {
         memory.ledger.on_bytes(Millis(ms), trickle, 1);
-        memory.ledger.on_bytes(Millis(ms), steady, 8 << 10);
+        memory.ledger.on_bytes(Millis(ms), steady, 1 << 10);
     }
     let added = memory.add(LONG, &organisation("new"), MIB).expect("room");
     assert_eq!(added.1, [trickle]);
