Use one stream for bounds on what is read before a head or a greeting

The bound on strangers repeated the one on heads of upstreams' responses. One stream serves both now, with a bound that both ends share. Behaviour is unchanged; modules endless_bytes, peers and connections pass.

--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,7 +5,6 @@
 //! the processor; scheduling decisions are direct calls of [`Traffic`], without messages or locks.
 
 pub mod adapter;
-mod bounded_stream;
 pub mod caller;
 mod collected;
 mod decisions;
--- a/src/kingcupgrade/transport/gateway/pool.rs
+++ b/src/kingcupgrade/transport/gateway/pool.rs
@@ -6,7 +6,7 @@
 //! the next request.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::HashMap,
     future::{Future, poll_fn},
     net::SocketAddr,
@@ -20,9 +20,16 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
-use super::bounded_stream::{BoundedStream, HeadLeft, MAX_HEADS_LEN};
-use crate::{core::UpstreamName, transport::bodies::SegmentBody};
+use crate::{
+    core::UpstreamName,
+    transport::{
+        bodies::SegmentBody,
+        bounded_stream::{BoundedStream, ReadBound},
+    },
+};
 
+/// The maximum length of the heads of one response, in bytes.
+const MAX_HEADS_LEN: usize = 128 << 10;
 /// The timeout for connecting. Within a region connecting takes a few milliseconds. A lost SYN is
 /// retransmitted only after a second, by when another upstream would have answered long ago.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -48,7 +55,7 @@
     pool: Rc<Pool>,
     /// How long the upstream keeps the connection open while it is idle, if stated.
     pub keep_alive: Option<Duration>,
-    head_left: HeadLeft,
+    heads: ReadBound,
 }
 
 type Driver = Pin<Box<dyn Future<Output = ()>>>;
@@ -87,9 +94,9 @@
     /// Waits for the head of the response that a request is answered with. Informational heads may
     /// precede it; all of them together are bounded.
     pub async fn receive_head<F: Future>(&mut self, sending: F) -> F::Output {
-        self.head_left.set(Some(MAX_HEADS_LEN));
+        self.heads.set(MAX_HEADS_LEN);
         let received = self.drive(sending).await;
-        self.head_left.set(None);
+        self.heads.lift();
         received
     }
 
@@ -179,7 +186,7 @@
             slot.open += 1;
         }
         let guard = OpenGuard { pool: self.clone(), key: upstream.clone(), is_kept: false };
-        let head_left = Rc::new(Cell::new(None));
+        let heads = ReadBound::lifted();
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             // Nagle's algorithm would hold back a short request until the peer acknowledges earlier
@@ -188,7 +195,7 @@
             // Closing must reset the connection. Otherwise the kernel would retransmit an abandoned
             // request to an unreachable upstream for minutes, and it could still arrive.
             stream.set_zero_linger().ok()?;
-            let stream = BoundedStream { stream, head_left: head_left.clone() };
+            let stream = BoundedStream { stream, bound: heads.clone() };
             let builder = http1::Builder::new();
             builder.handshake::<_, SegmentBody>(TokioIo::new(stream)).await.ok()
         };
@@ -202,7 +209,7 @@
             let _ = connection.await;
         });
         let (pool, key) = guard.keep();
-        Ok(Connection { sender, driver: Some(driver), key, pool, keep_alive: None, head_left })
+        Ok(Connection { sender, driver: Some(driver), key, pool, keep_alive: None, heads })
     }
 
     /// Returns a connection to the pool after its response has been read to the end.
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -5,6 +5,7 @@
 
 mod arrivals;
 pub mod bodies;
+mod bounded_stream;
 pub mod callers;
 mod connection_limit;
 pub mod control_server;
@@ -13,7 +14,6 @@
 pub mod engines;
 pub mod fleet;
 pub mod gateway;
-mod greeting_stream;
 pub mod http;
 mod linger;
 mod listen;
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::Ordering, mpsc},
+    sync::{Arc, Mutex, mpsc},
     time::{Duration, Instant},
 };
 
@@ -27,8 +27,8 @@
 
 use super::{
     Event,
+    bounded_stream::{BoundedStream, ReadBound},
     connection_limit::{ConnectionLimit, Place},
-    greeting_stream::GreetingStream,
     listen::retry_while_in_use,
 };
 use crate::{
@@ -62,6 +62,9 @@
 /// A connection is closed if no messages are written for this long.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// The number of bytes that are read before a peer is authenticated; a handshake and a greeting have some
+/// hundred.
+const MAX_GREETING_LEN: usize = 8 << 10;
 /// The number of connections whose peers have not been authenticated yet. Those of the fleet are within
 /// milliseconds.
 const MAX_STRANGERS: usize = 64;
@@ -223,7 +226,8 @@
 /// Receives messages from a peer until the connection ends or a frame fails authentication.
 async fn receive_all(stream: TcpStream, cfg: PeerConfig, place: Arc<Place>) {
     let _ = stream.set_nodelay(true);
-    let (stream, is_greeted) = GreetingStream::new(stream);
+    let bound = ReadBound::new(MAX_GREETING_LEN);
+    let stream = BoundedStream { stream, bound: bound.clone() };
     let accepted = timeout(DIAL_TIMEOUT, accept_async_with_config(stream, Some(config()))).await;
     let Ok(Ok(mut socket)) = accepted else { return };
     let Ok(nonce) = random::bytes::<NONCE_LEN>() else { return };
@@ -242,7 +246,7 @@
             return;
         }
         // The peer has been authenticated: it is one of the fleet.
-        is_greeted.store(true, Ordering::Relaxed);
+        bound.lift();
         limit = IDLE_LIMIT;
         place.leave();
     }
