Test bodies at a trickle with real processes

Half a body at once, then a byte every 100 ms. The decisions have had this test; now a crowd plays it. Written after the change, and not run on the code before it.

--- a/crates/kingcup-support/src/crowd.rs
+++ b/crates/kingcup-support/src/crowd.rs
@@ -18,6 +18,8 @@
 const THREADS: usize = 16;
 /// If nothing was written or read for this long, nothing more will be.
 const QUIET: Duration = Duration::from_secs(15);
+/// The time between two bytes of a trickle.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a caller waits for the answer to its greeting.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(5);
 /// The timeout for connecting.
@@ -48,9 +50,7 @@
 
 struct State {
     address: SocketAddr,
-    /// What each caller sends first; the rest follows once it is answered.
-    greeting: Vec<u8>,
-    bytes: Vec<u8>,
+    script: Script,
     after_close: AfterClose,
     is_over: AtomicBool,
     /// The callers that have sent all they will, or were cut off once.
@@ -61,6 +61,17 @@
     steps: AtomicUsize,
 }
 
+/// What each caller of a crowd sends.
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    /// What it sends first; the rest follows once that is answered.
+    pub greeting: Vec<u8>,
+    /// What it sends at once.
+    pub bytes: Vec<u8>,
+    /// What it sends after that, a byte at a time.
+    pub trickle: Vec<u8>,
+}
+
 impl Crowd {
     /// Starts `count` callers, each of which sends `bytes` to the address.
     pub fn start(
@@ -69,21 +80,19 @@
         bytes: Vec<u8>,
         after_close: AfterClose,
     ) -> Crowd {
-        Crowd::start_with_greeting(address, count, Vec::new(), bytes, after_close)
+        Crowd::play(address, count, Script { bytes, ..Script::default() }, after_close)
     }
 
-    /// Like [`Crowd::start`]; each caller first sends `greeting`, and waits for an answer to it.
-    pub fn start_with_greeting(
+    /// Starts `count` callers, each of which sends what the script says to the address.
+    pub fn play(
         address: SocketAddr,
         count: usize,
-        greeting: Vec<u8>,
-        bytes: Vec<u8>,
+        script: Script,
         after_close: AfterClose,
     ) -> Crowd {
         let state = Arc::new(State {
             address,
-            greeting,
-            bytes,
+            script,
             after_close,
             is_over: AtomicBool::new(false),
             settled: AtomicUsize::new(0),
@@ -169,9 +178,9 @@
     /// Connects and exchanges greetings.
     fn connect(&self) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT)?;
-        if !self.greeting.is_empty() {
+        if !self.script.greeting.is_empty() {
             stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
-            stream.write_all(&self.greeting)?;
+            stream.write_all(&self.script.greeting)?;
             stream.read_exact(&mut [0])?;
         }
         stream.set_nonblocking(true)?;
@@ -184,12 +193,15 @@
     stream: Option<TcpStream>,
     has_left: bool,
     sent: usize,
+    /// When it last wrote.
+    written: Instant,
     is_settled: bool,
 }
 
 impl Caller {
     fn new() -> Caller {
-        Caller { stream: None, has_left: false, sent: 0, is_settled: false }
+        let written = Instant::now();
+        Caller { stream: None, has_left: false, sent: 0, written, is_settled: false }
     }
 
     /// Connects, writes and reads as far as that is possible; returns whether anything was.
@@ -198,9 +210,15 @@
             return false;
         }
         let Some(stream) = &mut self.stream else { return self.connect(state) };
-        let written = match state.bytes.get(self.sent..) {
-            Some(rest) if !rest.is_empty() => stream.write(rest),
-            _ => Err(io::ErrorKind::WouldBlock.into()),
+        let Script { bytes, trickle, .. } = &state.script;
+        let rest = bytes.get(self.sent..).filter(|rest| !rest.is_empty());
+        let next = rest.or_else(|| {
+            let at = self.sent - bytes.len();
+            trickle.get(at..=at).filter(|_| self.written.elapsed() > TRICKLE_INTERVAL)
+        });
+        let written = match next {
+            Some(next) => stream.write(next),
+            None => Err(io::ErrorKind::WouldBlock.into()),
         };
         let read = stream.read(&mut [0; 1_024]);
         let is_open = |done: &io::Result<usize>| match done {
@@ -213,7 +231,10 @@
         }
         let len = written.unwrap_or(0);
         self.sent += len;
-        if self.sent == state.bytes.len() {
+        if len > 0 {
+            self.written = Instant::now();
+        }
+        if self.sent >= bytes.len() {
             self.settle(state);
         }
         len > 0
