--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod origins;
 mod plain;
 pub mod pool;
+mod probes;
 mod relay;
 mod request;
 mod response;
@@ -320,7 +321,7 @@
     });
     let mut tasks = EssentialTasks::default();
     tasks.spawn("callers", serve::accept_callers(gateway.clone(), callers));
-    tasks.spawn("readiness", serve::accept_probes(gateway.clone(), ready));
+    tasks.spawn("readiness", probes::accept_probes(gateway.clone(), ready));
     tasks.spawn("listing", listing::follow(gateway.clone()));
     let (adapter, fleet) = (gateway.adapter.clone(), gateway.fleet.clone());
     tasks.spawn("settings", reload::follow(adapter, fleet, settings.clone()));
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -1,10 +1,9 @@
-//! Connections from callers, and the readiness probes of the load balancer.
+//! Connections from callers.
 
 use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http::{HeaderValue, Request, Response, header};
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -31,7 +30,7 @@
     core::{Code, Millis},
     transport::{
         bodies::{BodyError, BodyLimits},
-        connection_limit::{ConnectionLimit, Place},
+        connection_limit::Place,
     },
     util::log,
 };
@@ -51,10 +50,8 @@
 const MIN_CALLERS: usize = 64;
 /// The memory of a connection with a read buffer of the usual size, in bytes.
 const USUAL_CONNECTION_LEN: usize = 20 << 10;
-/// The number of connections for readiness probes; a load balancer needs one.
-const MAX_PROBES: usize = 64;
-/// The size of the read buffer of such a connection, in bytes.
-const PROBE_BUF_LEN: usize = 8 << 10;
+/// The size of the smallest read buffer that the HTTP server supports, in bytes.
+const MIN_BUF_LEN: usize = 8 << 10;
 /// The timeout for an idle connection and for reading a request head or body until a
 /// configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(30_000);
@@ -206,7 +203,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle.as_duration())
-        .max_buf_size(buf_len.max(PROBE_BUF_LEN))
+        .max_buf_size(buf_len.max(MIN_BUF_LEN))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut drain = gateway.drain.subscribe();
@@ -234,8 +231,7 @@
 }
 
 /// Refuses a head that did not arrive, and reads and drops what the caller of a refused request still
-/// sends. A connection that is closed
-/// with unread bytes is reset, and the refusal lost.
+/// sends. A connection that is closed with unread bytes is reset, and the refusal lost.
 async fn end_refused<E: PlatformAdapter>(gateway: &Gateway<E>, caller: &Caller) {
     if let Some(code) = caller.head().refusal() {
         let retry_after = if code == Code::TooBusy { RETRY_AFTER_MEMORY } else { Millis::ZERO };
@@ -350,50 +346,3 @@
     };
     Ok(response.map(|body| body.served_by(serving)))
 }
-
-/// Serves the load balancer's readiness probes for as long as the process runs.
-pub(super) async fn accept_probes<E: PlatformAdapter>(
-    gateway: Rc<Gateway<E>>,
-    listener: TcpListener,
-) -> anyhow::Result<()> {
-    let limit = ConnectionLimit::new("readiness", MAX_PROBES);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let Some(place) = limit.admit().await else { continue };
-                let place = Rc::new(place);
-                let serving = serve_probes(gateway.clone(), stream, place.clone());
-                place.set_task(tokio::task::spawn_local(serving).abort_handle());
-            }
-            Err(err) => {
-                log::warning("accept-failed", &err.to_string());
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn serve_probes<E: PlatformAdapter>(
-    gateway: Rc<Gateway<E>>,
-    stream: TcpStream,
-    _place: Rc<Place>,
-) {
-    let service = service_fn(|request: Request<Incoming>| {
-        let is_ready_path = gateway.adapter.is_ready_path(request.uri().path());
-        let status = match (is_ready_path, gateway.is_ready()) {
-            (false, _) => StatusCode::NOT_FOUND,
-            (true, true) => StatusCode::OK,
-            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        let mut response = Response::new(Full::new(Bytes::new()));
-        *response.status_mut() = status;
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(DEFAULT_IDLE_TIMEOUT.as_duration())
-        .max_buf_size(PROBE_BUF_LEN)
-        .serve_connection(TokioIo::new(stream), service);
-    // Errors are ignored because the load balancer probes again.
-    let _ = connection.await;
-}
