--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -118,8 +118,12 @@
         &self.head
     }
 
-    /// Writes as much of a last answer as is possible without waiting.
+    /// Writes as much of a last answer as is possible without waiting, unless part of an earlier answer
+    /// may not have been written.
     pub(super) fn write_last(&self, bytes: &[u8]) {
+        if self.buffer.as_ref().is_none_or(|buffer| buffer.has_bytes()) {
+            return;
+        }
         // An error means that the caller has left.
         let _ = self.stream.borrow().try_write(bytes);
     }
--- a/src/kingcupgrade/transport/gateway/memory.rs
+++ b/src/kingcupgrade/transport/gateway/memory.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Returns whether bytes of an answer have not been written to the socket.
+    pub(super) fn has_bytes(&self) -> bool {
+        self.bytes.get() > 0
+    }
+
     /// Counts bytes that are handed to the HTTP server.
     pub(super) fn on_handed_over(&self, len: usize) {
         if self.bytes.get() == 0 {
