--- a/src/kingcupgrade/transport/connection_limit.rs
+++ b/src/kingcupgrade/transport/connection_limit.rs
@@ -39,7 +39,7 @@
     }
 
     /// Returns the place for a new connection, or `None` if requests are served on all others.
-    pub(crate) async fn admit(&self) -> Option<Place> {
+    pub(crate) async fn admit(&self) -> Option<Arc<Place>> {
         if self.0.is_reached() {
             if !self.close_one() {
                 self.0.count("refused");
@@ -50,7 +50,7 @@
         }
         let number = self.0.open().add_waiting(None);
         let state = Mutex::new(PlaceState { number: Some(number), task: None });
-        Some(Place { limit: self.0.clone(), state: Arc::new(state) })
+        Some(Arc::new(Place { limit: self.0.clone(), state }))
     }
 
     /// Closes the connection that has waited longest; returns whether there was one.
@@ -97,7 +97,7 @@
 /// The place of one connection, free again when the value is dropped.
 pub(crate) struct Place {
     limit: Arc<Inner>,
-    state: Arc<Mutex<PlaceState>>,
+    state: Mutex<PlaceState>,
 }
 
 struct PlaceState {
@@ -132,7 +132,7 @@
     }
 
     /// Keeps the place until the returned value is dropped: a request is being served.
-    pub(crate) fn serve(&self) -> Serving {
+    pub(crate) fn serve(self: &Arc<Place>) -> Serving {
         let mut state = self.state();
         let mut open = self.limit.open();
         let was_waiting = state.number.is_some_and(|number| open.waiting.remove(&number).is_some());
@@ -140,8 +140,7 @@
             state.number = None;
             open.serving += 1;
         }
-        let place = was_waiting.then(|| (self.limit.clone(), self.state.clone()));
-        Serving { place }
+        Serving { place: was_waiting.then(|| self.clone()) }
     }
 
     /// Gives the place back while the connection stays open.
@@ -165,19 +164,17 @@
 /// Tells that a request is being served on a connection, which waits again when the value is dropped.
 pub(crate) struct Serving {
     /// `None` if the connection is being closed for another one.
-    place: Option<(Arc<Inner>, Arc<Mutex<PlaceState>>)>,
+    place: Option<Arc<Place>>,
 }
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        let Some((limit, state)) = self.place.take() else { return };
-        let is_open = Arc::strong_count(&state) > 1;
-        let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut open = limit.open();
+        // If the connection has ended, its place is given back with this last reference to it.
+        let Some(place) = self.place.take() else { return };
+        let mut state = place.state();
+        let mut open = place.limit.open();
         open.serving -= 1;
-        if is_open {
-            let task = state.task.clone();
-            state.number = Some(open.add_waiting(task));
-        }
+        let task = state.task.clone();
+        state.number = Some(open.add_waiting(task));
     }
 }
--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -128,7 +128,6 @@
         match arrivals.next().await {
             Ok(connection) => {
                 let Some(place) = limit.admit().await else { continue };
-                let place = Rc::new(place);
                 let serving = serve_connection(server.clone(), connection, place.clone());
                 place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
@@ -145,7 +144,7 @@
 async fn serve_connection<E: PlatformAdapter>(
     server: Rc<OperatorServer<E>>,
     connection: OperatorConnection,
-    place: Rc<Place>,
+    place: Arc<Place>,
 ) {
     let OperatorConnection { stream, known_index } = connection;
     let service = service_fn(|request| {
@@ -173,7 +172,7 @@
         &self,
         request: Request<Incoming>,
         known_index: u64,
-        place: &Place,
+        place: &Arc<Place>,
     ) -> OperatorResponse {
         let call = self.adapter.operator_call(request.method(), request.uri().path());
         let limits = BodyLimits {
--- a/src/kingcupgrade/transport/gateway/probes.rs
+++ b/src/kingcupgrade/transport/gateway/probes.rs
@@ -1,6 +1,6 @@
 //! The readiness probes of the load balancer.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -38,7 +38,6 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(place) = limit.admit().await else { continue };
-                let place = Rc::new(place);
                 let serving = serve_probes(gateway.clone(), stream, place.clone());
                 place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
@@ -53,7 +52,7 @@
 async fn serve_probes<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
     stream: TcpStream,
-    _place: Rc<Place>,
+    _place: Arc<Place>,
 ) {
     let service = service_fn(|request: Request<Incoming>| {
         let is_ready_path = gateway.adapter.is_ready_path(request.uri().path());
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -1,6 +1,6 @@
 //! Connections from callers.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
@@ -126,7 +126,6 @@
             Ok((stream, _)) => {
                 // A closed connection tells the caller that its request was not read.
                 let Some(place) = gateway.connections.admit().await else { continue };
-                let place = Rc::new(place);
                 let accepted = gateway.now();
                 let (gateway, own_place) = (gateway.clone(), place.clone());
                 let task = tokio::task::spawn_local(async move {
@@ -148,7 +147,7 @@
 async fn serve_connection<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
     mut stream: TcpStream,
-    place: Rc<Place>,
+    place: Arc<Place>,
 ) {
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
@@ -270,7 +269,7 @@
 async fn serve_one<E: PlatformAdapter>(
     gateway: Rc<Gateway<E>>,
     caller: Caller,
-    place: &Place,
+    place: &Arc<Place>,
     request: Request<Incoming>,
     is_spared: bool,
 ) -> Result<Response<ResponseBody<E>>, Infallible> {
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -114,7 +114,6 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(place) = intake.connections.admit().await else { continue };
-                let place = Arc::new(place);
                 let serving =
                     connection::serve_all(stream, intake.clone(), place.clone(), serve.clone());
                 place.set_task(tokio::spawn(serving).abort_handle());
--- a/src/kingcupgrade/transport/metrics.rs
+++ b/src/kingcupgrade/transport/metrics.rs
@@ -3,7 +3,7 @@
 //! The exporter keeps histogram samples in memory until it sorts them into buckets, which it does
 //! when metrics are scraped. Nobody may scrape them for days, so it is also done periodically.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -78,7 +78,6 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(place) = limit.admit().await else { continue };
-                let place = Rc::new(place);
                 let serving = serve_connection(stream, handle.clone(), place.clone());
                 place.set_task(tokio::task::spawn_local(serving).abort_handle());
             }
@@ -90,7 +89,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, handle: PrometheusHandle, _place: Rc<Place>) {
+async fn serve_connection(stream: TcpStream, handle: PrometheusHandle, _place: Arc<Place>) {
     let service = service_fn(|request: Request<Incoming>| {
         let is_found = request.uri().path() == PATH;
         let text = if is_found { handle.render() } else { String::new() };
--- a/src/kingcupgrade/transport/peers.rs
+++ b/src/kingcupgrade/transport/peers.rs
@@ -213,7 +213,6 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(place) = limit.admit().await else { continue };
-                let place = Arc::new(place);
                 let receiving = tokio::spawn(receive_all(stream, cfg.clone(), place.clone()));
                 place.set_task(receiving.abort_handle());
             }
