Count messages of other instances while they arrive

Seen: strangers that know the protocol and greet as instances could send frames of 16 MiB on any number of connections. 24 connections with 12 MiB each took 307 MB of an entry with 96 MB.

Cause: the bound on what is read ended with the greeting, and a fleet on the users' platform has no shared secret, so that a greeting proves nothing. Ruled out: the bound before the greeting, which holds (frames_of_strangers: 19 MB before and after).

Change: what is read of a message beyond one read buffer takes memory from a budget that all connections share (an eighth of the memory limit, the longest frame at least). Where there is none, the message that is furthest behind is given up with its connection, as bodies are.

--- a/src/kingcupgrade/transport/bodies/mod.rs
+++ b/src/kingcupgrade/transport/bodies/mod.rs
@@ -160,7 +160,8 @@
         Ok(memory)
     }
 
-    fn begin(self: &Arc<Bodies>, holder: Holder) -> BodyMemory {
+    /// Begins to count the memory of a body, or of something else that arrives bit by bit.
+    pub(crate) fn begin(self: &Arc<Bodies>, holder: Holder) -> BodyMemory {
         let mut state = lock(&self.state);
         let no = state.ledger.begin(self.clock.now(), holder);
         let give_up: Arc<GiveUp> = Arc::default();
@@ -185,7 +186,11 @@
     }
 
     /// Takes more memory, if need be from bodies that are given up for it.
-    fn extend(&self, bytes: u64) -> Result<(), BodyError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none, or if this body has been given up itself.
+    pub(crate) fn extend(&self, bytes: u64) -> Result<(), BodyError> {
         if self.give_up.is_set() {
             return Err(BodyError::TooSlow);
         }
@@ -206,7 +211,8 @@
         Err(BodyError::NoRoom)
     }
 
-    fn on_bytes(&self, bytes: u64) {
+    /// Records that this many bytes have arrived.
+    pub(crate) fn on_bytes(&self, bytes: u64) {
         let now = self.bodies.clock.now();
         lock(&self.bodies.state).ledger.on_bytes(now, self.no, bytes);
     }
--- a/src/kingcupgrade/transport/fleet.rs
+++ b/src/kingcupgrade/transport/fleet.rs
@@ -16,7 +16,7 @@
 use super::{
     durable::write_first,
     operator_queue::{KnownIndex, OperatorCommand, WaitingOperators},
-    peers::{PeerConfig, PeerEvent, Peers},
+    peers::{PeerConfig, PeerEvent, PeerLimits, Peers},
 };
 use crate::{
     coordination::{
@@ -170,6 +170,7 @@
         address: (settings.ip, port).into(),
         fleet_key: OPEN_FLEET_KEY.into(),
         addresses: Arc::new(move |instance| address_book.instance_address(instance)),
+        limits: PeerLimits::of(settings),
         sink: Arc::new(sink),
     }
 }
