Bound the connections of instances that have greeted

Seen: 900 strangers that greet and then say nothing took 927 descriptors of an entry with 600; without descriptors it can't connect to upstreams or open files.

Cause: a connection gave its place back with the greeting, and from then on nothing counted it for 60 s.

Change: it moves to a limit of its own: an eighth of an entry's sockets (495 where 4,200 descriptors are allowed), three quarters of a control instance's, to which all entries connect, 32 at least; four for each listed instance of kingcupd. Beyond it, the connection that has said nothing for longest is closed. When descriptors run out all the same, one of these is closed as well.

Result: silent_greeted_strangers_are_withstood failed before, now 146 descriptors, run alone.

--- a/src/kingcupgrade/transport/connection_limit.rs
+++ b/src/kingcupgrade/transport/connection_limit.rs
@@ -143,8 +143,19 @@
         Serving { place: was_waiting.then(|| self.clone()) }
     }
 
-    /// Gives the place back while the connection stays open.
-    pub(crate) fn leave(&self) {
+    /// Gives the place back, and takes one of another limit for the same connection.
+    pub(crate) async fn move_to(&self, limit: &ConnectionLimit) -> Option<Arc<Place>> {
+        self.leave();
+        let place = limit.admit().await?;
+        let task = self.state().task.clone();
+        if let Some(task) = task {
+            place.set_task(task);
+        }
+        Some(place)
+    }
+
+    /// Gives the place back.
+    fn leave(&self) {
         if let Some(number) = self.state().number.take() {
             self.limit.open().waiting.remove(&number);
         }
--- a/src/kingcupgrade/transport/peers/mod.rs
+++ b/src/kingcupgrade/transport/peers/mod.rs
@@ -105,7 +105,7 @@
             address: settings.own_peer().address,
             fleet_key: settings.fleet_key.as_str().into(),
             addresses: Arc::new(move |instance| listed.peer(instance).map(|peer| peer.address)),
-            limits: PeerLimits::among_listed(),
+            limits: PeerLimits::among(settings.peers.len()),
             sink: Arc::new(sink),
         }
     }
--- a/src/kingcupgrade/transport/peers/receiver.rs
+++ b/src/kingcupgrade/transport/peers/receiver.rs
@@ -1,7 +1,8 @@
 //! Connections of other instances, on which messages are received.
 //!
 //! Whoever reaches the port may connect, and where the fleet has no key of its own, greet as any
-//! instance. So the memory for messages that are not complete is limited.
+//! instance. So the connections are limited, those of strangers and those that have been greeted on
+//! each by themselves, and so is the memory for messages that are not complete.
 
 use std::{sync::Arc, time::Duration};
 
@@ -36,6 +37,7 @@
 pub(super) struct Receiver {
     cfg: PeerConfig,
     strangers: ConnectionLimit,
+    greeted: ConnectionLimit,
     /// The messages that are not complete.
     messages: Arc<Bodies>,
 }
@@ -45,6 +47,7 @@
         let budget = MemoryBudget::for_bodies(cfg.limits.message_memory);
         Receiver {
             strangers: ConnectionLimit::new("instances", MAX_STRANGERS),
+            greeted: ConnectionLimit::new("greeted-instances", cfg.limits.connections),
             messages: Bodies::new(Clock::start(), budget, 1.0),
             cfg,
         }
@@ -60,7 +63,7 @@
                 }
                 Err(err) => {
                     log::warning("accept-failed", &err.to_string());
-                    self.strangers.close_one();
+                    self.greeted.close_one();
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -83,8 +86,9 @@
         let greeted = channel.open_greeting(&greeting.into_data());
         let Some(from) = self.accepted(greeted) else { return };
         socket.get_mut().on_greeted();
-        place.leave();
+        let Some(place) = place.move_to(&self.greeted).await else { return };
         while let Ok(Some(Ok(packet))) = timeout(IDLE_LIMIT, socket.next()).await {
+            place.renew();
             // Others may arrive between the parts of a message.
             let Packet::Binary(frame) = packet else { continue };
             socket.get_mut().on_message();
