Let operators share reads and one copy of the configuration

Seen: 64 operators at each control instance that ask for a configuration of 4 MiB and don't read the answer took 316 MB of a control instance with 128.

Cause: each answer was a copy of the text, held until its operator had read it. Besides, a read at an instance that does not lead brings a copy of its own from the one that does, which queues one for each.

Change: answers share the text; a reply with the same text is dropped for the one that is there. At most four reads are under way at an instance; operators that ask meanwhile share the next one, which begins after they have asked, so that each still sees every change acknowledged before.

--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -17,6 +17,7 @@
 use super::{
     arrivals::{Arrivals, OperatorConnection},
     bodies::{Bodies, BodyError, BodyLimits, HeldBody},
+    configuration_reads::{ConfigurationRead, ConfigurationReads},
     connection_limit::{ConnectionLimit, Place},
     fleet::FleetHandle,
     gateway::adapter::{OperatorCall, PlatformAdapter},
@@ -63,6 +64,7 @@
     fleet: FleetHandle,
     /// The bodies of requests.
     bodies: Arc<Bodies>,
+    reads: Rc<ConfigurationReads>,
 }
 
 type OperatorResponse = Response<Full<Bytes>>;
@@ -95,7 +97,8 @@
     tasks.spawn("settings", reload::follow(adapter.clone(), fleet.clone(), settings.clone()));
     let budget = MemoryBudget::for_bodies(body_memory(settings.memory_limit));
     let bodies = Bodies::new(Clock::start(), budget, 1.0);
-    let server = Rc::new(OperatorServer { adapter, fleet: fleet.clone(), bodies });
+    let reads = ConfigurationReads::new(fleet.clone(), RECORD_TIMEOUT);
+    let server = Rc::new(OperatorServer { adapter, fleet: fleet.clone(), bodies, reads });
     let arrivals = Arrivals::new(listener, fleet.clone());
     tasks.spawn("operators", accept_all(server, arrivals));
     log::event("started", &settings.instance());
@@ -259,15 +262,11 @@
     }
 
     async fn read(&self) -> OperatorResponse {
-        match self.fleet.submit(Command::Read, RECORD_TIMEOUT).await {
-            Some(Reply::Configuration(Some(stored))) => {
-                json_response(StatusCode::OK, Bytes::copy_from_slice(stored.text.as_bytes()))
-            }
-            Some(Reply::Configuration(None)) => {
-                refusal(Code::NotReady, "there is no configuration yet")
-            }
-            Some(Reply::Refused(err)) => refusal_of(&err),
-            _ => refusal(Code::NotLeader, "the record did not respond"),
+        match self.reads.read().await {
+            ConfigurationRead::Found(text) => json_response(StatusCode::OK, text),
+            ConfigurationRead::Missing => refusal(Code::NotReady, "there is no configuration yet"),
+            ConfigurationRead::Refused(err) => refusal_of(&err),
+            ConfigurationRead::Unanswered => refusal(Code::NotLeader, "the record did not respond"),
         }
     }
 }
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -7,6 +7,7 @@
 pub mod bodies;
 mod bounded_stream;
 pub mod callers;
+mod configuration_reads;
 mod connection_limit;
 pub mod control_server;
 pub mod daemon;
