Limit the heads of requests in kingcupd, and say when to come back

Seen: 2,000 heads of 35 KiB without end took 115 MB of an entry of kingcupd, beside the 16 MiB that it had for bodies; a head without end was waited for without limit. A caller refused for want of memory (K3006) was not told when to come back, and refusals of bodies were counted by no metric.

Cause: only bodies took memory from the budget, and nothing watched the time of a head. The gateway has had such a watch; it belonged to its one thread.

Change: the watch is shared by both servers (transport/head_watch). A head that the first read has not brought whole takes memory as a body and may last 10 s from its first byte; then it is refused with K2011, unless part of an earlier answer may not have been written. A request begun behind a stream that is being written is not watched before the stream's end. Refusals for want of memory have Retry-After, and every refusal before a request is served is counted by its code.

--- a/src/kingcupgrade/transport/callers/mod.rs
+++ b/src/kingcupgrade/transport/callers/mod.rs
@@ -75,6 +75,8 @@
         body_memory: settings.body_memory_mb << 20,
         holder_fraction: HOLDER_FRACTION,
         body: body_rule(shared.view.clone()),
+        on_refusal: response::count,
+        ..http::Limits::default()
     };
     http::start_with("callers", address, limits, move |request| spawn_serve(request, &shared))?;
     Ok(())
@@ -84,7 +86,7 @@
 /// needs none.
 fn body_rule(view: SharedView) -> BodyRule {
     Arc::new(move |head| {
-        let admitted = admit_head(head, &view).inspect_err(|err| response::count(err.code))?;
+        let admitted = admit_head(head, &view)?;
         let max_len = admitted.document.limits.body_bytes;
         Ok(BodyPolicy { holder: Some(admitted.organisation), max_len })
     })
--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -10,6 +10,7 @@
     mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll},
 };
 
@@ -20,8 +21,8 @@
     net::TcpStream,
 };
 
-use super::{head_watch::HeadWatch, memory::AnswerBuffer};
-use crate::transport::linger;
+use super::memory::AnswerBuffer;
+use crate::transport::{head_watch::HeadWatch, linger};
 
 /// The size of the kernel's send buffer where the process's memory is limited; callers at a round
 /// trip of 10 ms still get more than 6 MB a second.
@@ -32,7 +33,7 @@
     stream: Rc<RefCell<TcpStream>>,
     /// Bytes that were read before, and that the server has not got yet.
     pending: Bytes,
-    head: Rc<HeadWatch>,
+    head: Arc<HeadWatch>,
     /// Counts what is not written yet, if the process's memory is limited.
     buffer: Option<Rc<AnswerBuffer>>,
     is_discarded: Rc<Cell<bool>>,
@@ -42,7 +43,7 @@
 #[derive(Clone)]
 pub struct Caller {
     stream: Rc<RefCell<TcpStream>>,
-    head: Rc<HeadWatch>,
+    head: Arc<HeadWatch>,
     buffer: Option<Rc<AnswerBuffer>>,
     /// Whether a request was refused that has not been read to its end.
     is_discarded: Rc<Cell<bool>>,
@@ -68,7 +69,7 @@
             let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         }
         let is_discarded = Rc::default();
-        let (stream, head) = (Rc::new(RefCell::new(stream)), Rc::new(head));
+        let (stream, head) = (Rc::new(RefCell::new(stream)), Arc::new(head));
         CallerStream { stream, pending, head, buffer, is_discarded }
     }
 
@@ -114,7 +115,7 @@
     }
 
     /// Returns what limits the heads of the caller's requests.
-    pub(super) fn head(&self) -> &Rc<HeadWatch> {
+    pub(super) fn head(&self) -> &Arc<HeadWatch> {
         &self.head
     }
 
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -11,7 +11,6 @@
 pub mod early_refusal;
 mod end_check;
 pub mod events;
-mod head_watch;
 pub mod latency;
 mod listing;
 mod memory;
--- a/src/kingcupgrade/transport/gateway/response.rs
+++ b/src/kingcupgrade/transport/gateway/response.rs
@@ -10,10 +10,10 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::{adapter::PlatformAdapter, head_watch::Answering, relay::Relay};
+use super::{adapter::PlatformAdapter, relay::Relay};
 use crate::{
     core::{Code, Millis},
-    transport::{bodies::SegmentBody, connection_limit::Serving},
+    transport::{bodies::SegmentBody, connection_limit::Serving, head_watch::Answering},
 };
 
 /// The body of a response to a caller.
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -20,7 +20,6 @@
     adapter::PlatformAdapter,
     caller::{Caller, CallerStream},
     early_refusal::{EarlyOutcome, encode_last},
-    head_watch::{HeadLimits, HeadWatch},
     memory::AnswerBuffer,
     request::{ProxiedRequest, RoutedRequest},
     response::{ResponseBody, error_response},
@@ -31,6 +30,7 @@
     transport::{
         bodies::{BodyError, BodyLimits},
         connection_limit::Place,
+        head_watch::{HeadLimits, HeadWatch},
     },
     util::log,
 };
--- a/src/kingcupgrade/transport/gateway/head_watch.rs
+++ b/src/kingcupgrade/transport/head_watch.rs
@@ -6,12 +6,10 @@
 //! read takes memory from the budget for request bodies.
 
 use std::{
-    cell::{Cell, RefCell},
     future::Future,
     io,
     pin::Pin,
-    rc::Rc,
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
 };
 
@@ -36,20 +34,25 @@
 #[derive(Default)]
 pub(super) struct HeadWatch {
     limits: Option<HeadLimits>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
     /// Whether a request's body is being read, or its answer written.
-    is_complete: Cell<bool>,
+    is_complete: bool,
     /// Whether bytes of a head have been read.
-    has_begun: Cell<bool>,
-    incomplete: RefCell<Option<Incomplete>>,
-    refusal: Cell<Option<Code>>,
+    has_begun: bool,
+    incomplete: Option<Incomplete>,
+    refusal: Option<Code>,
 }
 
 /// Tells that a request is being read or answered.
-pub(super) struct Answering(Rc<HeadWatch>);
+pub(super) struct Answering(Arc<HeadWatch>);
 
 impl Drop for Answering {
     fn drop(&mut self) {
-        self.0.is_complete.set(false);
+        self.0.state().is_complete = false;
     }
 }
 
@@ -66,53 +69,61 @@
 
     /// Records that the head of a request is complete. The next one begins when the returned value is
     /// dropped.
-    pub(super) fn complete(self: &Rc<HeadWatch>) -> Answering {
-        self.is_complete.set(true);
-        self.has_begun.set(false);
-        self.incomplete.take();
+    pub(super) fn complete(self: &Arc<HeadWatch>) -> Answering {
+        let mut state = self.state();
+        state.is_complete = true;
+        state.has_begun = false;
+        state.incomplete = None;
         Answering(self.clone())
     }
 
     /// Returns the code with which an incomplete request is to be refused.
     pub(super) fn refusal(&self) -> Option<Code> {
-        self.refusal.get()
+        self.state().refusal
     }
 
     /// Takes memory for a head whose first bytes have been read, once.
     pub(super) fn before_read(&self) -> io::Result<()> {
         let Some(limits) = &self.limits else { return Ok(()) };
-        let mut incomplete = self.incomplete.borrow_mut();
-        if self.is_complete.get() || !self.has_begun.get() || incomplete.is_some() {
+        let mut state = self.state();
+        if state.is_complete || !state.has_begun || state.incomplete.is_some() {
             return Ok(());
         }
         let held = limits.bodies.hold(limits.len as u64);
-        let memory = held.map_err(|err| self.give_up(&err))?;
+        let memory = held.map_err(|err| state.give_up(&err))?;
         let timer = Box::pin(sleep(limits.timeout.as_duration()));
-        *incomplete = Some(Incomplete { memory, timer });
+        state.incomplete = Some(Incomplete { memory, timer });
         Ok(())
     }
 
     /// Records that this many bytes have been read.
     pub(super) fn on_read(&self, len: usize) {
-        if len > 0 && !self.is_complete.get() {
-            self.has_begun.set(true);
+        let mut state = self.state();
+        if len > 0 && !state.is_complete {
+            state.has_begun = true;
         }
     }
 
     /// Waits until an incomplete head is given up, and returns the error for the HTTP server.
     pub(super) fn poll_late(&self, cx: &mut Context<'_>) -> Poll<io::Error> {
-        let mut incomplete = self.incomplete.borrow_mut();
-        let Some(incomplete) = incomplete.as_mut() else { return Poll::Pending };
+        let mut state = self.state();
+        let Some(incomplete) = state.incomplete.as_mut() else { return Poll::Pending };
         let is_given_up = incomplete.memory.poll_given_up(cx).is_ready();
         if is_given_up || incomplete.timer.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(self.give_up(&BodyError::TooSlow));
+            return Poll::Ready(state.give_up(&BodyError::TooSlow));
         }
         Poll::Pending
     }
 
-    fn give_up(&self, err: &BodyError) -> io::Error {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn give_up(&mut self, err: &BodyError) -> io::Error {
         let code = if *err == BodyError::NoRoom { Code::TooBusy } else { Code::HeadTimeout };
-        self.refusal.set(Some(code));
+        self.refusal = Some(code);
         io::Error::new(io::ErrorKind::TimedOut, code.text())
     }
 }
--- a/src/kingcupgrade/transport/http/connection.rs
+++ b/src/kingcupgrade/transport/http/connection.rs
@@ -1,34 +1,25 @@
 //! A single connection: serves its requests in sequence, and sends a coded refusal if a request
 //! head can't be parsed.
 
-use std::{
-    future::poll_fn,
-    io,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use hyper::{Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{
-    io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
-    net::TcpStream,
-    sync::oneshot,
-};
+use tokio::{net::TcpStream, sync::oneshot::error::RecvError};
 
 use super::{
     Handler,
     intake::{BodyPolicy, Intake, RequestHead},
     request::{DisconnectGuard, Request},
     response::{ResponseBody, ServerResponse},
+    stream::CallerStream,
 };
 use crate::{
     core::{Code, Millis, code::CodedError},
     transport::{
         bodies::{BodyError, BodyLimits, HeldBody},
         connection_limit::Place,
+        head_watch::{HeadLimits, HeadWatch},
         linger::linger,
     },
 };
@@ -37,6 +28,8 @@
 const MAX_BUF_LEN: usize = 36 << 10;
 /// The timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// The retry delay sent when there is no memory for a request.
+const RETRY_AFTER_MEMORY: Millis = Millis(1_000);
 
 /// Serves the requests of a connection until it ends.
 pub(super) async fn serve_all(
@@ -48,23 +41,35 @@
     // Nagle's algorithm would hold back an event until the previous one is acknowledged. A failure
     // costs latency only.
     let _ = stream.set_nodelay(true);
-    let filtered = ErrorFilter { stream, is_triggered: false };
+    let head = Arc::new(HeadWatch::new(HeadLimits {
+        bodies: intake.bodies.clone(),
+        len: MAX_BUF_LEN,
+        timeout: intake.head_timeout,
+    }));
+    let filtered = CallerStream::new(stream, head.clone());
+    let on_refusal = intake.on_refusal;
     let service = service_fn(move |request| {
-        Box::pin(serve_one(request, intake.clone(), place.clone(), serve.clone()))
+        let answering = head.complete();
+        let response = serve_one(request, intake.clone(), place.clone(), serve.clone());
+        Box::pin(async { Ok::<_, RecvError>(response.await?.map(|b| b.answered_as(answering))) })
     });
     let mut connection = http1::Builder::new()
         .max_buf_size(MAX_BUF_LEN)
         .serve_connection(TokioIo::new(filtered), service);
     let ended = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-    let ErrorFilter { mut stream, is_triggered } = connection.into_parts().io.into_inner();
-    if let (true, Err(err)) = (is_triggered, ended) {
-        let code = if err.is_parse_too_large() { Code::HeadTooLarge } else { Code::BadRequest };
-        let refusal =
-            ServerResponse::refusal(&CodedError::new(code, err.to_string()), Millis::ZERO);
-        // An error means that the caller has disconnected.
-        let _ = stream.write_all(&refusal.to_bytes()).await;
+    let mut stream = connection.into_parts().io.into_inner();
+    let refused = ended.err().and_then(|err| stream.refused_head(&err));
+    if let Some(err) = refused {
+        on_refusal(err.code);
+        stream.write_last(&refusal(&err).to_bytes()).await;
     }
-    linger(stream).await;
+    linger(stream.into_inner()).await;
+}
+
+/// Builds the response to a request that was not taken in.
+fn refusal(err: &CodedError) -> ServerResponse {
+    let retry_after = if err.code == Code::TooBusy { RETRY_AFTER_MEMORY } else { Millis::ZERO };
+    ServerResponse::refusal(err, retry_after)
 }
 
 /// Passes a request to the server's handler and waits for the response.
@@ -73,12 +78,15 @@
     intake: Intake,
     place: Arc<Place>,
     serve: Handler,
-) -> Result<Response<ResponseBody>, oneshot::error::RecvError> {
+) -> Result<Response<ResponseBody>, RecvError> {
     let (head, body) = request.into_parts();
     let head = RequestHead(head);
     let body = match read_body(&intake, &head, body).await {
         Ok(body) => body,
-        Err(err) => return Ok(ServerResponse::refusal(&err, Millis::ZERO).into_complete()),
+        Err(err) => {
+            (intake.on_refusal)(err.code);
+            return Ok(refusal(&err).into_complete());
+        }
     };
     let (request, receiver) = Request::new(head, body);
     let mut watch = DisconnectGuard::new(receiver.on_disconnect, place.serve());
@@ -112,53 +120,3 @@
     };
     intake.bodies.read(body, limits).await.map_err(refusal)
 }
-
-/// A stream that suppresses the error responses that hyper generates, because they carry no result
-/// code.
-///
-/// hyper writes such a response as the last one of a connection, with a 4xx status and without a
-/// content type. Every response of this project has a content type.
-struct ErrorFilter {
-    stream: TcpStream,
-    /// Whether an error response was suppressed.
-    is_triggered: bool,
-}
-
-/// Returns whether the bytes are an error response generated by hyper.
-fn is_hyper_error(buf: &[u8]) -> bool {
-    let is_refusal = buf.starts_with(b"HTTP/1.1 4") || buf.starts_with(b"HTTP/1.0 4");
-    let name = b"content-type";
-    is_refusal && !buf.windows(name.len()).any(|part| part.eq_ignore_ascii_case(name))
-}
-
-impl AsyncRead for ErrorFilter {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for ErrorFilter {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        if is_hyper_error(buf) {
-            self.is_triggered = true;
-            return Poll::Ready(Ok(buf.len()));
-        }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/src/kingcupgrade/transport/http/intake.rs
+++ b/src/kingcupgrade/transport/http/intake.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::{bodies::Holder, memory::MemoryBudget},
-    core::{clock::Clock, code::CodedError},
+    core::{Code, Millis, clock::Clock, code::CodedError},
     transport::{bodies::Bodies, connection_limit::ConnectionLimit},
 };
 
@@ -17,6 +17,9 @@
 /// The maximum length of a request body by default, in bytes.
 const DEFAULT_BODY_LEN: usize = 8 << 20;
 
+/// The timeout for a request head by default.
+const DEFAULT_HEAD_TIMEOUT: Millis = Millis(10_000);
+
 /// How the body of one request is read.
 #[derive(Clone, Debug, Default)]
 pub struct BodyPolicy {
@@ -38,8 +41,12 @@
     pub body_memory: u64,
     /// The part of it that the bodies of one organisation may take.
     pub holder_fraction: f64,
+    /// The maximum time from the first byte of a request's head to the last one.
+    pub head_timeout: Millis,
     /// How each body is read.
     pub body: BodyRule,
+    /// Called with the code of each request that is refused before it is served.
+    pub on_refusal: fn(Code),
 }
 
 impl Default for Limits {
@@ -49,7 +56,9 @@
             connections: DEFAULT_CONNECTIONS,
             body_memory: DEFAULT_BODY_MEMORY,
             holder_fraction: 1.0,
+            head_timeout: DEFAULT_HEAD_TIMEOUT,
             body: Arc::new(move |_| Ok(policy.clone())),
+            on_refusal: |_| {},
         }
     }
 }
@@ -85,7 +94,9 @@
 pub(super) struct Intake {
     pub(super) connections: ConnectionLimit,
     pub(super) bodies: Arc<Bodies>,
+    pub(super) head_timeout: Millis,
     pub(super) body: BodyRule,
+    pub(super) on_refusal: fn(Code),
 }
 
 impl Intake {
@@ -94,7 +105,9 @@
         Intake {
             connections: ConnectionLimit::new("http", limits.connections),
             bodies: Bodies::new(Clock::start(), budget, limits.holder_fraction),
+            head_timeout: limits.head_timeout,
             body: limits.body,
+            on_refusal: limits.on_refusal,
         }
     }
 }
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -10,6 +10,7 @@
 mod intake;
 mod request;
 mod response;
+mod stream;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- a/src/kingcupgrade/transport/http/response.rs
+++ b/src/kingcupgrade/transport/http/response.rs
@@ -17,7 +17,7 @@
 use super::request::DisconnectGuard;
 use crate::{
     core::{Code, Millis, code::CodedError},
-    transport::bodies::BodyMemory,
+    transport::{bodies::BodyMemory, head_watch::Answering},
 };
 
 /// The number of chunks of a stream that may be queued for a caller who reads slowly; then the
@@ -87,7 +87,7 @@
 
     pub(super) fn into_complete(mut self) -> Response<ResponseBody> {
         let body = Bytes::from(std::mem::take(&mut self.body));
-        self.into_response(ResponseBody::Complete(body))
+        self.into_response(Content::Complete(body))
     }
 
     pub(super) fn into_stream(
@@ -95,12 +95,12 @@
         memory: Option<BodyMemory>,
     ) -> (ResponseStream, Response<ResponseBody>) {
         let (tx, rx) = mpsc::channel(CHUNK_QUEUE_LEN);
-        let body = ResponseBody::Stream { chunks: rx, watch: None };
+        let body = Content::Stream { chunks: rx, watch: None };
         (ResponseStream { tx, _memory: memory }, self.into_response(body))
     }
 
-    fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
-        let mut response = Response::new(body);
+    fn into_response(self, content: Content) -> Response<ResponseBody> {
+        let mut response = Response::new(ResponseBody::from(content));
         if let Ok(status) = hyper::StatusCode::from_u16(self.status) {
             *response.status_mut() = status;
         }
@@ -167,23 +167,36 @@
 }
 
 /// The body of a response, as hyper sends it.
-pub(super) enum ResponseBody {
+pub(super) struct ResponseBody {
+    content: Content,
+    /// Held until the body has been handed over to hyper.
+    _answering: Option<Answering>,
+}
+
+enum Content {
     Complete(Bytes),
     Stream { chunks: mpsc::Receiver<Chunk>, watch: Option<DisconnectGuard> },
 }
 
 impl ResponseBody {
     /// Keeps watching for a disconnect of the caller until a stream has ended.
-    pub(super) fn watched_by(self, mut guard: DisconnectGuard) -> ResponseBody {
-        match self {
-            ResponseBody::Complete(bytes) => {
-                guard.disarm();
-                ResponseBody::Complete(bytes)
-            }
-            ResponseBody::Stream { chunks, .. } => {
-                ResponseBody::Stream { chunks, watch: Some(guard) }
-            }
+    pub(super) fn watched_by(mut self, mut guard: DisconnectGuard) -> ResponseBody {
+        match &mut self.content {
+            Content::Complete(_) => guard.disarm(),
+            Content::Stream { watch, .. } => *watch = Some(guard),
         }
+        self
+    }
+
+    /// Has the bytes that are read meanwhile not count as the head of another request.
+    pub(super) fn answered_as(self, answering: Answering) -> ResponseBody {
+        ResponseBody { _answering: Some(answering), ..self }
+    }
+}
+
+impl From<Content> for ResponseBody {
+    fn from(content: Content) -> ResponseBody {
+        ResponseBody { content, _answering: None }
     }
 }
 
@@ -207,12 +220,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
-        match &mut *self {
-            ResponseBody::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
-            ResponseBody::Complete(bytes) => {
-                Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
-            }
-            ResponseBody::Stream { chunks, watch } => {
+        match &mut self.content {
+            Content::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Content::Complete(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Content::Stream { chunks, watch } => {
                 let polled = chunks.poll_recv(cx);
                 if let (Poll::Ready(Some(Chunk::End) | None), Some(watch)) = (&polled, watch) {
                     watch.disarm();
@@ -227,13 +238,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Complete(bytes) if bytes.is_empty())
+        matches!(&self.content, Content::Complete(bytes) if bytes.is_empty())
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
-        match self {
-            ResponseBody::Complete(bytes) => hyper::body::SizeHint::with_exact(bytes.len() as u64),
-            ResponseBody::Stream { .. } => hyper::body::SizeHint::default(),
+        match &self.content {
+            Content::Complete(bytes) => hyper::body::SizeHint::with_exact(bytes.len() as u64),
+            Content::Stream { .. } => hyper::body::SizeHint::default(),
         }
     }
 }
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -15,6 +15,7 @@
 pub mod engines;
 pub mod fleet;
 pub mod gateway;
+mod head_watch;
 pub mod http;
 mod linger;
 mod listen;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod explain;
 mod fleet_load;
 mod freezes;
+mod http_limits;
 mod input;
 mod isolation;
 mod json_lists;
