Disconnect callers of kingcupd that do not read their answers

Seen: 24 callers that ask an engine for 26 MB and don't read kept all of its slots; an ordinary prompt of another organisation got no answer in 40 s, until they left.

Cause: the thread of a request waits without limit until its caller has taken a piece of the stream, and the slot is free only when it ends. The class is that of bodies: who has a place keeps it.

Change: a caller that reads nothing for 15 s while there is something to be written is disconnected, and the connection is reset, so that the kernel keeps nothing for it. What it held is free as after any disconnect; the upstream is not blamed, and nothing is sent again.

Result: answers_that_are_not_read_take_no_slot_of_ordinary_requests failed on (run alone), and passes.

--- a/src/kingcupgrade/transport/http/connection.rs
+++ b/src/kingcupgrade/transport/http/connection.rs
@@ -46,7 +46,7 @@
         len: MAX_BUF_LEN,
         timeout: intake.head_timeout,
     }));
-    let filtered = CallerStream::new(stream, head.clone());
+    let filtered = CallerStream::new(stream, head.clone(), intake.write_timeout);
     let on_refusal = intake.on_refusal;
     let service = service_fn(move |request| {
         let answering = head.complete();
@@ -63,7 +63,9 @@
         on_refusal(err.code);
         stream.write_last(&refusal(&err).to_bytes()).await;
     }
-    linger(stream.into_inner()).await;
+    if let Some(stream) = stream.into_read() {
+        linger(stream).await;
+    }
 }
 
 /// Builds the response to a request that was not taken in.
--- a/src/kingcupgrade/transport/http/intake.rs
+++ b/src/kingcupgrade/transport/http/intake.rs
@@ -20,6 +20,9 @@
 /// The timeout for a request head by default.
 const DEFAULT_HEAD_TIMEOUT: Millis = Millis(10_000);
 
+/// How long a caller may read nothing of an answer by default.
+const DEFAULT_WRITE_TIMEOUT: Millis = Millis(15_000);
+
 /// How the body of one request is read.
 #[derive(Clone, Debug, Default)]
 pub struct BodyPolicy {
@@ -43,6 +46,9 @@
     pub holder_fraction: f64,
     /// The maximum time from the first byte of a request's head to the last one.
     pub head_timeout: Millis,
+    /// How long a caller may read nothing while there is something to be written to it; it is then
+    /// disconnected.
+    pub write_timeout: Millis,
     /// How each body is read.
     pub body: BodyRule,
     /// Called with the code of each request that is refused before it is served.
@@ -57,6 +63,7 @@
             body_memory: DEFAULT_BODY_MEMORY,
             holder_fraction: 1.0,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
+            write_timeout: DEFAULT_WRITE_TIMEOUT,
             body: Arc::new(move |_| Ok(policy.clone())),
             on_refusal: |_| {},
         }
@@ -95,6 +102,7 @@
     pub(super) connections: ConnectionLimit,
     pub(super) bodies: Arc<Bodies>,
     pub(super) head_timeout: Millis,
+    pub(super) write_timeout: Millis,
     pub(super) body: BodyRule,
     pub(super) on_refusal: fn(Code),
 }
@@ -106,6 +114,7 @@
             connections: ConnectionLimit::new("http", limits.connections),
             bodies: Bodies::new(Clock::start(), budget, limits.holder_fraction),
             head_timeout: limits.head_timeout,
+            write_timeout: limits.write_timeout,
             body: limits.body,
             on_refusal: limits.on_refusal,
         }
--- a/src/kingcupgrade/transport/http/stream.rs
+++ b/src/kingcupgrade/transport/http/stream.rs
@@ -1,6 +1,7 @@
 //! The stream of a caller's connection, as hyper reads and writes it.
 
 use std::{
+    future::Future,
     io,
     pin::Pin,
     sync::Arc,
@@ -10,14 +11,16 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
 use crate::{
-    core::{Code, code::CodedError},
+    core::{Code, Millis, code::CodedError},
     transport::head_watch::HeadWatch,
 };
 
-/// A caller's connection, which is limited in the time of heads.
+/// A caller's connection, which is limited in the time of heads, and in the time for which the caller
+/// reads nothing of an answer.
 ///
 /// It suppresses the error responses that hyper generates, because they carry no result code. hyper
 /// writes such a response as the last one of a connection, with a 4xx status and without a content
@@ -29,11 +32,29 @@
     is_error_suppressed: bool,
     /// Whether hyper may have bytes of a response that it has not written.
     is_writing: bool,
+    /// How long the caller may read nothing while there is something to be written.
+    write_timeout: Millis,
+    /// Set while the caller does not read.
+    unread: Option<Pin<Box<Sleep>>>,
+    /// Whether the caller has not read for too long.
+    is_given_up: bool,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, head: Arc<HeadWatch>) -> CallerStream {
-        CallerStream { stream, head, is_error_suppressed: false, is_writing: false }
+    pub(super) fn new(
+        stream: TcpStream,
+        head: Arc<HeadWatch>,
+        write_timeout: Millis,
+    ) -> CallerStream {
+        CallerStream {
+            stream,
+            head,
+            is_error_suppressed: false,
+            is_writing: false,
+            write_timeout,
+            unread: None,
+            is_given_up: false,
+        }
     }
 
     /// Returns the error with which a head that ended the connection is to be refused. Nothing is
@@ -53,9 +74,24 @@
         let _ = self.write_all(bytes).await;
     }
 
-    /// Returns the connection.
-    pub(super) fn into_inner(self) -> TcpStream {
-        self.stream
+    /// Returns the connection, unless the caller does not read it.
+    pub(super) fn into_read(self) -> Option<TcpStream> {
+        if self.is_given_up {
+            // The kernel drops what the caller has not read. If this fails, it keeps that for a while.
+            let _ = self.stream.set_zero_linger();
+            return None;
+        }
+        Some(self.stream)
+    }
+
+    /// Fails once the caller has not read for too long.
+    fn poll_unread(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let timeout = self.write_timeout.as_duration();
+        let unread = self.unread.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        unread.as_mut().poll(cx).map(|()| {
+            self.is_given_up = true;
+            io::Error::new(io::ErrorKind::TimedOut, "the caller does not read")
+        })
     }
 }
 
@@ -95,7 +131,12 @@
             return Poll::Ready(Ok(buf.len()));
         }
         self.is_writing = true;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if written.is_pending() {
+            return self.poll_unread(cx).map(Err);
+        }
+        self.unread = None;
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/crowds/kingcupd.rs
+++ b/tests/crowds/kingcupd.rs
@@ -10,7 +10,8 @@
 
 use kingcup_support::{
     caller::Caller,
-    crowd::{AfterClose, Crowd, announced_body, chunked_body, unended_head},
+    crowd::{AfterClose, Crowd, Script, announced_body, chunked_body, unended_head},
+    engine::{Engine, EngineConfig, Prompt},
     fleet::{Fleet, InstancePlan, Program, document, token},
     plain_service::PlainService,
     platform::{FakeUpstream, Platform},
@@ -56,6 +57,12 @@
             plain.address(),
             FakeUpstream::Plain(plain.clone()),
         );
+        let engine = Engine::start(EngineConfig {
+            token_time: Duration::from_millis(1),
+            ..EngineConfig::default()
+        });
+        let address = engine.address();
+        platform.add("tutor-1", "tutor", "north", address, FakeUpstream::Engine(engine));
         let plans = [InstancePlan::entry(ENTRY, "north"), InstancePlan::control(CONTROL, "north")];
         let daemon = Program::daemon(env!("CARGO_BIN_EXE_kingcupd"));
         let mut fleet = Fleet::prepare(daemon, &plans, &platform, false).expect("a fleet");
@@ -66,11 +73,15 @@
         for plan in &plans {
             fleet.start_instance(&plan.instance).expect("an instance");
         }
-        let rest = "slots: {cold: 8, warm: 8}\nlimits: {deadline_ms: 8000, silence_ms: 6000}\n";
-        let orders = document("orders", "plain-service", &[("alder", 1), ("birch", 1)], rest);
-        let is_applied = || fleet.apply("orders", 0, &orders).is_ok();
-        assert!(wait_until(TIMEOUT, is_applied), "the document is not applied");
-        fleet.wait_for_dispatchers("orders").expect("a dispatcher");
+        let limits = "limits: {deadline_ms: 8000, silence_ms: 6000}\n";
+        let services = [("orders", "plain-service", 8), ("tutor", "model-engine", 2)];
+        for (service, kind, slots) in services {
+            let rest = format!("slots: {{cold: {slots}, warm: 8}}\n{limits}");
+            let text = document(service, kind, &[("alder", 1), ("birch", 1)], &rest);
+            let is_applied = || fleet.apply(service, 0, &text).is_ok();
+            assert!(wait_until(TIMEOUT, is_applied), "the document is not applied");
+            fleet.wait_for_dispatchers(service).expect("a dispatcher");
+        }
         let small = SmallFleet { fleet, _platform: platform, _alone: alone };
         assert!(small.is_served(), "the first request is not answered");
         small
@@ -84,6 +95,15 @@
         wait_until(TIMEOUT, || caller.post(entry, "/orders/list", &body, None).status == 200)
     }
 
+    /// Returns whether an ordinary request to the engine is answered.
+    fn is_prompt_served(&self) -> bool {
+        let caller = Caller::new(&token("birch"));
+        let prompt =
+            Prompt { id: "ordinary".to_owned(), organisation: "birch".to_owned(), tokens: 4 };
+        let entry = self.fleet.entry(ENTRY);
+        wait_until(TIMEOUT, || caller.prompt(entry, "tutor", &prompt).is_complete_for(&prompt))
+    }
+
     /// Lets a crowd send all it will to an instance, asks for ordinary service while it holds on and
     /// afterwards, and checks the instance's memory.
     fn assert_withstands(&self, instance: &str, crowd: Crowd) {
@@ -112,6 +132,14 @@
     }
 }
 
+/// Returns a request whose answer has 26 MB, far more than the kernel holds for a connection.
+fn long_prompt(entry: SocketAddr) -> Vec<u8> {
+    let prompt = Prompt { id: "x".repeat(64 << 10), organisation: "alder".to_owned(), tokens: 400 };
+    let body = serde_json::to_string(&prompt).expect("a prompt");
+    let head = request_head(entry).replace("/orders/list", "/tutor/generate");
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
 fn request_head(entry: SocketAddr) -> String {
     format!(
         "POST /orders/list HTTP/1.1\r\nHost: {entry}\r\nAuthorization: Bearer {}\r\n",
@@ -169,6 +197,20 @@
     assert!(answer.starts_with("HTTP/1.1 408 ") && answer.contains("2011"), "{answer:?}");
 }
 
+/// Guards against callers that don't read their answers and keep the upstreams' slots for ever.
+#[test]
+fn answers_that_are_not_read_take_no_slot_of_ordinary_requests() {
+    let small = SmallFleet::start(2_000);
+    assert!(small.is_prompt_served(), "the first prompt is not answered");
+    let entry = small.fleet.entry(ENTRY);
+    let script = Script { bytes: long_prompt(entry), ignores_answers: true, ..Script::default() };
+    let crowd = Crowd::play(entry, 24, script, AfterClose::Leave);
+    assert!(crowd.wait_until_settled(SETTLE_TIMEOUT), "the crowd is not done");
+    let is_served = small.is_prompt_served();
+    small.assert_withstands(ENTRY, crowd);
+    assert!(is_served, "no ordinary prompt is answered while the crowd holds on");
+}
+
 /// Guards against a control instance whose memory is filled by operators' requests without their end.
 #[test]
 fn operators_requests_without_their_end_are_withstood() {
