Serve accepted connections in one place, and give the pool its bounded stream back

Five listeners repeated the same four lines that find a place for a connection, serve it on a task and tell the place of it: ConnectionLimit::serve does that. The stream with a bound on what is read has one user again, the pool of upstream connections, since messages of other instances are counted; it is back in the gateway as it was before, without an atomic counter. No behaviour changes.

--- a/src/kingcupgrade/transport/connection_limit.rs
+++ b/src/kingcupgrade/transport/connection_limit.rs
@@ -11,7 +11,7 @@
 };
 
 use metrics::counter;
-use tokio::task::{AbortHandle, yield_now};
+use tokio::task::{AbortHandle, JoinHandle, yield_now};
 
 /// Limits the connections of one listener.
 #[derive(Clone)]
@@ -38,8 +38,16 @@
         ConnectionLimit(Arc::new(Inner { listener, most, open: Mutex::default() }))
     }
 
+    /// Has a new connection served by the task that `spawn` starts, unless requests are served on all
+    /// others.
+    pub(crate) async fn serve(&self, spawn: impl FnOnce(Arc<Place>) -> JoinHandle<()>) {
+        let Some(place) = self.admit().await else { return };
+        let task = spawn(place.clone());
+        place.set_task(task.abort_handle());
+    }
+
     /// Returns the place for a new connection, or `None` if requests are served on all others.
-    pub(crate) async fn admit(&self) -> Option<Arc<Place>> {
+    async fn admit(&self) -> Option<Arc<Place>> {
         if self.0.is_reached() {
             if !self.close_one() {
                 self.0.count("refused");
@@ -108,7 +116,7 @@
 
 impl Place {
     /// Sets the task that serves the connection, which is aborted if its place is needed.
-    pub(crate) fn set_task(&self, task: AbortHandle) {
+    fn set_task(&self, task: AbortHandle) {
         let mut state = self.state();
         let waiting = state.number.and_then(|number| {
             let mut open = self.limit.open();
--- a/src/kingcupgrade/transport/control_server.rs
+++ b/src/kingcupgrade/transport/control_server.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use tokio::{
     signal::unix::{SignalKind, signal},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -130,9 +131,9 @@
     loop {
         match arrivals.next().await {
             Ok(connection) => {
-                let Some(place) = limit.admit().await else { continue };
-                let serving = serve_connection(server.clone(), connection, place.clone());
-                place.set_task(tokio::task::spawn_local(serving).abort_handle());
+                limit
+                    .serve(|place| spawn_local(serve_connection(server.clone(), connection, place)))
+                    .await;
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
--- a/src/kingcupgrade/transport/bounded_stream.rs
+++ b/src/kingcupgrade/transport/gateway/bounded_stream.rs
@@ -1,17 +1,13 @@
-//! A connection that fails if too much arrives before what is awaited.
+//! A connection to an upstream that fails if too much arrives before the head of a response.
 //!
-//! The HTTP library bounds the head of a response, but not the number of informational heads before it:
-//! an upstream that sends them without end would keep the process busy until the request's deadline. A
-//! message between instances may be long, but must not take memory before its sender is
-//! authenticated.
+//! The HTTP library bounds the head, but not the number of informational heads before it: an upstream
+//! that sends them without end would keep the process busy until the request's deadline.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 
@@ -20,43 +16,27 @@
     net::TcpStream,
 };
 
-/// The value that stands for no bound.
-const UNBOUNDED: usize = usize::MAX;
-
-/// How many bytes may still be read from a connection; shared with its stream.
-#[derive(Clone, Debug)]
-pub(super) struct ReadBound(Arc<AtomicUsize>);
+/// How many bytes may still be read from a connection, if that is bounded; shared with its stream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReadBound(Rc<Cell<Option<usize>>>);
 
 impl ReadBound {
-    /// Creates a bound of this many bytes.
-    pub(super) fn new(bytes: usize) -> ReadBound {
-        ReadBound(Arc::new(AtomicUsize::new(bytes)))
-    }
-
-    /// Creates a bound that is not in force.
-    pub(super) fn lifted() -> ReadBound {
-        ReadBound::new(UNBOUNDED)
-    }
-
     /// Has reading fail once this many more bytes have been read.
     pub(super) fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
+        self.0.set(Some(bytes));
     }
 
     /// Takes the bound out of force.
     pub(super) fn lift(&self) {
-        self.set(UNBOUNDED);
+        self.0.set(None);
     }
 
-    fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+    fn is_reached(&self) -> bool {
+        self.0.get() == Some(0)
     }
 
     fn on_read(&self, bytes: usize) {
-        let left = self.left();
-        if left != UNBOUNDED {
-            self.set(left.saturating_sub(bytes));
-        }
+        self.0.set(self.0.get().map(|left| left.saturating_sub(bytes)));
     }
 }
 
@@ -72,7 +52,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.bound.left() == 0 {
+        if self.bound.is_reached() {
             let err = io::Error::new(io::ErrorKind::InvalidData, "too much was sent");
             return Poll::Ready(Err(err));
         }
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! the processor; scheduling decisions are direct calls of [`Traffic`], without messages or locks.
 
 pub mod adapter;
+mod bounded_stream;
 pub mod caller;
 mod collected;
 mod decisions;
--- a/src/kingcupgrade/transport/gateway/pool.rs
+++ b/src/kingcupgrade/transport/gateway/pool.rs
@@ -20,13 +20,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{
-    core::UpstreamName,
-    transport::{
-        bodies::SegmentBody,
-        bounded_stream::{BoundedStream, ReadBound},
-    },
-};
+use super::bounded_stream::{BoundedStream, ReadBound};
+use crate::{core::UpstreamName, transport::bodies::SegmentBody};
 
 /// The maximum length of the heads of one response, in bytes.
 const MAX_HEADS_LEN: usize = 128 << 10;
@@ -186,7 +181,7 @@
             slot.open += 1;
         }
         let guard = OpenGuard { pool: self.clone(), key: upstream.clone(), is_kept: false };
-        let heads = ReadBound::lifted();
+        let heads = ReadBound::default();
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             // Nagle's algorithm would hold back a short request until the peer acknowledges earlier
--- a/src/kingcupgrade/transport/gateway/probes.rs
+++ b/src/kingcupgrade/transport/gateway/probes.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -37,9 +38,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Some(place) = limit.admit().await else { continue };
-                let serving = serve_probes(gateway.clone(), stream, place.clone());
-                place.set_task(tokio::task::spawn_local(serving).abort_handle());
+                limit
+                    .serve(|place| spawn_local(serve_probes(gateway.clone(), stream, place)))
+                    .await;
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -125,14 +126,16 @@
         match accepted {
             Ok((stream, _)) => {
                 // A closed connection tells the caller that its request was not read.
-                let Some(place) = gateway.connections.admit().await else { continue };
                 let accepted = gateway.now();
-                let (gateway, own_place) = (gateway.clone(), place.clone());
-                let task = tokio::task::spawn_local(async move {
-                    gateway.record_connection_delay(gateway.now().since(accepted));
-                    serve_connection(gateway, stream, own_place).await;
-                });
-                place.set_task(task.abort_handle());
+                let of_connection = gateway.clone();
+                let serve = |place| {
+                    spawn_local(async move {
+                        let delay = of_connection.now().since(accepted);
+                        of_connection.record_connection_delay(delay);
+                        serve_connection(of_connection, stream, place).await;
+                    })
+                };
+                gateway.connections.serve(serve).await;
             }
             // An entry that stopped accepting would still look healthy but serve no caller.
             Err(err) => {
--- a/src/kingcupgrade/transport/http/mod.rs
+++ b/src/kingcupgrade/transport/http/mod.rs
@@ -114,10 +114,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Some(place) = intake.connections.admit().await else { continue };
-                let serving =
-                    connection::serve_all(stream, intake.clone(), place.clone(), serve.clone());
-                place.set_task(tokio::spawn(serving).abort_handle());
+                let (of_connection, serve) = (intake.clone(), serve.clone());
+                let spawn = |place| {
+                    tokio::spawn(connection::serve_all(stream, of_connection, place, serve))
+                };
+                intake.connections.serve(spawn).await;
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
--- a/src/kingcupgrade/transport/metrics.rs
+++ b/src/kingcupgrade/transport/metrics.rs
@@ -14,6 +14,7 @@
 use metrics_util::MetricKindMask;
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::spawn_local,
     time::{interval, sleep},
 };
 
@@ -51,11 +52,11 @@
         .set_buckets_for_metric(matcher, &BUCKETS_MS)?
         .idle_timeout(MetricKindMask::GAUGE, Some(IDLE_TIMEOUT));
     let handle = builder.install_recorder()?;
-    tokio::task::spawn_local(run_upkeep(handle.clone()));
+    spawn_local(run_upkeep(handle.clone()));
     let Some(address) = address else { return Ok(()) };
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            tokio::task::spawn_local(accept_all(listener, handle));
+            spawn_local(accept_all(listener, handle));
         }
         // The port may be in use by another process; callers can be served without metrics.
         Err(err) => log::warning("metrics-not-served", &(address, err.to_string())),
@@ -77,9 +78,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Some(place) = limit.admit().await else { continue };
-                let serving = serve_connection(stream, handle.clone(), place.clone());
-                place.set_task(tokio::task::spawn_local(serving).abort_handle());
+                limit
+                    .serve(|place| spawn_local(serve_connection(stream, handle.clone(), place)))
+                    .await;
             }
             Err(err) => {
                 log::warning("accept-failed", &err.to_string());
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -5,7 +5,6 @@
 
 mod arrivals;
 pub mod bodies;
-mod bounded_stream;
 pub mod callers;
 mod configuration_reads;
 mod connection_limit;
--- a/src/kingcupgrade/transport/peers/receiver.rs
+++ b/src/kingcupgrade/transport/peers/receiver.rs
@@ -57,9 +57,9 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let Some(place) = self.strangers.admit().await else { continue };
-                    let receiving = tokio::spawn(self.clone().receive_all(stream, place.clone()));
-                    place.set_task(receiving.abort_handle());
+                    let receiver = self.clone();
+                    let spawn = |place| tokio::spawn(receiver.receive_all(stream, place));
+                    self.strangers.serve(spawn).await;
                 }
                 Err(err) => {
                     log::warning("accept-failed", &err.to_string());
