Read a connection under its head watch in one place

The streams of both servers called the three steps of the watch around each read in the same order; the watch does that itself now (HeadWatch::poll_read), and the steps are its own. No behaviour changes.

--- a/src/kingcupgrade/transport/gateway/caller.rs
+++ b/src/kingcupgrade/transport/gateway/caller.rs
@@ -183,23 +183,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.head.before_read()?;
-        let filled = buf.filled().len();
-        let polled = match self.pending.is_empty() {
-            true => self.poll(|stream| stream.poll_read(cx, buf)),
-            false => {
-                let len = self.pending.len().min(buf.remaining());
-                buf.put_slice(&self.pending.split_to(len));
-                Poll::Ready(Ok(()))
+        let CallerStream { stream, pending, head, .. } = &mut *self;
+        head.poll_read(cx, buf, |cx, buf| {
+            if pending.is_empty() {
+                return Pin::new(&mut *stream.borrow_mut()).poll_read(cx, buf);
             }
-        };
-        match polled {
-            Poll::Pending => self.head.poll_late(cx).map(Err),
-            Poll::Ready(read) => {
-                self.head.on_read(buf.filled().len() - filled);
-                Poll::Ready(read)
-            }
-        }
+            let len = pending.len().min(buf.remaining());
+            buf.put_slice(&pending.split_to(len));
+            Poll::Ready(Ok(()))
+        })
     }
 }
 
--- a/src/kingcupgrade/transport/head_watch.rs
+++ b/src/kingcupgrade/transport/head_watch.rs
@@ -13,7 +13,10 @@
     task::{Context, Poll},
 };
 
-use tokio::time::{Sleep, sleep};
+use tokio::{
+    io::ReadBuf,
+    time::{Sleep, sleep},
+};
 
 use crate::{
     core::{Code, Millis},
@@ -82,8 +85,26 @@
         self.state().refusal
     }
 
+    /// Reads from the connection by `read`, unless an incomplete head is given up meanwhile.
+    pub(super) fn poll_read(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        read: impl FnOnce(&mut Context<'_>, &mut ReadBuf<'_>) -> Poll<io::Result<()>>,
+    ) -> Poll<io::Result<()>> {
+        self.before_read()?;
+        let filled = buf.filled().len();
+        match read(cx, buf) {
+            Poll::Pending => self.poll_late(cx).map(Err),
+            done => {
+                self.on_read(buf.filled().len() - filled);
+                done
+            }
+        }
+    }
+
     /// Takes memory for a head whose first bytes have been read, once.
-    pub(super) fn before_read(&self) -> io::Result<()> {
+    fn before_read(&self) -> io::Result<()> {
         let Some(limits) = &self.limits else { return Ok(()) };
         let mut state = self.state();
         if state.is_complete || !state.has_begun || state.incomplete.is_some() {
@@ -97,7 +118,7 @@
     }
 
     /// Records that this many bytes have been read.
-    pub(super) fn on_read(&self, len: usize) {
+    fn on_read(&self, len: usize) {
         let mut state = self.state();
         if len > 0 && !state.is_complete {
             state.has_begun = true;
@@ -105,7 +126,7 @@
     }
 
     /// Waits until an incomplete head is given up, and returns the error for the HTTP server.
-    pub(super) fn poll_late(&self, cx: &mut Context<'_>) -> Poll<io::Error> {
+    fn poll_late(&self, cx: &mut Context<'_>) -> Poll<io::Error> {
         let mut state = self.state();
         let Some(incomplete) = state.incomplete.as_mut() else { return Poll::Pending };
         let is_given_up = incomplete.memory.poll_given_up(cx).is_ready();
--- a/src/kingcupgrade/transport/http/stream.rs
+++ b/src/kingcupgrade/transport/http/stream.rs
@@ -108,15 +108,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.head.before_read()?;
-        let filled = buf.filled().len();
-        match Pin::new(&mut self.stream).poll_read(cx, buf) {
-            Poll::Pending => self.head.poll_late(cx).map(Err),
-            read => {
-                self.head.on_read(buf.filled().len() - filled);
-                read
-            }
-        }
+        let CallerStream { stream, head, .. } = &mut *self;
+        head.poll_read(cx, buf, |cx, buf| Pin::new(stream).poll_read(cx, buf))
     }
 }
 
