Keep a silent attempt until another upstream has taken the request

Cause: after a span of silence the entry closed the attempt first and asked for another place then. The freed place went to a request that waited, or the request was placed at the silent upstream itself; nothing was found, and the answer ended. Ruled out: the SIGTERM (streams are cut without it).

Change: a silent attempt goes on while a replacement is looked for at another upstream. The retry is taken from the budget once there is a place. If the silent one speaks first, the replacement is cancelled. It holds before the head, before the first event, in the middle and after a resumption. A log line "replaced" and a counter tell of it.

--- a/src/kingcupgrade/coordination/traffic/budget.rs
+++ b/src/kingcupgrade/coordination/traffic/budget.rs
@@ -47,16 +47,21 @@
 
     /// Spends a retry if this entry, one of `entries`, has one left; returns whether it had.
     pub fn try_retry(&mut self, now: Millis, allowance: Allowance, entries: usize) -> bool {
+        let has_retry = self.has_retry(now, allowance, entries);
+        if has_retry {
+            self.current_slice(now, allowance).retries += 1;
+        }
+        has_retry
+    }
+
+    /// Returns whether this entry, one of `entries`, has a retry left.
+    pub fn has_retry(&mut self, now: Millis, allowance: Allowance, entries: usize) -> bool {
         self.current_slice(now, allowance);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let slack = allowance.slack / entries.max(1) as f64;
         let allowed = SAFETY_FRACTION * (allowance.ratio * f64::from(requests) + slack);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.current_slice(now, allowance).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 
     fn current_slice(&mut self, now: Millis, allowance: Allowance) -> &mut Slice {
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -361,6 +361,13 @@
         self.budgets.entry(service.clone()).or_default().on_request(now, allowance);
     }
 
+    /// Returns whether a retry is left in the service's budget.
+    pub fn has_retry(&mut self, now: Millis, service: &Service) -> bool {
+        let (allowance, entries) = (self.allowance(), self.entry_count());
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.has_retry(now, allowance, entries)
+    }
+
     /// Spends a retry from the service's budget; returns false if none is left.
     pub fn try_retry(&mut self, now: Millis, service: &Service) -> bool {
         let (allowance, entries) = (self.allowance(), self.entry_count());
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -212,6 +212,11 @@
         Some(self.upstreams.get(&sent.upstream)?.listed.address)
     }
 
+    /// Returns the upstream that a request was sent to, unless the request has ended.
+    pub fn upstream_of_sent(&self, no: RequestNo) -> Option<&UpstreamName> {
+        self.sent.get(&no).map(|sent| &sent.upstream)
+    }
+
     /// Records the load that an upstream reported on an answer.
     pub fn on_load(&mut self, now: Millis, name: &UpstreamName, load: ReportedLoad) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -109,6 +109,18 @@
     pub(super) after_ms: Millis,
 }
 
+/// The fields of the log line for a silent attempt that another upstream has taken over.
+#[derive(Serialize)]
+pub(super) struct ReplacementLine<'a> {
+    pub(super) request: Option<&'a str>,
+    /// The silent upstream.
+    pub(super) upstream: Option<&'a UpstreamName>,
+    /// Whether the head of its answer had arrived.
+    pub(super) had_head: bool,
+    /// Time since the request arrived.
+    pub(super) after_ms: Millis,
+}
+
 /// The fields of the log line for an upstream that begins to ask for no requests.
 #[derive(Serialize)]
 pub(super) struct NoticeLine<'a> {
@@ -175,6 +187,12 @@
         self.log_limited("withheld", line);
     }
 
+    /// Logs that another upstream has taken over a silent attempt, up to the limit of such lines.
+    pub(super) fn replaced(&self, line: &ReplacementLine<'_>) {
+        counter!("kingcup_replaced_attempts").increment(1);
+        self.log_limited("replaced", line);
+    }
+
     /// Logs that an upstream closed the connection of an attempt, up to the limit of such lines.
     pub(super) fn disconnected(&self, line: &DisconnectLine<'_>) {
         self.log_limited("upstream-disconnected", line);
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -5,7 +5,7 @@
     future::Future,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -18,7 +18,7 @@
     events::EventSplitter,
     memory::AnswerBuffer,
     pool::Connection,
-    request::{AttemptGuard, ProxiedRequest, UpstreamResponse},
+    request::{AttemptGuard, ProxiedRequest, Replacement, ReplacementProgress, UpstreamResponse},
     response::TruncatedResponse,
 };
 use crate::{
@@ -95,8 +95,10 @@
     unread: UnreadUpstream,
     /// When the stream is aborted.
     abort_at: Instant,
-    /// When the upstream is taken for hung unless it sends something.
+    /// When another upstream is looked for unless this one sends something.
     silent_until: Instant,
+    /// The attempt that is to take the place of a silent upstream's.
+    replacement: Option<Replacement<E>>,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -114,6 +116,7 @@
             abort_at: request.deadline + ABORT_SLACK,
             timer: Box::pin(sleep_until(silent_until)),
             silent_until,
+            replacement: None,
             request,
         }
     }
@@ -186,7 +189,7 @@
                     if let Poll::Ready(ended) = self.poll_timer(cx) {
                         return Poll::Ready(ended);
                     }
-                    if !matches!(self.state, State::Resuming(_)) {
+                    if self.poll_replacement(cx).is_pending() {
                         return Poll::Pending;
                     }
                 }
@@ -200,6 +203,7 @@
         let now = self.request.now();
         if buffer.poll_below_bound(cx).is_pending() {
             self.unread.on_paused(now);
+            self.replacement = None;
             return Poll::Pending;
         }
         if self.unread.on_continued(now) {
@@ -225,6 +229,7 @@
 
     /// Records that the upstream cut the answer off because the caller did not read.
     fn cut_off(&mut self) {
+        self.replacement = None;
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::CutOff) {
             source.attempt.end(SendEnd::Unread);
             self.request.gateway.memory.on_cut_off();
@@ -235,6 +240,8 @@
     fn on_data(&mut self, data: &Bytes) -> Option<Bytes> {
         let events = self.splitter.push(data)?;
         self.last_id = events.last_id.or(self.last_id);
+        // It would repeat these events.
+        self.replacement = None;
         if let State::Reading(source) = &self.state {
             source.attempt.on_events(events.count * self.request.stride);
         }
@@ -247,7 +254,7 @@
         Some(events.bytes)
     }
 
-    /// Returns when an upstream that sends nothing from now on is taken for hung.
+    /// Returns when another upstream is looked for if this one sends nothing from now on.
     fn silence_deadline(&self) -> Instant {
         let gap = self.request.route.max_event_gap.0 * MAX_SILENT_GAPS;
         let silence = Duration::from_millis(gap.max(MIN_SILENCE_MS));
@@ -261,8 +268,8 @@
         }
     }
 
-    /// Resumes the stream on another upstream if this one has been silent for too long, and aborts
-    /// it if the deadline has passed.
+    /// Looks for another upstream if this one has been silent for too long, and aborts the stream if
+    /// the deadline has passed.
     fn poll_timer(
         &mut self,
         cx: &mut Context<'_>,
@@ -272,32 +279,64 @@
             if now >= self.abort_at {
                 return self.abort(SendEnd::Cancelled);
             }
-            let can_resume = matches!(
-                (&self.state, self.request.route.kind),
-                (State::Reading(_), RouteKind::Stream { resumable: true })
-            );
-            if now >= self.silent_until && can_resume && self.resume(SendEnd::Broken) {
-                cx.waker().wake_by_ref();
-                self.silent_until = self.abort_at;
+            if now >= self.silent_until {
+                self.silent_until = self.silence_deadline();
+                self.look_for_replacement();
             }
-            let next = if self.silent_until > now { self.silent_until } else { self.abort_at };
-            self.timer.as_mut().reset(next);
+            self.timer.as_mut().reset(self.silent_until);
         }
         Poll::Pending
     }
 
+    fn look_for_replacement(&mut self) {
+        let State::Reading(source) = &self.state else { return };
+        let is_resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
+        if self.replacement.is_none() && is_resumable && self.request.may_replace(false) {
+            let silent = source.attempt.upstream();
+            self.replacement = Some(self.request.replace(silent, false, self.last_id));
+        }
+    }
+
+    /// Goes on at another upstream once that has taken the place of a silent one.
+    fn poll_replacement(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(replacement) = &mut self.replacement else { return Poll::Pending };
+        let progress = ready!(replacement.poll(cx));
+        let Some(replacement) = self.replacement.take() else { return Poll::Pending };
+        if matches!(progress, ReplacementProgress::Refused) {
+            return Poll::Pending;
+        }
+        if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
+            self.request.on_replaced(source.attempt.upstream(), false);
+            source.attempt.end(SendEnd::Broken);
+        }
+        self.begin_reading_anew();
+        match progress {
+            ReplacementProgress::Answered(response) => self.on_resumed(*response),
+            _ => self.state = State::Resuming(resume_with(replacement)),
+        }
+        Poll::Ready(())
+    }
+
     /// Starts to resume the stream at another upstream after its attempt has ended so; returns
     /// whether that is permitted.
     fn resume(&mut self, end: SendEnd) -> bool {
         let State::Reading(_) = &self.state else { return false };
-        if !self.request.may_repeat() {
+        let replacement = self.replacement.take().filter(Replacement::is_sent);
+        if replacement.is_none() && !self.request.may_repeat() {
             return false;
         }
         let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) else {
             return false;
         };
         let closed = source.end(end);
-        self.begin_resuming(closed);
+        match replacement {
+            Some(replacement) => {
+                closed.map(|attempt| tokio::task::spawn_local(attempt.end_closed()));
+                self.begin_reading_anew();
+                self.state = State::Resuming(resume_with(replacement));
+            }
+            None => self.begin_resuming(closed),
+        }
         true
     }
 
@@ -310,9 +349,14 @@
         is_permitted
     }
 
-    fn begin_resuming(&mut self, closed: Option<AttemptGuard<E>>) {
+    /// Drops what was read of an incomplete event.
+    fn begin_reading_anew(&mut self) {
         self.splitter = EventSplitter::default();
         self.unread = UnreadUpstream::default();
+    }
+
+    fn begin_resuming(&mut self, closed: Option<AttemptGuard<E>>) {
+        self.begin_reading_anew();
         let request = self.request.clone();
         let last_id = self.last_id;
         self.state = State::Resuming(Box::pin(async move {
@@ -332,6 +376,7 @@
     }
 
     fn finish(&mut self) {
+        self.replacement = None;
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
             source.attempt.end(SendEnd::Answered);
             self.request.report_answered(Millis(self.longest_pause.as_millis() as u64));
@@ -344,6 +389,7 @@
         let is_overdue = end == SendEnd::Cancelled;
         let code = if is_overdue { Code::AnswerTimeout } else { Code::AnswerBroken };
         self.request.report_truncated(code);
+        self.replacement = None;
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Ended) {
             let closed = source.end(end);
             closed.map(|attempt| tokio::task::spawn_local(attempt.end_closed()));
@@ -351,3 +397,12 @@
         Poll::Ready(Some(Err(TruncatedResponse)))
     }
 }
+
+/// Goes on with a replacement after the silent attempt has ended.
+fn resume_with<E: PlatformAdapter>(replacement: Replacement<E>) -> Resuming<E> {
+    let response = replacement.into_response();
+    Box::pin(async move {
+        let response = response.await.ok().filter(|response| response.head.status.is_success())?;
+        Some(*response)
+    })
+}
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -1,13 +1,13 @@
 //! Registration of an attempt to serve a request with the scheduler.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use hyper::body::Incoming;
 use metrics::counter;
 
 use crate::{
     coordination::traffic::{RequestNo, SendEnd},
-    core::Version,
+    core::{UpstreamName, Version},
     transport::gateway::{
         Gateway, adapter::PlatformAdapter, decisions::DisconnectLine, end_check::end_of_closed,
         pool::Connection,
@@ -22,14 +22,25 @@
     pub(super) no: RequestNo,
     is_open: bool,
     /// How the attempt ends if the guard is dropped.
-    end_on_drop: SendEnd,
+    end_on_drop: Rc<Cell<SendEnd>>,
 }
 
 impl<E: PlatformAdapter> AttemptGuard<E> {
     pub(super) fn new(gateway: Rc<Gateway<E>>, request_id: Option<String>) -> AttemptGuard<E> {
         let no = gateway.next_request.get();
         gateway.next_request.set(no + 1);
-        AttemptGuard { gateway, request_id, no, is_open: true, end_on_drop: SendEnd::Cancelled }
+        let end_on_drop = Rc::new(Cell::new(SendEnd::Cancelled));
+        AttemptGuard { gateway, request_id, no, is_open: true, end_on_drop }
+    }
+
+    /// Returns where to set how the attempt ends if the guard is dropped.
+    pub(super) fn end_on_drop(&self) -> Rc<Cell<SendEnd>> {
+        self.end_on_drop.clone()
+    }
+
+    /// Returns the upstream that the request was sent to.
+    pub(in crate::transport::gateway) fn upstream(&self) -> Option<UpstreamName> {
+        self.gateway.traffic.borrow().upstream_of_sent(self.no).cloned()
     }
 
     /// Reports how the attempt ended.
@@ -38,9 +49,9 @@
     }
 
     /// Reports that the upstream closed the connection, once it is known whether it has ended.
-    pub(in crate::transport::gateway) async fn end_closed(mut self) {
+    pub(in crate::transport::gateway) async fn end_closed(self) {
         // The upstream closed it first, also if the caller leaves meanwhile.
-        self.end_on_drop = SendEnd::Disconnected;
+        self.end_on_drop.set(SendEnd::Disconnected);
         let address = self.gateway.traffic.borrow().address_of_sent(self.no);
         let end = match address {
             Some(address) => end_of_closed(address).await,
@@ -85,7 +96,7 @@
         if self.is_open {
             self.gateway.traffic.borrow_mut().cancel_waiting(self.no);
             self.gateway.waiting.borrow_mut().remove(&self.no);
-            self.close(self.end_on_drop);
+            self.close(self.end_on_drop.get());
         }
     }
 }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
-use super::{AttemptGuard, ProxiedRequest, UpstreamResponse};
+use super::{AttemptGuard, ProxiedRequest, UpstreamResponse, replacement::Fetched};
 use crate::{
     coordination::{
         notices::UpstreamNotice,
@@ -51,6 +51,8 @@
     Unknown,
     /// The request was sent, and no response arrived in time.
     TimedOut,
+    /// The upstream was silent, and another one has taken the request: what became of it there.
+    Replaced(Fetched<E>),
 }
 
 /// The result of sending a request on one connection.
@@ -139,7 +141,7 @@
     ) -> ExchangeResult {
         let request = self.build_request(grant, last_event);
         let sending = connection.sender.try_send_request(request);
-        match timeout_at(self.hang_deadline(), connection.receive_head(sending)).await {
+        match timeout_at(self.deadline, connection.receive_head(sending)).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 ExchangeResult::Response(Box::new((head, body, connection)))
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod digest;
 mod exchange;
+mod replacement;
 mod reporting;
 mod routed;
 mod routing;
@@ -17,6 +18,7 @@
 use self::digest::digest_of;
 pub(super) use self::{
     attempt::{AttemptGuard, UpstreamResponse},
+    replacement::{Progress as ReplacementProgress, Replacement},
     routed::RoutedRequest,
 };
 use super::{
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -9,13 +9,15 @@
 };
 
 use super::{
-    AttemptGuard, ProxiedRequest, UpstreamResponse, exchange::SendResult,
+    AttemptGuard, ProxiedRequest, ReplacementProgress, UpstreamResponse,
+    exchange::SendResult,
+    replacement::{Fetched, Race, Replaced},
     routed::charged_organisation,
 };
 use crate::{
     coordination::{
         crashes::Barred,
-        traffic::{Demand, RequestNo, Verdict},
+        traffic::{Demand, Grant, RequestNo, SendEnd, Verdict},
     },
     core::{Code, Millis, Outcome},
     transport::gateway::adapter::PlatformAdapter,
@@ -45,12 +47,22 @@
     /// Returns whether a request that may have run may be sent again; if so, takes the repeat from
     /// the retry budget.
     pub(in crate::transport::gateway) fn may_repeat(&self) -> bool {
-        let attempts = self.progress.borrow().attempts;
+        self.may_send_again(0) && self.take_retry()
+    }
+
+    /// Returns whether a request that may have run may be sent again as far as its own limits are
+    /// concerned, with this many attempts under way that are not counted yet.
+    pub(super) fn may_send_again(&self, uncounted: u32) -> bool {
+        let attempts = self.progress.borrow().attempts + uncounted;
         self.route.kind.is_idempotent()
             && attempts < self.route.max_attempts
             && Instant::now() < self.deadline
             && self.barred().is_none()
-            && self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
+    }
+
+    /// Takes a repeat from the retry budget; returns whether there was one.
+    fn take_retry(&self) -> bool {
+        self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
     }
 
     /// Returns what keeps the request from all upstreams, if anything does.
@@ -76,8 +88,23 @@
         self: &Rc<ProxiedRequest<E>>,
         last_event: Option<u64>,
     ) -> Result<UpstreamResponse<E>, (Code, Millis)> {
+        self.fetch(last_event, None).await.map(|response| *response)
+    }
+
+    /// Fetches a response as [`ProxiedRequest::fetch_response`] does. An attempt that takes the place
+    /// of a silent one is taken from the retry budget once there is an upstream for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code with which to refuse the request, and the retry delay.
+    pub(super) async fn fetch(
+        self: &Rc<ProxiedRequest<E>>,
+        last_event: Option<u64>,
+        replaced: Option<Replaced>,
+    ) -> Fetched<E> {
         // Whether an earlier attempt may have run.
-        let mut may_have_run = self.progress.borrow().attempts > 0;
+        let mut may_have_run = replaced.is_some() || self.progress.borrow().attempts > 0;
+        let mut is_unpaid = replaced.is_some();
         loop {
             let attempt = AttemptGuard::new(self.gateway.clone(), self.request_id.clone());
             let error = |code: Code, retry_after| {
@@ -85,14 +112,26 @@
                 let is_false = may_have_run && code.outcome() == Outcome::NotRun;
                 if is_false { (Code::AnswerBroken, Millis::ZERO) } else { (code, retry_after) }
             };
-            let grant = match self.await_verdict(&attempt).await {
+            let grant = match self.await_verdict(&attempt, replaced.as_ref()).await {
                 Verdict::Start(grant) => grant,
                 Verdict::Refuse { code, retry_after } => return Err(error(code, retry_after)),
             };
+            if let Some(replaced) = replaced.as_ref().filter(|_| is_unpaid) {
+                let uncounted = u32::from(replaced.is_uncounted);
+                if !self.may_send_again(uncounted) || !self.take_retry() {
+                    return Err((Code::AnswerTimeout, Millis::ZERO));
+                }
+                is_unpaid = false;
+            }
             let taken_up_after = self.taken_up.as_ref().and_then(|stream| stream.last_event);
             self.report_placed(&grant, last_event.or(taken_up_after));
-            match self.send_once(&grant, attempt, last_event).await {
-                SendResult::Response(response) => return Ok(*response),
+            let sent_at = replaced.as_ref().map(|replaced| &replaced.sent_at);
+            sent_at.inspect(|at| at.set(Some(Instant::now())));
+            let result = self.send_or_replace(&grant, attempt, last_event).await;
+            sent_at.inspect(|at| at.set(None));
+            match result {
+                SendResult::Replaced(fetched) => return fetched,
+                SendResult::Response(response) => return Ok(response),
                 SendResult::NotSent => {
                     let mut progress = self.progress.borrow_mut();
                     progress.avoid.push(grant.upstream);
@@ -136,6 +175,45 @@
         }
     }
 
+    /// Sends the request to the granted upstream. If that is silent for too long, looks for another
+    /// one, and goes on waiting until that has taken the request.
+    async fn send_or_replace(
+        self: &Rc<ProxiedRequest<E>>,
+        grant: &Grant,
+        attempt: AttemptGuard<E>,
+        last_event: Option<u64>,
+    ) -> SendResult<E> {
+        let end_on_drop = attempt.end_on_drop();
+        let mut sending = Box::pin(self.send_once(grant, attempt, last_event));
+        loop {
+            let hang_deadline = self.hang_deadline();
+            if hang_deadline >= self.deadline {
+                return sending.await;
+            }
+            if let Ok(result) = timeout_at(hang_deadline, sending.as_mut()).await {
+                return result;
+            }
+            if !self.may_replace(true) {
+                continue;
+            }
+            let mut replacement = self.replace(Some(grant.upstream.clone()), true, last_event);
+            let progress = match replacement.race(sending.as_mut()).await {
+                Race::Kept(result) => return result,
+                Race::Replacement(progress) => progress,
+            };
+            if matches!(progress, ReplacementProgress::Refused) {
+                continue;
+            }
+            end_on_drop.set(SendEnd::Broken);
+            drop(sending);
+            self.on_replaced(Some(grant.upstream.clone()), true);
+            return SendResult::Replaced(match progress {
+                ReplacementProgress::Answered(response) => Ok(response),
+                _ => replacement.into_response().await,
+            });
+        }
+    }
+
     /// Returns the time after which the request may be sent, if every upstream that may serve it has
     /// asked for no requests.
     fn time_to_end_of_backoff(&self) -> Option<Millis> {
@@ -150,10 +228,13 @@
         let attempts = self.progress.borrow().attempts;
         attempts < self.route.max_attempts.max(2)
             && Instant::now() < self.deadline
-            && self.gateway.traffic.borrow_mut().try_retry(self.gateway.now(), &self.service)
+            && self.take_retry()
     }
 
-    pub(super) fn demand(&self, no: RequestNo) -> Demand {
+    /// Returns what the request asks of an upstream, in place of a silent attempt if there is one.
+    fn demand(&self, no: RequestNo, replaced: Option<&Replaced>) -> Demand {
+        let progress = self.progress.borrow();
+        let silent = replaced.and_then(|replaced| replaced.upstream.as_ref());
         Demand {
             no,
             digest: self.digest,
@@ -165,16 +246,20 @@
             deadline: self.deadline_at,
             prompt: self.prompt.clone(),
             expected_output: self.output,
-            avoid: self.progress.borrow().avoid.clone(),
-            is_repeat: self.progress.borrow().attempts > 0,
+            avoid: progress.avoid.iter().chain(silent).cloned().collect(),
+            is_repeat: replaced.is_some() || progress.attempts > 0,
             may_repeat: self.route.kind.is_idempotent(),
-            version: self.progress.borrow().version.clone(),
+            version: progress.version.clone(),
         }
     }
 
     /// Returns the scheduler's verdict, for which the request may have to queue until its deadline.
-    async fn await_verdict(&self, attempt: &AttemptGuard<E>) -> Verdict {
-        let demand = self.demand(attempt.no);
+    async fn await_verdict(
+        &self,
+        attempt: &AttemptGuard<E>,
+        replaced: Option<&Replaced>,
+    ) -> Verdict {
+        let demand = self.demand(attempt.no, replaced);
         let now = self.gateway.now();
         if let Some(verdict) = self.gateway.traffic.borrow_mut().admit(now, demand) {
             return verdict;
