Treat answers with an unclear end as broken off

Cause: the HTTP libraries take a body to last until the end of the connection if they don't know its transfer coding, and nobody looked at the header. Ruled out: a reset that counts as an end; lengths and fields that are spoilt (refused by the libraries).

Change: transport::answer_head accepts no transfer coding but a single "chunked" of HTTP/1.1, and no length beside it (RFC 9112, 6.1 and 6.3), for answers of upstreams in both data planes, engines' set-ups and the platform's list. Such an answer counts as broken off, of unknown outcome.

The tests of heads with lines that are no fields, of answers cut in head or body, and of uploads whose answer is reset passed before and stay.

--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every fake upstream records what it did, so that tests check what the fleet reports against an
 //! independent source.
 
+pub mod broken_answers;
 pub mod caller;
 pub mod crowd;
 pub mod engine;
--- a/src/kingcupgrade/transport/engines.rs
+++ b/src/kingcupgrade/transport/engines.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::mpsc, thread};
 
-use super::{Event, upstream::notice_of};
+use super::{
+    Event,
+    upstream::{has_sound_head, notice_of},
+};
 use crate::{
     coordination::{
         node::Input,
@@ -18,6 +21,8 @@
 /// The HTTP status with which an engine rejects a fencing number that is lower than the highest one
 /// it has seen.
 const OUTDATED: u16 = 409;
+/// Why an answer says nothing of an order or a set-up.
+const BROKEN_HEAD: &str = "the head of the engine's answer is not valid";
 
 /// Sends an order to an engine or reads its set-up, and reports the result to the node.
 pub fn ask(clock: Clock, ask: EngineRequest, events: mpsc::Sender<Event>) {
@@ -66,6 +71,9 @@
         Ok(response) => response,
         Err(err) => return failed(err.to_string()),
     };
+    if !has_sound_head(&ask.id.upstream, &response) {
+        return failed(BROKEN_HEAD);
+    }
     let answer = match response.status().as_u16() {
         200..=299 => EngineResponse::Accepted,
         OUTDATED => EngineResponse::Outdated,
@@ -81,6 +89,9 @@
         Ok(response) => response,
         Err(err) => return failed(err.to_string()),
     };
+    if !has_sound_head(&ask.id.upstream, &response) {
+        return failed(BROKEN_HEAD);
+    }
     let notice = notice_of(&ask.id.upstream, &response);
     if response.status() == 404 {
         return (EngineResponse::Unsupported, notice);
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -31,7 +31,7 @@
     },
     core::{Instance, Millis},
     protocol::fleet::{ListedUpstream, ListingUpdate},
-    transport::fleet::unix_ms,
+    transport::{answer_head, fleet::unix_ms},
     util::log,
 };
 
@@ -254,6 +254,7 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
     let response = sender.send_request(request).await?;
+    answer_head::check(response.version(), response.headers())?;
     Ok((sender, response))
 }
 
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -15,6 +15,7 @@
     },
     core::Millis,
     transport::{
+        answer_head,
         bodies::SegmentBody,
         gateway::{
             adapter::{ForwardContext, PlatformAdapter},
@@ -183,6 +184,13 @@
         attempt: AttemptGuard<E>,
         grant: &Grant,
     ) -> SendResult<E> {
+        if let Err(fault) = answer_head::check(head.version, &head.headers) {
+            let request = self.request_id.as_deref();
+            log::warning("answer-head", &(&grant.upstream, request, fault.to_string()));
+            self.progress.borrow_mut().attempts += 1;
+            attempt.end(SendEnd::Broken);
+            return SendResult::Unknown;
+        }
         let decoded = self.gateway.adapter.decode_response_head(&head);
         connection.keep_alive = keep_alive_of(&head.headers);
         if let Some(load) = decoded.load {
--- a/src/kingcupgrade/transport/mod.rs
+++ b/src/kingcupgrade/transport/mod.rs
@@ -3,6 +3,7 @@
 //! One thread owns the node, which makes all decisions. The threads that do I/O send it [`Event`]s
 //! and carry out its verdicts; none of them makes decisions about other requests.
 
+pub mod answer_head;
 mod arrivals;
 pub mod bodies;
 pub mod callers;
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -15,7 +15,7 @@
 use anyhow::Context;
 use serde::{Deserialize, Serialize};
 
-use super::Event;
+use super::{Event, answer_head};
 use crate::{
     coordination::{
         dispatcher::slots::{Listed, LoadReport},
@@ -110,7 +110,9 @@
     domain: &FailureDomain,
 ) -> anyhow::Result<Vec<Listed>> {
     let url = format!("{url}?service={service}&failure_domain={domain}");
-    let body = agent.get(url).call()?.body_mut().with_config().limit(MAX_LIST_LEN).read_to_vec()?;
+    let mut response = agent.get(url).call()?;
+    answer_head::check(response.version(), response.headers())?;
+    let body = response.body_mut().with_config().limit(MAX_LIST_LEN).read_to_vec()?;
     let read = read_list::<ListedUpstream>(&body).context("the body is not a list")?;
     if read.unreadable > 0 {
         log::warning("listing-entries-unreadable", &read.unreadable);
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -17,10 +17,11 @@
     http::{Request, Response},
 };
 
-use super::notice;
+use super::{answer_head, notice};
 use crate::{
     coordination::{entry::AttemptEnd, notices::UpstreamNotice},
     core::UpstreamName,
+    util::log,
 };
 
 /// The timeout for connecting: short, since the upstream may ask for no requests meanwhile.
@@ -169,6 +170,9 @@
         return SendResult::without_answer(AttemptEnd::HungUp);
     }
     match agent.run(prepared) {
+        Ok(response) if !has_sound_head(upstream, &response) => {
+            SendResult::without_answer(AttemptEnd::Broken)
+        }
         Ok(response) => {
             let notice = notice_of(upstream, &response);
             let was_refused = was_refused(&response);
@@ -180,6 +184,15 @@
     }
 }
 
+/// Returns whether the head of an answer is valid, and logs what is wrong with it.
+pub fn has_sound_head(upstream: &UpstreamName, response: &Response<Body>) -> bool {
+    let checked = answer_head::check(response.version(), response.headers());
+    if let Err(fault) = &checked {
+        log::warning("answer-head", &(upstream, fault.to_string()));
+    }
+    checked.is_ok()
+}
+
 /// Returns what an upstream asks for on an answer.
 pub fn notice_of(upstream: &UpstreamName, response: &Response<Body>) -> UpstreamNotice {
     let leaving = response.headers().get(LEAVING_HEADER);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod bodies;
+mod broken_answers;
 mod cached_parts;
 mod capability;
 mod configuration_pull;
