Treat answers without a valid status as broken off

What callers saw: answers with the status 101, which they had not asked for, 600 or 999 as they came; in kingcupd they were recorded as answers to deposits too.

Cause: the HTTP libraries accept any status from 100 to 999 and take 101 for a change of the protocol; nobody looked at it. 000, 099 and statuses of two or four digits are refused by the libraries.

Change: answer_head::check accepts 200 to 599. Other answers count as broken off, of unknown outcome.

--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -254,7 +254,7 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
     let response = sender.send_request(request).await?;
-    answer_head::check(response.version(), response.headers())?;
+    answer_head::check(response.status(), response.version(), response.headers())?;
     Ok((sender, response))
 }
 
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -184,7 +184,7 @@
         attempt: AttemptGuard<E>,
         grant: &Grant,
     ) -> SendResult<E> {
-        if let Err(fault) = answer_head::check(head.version, &head.headers) {
+        if let Err(fault) = answer_head::check(head.status, head.version, &head.headers) {
             let request = self.request_id.as_deref();
             log::warning("answer-head", &(&grant.upstream, request, fault.to_string()));
             self.progress.borrow_mut().attempts += 1;
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -111,7 +111,7 @@
 ) -> anyhow::Result<Vec<Listed>> {
     let url = format!("{url}?service={service}&failure_domain={domain}");
     let mut response = agent.get(url).call()?;
-    answer_head::check(response.version(), response.headers())?;
+    answer_head::check(response.status(), response.version(), response.headers())?;
     let body = response.body_mut().with_config().limit(MAX_LIST_LEN).read_to_vec()?;
     let read = read_list::<ListedUpstream>(&body).context("the body is not a list")?;
     if read.unreadable > 0 {
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -186,7 +186,7 @@
 
 /// Returns whether the head of an answer is valid, and logs what is wrong with it.
 pub fn has_sound_head(upstream: &UpstreamName, response: &Response<Body>) -> bool {
-    let checked = answer_head::check(response.version(), response.headers());
+    let checked = answer_head::check(response.status(), response.version(), response.headers());
     if let Err(fault) = &checked {
         log::warning("answer-head", &(upstream, fault.to_string()));
     }
--- a/tests/testsuite/broken_answers.rs
+++ b/tests/testsuite/broken_answers.rs
@@ -12,7 +12,7 @@
 };
 
 use kingcup_support::{
-    broken_answers::{BrokenAnswer, CUT, FIELDS, FRAMINGS},
+    broken_answers::{BrokenAnswer, CUT, FIELDS, FRAMINGS, STATUS_LINES},
     caller::{Caller, Response},
     engine::EngineConfig,
     fleet::token,
@@ -98,6 +98,13 @@
     assert_none_is_recorded(FRAMINGS);
 }
 
+/// Guards against an answer that is recorded although its status is none, or says that the connection
+/// changes to another protocol.
+#[test]
+fn an_answer_without_a_valid_status_is_not_recorded() {
+    assert_none_is_recorded(STATUS_LINES);
+}
+
 /// Guards against an answer that is recorded although its head holds lines that are no fields.
 #[test]
 fn an_answer_with_lines_that_are_no_fields_is_not_recorded() {
