kingcupd: ignore loads in the list that no upstream can have

What operators would see: an entry that runs out of memory. An entry of the list by another writer says that an upstream is running billions of requests; a new dispatcher allocates a record for each, as they may have been granted by an earlier one.

Change: a load of more than 65,536 running requests (core::MAX_CONCURRENCY) is no load.

--- a/src/kingcupgrade/core/mod.rs
+++ b/src/kingcupgrade/core/mod.rs
@@ -20,3 +20,7 @@
     FailureDomain, Instance, Organisation, OrganisationTag, Service, UpstreamName, Version,
 };
 pub use settings::Settings;
+
+/// The maximum number of requests that an upstream can be said to serve or hold at once. A list or a
+/// report that states more is wrong; sums over all upstreams of a fleet stay far from overflow.
+pub const MAX_CONCURRENCY: u32 = 1 << 16;
--- a/src/kingcupgrade/transport/platform.rs
+++ b/src/kingcupgrade/transport/platform.rs
@@ -21,7 +21,7 @@
         dispatcher::slots::{Listed, LoadReport},
         node::Input,
     },
-    core::{FailureDomain, Service, UpstreamName, Version},
+    core::{FailureDomain, MAX_CONCURRENCY, Service, UpstreamName, Version},
     util::{json::read_list, log, process},
 };
 
@@ -122,11 +122,10 @@
 }
 
 fn into_listed(listed: ListedUpstream) -> Listed {
-    let report = listed.load.map(|load| LoadReport {
-        running: load.running,
-        warm: load.warm,
-        age_ms: load.age_ms,
-    });
+    let report = listed
+        .load
+        .filter(|load| load.running <= MAX_CONCURRENCY)
+        .map(|load| LoadReport { running: load.running, warm: load.warm, age_ms: load.age_ms });
     Listed {
         upstream: listed.name,
         address: listed.address,
--- a/tests/testsuite/pools.rs
+++ b/tests/testsuite/pools.rs
@@ -21,6 +21,10 @@
     EngineConfig { requests_until_warm: u32::MAX, ..EngineConfig::default() }
 }
 
+/// Longer than a new dispatcher takes to recover what an earlier one has granted.
+const RECOVERY_TIME: Duration = Duration::from_secs(6);
+/// The memory of an instance under the load of these tests, in bytes, with room to spare.
+const MAX_MEMORY: u64 = 256 << 20;
 /// Longer than a lease takes to expire and to be won by another entry.
 const TAKEOVER_TIME: Duration = Duration::from_secs(4);
 
@@ -346,6 +350,31 @@
     callers.finish();
 }
 
+// Guards against a load in an entry of another writer that is too large: the dispatcher would allocate
+// a record for each of the requests that it claims are running, and end for want of memory.
+#[test]
+fn a_load_of_the_list_that_is_too_large_ends_no_process() {
+    let world = start(&["north"], 1, &EngineConfig::default());
+    // So many that the records of one take more memory than all else, and little enough to see it.
+    let entry = |age_ms: u64| {
+        format!(
+            r#"{{"name":"odd-{age_ms}","address":"127.0.0.1:9","incarnation":18446744073709551615,
+            "load":{{"running":20000000,"warm":true,"age_ms":{age_ms}}}}}"#
+        )
+    };
+    world.platform.add_foreign(entry(u64::MAX));
+    world.platform.add_foreign(entry(0));
+    // What a new dispatcher reads in reports counts as granted by an earlier one.
+    let world = world.with_documents();
+    let callers = LoadGenerator::start("odd", world.fleet.entry("entry-north-0"), "alder", 2, 5);
+    let before = callers.completed();
+    assert!(callers.wait_for(before + 20), "nothing is served beside the odd entries");
+    thread::sleep(RECOVERY_TIME);
+    let usage = world.fleet.usage("entry-north-0").expect("the entry runs");
+    callers.finish();
+    assert!(usage.memory < MAX_MEMORY, "{} bytes", usage.memory);
+}
+
 // Guards against an answer that stays incomplete when the engine goes silent in the middle and the
 // connection stays open. The entry must detect this and resume the answer where it stopped, and the
 // caller must get the complete answer without repeated parts.
