Ignore numbers of lists and answers that no upstream can have

What callers saw: nothing was served. With "slots": in two entries, or one beside others, for a service in use an entry process with overflow checks ended at each list; with a load of running and one waiting on an answer it ended at the next placement. A release build wraps.

Cause: numbers that others state were added unchecked (rollout/participant.rs, traffic/upstream.rs).

Sums of slots saturate.

Measured: a_number_of_the_list_that_is_too_large_ends_no_process and a_reported_load_that_is_too_large_ends_no_process failed before ("attempt to add with overflow" in both logs), and pass; 5 of 5 tests of lists, 19 of rollouts pass.

--- a/src/kingcupgrade/coordination/rollout/participant.rs
+++ b/src/kingcupgrade/coordination/rollout/participant.rs
@@ -141,7 +141,8 @@
         let mut starts: BTreeMap<&Version, u64> = BTreeMap::new();
         self.slots.clear();
         for upstream in listed {
-            *self.slots.entry(upstream.version.cloned()).or_default() += upstream.slots;
+            let slots = self.slots.entry(upstream.version.cloned()).or_default();
+            *slots = slots.saturating_add(upstream.slots);
             if let Some(version) = upstream.version {
                 let start = starts.entry(version).or_insert(u64::MAX);
                 *start = (*start).min(upstream.started_unix_ms);
@@ -230,9 +231,12 @@
 
     /// Returns the slots of ready upstreams of the old and of the new version.
     fn slots(&self) -> (u32, u32) {
-        let new = self.new_version().and_then(|to| self.slots.get(&Some(to.clone())));
-        let new = new.copied().unwrap_or(0);
-        (self.slots.values().sum::<u32>() - new, new)
+        let to = self.new_version();
+        let is_new = |version: &Option<Version>| to.is_some() && version.as_ref() == to;
+        self.slots.iter().fold((0_u32, 0), |(old, new), (version, slots)| match is_new(version) {
+            true => (old, *slots),
+            false => (old.saturating_add(*slots), new),
+        })
     }
 
     /// Returns what was seen of the running rollout, without the requests under way.
--- a/src/kingcupgrade/coordination/traffic/plain/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/plain/mod.rs
@@ -189,7 +189,7 @@
         });
         usable.fold(Occupancy::default(), |sum, upstream| Occupancy {
             under_way: sum.under_way + upstream.running(now),
-            slots: sum.slots + upstream.listed.slots,
+            slots: sum.slots.saturating_add(upstream.listed.slots),
         })
     }
 
--- a/src/kingcupgrade/coordination/traffic/upstream.rs
+++ b/src/kingcupgrade/coordination/traffic/upstream.rs
@@ -5,7 +5,7 @@
 use super::{backlog::Backlog, capability::Capability, demand::Demand, health::Health};
 use crate::{
     coordination::{notices::NoticeState, rollout::Use},
-    core::Millis,
+    core::{MAX_CONCURRENCY, Millis},
     protocol::fleet::{ListedUpstream, Load},
 };
 
@@ -55,6 +55,13 @@
     pub slowdown: Option<f32>,
 }
 
+impl ReportedLoad {
+    /// Returns whether an upstream can have this load.
+    pub fn is_plausible(&self) -> bool {
+        self.running.max(self.waiting) <= MAX_CONCURRENCY
+    }
+}
+
 /// The state of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
--- a/src/kingcupgrade/protocol/fleet.rs
+++ b/src/kingcupgrade/protocol/fleet.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::{CrashNews, Reach};
-use crate::core::{FailureDomain, Instance, Millis, Organisation, Service, UpstreamName, Version};
+use crate::core::{
+    FailureDomain, Instance, MAX_CONCURRENCY, Millis, Organisation, Service, UpstreamName, Version,
+};
 
 /// An entry and its failure domain, as listed in a roster.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -49,6 +51,13 @@
     pub version: Option<Version>,
 }
 
+impl ListedUpstream {
+    /// Returns whether an upstream can be as it is listed; other writers may list what is none.
+    pub fn is_plausible(&self) -> bool {
+        self.slots <= MAX_CONCURRENCY && self.address.port() != 0
+    }
+}
+
 /// The changes in the platform's listing since an earlier reading, or the complete listing.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListingUpdate {
--- a/src/kingcupgrade/transport/gateway/listing.rs
+++ b/src/kingcupgrade/transport/gateway/listing.rs
@@ -174,8 +174,10 @@
         let path = gateway.adapter.listing_path(token.as_deref());
         let body = read_page(gateway, sender, &path).await?;
         let page = gateway.adapter.decode_listing(&body.bytes)?;
-        listing.upstreams.extend(page.upstreams);
-        listing.unreadable += page.unreadable;
+        let listed = page.upstreams.len();
+        let known = listing.upstreams.len();
+        listing.upstreams.extend(page.upstreams.into_iter().filter(ListedUpstream::is_plausible));
+        listing.unreadable += page.unreadable + listed - (listing.upstreams.len() - known);
         match page.next {
             NextPage::None => {
                 listing.is_complete = body.is_whole;
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -11,7 +11,7 @@
 use crate::{
     coordination::{
         notices::UpstreamNotice,
-        traffic::{Grant, SendEnd},
+        traffic::{Grant, ReportedLoad, SendEnd},
     },
     core::Millis,
     transport::{
@@ -193,7 +193,7 @@
         }
         let decoded = self.gateway.adapter.decode_response_head(&head);
         connection.keep_alive = keep_alive_of(&head.headers);
-        if let Some(load) = decoded.load {
+        if let Some(load) = decoded.load.filter(ReportedLoad::is_plausible) {
             let now = self.gateway.now();
             self.gateway.traffic.borrow_mut().on_load(now, &grant.upstream, load);
         }
