Infer a stream's version only from lists that kept arriving

Cause: an entry without a record of a stream took the only version on its list for that of the stream, also where the list was seconds old and no other entry had answered.

Change: the only version counts if lists have arrived at most 2 s apart for as long as a stream may last, and lately. A stream that is named and not recorded is refused if no other entry answers.

--- a/src/kingcupgrade/coordination/fleet/origins.rs
+++ b/src/kingcupgrade/coordination/fleet/origins.rs
@@ -52,7 +52,7 @@
 }
 
 impl FleetNode {
-    /// Asks the entries that may know where a stream began.
+    /// Asks the entries that may know where a stream began. There is no answer if none is in touch.
     pub(super) fn ask_origin(
         &mut self,
         now: Millis,
@@ -62,7 +62,6 @@
         self.origin_questions.open.retain(|_, q| now.since(q.asked_at) <= QUESTION_TTL);
         let asked = self.load_exchange.origin_keepers(&self.instance);
         if asked.is_empty() {
-            out.push(FleetOutput::OriginFound(request.number, StreamOrigin::Unknown));
             return;
         }
         let awaited = asked.iter().cloned().collect();
--- a/src/kingcupgrade/coordination/traffic/origins.rs
+++ b/src/kingcupgrade/coordination/traffic/origins.rs
@@ -20,6 +20,10 @@
 /// up what broke off near its end.
 const KEPT_LIFETIMES: u64 = 2;
 
+/// The longest time between two lists. An entry that gets none for longer may have missed a version that
+/// came and went, or that has come since.
+const MAX_LISTING_GAP: Millis = Millis(2_000);
+
 /// Returns the key of the stream that the caller's request with this id began.
 pub fn stream_key(request_id: &str) -> StreamKey {
     StreamKey(first_bytes(Sha256::new_with_prefix(request_id)))
@@ -35,8 +39,8 @@
     by_age: VecDeque<(Millis, StreamKey)>,
     /// Streams that this entry began and has not reported yet.
     unreported: BTreeMap<(Service, Option<Version>), Vec<StreamKey>>,
-    /// When the list of upstreams was first known.
-    listed_since: Option<Millis>,
+    /// Since when the list of upstreams has been known without a gap, and when it last arrived.
+    listed: Option<(Millis, Millis)>,
     /// When each version of a service was last listed.
     last_listed: BTreeMap<Service, BTreeMap<Option<Version>, Millis>>,
 }
@@ -54,7 +58,8 @@
         now: Millis,
         listed: impl Iterator<Item = &'a ListedUpstream>,
     ) {
-        self.listed_since.get_or_insert(now);
+        let since = self.listed.filter(|(_, last)| now.since(*last) <= MAX_LISTING_GAP);
+        self.listed = Some((since.map_or(now, |(since, _)| since), now));
         for upstream in listed {
             let versions = self.last_listed.entry(upstream.service.clone()).or_default();
             versions.insert(upstream.version.clone(), now);
@@ -102,11 +107,19 @@
         unreported.map(begun).collect()
     }
 
+    /// Returns where a stream began, if this entry was told of the stream.
+    pub(super) fn recorded(&self, request: &OriginRequest) -> StreamOrigin {
+        let known = request.stream.and_then(|stream| self.known.get(&stream));
+        known.map_or(StreamOrigin::Unknown, |(service, version)| {
+            StreamOrigin::begun(service, version, true)
+        })
+    }
+
     /// Returns where a stream began, as far as this entry can show it.
     pub(super) fn origin(&self, now: Millis, request: &OriginRequest) -> StreamOrigin {
-        let known = request.stream.and_then(|stream| self.known.get(&stream));
-        if let Some((service, version)) = known {
-            return StreamOrigin::begun(service, version, true);
+        let recorded = self.recorded(request);
+        if recorded.is_known() {
+            return recorded;
         }
         let Some(service) = &request.service else { return StreamOrigin::Unknown };
         match self.only_version(now, service) {
@@ -117,7 +130,9 @@
 
     /// Returns the version that alone was listed for as long as a stream can last.
     fn only_version(&self, now: Millis, service: &Service) -> Option<&Option<Version>> {
-        let is_known_long = now.since(self.listed_since?) >= self.lifetime;
+        let (since, last) = self.listed?;
+        let is_current = now.since(last) <= MAX_LISTING_GAP;
+        let is_known_long = is_current && now.since(since) >= self.lifetime;
         let versions = self.last_listed.get(service)?.iter();
         let mut recent = versions.filter(|(_, at)| now.since(**at) <= self.lifetime);
         let only = recent.next().filter(|_| is_known_long && recent.next().is_none());
@@ -146,4 +161,8 @@
     pub fn origin(&self, now: Millis, request: &OriginRequest) -> StreamOrigin {
         self.origins.origin(now, request)
     }
+    /// Returns where a stream began, if this entry was told of the stream.
+    pub fn recorded_origin(&self, request: &OriginRequest) -> StreamOrigin {
+        self.origins.recorded(request)
+    }
 }
--- a/src/kingcupgrade/transport/gateway/origins.rs
+++ b/src/kingcupgrade/transport/gateway/origins.rs
@@ -78,7 +78,9 @@
             service: service.cloned(),
         };
         let own = self.traffic.borrow().origin(self.now(), &question);
-        let is_decided = own.is_recorded() || question.stream.is_none() && own.is_known();
+        let is_alone = self.traffic.borrow().entry_count() == 1;
+        let is_decided =
+            own.is_recorded() || is_alone || question.stream.is_none() && own.is_known();
         let origin = if is_decided { own } else { self.ask_origin(question).await };
         let outcome = if origin.is_known() { "found" } else { "unknown" };
         counter!("kingcup_streams_taken_up", "origin" => outcome).increment(1);
@@ -105,7 +107,9 @@
         match answer {
             Ok(Ok(origin)) if origin.is_known() => origin,
             // A report that names the stream may have arrived meanwhile.
-            _ => self.traffic.borrow().origin(self.now(), &question),
+            Ok(Ok(_)) => self.traffic.borrow().origin(self.now(), &question),
+            // Others may know the stream, and have seen versions that this entry has not seen yet.
+            _ => self.traffic.borrow().recorded_origin(&question),
         }
     }
 
--- a/tests/testsuite/stream_versions.rs
+++ b/tests/testsuite/stream_versions.rs
@@ -85,6 +85,13 @@
     assert!(first.take_report(now).begun.is_empty(), "a stream is reported twice");
 }
 
+/// Applies a list every second from one time to another.
+fn list_each_second(traffic: &mut Traffic, from: Millis, to: Millis, listing: &[ListedUpstream]) {
+    for at in (from.0..=to.0).step_by(1_000) {
+        traffic.set_listing(Millis(at), listing.to_vec());
+    }
+}
+
 /// Guards against a guess at the version of a stream that nobody knows: only a service that had one
 /// version for as long as a stream can last needs no record.
 #[test]
@@ -93,14 +100,34 @@
     let origin = |traffic: &Traffic, at| version_of(traffic.origin(at, &ask(None)));
     let both = [engine("one", "v1", 1), engine("two", "v2", 1)];
     let [one, two] = both.clone();
-    traffic.set_listing(Millis(100), vec![one]);
+    traffic.set_listing(Millis(100), vec![one.clone()]);
     assert_eq!(origin(&traffic, Millis(200)), None, "right after the start");
+    list_each_second(&mut traffic, Millis(1_000), STREAM_LIFETIME, &[one]);
     traffic.set_listing(STREAM_LIFETIME, both.to_vec());
     assert_eq!(origin(&traffic, STREAM_LIFETIME), None, "two versions");
     let later = STREAM_LIFETIME + Millis(1_000);
     traffic.set_listing(later, vec![two.clone()]);
     assert_eq!(origin(&traffic, later), None, "two versions a moment ago");
     let much_later = later + STREAM_LIFETIME;
-    traffic.set_listing(much_later, vec![two]);
+    list_each_second(&mut traffic, later, much_later, &[two]);
     assert_eq!(origin(&traffic, much_later), Some(Version::from("v2")));
 }
+
+/// Guards against an entry that was out of step for seconds and takes the only version on its list for
+/// the only one there was meanwhile.
+#[test]
+fn a_list_that_did_not_arrive_for_seconds_shows_no_only_version() {
+    let mut traffic: Traffic = traffic(1e9, 0);
+    let origin = |traffic: &Traffic, at| version_of(traffic.origin(at, &ask(None)));
+    let one = [engine("one", "v1", 1)];
+    let known = STREAM_LIFETIME + Millis(1_000);
+    list_each_second(&mut traffic, Millis(1_000), known, &one);
+    assert_eq!(origin(&traffic, known), Some(Version::from("v1")));
+    let back = known + Millis(5_000);
+    assert_eq!(origin(&traffic, back), None, "the list is old");
+    traffic.set_listing(back, one.to_vec());
+    assert_eq!(origin(&traffic, back), None, "a version may have come and gone");
+    let long_back = back + STREAM_LIFETIME;
+    list_each_second(&mut traffic, back, long_back, &one);
+    assert_eq!(origin(&traffic, long_back), Some(Version::from("v1")));
+}
