Resume streams only with answers of their status and type

What callers saw: a stream whose upstream broke off went on with the body of a 206, a 203 or an answer of type JSON, joined to it as if it were its rest.

Cause: a resumption accepted any success.

Change: the status and the content type of the first answer are kept; an answer to a resumption that differs counts as broken off, and the next upstream is asked as far as attempts allow.

--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
-use super::{AttemptGuard, ProxiedRequest, UpstreamResponse, replacement::Fetched};
+use super::{AttemptGuard, ProxiedRequest, StreamHead, UpstreamResponse, replacement::Fetched};
 use crate::{
     coordination::{
         notices::UpstreamNotice,
@@ -237,6 +237,11 @@
             attempt.end(SendEnd::Broken);
             return SendResult::Unknown;
         }
+        if !self.goes_on_with(&head) {
+            log::warning("resumed-otherwise", &(&grant.upstream, &self.request_id));
+            attempt.end(SendEnd::Broken);
+            return SendResult::Unknown;
+        }
         attempt.on_head();
         let version = grant.version.clone();
         SendResult::Response(Box::new(UpstreamResponse {
@@ -248,6 +253,12 @@
         }))
     }
 
+    /// Returns whether the stream that has begun, if one has, may go on with this answer.
+    fn goes_on_with(&self, head: &http::response::Parts) -> bool {
+        let progress = self.progress.borrow();
+        progress.stream_head.as_ref().is_none_or(|begun| *begun == StreamHead::of(head))
+    }
+
     /// Reads the body of a rejection, and returns the connection to the pool if that succeeds.
     async fn drain_rejection(&self, body: Incoming, mut connection: Connection) {
         let reading = connection.drive(Limited::new(body, MAX_REJECTION_LEN).collect());
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -11,7 +11,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use http::{HeaderMap, Method, Response, Uri, header, request};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header, request};
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
@@ -87,12 +87,28 @@
     queued: Millis,
     /// The last attempt before the first byte arrived.
     sent: Option<LastSend>,
+    /// The head of the stream, once it has been forwarded.
+    stream_head: Option<StreamHead>,
     /// The versions that may serve the request: the one that began its stream, once it has begun.
     version: RequiredVersion,
     /// When the first event of a stream arrived, or the end of a response that is not streamed.
     first_byte: Option<Millis>,
 }
 
+/// What the heads of all answers that one stream is made of have in common.
+#[derive(PartialEq, Eq)]
+struct StreamHead {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamHead {
+    fn of(head: &http::response::Parts) -> StreamHead {
+        let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+        StreamHead { status: head.status, content_type }
+    }
+}
+
 /// The upstream and time of an attempt.
 struct LastSend {
     upstream: UpstreamName,
@@ -215,6 +231,7 @@
         response: UpstreamResponse<E>,
     ) -> Response<ResponseBody<E>> {
         let (mut head, source) = response.into_source();
+        self.progress.borrow_mut().stream_head = Some(StreamHead::of(&head));
         strip_hop_headers(&mut head.headers);
         head.version = http::Version::HTTP_11;
         let relay = Relay::new(self, source);
