--- a/crates/kingcup-support/src/lib.rs
+++ b/crates/kingcup-support/src/lib.rs
@@ -19,11 +19,12 @@
 pub mod traffic;
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        LazyLock,
+        Arc, LazyLock,
         atomic::{AtomicU32, Ordering},
     },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -68,6 +69,28 @@
     panic!("no free port in {PORTS:?}");
 }
 
+/// Listens on a loopback address, and serves each connection on a thread of its own for as long as the
+/// process runs; returns the address.
+///
+/// What `serve` returns is dropped: a stand-in may end a connection early, and the other end may close
+/// it.
+///
+/// # Panics
+///
+/// Panics if no port is free.
+pub fn serve_connections<T>(serve: impl Fn(TcpStream) -> T + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind(SocketAddr::from(ANY_PORT)).expect("a free port");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || drop(serve(stream)));
+        }
+    });
+    address
+}
+
 /// Polls `done` every 20 ms until it returns true; returns false after `timeout`.
 ///
 /// Tests pass a timeout far longer than expected, so that a busy host makes them slower but never
@@ -78,7 +101,7 @@
         if done() {
             return true;
         }
-        std::thread::sleep(Duration::from_millis(20));
+        thread::sleep(Duration::from_millis(20));
     }
     done()
 }
--- a/tests/testsuite/broken_answers.rs
+++ b/tests/testsuite/broken_answers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -18,6 +18,7 @@
     fleet::token,
     plain_service::PlainService,
     platform::FakeUpstream,
+    serve_connections,
 };
 
 use crate::support::start;
@@ -25,18 +26,12 @@
 /// Starts an upstream that gives each request the answer whose number its body holds; returns how
 /// many it has received.
 fn start_upstream(answers: &'static [BrokenAnswer]) -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
     let received: Arc<AtomicUsize> = Arc::default();
     let count = received.clone();
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            if let Some(number) = read_number(&stream) {
-                count.fetch_add(1, Ordering::SeqCst);
-                // Fails if the entry has closed the connection.
-                let _ = stream.write_all(answers[number].with_fields("").as_bytes());
-            }
-        }
+    let address = serve_connections(move |mut stream| {
+        let number = read_number(&stream)?;
+        count.fetch_add(1, Ordering::SeqCst);
+        stream.write_all(answers[number].with_fields("").as_bytes()).ok()
     });
     (address, received)
 }
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -7,7 +7,7 @@
 use std::{
     future::Future,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     rc::Rc,
     sync::mpsc,
     thread,
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt;
+use kingcup_support::serve_connections;
 use kingcupgrade::transport::{
     bodies::{SegmentBody, Segments},
     gateway::pool::{Connection, Pool},
@@ -38,16 +39,8 @@
 
 /// Starts an upstream that reports when a request arrives and when a connection is closed.
 fn start(answer: &'static str) -> (SocketAddr, mpsc::Receiver<(&'static str, Instant)>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
     let (tx, rx) = mpsc::channel();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let tx = tx.clone();
-            thread::spawn(move || serve(stream, answer, &tx));
-        }
-    });
-    (address, rx)
+    (serve_connections(move |stream| serve(stream, answer, &tx)), rx)
 }
 
 fn serve(mut stream: TcpStream, answer: &str, tx: &mpsc::Sender<(&'static str, Instant)>) {
