kingcupd: hold the slot of a request whose engine is silent

Cause: entries give up on an engine that is silent for silence_ms, and the dispatcher took such a request for ended, as one whose connection the engine has closed, and granted its slot again.

Change: an attempt that ends by a read timeout is AttemptEnd::Silent, and FinishedGrant says that the request may still run. The dispatcher counts it as running until a load report shows otherwise or the longest run is over, by the means that it has for entries that are silent.

--- a/crates/kingcup-load/src/drive/mod.rs
+++ b/crates/kingcup-load/src/drive/mod.rs
@@ -206,6 +206,7 @@
                 outcome,
                 cost: REQUEST_COST,
                 first_byte_ms: Some(400),
+                may_run: false,
             });
             peer_entry.progress.push((id, REQUEST_COST / 2));
         }
--- a/crates/kingcup-load/src/slopes.rs
+++ b/crates/kingcup-load/src/slopes.rs
@@ -183,6 +183,7 @@
                 outcome: GrantOutcome::Completed,
                 cost: 300,
                 first_byte_ms: Some(400),
+                may_run: false,
             }],
             progress: Vec::new(),
             notices: Vec::new(),
--- a/examples/dispatcher.rs
+++ b/examples/dispatcher.rs
@@ -52,6 +52,7 @@
             outcome: GrantOutcome::Completed,
             cost: 10,
             first_byte_ms: Some(5),
+            may_run: false,
         };
         let report = DispatchBody::Report {
             session: session.tag(),
--- a/src/kingcupgrade/coordination/dispatcher/mod.rs
+++ b/src/kingcupgrade/coordination/dispatcher/mod.rs
@@ -305,6 +305,7 @@
         self.on_progress(done.id, done.cost);
         let Some(grant) = self.remove_outstanding(done.id) else { return };
         self.on_rollout_finished(&grant, done);
+        let longest_run = self.longest_run();
         let Some(slots) = self.slots.get_mut(&grant.upstream) else { return };
         let reset = match done.outcome {
             GrantOutcome::Completed => {
@@ -317,6 +318,9 @@
             }
             GrantOutcome::Failed => {
                 slots.on_failure(now);
+                if done.may_run {
+                    slots.add_unaccounted(now, None, now + longest_run);
+                }
                 Some(LimitReset::Failed)
             }
         };
--- a/src/kingcupgrade/coordination/dispatcher/recovery.rs
+++ b/src/kingcupgrade/coordination/dispatcher/recovery.rs
@@ -91,7 +91,7 @@
             let until = now + self.longest_run();
             for grant in self.end_session(now, &entry) {
                 if let Some(slots) = self.slots.get_mut(&grant.upstream) {
-                    slots.add_unaccounted(now, &entry, until);
+                    slots.add_unaccounted(now, Some(&entry), until);
                 }
             }
         }
--- a/src/kingcupgrade/coordination/dispatcher/slots.rs
+++ b/src/kingcupgrade/coordination/dispatcher/slots.rs
@@ -103,7 +103,8 @@
 /// A request that may still be running although no grant in use covers it.
 #[derive(Clone, Debug)]
 struct Unaccounted {
-    /// The entry that holds the grant, if known.
+    /// The silent entry that holds the grant; `None` if that is unknown, or if the upstream is
+    /// silent.
     entry: Option<Instance>,
     /// Upper bound for the end of the request, whatever the reports show.
     until: Millis,
@@ -305,11 +306,12 @@
         }
     }
 
-    /// Counts a grant of a silent entry as running until a report or its deadline shows otherwise.
-    pub fn add_unaccounted(&mut self, now: Millis, entry: &Instance, until: Millis) {
+    /// Counts a grant that is not in use any more as running until a report or its deadline shows
+    /// otherwise: its entry is silent, or its upstream.
+    pub fn add_unaccounted(&mut self, now: Millis, entry: Option<&Instance>, until: Millis) {
         self.unaccounted_since = now;
         if let Some(requests) = &mut self.unaccounted {
-            requests.push(Unaccounted { entry: Some(entry.clone()), until });
+            requests.push(Unaccounted { entry: entry.cloned(), until });
         }
     }
 
--- a/src/kingcupgrade/coordination/entry/attempts.rs
+++ b/src/kingcupgrade/coordination/entry/attempts.rs
@@ -9,7 +9,7 @@
     core::{Code, Millis, UpstreamName},
     protocol::{
         Pool,
-        dispatch::{BegunAnswer, FinishedGrant, Grant, GrantId, GrantOutcome},
+        dispatch::{BegunAnswer, FinishedGrant, Grant, GrantOutcome},
     },
 };
 
@@ -39,7 +39,7 @@
         };
         self.held.insert((pool.clone(), grant.id), held);
         let Some(id) = next else {
-            self.end_grant(pool, grant.id, GrantOutcome::Unused, 0, None);
+            self.end_grant(pool, FinishedGrant::unused(grant.id));
             self.on_declined(pool, grant, out);
             return;
         };
@@ -145,12 +145,12 @@
             (Ok(()), _) if now >= deadline => {
                 // If it were sent now, it would time out, and its outcome would needlessly be
                 // unknown.
-                self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                self.end_grant(&pool, FinishedGrant::unused(grant.id));
                 self.give_up(id, Code::DeadlineQueued, out);
                 return true;
             }
             (Ok(()), Some(barred)) => {
-                self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                self.end_grant(&pool, FinishedGrant::unused(grant.id));
                 self.refuse_barred(id, barred, out);
                 return true;
             }
@@ -158,12 +158,12 @@
                 if self.may_use(now, &pool, &grant.upstream, grant.incarnation) {
                     self.start(now, id, &pool, &grant, out);
                 } else {
-                    self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                    self.end_grant(&pool, FinishedGrant::unused(grant.id));
                     self.requeue(now, id, None, out);
                 }
             }
             (Err(code), _) => {
-                self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                self.end_grant(&pool, FinishedGrant::unused(grant.id));
                 self.give_up(id, code, out);
             }
         }
@@ -171,17 +171,10 @@
     }
 
     /// Ends the use of a grant.
-    pub(super) fn end_grant(
-        &mut self,
-        pool: &Pool,
-        id: GrantId,
-        outcome: GrantOutcome,
-        cost: u32,
-        first_byte_ms: Option<u32>,
-    ) {
-        self.held.remove(&(pool.clone(), id));
+    pub(super) fn end_grant(&mut self, pool: &Pool, done: FinishedGrant) {
+        self.held.remove(&(pool.clone(), done.id));
         if let Some(session) = self.sessions.get_mut(pool) {
-            session.note_finished(FinishedGrant { id, outcome, cost, first_byte_ms });
+            session.note_finished(done);
         }
     }
 
@@ -228,10 +221,13 @@
             | AttemptEnd::Disconnected
             | AttemptEnd::Broken
             | AttemptEnd::BrokenForGood
+            | AttemptEnd::Silent
             | AttemptEnd::TimedOut => GrantOutcome::Failed,
             AttemptEnd::HungUp => GrantOutcome::Unused,
         };
-        self.end_grant(&pool, grant, outcome, cost, first_byte_ms);
+        let may_run = end == AttemptEnd::Silent;
+        let done = FinishedGrant { id: grant, outcome, cost, first_byte_ms, may_run };
+        self.end_grant(&pool, done);
         let code = match end {
             AttemptEnd::Completed => {
                 self.remove(id);
@@ -243,9 +239,10 @@
                 return;
             }
             AttemptEnd::NotSent | AttemptEnd::Refused => Code::UpstreamRefused,
-            AttemptEnd::Disconnected | AttemptEnd::Broken | AttemptEnd::BrokenForGood => {
-                Code::AnswerBroken
-            }
+            AttemptEnd::Disconnected
+            | AttemptEnd::Broken
+            | AttemptEnd::BrokenForGood
+            | AttemptEnd::Silent => Code::AnswerBroken,
             AttemptEnd::TimedOut => Code::AnswerTimeout,
         };
         if has_begun && let Some(request) = self.requests.get_mut(&id) {
--- a/src/kingcupgrade/coordination/entry/io.rs
+++ b/src/kingcupgrade/coordination/entry/io.rs
@@ -41,8 +41,10 @@
     Refused,
     /// The request was sent, and the upstream closed the connection before the end of its answer.
     Disconnected,
-    /// The request was sent, and its answer is invalid, or the upstream fell silent.
+    /// The request was sent, and its answer is invalid.
     Broken,
+    /// The request was sent, and the upstream has been silent for too long; it may still run it.
+    Silent,
     /// Like `Broken`, but part of an answer that can't be resumed has already reached the caller.
     BrokenForGood,
     /// The deadline passed after the request was sent.
--- a/src/kingcupgrade/coordination/entry/mod.rs
+++ b/src/kingcupgrade/coordination/entry/mod.rs
@@ -28,7 +28,7 @@
     },
     protocol::{
         Pool,
-        dispatch::{DispatchBody, DispatchMessage, Grant, GrantId, GrantOutcome},
+        dispatch::{DispatchBody, DispatchMessage, FinishedGrant, Grant, GrantId},
     },
 };
 
@@ -312,10 +312,10 @@
         match request.stage {
             Stage::Queued => {}
             Stage::Claiming { pool, grant } => {
-                self.end_grant(&pool, grant.id, GrantOutcome::Unused, 0, None);
+                self.end_grant(&pool, FinishedGrant::unused(grant.id));
             }
             Stage::Sent { pool, grant } => {
-                self.end_grant(&pool, grant, GrantOutcome::Unused, 0, None);
+                self.end_grant(&pool, FinishedGrant::unused(grant));
             }
         }
     }
--- a/src/kingcupgrade/protocol/dispatch.rs
+++ b/src/kingcupgrade/protocol/dispatch.rs
@@ -125,6 +125,18 @@
     /// The time from sending the request to the first byte of its answer, in milliseconds.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub first_byte_ms: Option<u32>,
+    /// Whether the upstream may still run the request: it fell silent, and has not closed the
+    /// connection.
+    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+    pub may_run: bool,
+}
+
+impl FinishedGrant {
+    /// Returns the end of a grant that was not used.
+    pub fn unused(id: GrantId) -> FinishedGrant {
+        let outcome = GrantOutcome::Unused;
+        FinishedGrant { id, outcome, cost: 0, first_byte_ms: None, may_run: false }
+    }
 }
 
 /// What an incarnation of an upstream has asked for on an answer to the sender.
--- a/src/kingcupgrade/transport/upstream.rs
+++ b/src/kingcupgrade/transport/upstream.rs
@@ -221,10 +221,10 @@
             io::ErrorKind::ConnectionRefused
             | io::ErrorKind::HostUnreachable
             | io::ErrorKind::NetworkUnreachable => AttemptEnd::NotSent,
-            _ if is_disconnect(err) => AttemptEnd::Disconnected,
-            _ => AttemptEnd::Broken,
+            _ => end_of_read(err),
         },
         ureq::Error::Timeout(ureq::Timeout::Global) => AttemptEnd::TimedOut,
+        ureq::Error::Timeout(_) => AttemptEnd::Silent,
         _ => AttemptEnd::Broken,
     }
 }
@@ -242,7 +242,17 @@
 
 /// Returns how an attempt ended whose response could not be read to its end.
 pub fn end_of_read(err: &io::Error) -> AttemptEnd {
-    if is_disconnect(err) { AttemptEnd::Disconnected } else { AttemptEnd::Broken }
+    match err.kind() {
+        _ if is_disconnect(err) => AttemptEnd::Disconnected,
+        _ if is_timeout(err) => AttemptEnd::Silent,
+        _ => AttemptEnd::Broken,
+    }
+}
+
+/// Returns whether an error means that nothing has arrived for too long.
+fn is_timeout(err: &io::Error) -> bool {
+    let cause = err.get_ref().and_then(|cause| cause.downcast_ref::<ureq::Error>());
+    err.kind() == io::ErrorKind::TimedOut || matches!(cause, Some(ureq::Error::Timeout(_)))
 }
 
 /// Reads the body of a response to the end.
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -277,6 +277,7 @@
             outcome: GrantOutcome::Completed,
             cost: 10,
             first_byte_ms: Some(5),
+            may_run: false,
         };
         let report = DispatchBody::Report {
             session: self.session.tag(),
--- a/tests/testsuite/queue_turns.rs
+++ b/tests/testsuite/queue_turns.rs
@@ -102,6 +102,7 @@
                 outcome: GrantOutcome::Completed,
                 cost: 10,
                 first_byte_ms: Some(5),
+                may_run: false,
             };
             entry.seq += 1;
             entry.waiting += entry.held.len() as u32;
