--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -18,7 +18,7 @@
 use self::digest::digest_of;
 pub(super) use self::{
     attempt::{AttemptGuard, UpstreamResponse},
-    replacement::{Progress as ReplacementProgress, Replacement},
+    replacement::{Replacement, ReplacementProgress},
     routed::RoutedRequest,
 };
 use super::{
--- a/src/kingcupgrade/transport/gateway/request/replacement.rs
+++ b/src/kingcupgrade/transport/gateway/request/replacement.rs
@@ -31,17 +31,32 @@
 pub(in crate::transport::gateway) type Fetched<E> =
     Result<Box<UpstreamResponse<E>>, (Code, Millis)>;
 
+/// Fetches a response.
+type Fetching<E> = Pin<Box<dyn Future<Output = Fetched<E>>>>;
+
 /// A silent attempt that is to be replaced.
 pub(super) struct Replaced {
     pub(super) upstream: Option<UpstreamName>,
     /// Whether it is still to be counted among the attempts, as no head has arrived.
     pub(super) is_uncounted: bool,
     /// When the request was sent to the upstream that is to take its place, if it is there.
-    pub(super) sent_at: Rc<Cell<Option<Instant>>>,
+    sent_at: Rc<Cell<Option<Instant>>>,
+}
+
+impl Replaced {
+    /// Records that another upstream has the request from now on.
+    pub(super) fn on_sent(&self) {
+        self.sent_at.set(Some(Instant::now()));
+    }
+
+    /// Records that the other upstream has not kept the request.
+    pub(super) fn on_attempt_ended(&self) {
+        self.sent_at.set(None);
+    }
 }
 
 /// How a replacement stands.
-pub(in crate::transport::gateway) enum Progress<E: PlatformAdapter> {
+pub(in crate::transport::gateway) enum ReplacementProgress<E: PlatformAdapter> {
     /// Another upstream has answered.
     Answered(Box<UpstreamResponse<E>>),
     /// Another upstream has the request and has not turned it away.
@@ -55,12 +70,12 @@
     /// The silent attempt ended.
     Kept(T),
     /// The replacement made progress.
-    Replacement(Progress<E>),
+    Replacement(ReplacementProgress<E>),
 }
 
 /// An attempt at another upstream that is to take the place of a silent one; dropping it cancels it.
 pub(in crate::transport::gateway) struct Replacement<E: PlatformAdapter> {
-    fetching: Pin<Box<dyn Future<Output = Fetched<E>>>>,
+    fetching: Fetching<E>,
     sent_at: Rc<Cell<Option<Instant>>>,
     /// When the silent attempt is given up, if the request has been sent.
     timer: Option<(Instant, Pin<Box<Sleep>>)>,
@@ -72,19 +87,21 @@
     pub(in crate::transport::gateway) fn poll(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Progress<E>> {
+    ) -> Poll<ReplacementProgress<E>> {
         if let Poll::Ready(fetched) = self.fetching.as_mut().poll(cx) {
             return Poll::Ready(match fetched {
-                Ok(response) if self.is_usable(&response) => Progress::Answered(response),
+                Ok(response) if self.is_usable(&response) => {
+                    ReplacementProgress::Answered(response)
+                }
                 Ok(response) => {
                     response.attempt.end(SendEnd::Failed);
-                    Progress::Refused
+                    ReplacementProgress::Refused
                 }
-                Err(_) => Progress::Refused,
+                Err(_) => ReplacementProgress::Refused,
             });
         }
         ready!(self.poll_timer(cx));
-        Poll::Ready(Progress::Taken)
+        Poll::Ready(ReplacementProgress::Taken)
     }
 
     /// Waits until another upstream has had the request for long enough to turn it away.
@@ -111,9 +128,7 @@
     }
 
     /// Waits for the response once the silent attempt has ended.
-    pub(in crate::transport::gateway) fn into_response(
-        self,
-    ) -> Pin<Box<dyn Future<Output = Fetched<E>>>> {
+    pub(in crate::transport::gateway) fn into_response(self) -> impl Future<Output = Fetched<E>> {
         self.fetching
     }
 
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -125,10 +125,9 @@
             }
             let taken_up_after = self.taken_up.as_ref().and_then(|stream| stream.last_event);
             self.report_placed(&grant, last_event.or(taken_up_after));
-            let sent_at = replaced.as_ref().map(|replaced| &replaced.sent_at);
-            sent_at.inspect(|at| at.set(Some(Instant::now())));
+            replaced.iter().for_each(Replaced::on_sent);
             let result = self.send_or_replace(&grant, attempt, last_event).await;
-            sent_at.inspect(|at| at.set(None));
+            replaced.iter().for_each(Replaced::on_attempt_ended);
             match result {
                 SendResult::Replaced(fetched) => return fetched,
                 SendResult::Response(response) => return Ok(response),
