Keep a silent attempt until another one has delivered

Callers saw streams that paused cut in the middle, and 502 for answers that were late, although their upstream would have gone on: another upstream had been asked and had turned the request away late, broken off after the head, or was silent itself.

Cause: a request that was sent and not refused for 100 ms, or the head of an answer, was taken for an answer. The silent attempt was closed then, and if the other one failed nothing was left.

Change: all attempts at a stream are read, and the first that delivers an event or the end is kept (race.rs, source.rs; the relay keeps what concerns the caller). Plain answers: the silent attempt is kept until the other one's whole answer is there. If the silent one ends first, the one that was asked goes on, and after it whatever attempts, deadline and budget allow. Attempts count from their beginning. Lines replacement-failed, and the end of the last attempt in broken-off.

--- a/src/kingcupgrade/transport/gateway/decisions.rs
+++ b/src/kingcupgrade/transport/gateway/decisions.rs
@@ -49,6 +49,8 @@
     pub(super) attempts: u32,
     /// Upstreams to which sending was attempted without success.
     pub(super) tried: &'a [UpstreamName],
+    /// How the last attempt ended, if the response was truncated.
+    pub(super) end: Option<&'a str>,
 }
 
 /// The fields of the log line for the upstream chosen for a request, and why.
@@ -121,6 +123,20 @@
     pub(super) after_ms: Millis,
 }
 
+/// The fields of the log line for an attempt that was to take over a silent one and has failed.
+#[derive(Serialize)]
+pub(super) struct FailedReplacementLine<'a> {
+    pub(super) request: Option<&'a str>,
+    /// Why no upstream answers in its place.
+    pub(super) code: u16,
+    /// Number of upstreams that received the request.
+    pub(super) attempts: u32,
+    /// Upstreams to which sending was attempted without success.
+    pub(super) tried: &'a [UpstreamName],
+    /// Time since the request arrived.
+    pub(super) after_ms: Millis,
+}
+
 /// The fields of the log line for an upstream that begins to ask for no requests.
 #[derive(Serialize)]
 pub(super) struct NoticeLine<'a> {
@@ -193,6 +209,12 @@
         self.log_limited("replaced", line);
     }
 
+    /// Logs that no other upstream has taken over a silent attempt, up to the limit of such lines.
+    pub(super) fn replacement_failed(&self, line: &FailedReplacementLine<'_>) {
+        counter!("kingcup_failed_replacements").increment(1);
+        self.log_limited("replacement-failed", line);
+    }
+
     /// Logs that an upstream closed the connection of an attempt, up to the limit of such lines.
     pub(super) fn disconnected(&self, line: &DisconnectLine<'_>) {
         self.log_limited("upstream-disconnected", line);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -19,12 +19,14 @@
 mod plain;
 pub mod pool;
 mod probes;
+mod race;
 mod relay;
 mod request;
 mod response;
 mod rollouts;
 mod scheduling_delay;
 mod serve;
+mod source;
 mod updates;
 
 use std::{
@@ -197,6 +199,7 @@
             after_ms: Millis::ZERO,
             attempts: 0,
             tried: &[],
+            end: None,
         };
         self.decisions.refused(code, &line);
     }
--- a/src/kingcupgrade/transport/gateway/request/attempt.rs
+++ b/src/kingcupgrade/transport/gateway/request/attempt.rs
@@ -10,7 +10,7 @@
     core::{UpstreamName, Version},
     transport::gateway::{
         Gateway, adapter::PlatformAdapter, decisions::DisconnectLine, end_check::end_of_closed,
-        pool::Connection,
+        pool::Connection, race::Contender,
     },
 };
 
@@ -109,4 +109,6 @@
     pub(in crate::transport::gateway) attempt: AttemptGuard<E>,
     /// The version of the upstream's software, if known.
     pub(in crate::transport::gateway) version: Option<Version>,
+    /// Other attempts at the request that are under way, as one of the upstreams was silent.
+    pub(in crate::transport::gateway) rivals: Vec<Contender<E>>,
 }
--- a/src/kingcupgrade/transport/gateway/request/exchange.rs
+++ b/src/kingcupgrade/transport/gateway/request/exchange.rs
@@ -13,7 +13,7 @@
         notices::UpstreamNotice,
         traffic::{Grant, ReportedLoad, SendEnd},
     },
-    core::Millis,
+    core::{Code, Millis},
     transport::{
         answer_head,
         bodies::SegmentBody,
@@ -52,10 +52,21 @@
     Unknown,
     /// The request was sent, and no response arrived in time.
     TimedOut,
-    /// The upstream was silent, and another one has taken the request: what became of it there.
+    /// The upstream was silent, and another one was asked: what became of the request there.
     Replaced(Fetched<E>),
 }
 
+impl<E: PlatformAdapter> SendResult<E> {
+    /// Returns the response, or that there is none.
+    pub(super) fn into_fetched(self) -> Fetched<E> {
+        match self {
+            SendResult::Response(response) => Ok(response),
+            SendResult::Replaced(fetched) => fetched,
+            _ => Err((Code::AnswerBroken, Millis::ZERO)),
+        }
+    }
+}
+
 /// The result of sending a request on one connection.
 enum ExchangeResult {
     /// The upstream had closed the connection, and no byte was written.
@@ -76,6 +87,22 @@
         grant: &Grant,
         attempt: AttemptGuard<E>,
         last_event: Option<u64>,
+    ) -> SendResult<E> {
+        // Counted from the beginning, as another attempt may be made meanwhile.
+        self.progress.borrow_mut().attempts += 1;
+        let result = self.try_connections(grant, attempt, last_event).await;
+        if let SendResult::NotSent | SendResult::Withheld | SendResult::CallerLeft = result {
+            self.progress.borrow_mut().attempts -= 1;
+        }
+        result
+    }
+
+    /// Sends the request on the first connection that the upstream has not closed.
+    async fn try_connections(
+        &self,
+        grant: &Grant,
+        attempt: AttemptGuard<E>,
+        last_event: Option<u64>,
     ) -> SendResult<E> {
         for _ in 0..MAX_STALE {
             let pool = &self.gateway.pool;
@@ -110,12 +137,10 @@
                     return self.evaluate_head(head, body, connection, attempt, grant).await;
                 }
                 ExchangeResult::Broken => {
-                    self.progress.borrow_mut().attempts += 1;
                     attempt.end_closed().await;
                     return SendResult::Unknown;
                 }
                 ExchangeResult::TimedOut => {
-                    self.progress.borrow_mut().attempts += 1;
                     attempt.end(SendEnd::Broken);
                     return SendResult::TimedOut;
                 }
@@ -187,7 +212,6 @@
         if let Err(fault) = answer_head::check(head.status, head.version, &head.headers) {
             let request = self.request_id.as_deref();
             log::warning("answer-head", &(&grant.upstream, request, fault.to_string()));
-            self.progress.borrow_mut().attempts += 1;
             attempt.end(SendEnd::Broken);
             return SendResult::Unknown;
         }
@@ -205,7 +229,6 @@
         if !decoded.is_misdirected {
             self.gateway.on_notice(grant, notice);
         }
-        self.progress.borrow_mut().attempts += 1;
         if decoded.request_id != self.request_id {
             let (asked, answered) = (&self.request_id, &decoded.request_id);
             log::warning("answer-of-another-request", &(&grant.upstream, asked, answered));
@@ -250,6 +273,7 @@
             connection,
             attempt,
             version,
+            rivals: Vec::new(),
         }))
     }
 
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -18,7 +18,7 @@
 use self::digest::digest_of;
 pub(super) use self::{
     attempt::{AttemptGuard, UpstreamResponse},
-    replacement::{Replacement, ReplacementProgress},
+    replacement::Fetched,
     routed::RoutedRequest,
 };
 use super::{
@@ -27,6 +27,7 @@
     caller::Caller,
     collected::{CollectedBody, ResponseTooLong},
     memory::{AnswerBuffer, CountedBody},
+    race::Contender,
     relay::Relay,
     response::{Content, ResponseBody, strip_hop_headers},
 };
@@ -79,7 +80,7 @@
 struct Progress {
     /// Upstreams to which sending was attempted without success.
     avoid: Vec<UpstreamName>,
-    /// The number of upstreams that received the request.
+    /// The number of upstreams that the request was sent to, or is being sent to.
     attempts: u32,
     /// The number of attempts that failed before any byte was sent.
     unsent: u32,
@@ -230,11 +231,11 @@
         self: Rc<ProxiedRequest<E>>,
         response: UpstreamResponse<E>,
     ) -> Response<ResponseBody<E>> {
-        let (mut head, source) = response.into_source();
+        let (mut head, source, rivals) = response.into_source();
         self.progress.borrow_mut().stream_head = Some(StreamHead::of(&head));
         strip_hop_headers(&mut head.headers);
         head.version = http::Version::HTTP_11;
-        let relay = Relay::new(self, source);
+        let relay = Relay::new(self, source, rivals);
         Response::from_parts(head, Content::Streamed(Box::new(relay)).into())
     }
 
@@ -246,7 +247,7 @@
     ) -> Response<ResponseBody<E>> {
         let mut response = first;
         loop {
-            let UpstreamResponse { head, body, mut connection, attempt, .. } = response;
+            let UpstreamResponse { head, body, mut connection, attempt, rivals, .. } = response;
             let reservation = self.gateway.memory.reserve();
             let body = CountedBody::new(body, reservation);
             let body = CollectedBody::new(body, self.gateway.collected.clone());
@@ -262,12 +263,13 @@
                     }
                     attempt.end(if is_failure { SendEnd::Failed } else { SendEnd::Answered });
                     self.gateway.pool.checkin(connection);
+                    rivals.into_iter().for_each(|rival| rival.give_way(&self));
                     return self.complete(head, &body);
                 }
                 Ok(Ok(body)) => {
                     attempt.end(SendEnd::Failed);
                     self.gateway.pool.checkin(connection);
-                    match self.retry().await {
+                    match self.next_response(rivals).await {
                         Some(again) => response = again,
                         None => return self.complete(head, &body),
                     }
@@ -278,7 +280,7 @@
                         true => attempt.end(SendEnd::Broken),
                         false => attempt.end_closed().await,
                     }
-                    match self.retry().await {
+                    match self.next_response(rivals).await {
                         Some(again) => response = again,
                         None => {
                             let (code, retry_after) = self.broken();
@@ -296,6 +298,19 @@
         }
     }
 
+    /// Returns the response of another attempt that is under way, or of a new one if that is permitted.
+    async fn next_response(
+        self: &Rc<ProxiedRequest<E>>,
+        rivals: Vec<Contender<E>>,
+    ) -> Option<UpstreamResponse<E>> {
+        for fetching in rivals.into_iter().filter_map(Contender::into_fetching) {
+            if let Ok(response) = fetching.await {
+                return Some(*response);
+            }
+        }
+        self.retry().await
+    }
+
     fn complete(&self, head: http::response::Parts, body: &Segments) -> Response<ResponseBody<E>> {
         if let Some(buffer) = self.answer_buffer() {
             buffer.on_handed_over(body.len());
--- a/src/kingcupgrade/transport/gateway/request/reporting.rs
+++ b/src/kingcupgrade/transport/gateway/request/reporting.rs
@@ -4,7 +4,7 @@
 
 use super::{LastSend, Progress, ProxiedRequest};
 use crate::{
-    coordination::traffic::Grant,
+    coordination::traffic::{Grant, SendEnd},
     core::{Code, Millis},
     transport::gateway::{
         adapter::PlatformAdapter,
@@ -16,10 +16,12 @@
 };
 
 impl<E: PlatformAdapter> ProxiedRequest<E> {
-    /// Logs that a response was truncated after it had begun.
-    pub(in crate::transport::gateway) fn report_truncated(&self, code: Code) {
+    /// Logs that a response was truncated after it had begun, and how its last attempt ended.
+    pub(in crate::transport::gateway) fn report_truncated(&self, code: Code, end: SendEnd) {
         let progress = self.progress.borrow();
-        self.gateway.decisions.truncated(code, &self.failure_line(code, Millis::ZERO, &progress));
+        let end = Some(end.as_str());
+        let line = FailureLine { end, ..self.failure_line(code, Millis::ZERO, &progress) };
+        self.gateway.decisions.truncated(code, &line);
     }
 
     /// Logs that an upstream sent this many bytes of an event without its end.
@@ -84,6 +86,7 @@
             after_ms: self.gateway.now().since(self.arrived),
             attempts: progress.attempts,
             tried: &progress.avoid,
+            end: None,
         }
     }
 
--- a/src/kingcupgrade/transport/gateway/request/routed.rs
+++ b/src/kingcupgrade/transport/gateway/request/routed.rs
@@ -131,6 +131,7 @@
                 after_ms: Millis::ZERO,
                 attempts: 0,
                 tried: &[],
+                end: None,
             },
         );
         Some((code, retry_after))
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -1,6 +1,6 @@
 //! Queueing a request, sending it, and sending it again as far as that is permitted.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use metrics::histogram;
 use tokio::{
@@ -9,9 +9,9 @@
 };
 
 use super::{
-    AttemptGuard, ProxiedRequest, ReplacementProgress, UpstreamResponse,
+    AttemptGuard, ProxiedRequest, UpstreamResponse,
     exchange::SendResult,
-    replacement::{Fetched, Race, Replaced},
+    replacement::{Fetched, First, Replaced, first_of},
     routed::charged_organisation,
 };
 use crate::{
@@ -20,7 +20,10 @@
         traffic::{Demand, Grant, RequestNo, SendEnd, Verdict},
     },
     core::{Code, Millis, Outcome},
-    transport::gateway::adapter::PlatformAdapter,
+    transport::gateway::{
+        adapter::PlatformAdapter,
+        race::{Contender, Purpose, SilentSend},
+    },
 };
 
 /// The number of upstreams to which sending may fail before any byte is written; then the request
@@ -47,15 +50,14 @@
     /// Returns whether a request that may have run may be sent again; if so, takes the repeat from
     /// the retry budget.
     pub(in crate::transport::gateway) fn may_repeat(&self) -> bool {
-        self.may_send_again(0) && self.take_retry()
+        self.may_send_again() && self.take_retry()
     }
 
     /// Returns whether a request that may have run may be sent again as far as its own limits are
-    /// concerned, with this many attempts under way that are not counted yet.
-    pub(super) fn may_send_again(&self, uncounted: u32) -> bool {
-        let attempts = self.progress.borrow().attempts + uncounted;
+    /// concerned.
+    pub(super) fn may_send_again(&self) -> bool {
         self.route.kind.is_idempotent()
-            && attempts < self.route.max_attempts
+            && self.progress.borrow().attempts < self.route.max_attempts
             && Instant::now() < self.deadline
             && self.barred().is_none()
     }
@@ -116,20 +118,22 @@
                 Verdict::Start(grant) => grant,
                 Verdict::Refuse { code, retry_after } => return Err(error(code, retry_after)),
             };
-            if let Some(replaced) = replaced.as_ref().filter(|_| is_unpaid) {
-                let uncounted = u32::from(replaced.is_uncounted);
-                if !self.may_send_again(uncounted) || !self.take_retry() {
-                    return Err((Code::AnswerTimeout, Millis::ZERO));
-                }
-                is_unpaid = false;
+            if is_unpaid && !self.may_repeat() {
+                return Err((Code::AnswerTimeout, Millis::ZERO));
             }
+            is_unpaid = false;
             let taken_up_after = self.taken_up.as_ref().and_then(|stream| stream.last_event);
             self.report_placed(&grant, last_event.or(taken_up_after));
-            replaced.iter().for_each(Replaced::on_sent);
-            let result = self.send_or_replace(&grant, attempt, last_event).await;
-            replaced.iter().for_each(Replaced::on_attempt_ended);
-            match result {
-                SendResult::Replaced(fetched) => return fetched,
+            replaced.iter().for_each(|replaced| replaced.is_sent.set(true));
+            match self.send_or_replace(&grant, attempt, last_event).await {
+                SendResult::Replaced(Ok(response)) => return Ok(response),
+                SendResult::Replaced(Err(failure)) => {
+                    self.progress.borrow_mut().avoid.push(grant.upstream);
+                    if !self.may_repeat() {
+                        return Err(failure);
+                    }
+                    may_have_run = true;
+                }
                 SendResult::Response(response) => return Ok(response),
                 SendResult::NotSent => {
                     let mut progress = self.progress.borrow_mut();
@@ -174,8 +178,8 @@
         }
     }
 
-    /// Sends the request to the granted upstream. If that is silent for too long, looks for another
-    /// one, and goes on waiting until that has taken the request.
+    /// Sends the request to the granted upstream. If that is silent for too long, asks another one as
+    /// well, and returns the response whose head is the first to arrive.
     async fn send_or_replace(
         self: &Rc<ProxiedRequest<E>>,
         grant: &Grant,
@@ -183,33 +187,44 @@
         last_event: Option<u64>,
     ) -> SendResult<E> {
         let end_on_drop = attempt.end_on_drop();
-        let mut sending = Box::pin(self.send_once(grant, attempt, last_event));
+        let (request, granted) = (self.clone(), grant.clone());
+        let sending = async move { request.send_once(&granted, attempt, last_event).await };
+        let mut sending = Box::pin(sending);
+        if !self.can_be_replaced() {
+            return sending.await;
+        }
         loop {
-            let hang_deadline = self.hang_deadline();
-            if hang_deadline >= self.deadline {
-                return sending.await;
-            }
-            if let Ok(result) = timeout_at(hang_deadline, sending.as_mut()).await {
+            if let Ok(result) = timeout_at(self.hang_deadline(), sending.as_mut()).await {
                 return result;
             }
-            if !self.may_replace(true) {
-                continue;
+            if Instant::now() >= self.deadline {
+                return sending.await;
             }
-            let mut replacement = self.replace(Some(grant.upstream.clone()), true, last_event);
-            let progress = match replacement.race(sending.as_mut()).await {
-                Race::Kept(result) => return result,
-                Race::Replacement(progress) => progress,
-            };
-            if matches!(progress, ReplacementProgress::Refused) {
+            if !self.may_replace() {
                 continue;
             }
-            end_on_drop.set(SendEnd::Broken);
-            drop(sending);
-            self.on_replaced(Some(grant.upstream.clone()), true);
-            return SendResult::Replaced(match progress {
-                ReplacementProgress::Answered(response) => Ok(response),
-                _ => replacement.into_response().await,
-            });
+            let (upstream, is_sent) = (grant.upstream.clone(), Rc::<Cell<bool>>::default());
+            let silent = vec![upstream.clone()];
+            let mut replacement = self.fetch_replacement(silent, last_event, is_sent.clone());
+            match first_of(sending.as_mut(), &mut replacement).await {
+                First::Silent(SendResult::Response(mut response)) => {
+                    let purpose = Purpose::Replacement(is_sent);
+                    response.rivals.push(Contender::Fetching { response: replacement, purpose });
+                    return SendResult::Response(response);
+                }
+                First::Silent(_) => return SendResult::Replaced(replacement.await),
+                First::Replacement(Ok(mut response)) if self.is_usable(&response) => {
+                    let purpose = Purpose::Silent(SilentSend { upstream, end_on_drop });
+                    let silent = Box::pin(async move { sending.await.into_fetched() });
+                    response.rivals.push(Contender::Fetching { response: silent, purpose });
+                    return SendResult::Replaced(Ok(response));
+                }
+                First::Replacement(Ok(response)) => response.attempt.end(SendEnd::Failed),
+                First::Replacement(Err((code, _))) if is_sent.get() => {
+                    self.log_failed_replacement(code);
+                }
+                First::Replacement(Err(_)) => {}
+            }
         }
     }
 
@@ -233,7 +248,7 @@
     /// Returns what the request asks of an upstream, in place of a silent attempt if there is one.
     fn demand(&self, no: RequestNo, replaced: Option<&Replaced>) -> Demand {
         let progress = self.progress.borrow();
-        let silent = replaced.and_then(|replaced| replaced.upstream.as_ref());
+        let silent = replaced.into_iter().flat_map(|replaced| &replaced.upstreams);
         Demand {
             no,
             digest: self.digest,
@@ -278,13 +293,19 @@
         }
     }
 
-    /// Returns the time at which an upstream that sends nothing is taken for hung.
+    /// Returns whether another upstream may be asked while one is silent.
+    fn can_be_replaced(&self) -> bool {
+        self.route.kind.is_idempotent() && self.route.max_attempts > 1
+    }
+
+    /// Returns whether an upstream beyond the next one may be asked.
+    pub(in crate::transport::gateway) fn has_spare_attempts(&self) -> bool {
+        self.route.kind.is_idempotent()
+            && self.progress.borrow().attempts + 1 < self.route.max_attempts
+    }
+
+    /// Returns the time at which an upstream that sends nothing is taken for silent.
     pub(in crate::transport::gateway) fn hang_deadline(&self) -> Instant {
-        let can_repeat = self.route.kind.is_idempotent()
-            && self.progress.borrow().attempts + 1 < self.route.max_attempts;
-        if !can_repeat {
-            return self.deadline;
-        }
         let span = Millis(self.route.target_latency.0 * HANG_TARGETS).max(MIN_HANG);
         self.deadline.min(Instant::now() + span.as_duration())
     }
