Refuse at once what is expected to outlast a stopping entry

Cause: until the load balancer has noticed, an entry took every request, however long its answer.

Change: for each route a moving average of how long answers take and of their deviation; from the signal on a request is refused (503, Retry-After) that is expected to outlast the entry: two deviations beyond the average, or as long as the oldest under way. Without evidence it is served as before. First tried: half of the first answer's duration as its deviation, which refused all after one answer.

--- a/src/kingcupgrade/coordination/shutdown.rs
+++ b/src/kingcupgrade/coordination/shutdown.rs
@@ -73,11 +73,18 @@
         self.stage
     }
 
-    /// Returns whether a request with this timeout is certain to end before the process does.
+    /// Returns whether a request is to be taken, as it ends before the process does. Its answer is
+    /// expected to take `expected`; zero if that is not known.
     ///
     /// A request that is cut off may have run, and its caller can't know. If it is refused before
-    /// it is sent, another entry can take it at once.
-    pub fn has_time_for(&self, now: Millis, timeout: Millis) -> bool {
-        self.stage < DrainStage::Closing || now + timeout < self.ends_at
+    /// it is sent, another entry can take it at once. As long as the load balancer sends callers here,
+    /// one that will most likely end in time is served; after that, one that certainly will.
+    pub fn has_time_for(&self, now: Millis, timeout: Millis, expected: Millis) -> bool {
+        let span = match self.stage {
+            DrainStage::Serving => return true,
+            DrainStage::NotReady => expected.min(timeout),
+            DrainStage::Closing | DrainStage::ListenerClosed | DrainStage::Stopped => timeout,
+        };
+        now + span < self.ends_at
     }
 }
--- a/src/kingcupgrade/coordination/traffic/mod.rs
+++ b/src/kingcupgrade/coordination/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod decaying_sum;
 mod demand;
+mod durations;
 mod engine;
 mod health;
 mod origins;
@@ -51,8 +52,9 @@
     verdict::{Basis, CauseChange, Disconnect, Grant, SendEnd, Verdict},
 };
 use self::{
-    capability::Capabilities, cold::cold_rate_share, origins::Origins, peer_reports::PeerReports,
-    plain::PlainServices, rollouts::Rollouts, room::RoomReports, sent::SentRequest,
+    capability::Capabilities, cold::cold_rate_share, durations::AnswerDurations, origins::Origins,
+    peer_reports::PeerReports, plain::PlainServices, rollouts::Rollouts, room::RoomReports,
+    sent::SentRequest,
 };
 pub(in crate::coordination) use self::{plain::PlainSums, shares::max_min_level};
 use crate::{
@@ -104,6 +106,7 @@
     unannounced_parts: BTreeMap<UpstreamName, Vec<u64>>,
     /// Moving average of the tokens generated per request, by route.
     output_averages: HashMap<Arc<str>, f64>,
+    durations: AnswerDurations,
     /// Moving average of the time for which a request is in an engine's memory, in milliseconds.
     memory_times: HashMap<Service, f64>,
 }
@@ -135,6 +138,7 @@
             cause_changes: Vec::new(),
             unannounced_parts: BTreeMap::new(),
             output_averages: HashMap::new(),
+            durations: AnswerDurations::default(),
             memory_times: HashMap::new(),
         }
     }
--- a/src/kingcupgrade/coordination/traffic/sent.rs
+++ b/src/kingcupgrade/coordination/traffic/sent.rs
@@ -232,6 +232,7 @@
         self.rollouts.on_end(now, &sent, end);
         let beyond_memory = self.note_memory_at_end(now, &sent, end);
         if end == SendEnd::Answered {
+            self.durations.on_answered(&sent.route, now.since(sent.sent_at));
             self.on_plain_duration(now, &sent);
         }
         let service_rate = self.median_failure_rate(&sent.service);
--- a/src/kingcupgrade/transport/gateway/mod.rs
+++ b/src/kingcupgrade/transport/gateway/mod.rs
@@ -131,9 +131,14 @@
         *self.drain.borrow()
     }
 
-    /// Returns whether a request with this timeout is certain to end before the process does.
-    fn has_time_for(&self, timeout: Millis) -> bool {
-        self.shutdown.get().has_time_for(self.now(), timeout)
+    /// Returns whether a request on this route ends before the process does, as far as that is known.
+    fn has_time_for(&self, route: &str, timeout: Millis) -> bool {
+        let now = self.now();
+        let expected = match self.stage() {
+            DrainStage::Serving => return true,
+            _ => self.traffic.borrow().expected_duration(now, route),
+        };
+        self.shutdown.get().has_time_for(now, timeout, expected)
     }
 
     /// Advances a shutdown in progress by one stage if that is due, and returns the stage.
--- a/src/kingcupgrade/transport/gateway/request/routed.rs
+++ b/src/kingcupgrade/transport/gateway/request/routed.rs
@@ -97,6 +97,10 @@
         Ok(RoutedRequest { arrived, ..routed })
     }
 
+    pub(in crate::transport::gateway) fn route_name(&self) -> &str {
+        &self.route.name
+    }
+
     /// Counts the request towards the retry budget of its service.
     pub(in crate::transport::gateway) fn count<E: PlatformAdapter>(&self, gateway: &Gateway<E>) {
         gateway.traffic.borrow_mut().on_request(self.arrived, &self.service);
--- a/src/kingcupgrade/transport/gateway/serve.rs
+++ b/src/kingcupgrade/transport/gateway/serve.rs
@@ -329,7 +329,7 @@
         Ok(routed) => routed,
         Err(code) => return Ok(refuse(code, Millis::ZERO)),
     };
-    if !gateway.has_time_for(routed.timeout) {
+    if !gateway.has_time_for(routed.route_name(), routed.timeout) {
         return Ok(refuse(Code::Draining, RETRY_AFTER_DRAIN));
     }
     // An overloaded entry refuses many times as many requests as it serves, so this is decided
