Let the rest of a stream wait for an upstream

Callers saw streams cut at once whose upstream broke off while all others were full for a moment.

Cause: the rest of a stream was held against the target of its first byte, which had passed: only an idle engine would do, and the queue refused it at the next poll, 3 ms later; beyond its organisation's share it was refused without waiting.

Change: the rest of a stream that has no upstream any more has 1.5 s to go on, may wait for half of that, goes before requests that have not begun, and is within the share. A replacement for a silent upstream is not: what is silent may go on.

Of the two new tests the first fails with the queue as it was.

--- a/crates/kingcup-support/src/traffic.rs
+++ b/crates/kingcup-support/src/traffic.rs
@@ -103,6 +103,7 @@
         avoid: Vec::new(),
         is_repeat: false,
         may_repeat: true,
+        is_resumption: false,
         version: RequiredVersion::Any,
     }
 }
--- a/src/kingcupgrade/coordination/traffic/demand.rs
+++ b/src/kingcupgrade/coordination/traffic/demand.rs
@@ -65,6 +65,8 @@
     pub is_repeat: bool,
     /// Whether it may run more than once.
     pub may_repeat: bool,
+    /// Whether it is the rest of a stream that has begun for the caller and has no upstream any more.
+    pub is_resumption: bool,
     /// The versions that may serve it.
     pub version: RequiredVersion,
 }
--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Engines begin requests in the order of arrival. A request sent before there is capacity would
 //! wait at the engine, where its order can't be changed any more, so it waits at the entry.
-//! Requests within their organisation's share go first, then those with the earliest target. A
+//! Requests within their organisation's share go first, the rests of streams that have lost their upstream
+//! before others, then those with the earliest target. A
 //! request that can't meet its target any more is refused at once, with the time after which
 //! capacity is expected.
 
@@ -58,8 +59,9 @@
     pub fn admit(&mut self, now: Millis, demand: Demand) -> Option<Verdict> {
         let work = demand.work();
         self.refresh_shares(now);
-        let status = match demand.prompt.is_empty() {
-            // Shares are counted in tokens, and plain requests use none.
+        // Shares are counted in tokens, and plain requests use none. A stream that has begun was within
+        // its organisation's share, and what has been generated would be lost.
+        let status = match demand.prompt.is_empty() || demand.is_resumption {
             true => ShareStatus::Within,
             false => self.shares.status(now, &demand.organisation, work),
         };
@@ -151,10 +153,11 @@
     fn enqueue(&mut self, now: Millis, demand: Demand, status: ShareStatus) -> Option<Verdict> {
         let fraction =
             if status == ShareStatus::Within { WAIT_FRACTION } else { WAIT_FRACTION_OVER_SHARE };
-        let span = demand.target.since(demand.arrived).0 as f64 * fraction;
+        let began = if demand.is_resumption { now } else { demand.arrived };
+        let span = demand.target.since(began).0 as f64 * fraction;
         let plain_wait = self.plain_wait(now, &demand);
         let wait_until = match plain_wait {
-            None => demand.arrived + Millis(span as u64),
+            None => began + Millis(span as u64),
             Some(PlainWait::Until(latest)) => latest,
             Some(PlainWait::TooLate(left)) => {
                 return Some(refuse(Code::ServiceShort, retry_delay(left)));
@@ -178,7 +181,10 @@
         }
         self.last_poll = now;
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| (waiting.status, waiting.demand.target, !waiting.goes_first));
+        waiting.sort_by_key(|waiting| {
+            let demand = &waiting.demand;
+            (waiting.status, !demand.is_resumption, demand.target, !waiting.goes_first)
+        });
         let max_tries =
             (MAX_COMPARISONS_PER_POLL / self.upstreams.len().max(1)).clamp(1, MAX_TRIES_PER_POLL);
         let mut tries = 0;
--- a/src/kingcupgrade/transport/gateway/request/mod.rs
+++ b/src/kingcupgrade/transport/gateway/request/mod.rs
@@ -96,6 +96,13 @@
     first_byte: Option<Millis>,
 }
 
+impl Progress {
+    /// Returns whether events of a stream have arrived.
+    fn stream_has_begun(&self) -> bool {
+        self.stream_head.is_some() && self.first_byte.is_some()
+    }
+}
+
 /// What the heads of all answers that one stream is made of have in common.
 #[derive(PartialEq, Eq)]
 struct StreamHead {
--- a/src/kingcupgrade/transport/gateway/request/sending.rs
+++ b/src/kingcupgrade/transport/gateway/request/sending.rs
@@ -35,6 +35,9 @@
 /// The minimum of that time: ordinary requests in the tail of the latency distribution take as
 /// long.
 const MIN_HANG: Millis = Millis(150);
+/// The time within which a stream that has lost its upstream is to go on: callers give it up after a
+/// silence of two seconds or more.
+const RESUMPTION_TIME: Millis = Millis(1_500);
 /// The retry delay sent after upstreams rejected a request or could not be reached.
 const RETRY_AFTER_REJECTED: Millis = Millis(500);
 
@@ -248,6 +251,11 @@
     /// Returns what the request asks of an upstream, in place of a silent attempt if there is one.
     fn demand(&self, no: RequestNo, replaced: Option<&Replaced>) -> Demand {
         let progress = self.progress.borrow();
+        let is_resumption = replaced.is_none() && progress.stream_has_begun();
+        let target = match is_resumption {
+            true => self.gateway.now() + RESUMPTION_TIME,
+            false => self.target,
+        };
         let silent = replaced.into_iter().flat_map(|replaced| &replaced.upstreams);
         Demand {
             no,
@@ -256,13 +264,14 @@
             route: self.route_name.clone(),
             organisation: charged_organisation(self.organisation.as_ref()),
             arrived: self.arrived,
-            target: self.target,
+            target,
             deadline: self.deadline_at,
             prompt: self.prompt.clone(),
             expected_output: self.output,
             avoid: progress.avoid.iter().chain(silent).cloned().collect(),
             is_repeat: replaced.is_some() || progress.attempts > 0,
             may_repeat: self.route.kind.is_idempotent(),
+            is_resumption,
             version: progress.version.clone(),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod proposals;
 mod queue_turns;
 mod record;
+mod resumptions;
 mod rollouts;
 mod roster;
 mod shares;
