Leave an upstream that hangs in the middle with the last attempt, too

Callers of routes with max_attempts 2 waited for their deadline, or left, when their stream's upstream hung in the middle, although one more attempt was allowed.

Cause: after the head no further attempt is looked for with the last one, and the timer was set to the deadline; events move the time of silence, but not the timer.

Change: the first event sets the timer.

Measured: an_upstream_that_hangs_in_the_middle_is_left_with_the_last_attempt failed before and passes. Two more tests passed as they were written: a stream resumed that pauses again; a pause with a configuration and SIGHUP, or with SIGTERM, in it. silences::a_stream_that 8 of 8.

--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -206,11 +206,15 @@
             source.attempt().on_events(events.count * self.request.stride);
         }
         let now = Instant::now();
-        match self.last_event.replace(now) {
+        let previous = self.last_event.replace(now);
+        self.silent_until = self.silence_deadline();
+        match previous {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
-            None => self.on_first_event(),
+            None => {
+                self.timer.as_mut().reset(self.silent_until);
+                self.on_first_event();
+            }
         }
-        self.silent_until = self.silence_deadline();
         events.bytes
     }
 
