kingcupd: log changes of the record's term and leader

Three listed failures (a leader deposed while it stood still, or by an instance cut off one way) can't be traced, since kingcupd told no change of term or leader.

--- a/src/kingcupgrade/coordination/node/io.rs
+++ b/src/kingcupgrade/coordination/node/io.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
+use serde::Serialize;
+
 use crate::{
     coordination::{
         decision::Decision,
@@ -121,3 +123,12 @@
     /// Log a decision.
     Decided(Decision),
 }
+
+/// A control instance's state in the consensus on the record, for the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RecordStanding {
+    /// The current term.
+    pub term: u64,
+    /// The leader that it follows; itself if it leads; `None` if none is known.
+    pub leader: Option<Instance>,
+}
--- a/src/kingcupgrade/coordination/node/mod.rs
+++ b/src/kingcupgrade/coordination/node/mod.rs
@@ -13,7 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub use self::io::{Input, KeyedRequest, Output, Ticket};
+pub use self::io::{Input, KeyedRequest, Output, RecordStanding, Ticket};
 use super::{
     client::RecordClient,
     control::ControlMachine,
--- a/src/kingcupgrade/coordination/node/operators.rs
+++ b/src/kingcupgrade/coordination/node/operators.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Awaited, CHANGE_TIMEOUT, Node, Output, Ticket, not_found};
+use super::{Awaited, CHANGE_TIMEOUT, Node, Output, RecordStanding, Ticket, not_found};
 use crate::{
     coordination::{dispatcher::Dispatcher, orders::OrderReconciler},
     core::{Millis, Service, UpstreamName},
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Returns the term of the record and the leader that this control instance follows, itself if it
+    /// leads; `None` without a replica of the record.
+    pub fn record_standing(&self) -> Option<RecordStanding> {
+        let consensus = self.control.as_ref()?.consensus();
+        let leader = consensus.leader().map(|leader| leader.0.clone());
+        Some(RecordStanding { term: consensus.term(), leader })
+    }
+
     fn order_stages(&self, service: &Service) -> BTreeMap<UpstreamName, (u64, String)> {
         let stages = self.orders.get(service).into_iter().flat_map(OrderReconciler::stages);
         stages.map(|(name, number, stage)| (name.clone(), (number, stage))).collect()
--- a/src/kingcupgrade/transport/daemon.rs
+++ b/src/kingcupgrade/transport/daemon.rs
@@ -27,7 +27,7 @@
     coordination::{
         control::ControlMachine,
         entry::RequestId,
-        node::{Input, Node, Output, Ticket},
+        node::{Input, Node, Output, RecordStanding, Ticket},
         view::View,
     },
     core::{Millis, Settings, clock::Clock, settings::Role},
@@ -79,6 +79,7 @@
         callers: BTreeMap::new(),
         operators: BTreeMap::new(),
         next_ticket: 1,
+        logged_standing: None,
         signals,
     };
     control_thread.run(&rx, &draining);
@@ -120,6 +121,8 @@
     callers: BTreeMap<RequestId, mpsc::Sender<Verdict>>,
     operators: BTreeMap<Ticket, mpsc::Sender<OperatorReply>>,
     next_ticket: Ticket,
+    /// The state in the consensus on the record that was last logged.
+    logged_standing: Option<RecordStanding>,
     signals: EarlySignals,
 }
 
@@ -154,6 +157,7 @@
             }
             self.node.flush(self.clock.now(), unix_ms(), &mut out);
             self.handle_outputs(out);
+            self.log_record_standing();
             if drain_begun && self.node.is_drained() {
                 // Other threads may still be sending the last responses and messages.
                 std::thread::sleep(Duration::from_millis(200));
@@ -251,6 +255,15 @@
         }
     }
 
+    /// Logs a change of the term or of the leader of the record.
+    fn log_record_standing(&mut self) {
+        let standing = self.node.record_standing();
+        if standing != self.logged_standing {
+            log::event("record-standing", &standing);
+            self.logged_standing = standing;
+        }
+    }
+
     fn watch(&self, services: BTreeSet<crate::core::Service>) {
         *self.watched.lock().expect("no thread panics holding the set") = services;
     }
