Count the rest of a stream towards its organisation's share

Cause: took the rest of a stream to be within the share of its organisation, whatever that had.

Change: the rest of a stream has the status of any request of its organisation.

The new test fails with the line and passes without it.

--- a/src/kingcupgrade/coordination/traffic/queue.rs
+++ b/src/kingcupgrade/coordination/traffic/queue.rs
@@ -59,9 +59,8 @@
     pub fn admit(&mut self, now: Millis, demand: Demand) -> Option<Verdict> {
         let work = demand.work();
         self.refresh_shares(now);
-        // Shares are counted in tokens, and plain requests use none. A stream that has begun was within
-        // its organisation's share, and what has been generated would be lost.
-        let status = match demand.prompt.is_empty() || demand.is_resumption {
+        let status = match demand.prompt.is_empty() {
+            // Shares are counted in tokens, and plain requests use none.
             true => ShareStatus::Within,
             false => self.shares.status(now, &demand.organisation, work),
         };
--- a/tests/testsuite/resumptions.rs
+++ b/tests/testsuite/resumptions.rs
@@ -2,7 +2,7 @@
 
 use kingcupgrade::{
     coordination::traffic::{Demand, RequestNo, SendEnd, Traffic, Verdict},
-    core::Millis,
+    core::{Code, Millis},
 };
 
 use crate::traffic::{assigned_upstream, demand, traffic};
@@ -67,3 +67,25 @@
     };
     assert!(verdicts.iter().any(refused), "{verdicts:?}");
 }
+
+/// Guards against an organisation that gets far more than its share because the rests of its streams are
+/// served before the requests of others, who wait.
+#[test]
+fn the_rest_of_a_stream_counts_towards_the_share() {
+    let mut traffic = traffic(10_000.0, 2);
+    let is_over = |verdict: Option<Verdict>| {
+        matches!(verdict, Some(Verdict::Refuse { code: Code::OverShare, .. }))
+    };
+    let mut refused_at = None;
+    for no in 1..STREAM {
+        let now = Millis(10_000 + no * 10);
+        let other = demand(2 * STREAM + no, now, "birch", 2 * STREAM + no, 300);
+        traffic.admit(now, other);
+        if is_over(traffic.admit(now, demand(no, now, "alder", no, 3_000))) {
+            refused_at = Some(now);
+            break;
+        }
+    }
+    let now = refused_at.expect("the organisation exceeds its share");
+    assert!(is_over(traffic.admit(now, resumption(now))), "it is served beyond the share");
+}
