Keep the list of attempts where one is left

Found by reading the change once more: for every event of every stream the list of attempts was built anew, with an allocation, also where there was one attempt. It is kept now, and the others are drained from it. The first attempt isn't always the oldest: said so, and keep_oldest is keep_first. No behaviour changes.

--- a/src/kingcupgrade/transport/gateway/race.rs
+++ b/src/kingcupgrade/transport/gateway/race.rs
@@ -156,7 +156,8 @@
     }
 }
 
-/// The attempts at a stream that are under way, the oldest first; never empty while it is polled.
+/// The attempts at a stream that are under way, first the one that has delivered, if one has; never empty
+/// while it is polled.
 pub(super) struct Race<E: PlatformAdapter> {
     request: Rc<ProxiedRequest<E>>,
     contenders: Vec<Contender<E>>,
@@ -205,8 +206,8 @@
         self.contenders.push(Contender::Fetching { response, purpose });
     }
 
-    /// Cancels all attempts but the oldest.
-    pub(super) fn keep_oldest(&mut self) {
+    /// Cancels all attempts but the first.
+    pub(super) fn keep_first(&mut self) {
         self.contenders.truncate(1);
     }
 
@@ -263,11 +264,11 @@
 
     /// Ends all attempts but one, which has delivered.
     fn keep(&mut self, index: usize) {
-        let mut winner = self.contenders.swap_remove(index);
-        if let Contender::Reading { is_silent, .. } = &mut winner {
+        self.contenders.swap(0, index);
+        if let Contender::Reading { is_silent, .. } = &mut self.contenders[0] {
             *is_silent = false;
         }
-        for other in std::mem::replace(&mut self.contenders, vec![winner]) {
+        for other in self.contenders.drain(1..) {
             other.give_way(&self.request);
         }
     }
--- a/src/kingcupgrade/transport/gateway/relay.rs
+++ b/src/kingcupgrade/transport/gateway/relay.rs
@@ -160,7 +160,7 @@
         if buffer.poll_below_bound(cx).is_pending() {
             self.unread.on_paused(now);
             if let State::Reading(race) = &mut self.state {
-                race.keep_oldest();
+                race.keep_first();
             }
             return Poll::Pending;
         }
